--- /dev/null
+++ b/chivedale/messages.h
@@ -0,0 +1,279 @@
+// Messages between daemons. peer_codec.h turns them into frames.
+#ifndef CHIVEDALE_MESSAGES_H_
+#define CHIVEDALE_MESSAGES_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "chivedale/error.h"
+#include "chivedale/ids.h"
+#include "chivedale/resources.h"
+#include "chivedale/work.h"
+
+namespace chivedale {
+
+// Bodies are shared between threads and never changed.
+using Body = std::shared_ptr<const std::string>;
+
+enum class MemberState { kStarting, kLive, kSuspect, kDraining, kDead, kLeft };
+
+struct MemberInfo {
+  MemberId id;
+  std::string address;  // IP:port of the peer listener
+  DataCentreId data_centre;
+  RegionId region;
+  MemberState state = MemberState::kStarting;
+  // Grows when the member itself refutes a suspicion or changes state.
+  uint64_t incarnation = 0;
+};
+
+// First frame in each direction of a connection.
+struct Hello {
+  MemberInfo sender;
+  uint32_t protocol = 1;
+};
+
+// Running and waiting work of one row or team as one entry sees it.
+struct DemandReport {
+  int64_t running = 0;
+  int64_t queued = 0;
+  double arrivals_per_s = 0;
+};
+
+struct Ping {
+  uint64_t sequence = 0;
+  MemberInfo sender;
+  std::vector<MemberInfo> updates;
+  uint64_t table_revision = 0;
+  // By row kind; only rows with work.
+  std::map<std::string, DemandReport> demand;
+};
+
+struct PingReply {
+  uint64_t sequence = 0;
+  MemberInfo sender;
+  std::vector<MemberInfo> updates;
+  uint64_t table_revision = 0;
+  std::map<std::string, DemandReport> demand;
+};
+
+// Asks the receiver to ping `target` on behalf of the sender.
+struct PingRequest {
+  uint64_t sequence = 0;
+  MemberInfo target;
+};
+
+// Free room of an owner's workers, split by whether they have accelerators.
+struct RoomSummary {
+  int64_t workers = 0;
+  Resources capacity;
+  Resources free;
+  // Largest single free amount; a task above it in any component cannot fit.
+  Resources largest;
+};
+
+struct Summary {
+  MemberId owner;
+  uint64_t sequence = 0;
+  RoomSummary plain;
+  RoomSummary accelerated;
+  bool draining = false;
+};
+
+// Asks an owner to start one attempt at once or to refuse it.
+struct Dispatch {
+  TaskKey key;
+  MemberId entry;
+  std::string kind;
+  Resources size;
+  Millis expected_run{0};
+  Millis longest_run{0};
+  Urgency urgency = Urgency::kNormal;
+  bool repeatable = true;
+  bool checkpoint = false;
+  // Empty, or the worker that a hold of a gang names.
+  WorkerId worker;
+  uint64_t hold = 0;
+  // Workers, racks and data centres to avoid where others have room (spread).
+  std::vector<std::string> avoid;
+  Body payload;
+};
+
+enum class DispatchOutcome {
+  kAccepted,  // the worker took the start
+  kNoRoom,    // certain: not run
+  kRefused,   // certain: not run; owner draining, or worker refused
+  kUnknown,   // the start may have reached the worker
+};
+
+struct DispatchReply {
+  TaskKey key;
+  DispatchOutcome outcome = DispatchOutcome::kNoRoom;
+  WorkerId worker;
+  // With kAccepted: the worker's rack and data centre, for spreading.
+  std::string rack;
+  std::string data_centre;
+  std::optional<Summary> summary;
+};
+
+// The result of one attempt, from owner to entry. Sent again until answered by
+// an AnswerAck.
+struct Answer {
+  TaskKey key;
+  WorkerId worker;
+  bool ok = false;
+  // Set when ok is false.
+  ErrorKind error = ErrorKind::kTaskFailed;
+  // With ok false: whether the attempt ran.
+  Ran ran = Ran::kYes;
+  // True when the platform's task wrote a checkpoint before it stopped.
+  bool checkpointed = false;
+  Millis run_time{0};
+  Body payload;
+};
+
+struct AnswerAck {
+  TaskKey key;
+};
+
+// Entry to owner: stop the attempt. The owner answers with an Answer.
+struct Cancel {
+  TaskKey key;
+  // Stop after a checkpoint, for preemption.
+  bool checkpoint = false;
+};
+
+// From a worker's new owner to each entry that has tasks there: after this
+// list, an attempt that the entry had on `worker` and that is not listed is
+// not running; see `reboot` for whether it may have run.
+struct WorkerTaken {
+  WorkerId worker;
+  MemberId owner;
+  std::vector<TaskKey> running;
+  // The worker restarted since the earlier owner: unlisted attempts may have
+  // run. False: an unlisted attempt without an answer never started.
+  bool reboot = false;
+};
+
+// Entry to the holder of the id's group.
+struct Register {
+  RequestId request;
+  MemberId entry;
+  bool repeatable = true;
+  // Hash of kind and payload: the same id with other content is refused.
+  uint64_t digest = 0;
+  // The sender already runs it (an owner that adopts after an entry's death,
+  // or an entry that registers again with a new holder).
+  bool running = false;
+};
+
+enum class RegisterOutcome {
+  kNew,    // the entry may start it
+  kKnown,  // `entry` in the reply has it
+  kDigestDiffers,
+  kRecordedBefore,  // recorded in the store by an entry that is gone
+  kStoreDown,       // unrepeatable and the record could not be written: not run
+  kNotHolder,       // ask again after the next member update
+  kWait,  // the earlier entry is gone; its work may still run; ask again
+};
+
+struct RegisterReply {
+  RequestId request;
+  RegisterOutcome outcome = RegisterOutcome::kNew;
+  MemberId entry;
+  Millis retry_after{0};
+};
+
+// Asks the entry that has the request for its answer (or the owner that
+// adopted it). Answered by Attached now and AttachAnswer at the end.
+struct Attach {
+  RequestId request;
+  MemberId sender;
+};
+
+struct AttachAnswer {
+  RequestId request;
+  bool found = false;
+  bool ok = false;
+  ErrorKind error = ErrorKind::kInternal;
+  Ran ran = Ran::kUnknown;
+  std::string detail;
+  Body payload;
+};
+
+// After an entry's death, each member tells the holders which of its requests
+// it runs. `complete` ends the list.
+struct EntryGone {
+  MemberId gone;
+  MemberId sender;
+  std::vector<RequestId> running;
+  bool complete = true;
+};
+
+struct TablePull {
+  uint64_t have_revision = 0;
+};
+
+// The whole table as JSON text, or the changed rows since `base_revision`.
+struct TableData {
+  uint64_t revision = 0;
+  uint64_t base_revision = 0;  // 0: whole
+  std::string json;
+};
+
+// Holds room for one task of a gang until `ttl` passes or a release.
+struct Hold {
+  uint64_t hold = 0;
+  JobId job;
+  Resources size;
+  int64_t count = 0;
+  Millis ttl{0};
+};
+
+struct HoldReply {
+  uint64_t hold = 0;
+  JobId job;
+  // One worker per task that got room; fewer than asked means the rest failed.
+  std::vector<WorkerId> workers;
+};
+
+struct HoldRelease {
+  uint64_t hold = 0;
+};
+
+// A draining owner has released these workers; the receiver claims them now.
+struct Handover {
+  std::vector<WorkerId> workers;
+};
+
+using Message = std::variant<Hello,
+                             Ping,
+                             PingReply,
+                             PingRequest,
+                             Summary,
+                             Dispatch,
+                             DispatchReply,
+                             Answer,
+                             AnswerAck,
+                             Cancel,
+                             WorkerTaken,
+                             Register,
+                             RegisterReply,
+                             Attach,
+                             AttachAnswer,
+                             EntryGone,
+                             TablePull,
+                             TableData,
+                             Hold,
+                             HoldReply,
+                             HoldRelease,
+                             Handover>;
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_MESSAGES_H_
--- /dev/null
+++ b/chivedale/owner_agent.h
@@ -0,0 +1,104 @@
+// The owner role of a daemon: holds worker leases, places attempts on its
+// workers, starts them, resolves unknown outcomes, and passes completions to
+// their entries until these acknowledge them.
+#ifndef CHIVEDALE_OWNER_AGENT_H_
+#define CHIVEDALE_OWNER_AGENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chivedale/messages.h"
+#include "chivedale/placement.h"
+#include "chivedale/ports.h"
+#include "util/clock.h"
+#include "util/random.h"
+
+namespace chivedale {
+
+// What the agent tells the rest of its daemon and other members. `to` may be
+// this member itself.
+class OwnerListener {
+ public:
+  virtual ~OwnerListener() = default;
+  virtual void SendToMember(const MemberId& to, const Message& message) = 0;
+  // Room appeared on an own worker.
+  virtual void OnRoom() = 0;
+  // A completion was seen, for the run-time and usage models.
+  virtual void OnRunTime(const std::string& kind, Millis run_time) = 0;
+};
+
+struct WorkerStatus {
+  WorkerId id;
+  std::string lease;  // unowned, claiming, reading, owned, handing_over, ...
+  std::string data_centre;
+  std::string rack;
+  Resources capacity;
+  Resources committed;
+  Resources used;
+  int64_t running = 0;
+  bool leaving = false;
+  double failure_rate = 0;
+};
+
+class OwnerAgent {
+ public:
+  struct Options {
+    Millis lease_ttl{2'000};
+    Millis renew_interval{500};
+    Millis orphan_ttl{6'000};
+    double drift_margin = 0.1;
+    Millis answer_resend{1'000};
+    Millis completion_wait{1'000};
+    PlacementPolicyKind placement = PlacementPolicyKind::kPack;
+  };
+
+  OwnerAgent(const util::Clock& clock,
+             util::Random& random,
+             WorkerPort& workers,
+             OwnerListener& listener,
+             MemberInfo self,
+             Options options);
+  ~OwnerAgent();
+
+  // Commands.
+  // The endpoints that VmList believes in.
+  void SetVms(const std::vector<Vm>& endpoints);
+  // Members that may own workers.
+  void SetMembers(const std::vector<MemberInfo>& owners);
+  // Places and starts at once, or refuses; replies through the listener with a
+  // DispatchReply, later an Answer.
+  void OnDispatch(const Dispatch& dispatch);
+  void OnAnswerAck(const AnswerAck& ack);
+  void OnCancel(const Cancel& cancel);
+  void OnHold(const MemberId& from, const Hold& hold);
+  void OnHoldRelease(const HoldRelease& release);
+  void OnHandover(const Handover& handover);
+  // Reports EntryGone to all members and adopts the tasks of that entry: their
+  // answers are kept for Attach.
+  void OnMemberDead(const MemberId& member);
+  void OnAttach(const Attach& attach);
+  void OnRegisterReply(const RegisterReply& reply);
+  void Tick();
+  // Stops taking dispatches; hands each worker to its next owner as soon as no
+  // start is in flight. Running tasks go on.
+  void Drain();
+
+  // Queries.
+  bool drained() const;
+  Summary CurrentSummary() const;
+  // Whether an own worker has room for this size now.
+  bool HasRoom(const Resources& size) const;
+  std::vector<WorkerStatus> Workers() const;
+  int64_t owned_workers() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_OWNER_AGENT_H_
--- /dev/null
+++ b/chivedale/ports.h
@@ -0,0 +1,239 @@
+// The control state's view of the outside. Adapters implement these over
+// HTTP and TCP, tests implement them in memory. Each callback runs on the
+// control thread, exactly once, also after a timeout.
+#ifndef CHIVEDALE_PORTS_H_
+#define CHIVEDALE_PORTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "chivedale/ids.h"
+#include "chivedale/messages.h"
+#include "chivedale/resources.h"
+#include "util/clock.h"
+
+namespace chivedale {
+
+// What a worker said, or that it did not.
+enum class PortStatus {
+  kOk,
+  kRefused,      // answered with a refusal: certainly not done
+  kNotSent,      // no connection: certainly not done
+  kUnreachable,  // sent, no answer: may have been done
+};
+
+// Grows with each grant within one boot of the worker.
+struct LeaseToken {
+  uint64_t token = 0;
+  std::string boot_id;
+
+  friend bool operator==(const LeaseToken& a, const LeaseToken& b) {
+    return a.token == b.token && a.boot_id == b.boot_id;
+  }
+};
+
+struct WorkerReport {
+  Resources capacity;
+  // Measured by the platform up to `lag` ago.
+  Resources used;
+  Millis lag{0};
+  bool leaving = false;
+};
+
+struct LeaseResult {
+  PortStatus status = PortStatus::kUnreachable;
+  LeaseToken token;
+  Millis ttl{0};
+  WorkerReport report;
+  // With kRefused: who has the lease and for how long.
+  MemberId holder;
+  Millis remaining{0};
+};
+
+struct RunningTask {
+  TaskKey key;
+  std::string kind;
+  Resources size;
+  // The labels that came with the start.
+  MemberId entry;
+  bool repeatable = true;
+  Millis running_for{0};
+  Resources used;
+};
+
+struct TaskList {
+  PortStatus status = PortStatus::kUnreachable;
+  std::vector<RunningTask> tasks;
+};
+
+struct StartRequest {
+  TaskKey key;
+  LeaseToken token;
+  std::string kind;
+  Resources size;
+  MemberId entry;
+  bool repeatable = true;
+  Millis longest_run{0};
+  Body payload;
+};
+
+enum class StartOutcome {
+  kAccepted,
+  kStaleToken,    // not run
+  kNoRoom,        // not run
+  kLeaving,       // not run
+  kNotSent,       // not run
+  kAlreadyThere,  // this attempt runs there or has ended there
+  kUnknown,       // sent, no answer
+};
+
+struct Completion {
+  uint64_t sequence = 0;
+  TaskKey key;
+  MemberId entry;
+  bool repeatable = true;
+  bool ok = false;
+  // With ok false: the worker ran it (failure, longest run, stop) or not.
+  ErrorKind error = ErrorKind::kTaskFailed;
+  Ran ran = Ran::kYes;
+  bool checkpointed = false;
+  Millis run_time{0};
+  Resources peak_used;
+  Body payload;
+};
+
+struct CompletionsRequest {
+  LeaseToken token;
+  // Completions up to here were delivered under this token.
+  uint64_t after = 0;
+  // Sequences that their entries have acknowledged; the worker drops them.
+  std::vector<uint64_t> acks;
+  Millis wait{0};
+};
+
+struct CompletionsResult {
+  PortStatus status = PortStatus::kUnreachable;
+  std::vector<Completion> completions;
+};
+
+enum class TaskControl { kStop, kCheckpoint, kThrottle };
+
+class WorkerPort {
+ public:
+  virtual ~WorkerPort() = default;
+  // Claims with `token.token` 0, renews otherwise. A claim by the member that
+  // has the lease grants a new token and fences its own earlier starts.
+  virtual void Lease(const WorkerId& worker,
+                     const MemberId& owner,
+                     const LeaseToken& token,
+                     Millis ttl,
+                     std::function<void(LeaseResult)> done) = 0;
+  virtual void Release(const WorkerId& worker,
+                       const MemberId& owner,
+                       const LeaseToken& token,
+                       std::function<void(PortStatus)> done) = 0;
+  virtual void List(const WorkerId& worker,
+                    std::function<void(TaskList)> done) = 0;
+  virtual void Start(const WorkerId& worker,
+                     const StartRequest& request,
+                     std::function<void(StartOutcome)> done) = 0;
+  virtual void Completions(const WorkerId& worker,
+                           const CompletionsRequest& request,
+                           std::function<void(CompletionsResult)> done) = 0;
+  virtual void Control(const WorkerId& worker,
+                       const LeaseToken& token,
+                       const TaskKey& key,
+                       TaskControl control,
+                       std::function<void(PortStatus)> done) = 0;
+  // Makes a worker's address known; calls to an unknown worker end kNotSent.
+  virtual void SetAddress(const WorkerId& worker,
+                          const std::string& address) = 0;
+};
+
+enum class StoreStatus {
+  kOk,
+  kNotFound,
+  kConflict,
+  kUnavailable,  // a write may still have taken effect
+};
+
+struct StoreEntry {
+  std::string key;
+  std::string value;
+  uint64_t revision = 0;
+};
+
+struct StoreResult {
+  StoreStatus status = StoreStatus::kUnavailable;
+  // One entry for Get; all under the prefix for List and Watch; for Put the
+  // new revision, or with kConflict the present one.
+  std::vector<StoreEntry> entries;
+  uint64_t revision = 0;
+};
+
+class StorePort {
+ public:
+  virtual ~StorePort() = default;
+  using Done = std::function<void(StoreResult)>;
+  virtual void Get(const std::string& key, Done done) = 0;
+  // Writes only when the key's revision is `expected`; 0 means absent.
+  virtual void Put(const std::string& key,
+                   const std::string& value,
+                   uint64_t expected,
+                   Done done) = 0;
+  virtual void Delete(const std::string& key, uint64_t expected, Done done) = 0;
+  virtual void List(const std::string& prefix, Done done) = 0;
+  // Ends when a key under `prefix` has a revision above `after`, or after
+  // `wait` with no entries.
+  virtual void Watch(const std::string& prefix,
+                     uint64_t after,
+                     Millis wait,
+                     Done done) = 0;
+};
+
+class PeerPort {
+ public:
+  virtual ~PeerPort() = default;
+  // False when there is no room in the send queue or no known address: then
+  // the message is certainly not sent. True promises nothing.
+  virtual bool Send(const MemberId& to, const Message& message) = 0;
+  // Connects on demand; a member's address comes from membership.
+  virtual void SetAddress(const MemberId& member,
+                          const std::string& address) = 0;
+  // Sends to an address whose member id is not known yet (a seed).
+  virtual void SendToAddress(const std::string& address,
+                             const Message& message) = 0;
+};
+
+enum class VmRole { kEntry, kEndpoint };
+enum class VmState { kLive, kLeaving };
+
+struct Vm {
+  std::string id;  // the worker id of an endpoint
+  VmRole role = VmRole::kEndpoint;
+  std::string address;
+  DataCentreId data_centre;
+  RegionId region;
+  std::string rack;
+  VmState state = VmState::kLive;
+};
+
+struct VmListResult {
+  bool ok = false;
+  uint64_t version = 0;
+  std::vector<Vm> vms;
+};
+
+class VmListPort {
+ public:
+  virtual ~VmListPort() = default;
+  virtual void Fetch(uint64_t after,
+                     Millis wait,
+                     std::function<void(VmListResult)> done) = 0;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_PORTS_H_
--- /dev/null
+++ b/chivedale/testing/error_test.cc
@@ -0,0 +1,37 @@
+// Guards against an error kind whose answer is missing or in the wrong place:
+// a caller would be told that work was run, or may be retried, when it was
+// not.
+#include "chivedale/error.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+namespace chivedale {
+
+BOOST_AUTO_TEST_SUITE(ErrorKinds)
+
+BOOST_AUTO_TEST_CASE(EachKindHasItsOwnAnswer) {
+  std::set<std::string> names;
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<ErrorKind>(i);
+    const ErrorAnswer& answer = AnswerFor(kind);
+    BOOST_TEST((answer.kind == kind));
+    BOOST_TEST((ErrorKindFromName(answer.name) == kind));
+    BOOST_TEST(names.insert(std::string(answer.name)).second);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsBeforeTheStartSayNotRun) {
+  for (ErrorKind kind :
+       {ErrorKind::kQueueFull, ErrorKind::kRateLimited,
+        ErrorKind::kDeadlineUnmet, ErrorKind::kStoreDown, ErrorKind::kDraining,
+        ErrorKind::kOverloaded, ErrorKind::kNeverFits}) {
+    BOOST_TEST((AnswerFor(kind).ran == Ran::kNo));
+  }
+  BOOST_TEST((AnswerFor(ErrorKind::kOutcomeUnknown).ran == Ran::kUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/testing/fake_clock.h
@@ -0,0 +1,26 @@
+// A clock that moves only when a test says so.
+#ifndef CHIVEDALE_TESTING_FAKE_CLOCK_H_
+#define CHIVEDALE_TESTING_FAKE_CLOCK_H_
+
+#include "util/clock.h"
+
+namespace chivedale::testing {
+
+class FakeClock final : public util::Clock {
+ public:
+  util::TimePoint Now() const override { return now_; }
+  util::WallTime WallNow() const override {
+    return util::WallTime(std::chrono::milliseconds(1'700'000'000'000)) +
+           std::chrono::duration_cast<std::chrono::milliseconds>(
+               now_.time_since_epoch());
+  }
+  void Advance(util::Duration step) { now_ += step; }
+
+ private:
+  // Starts away from zero, so that a default TimePoint lies in the past.
+  util::TimePoint now_{std::chrono::hours(1)};
+};
+
+}  // namespace chivedale::testing
+
+#endif  // CHIVEDALE_TESTING_FAKE_CLOCK_H_
--- /dev/null
+++ b/chivedale/vm_list.h
@@ -0,0 +1,51 @@
+// Live and leaving VMs as the platform lists them. The list lags and may be
+// wrong: one that loses more than `max_loss` of the known VMs at once is not
+// believed for `doubt` unless it stays that way.
+#ifndef CHIVEDALE_VM_LIST_H_
+#define CHIVEDALE_VM_LIST_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chivedale/ports.h"
+#include "util/clock.h"
+
+namespace chivedale {
+
+class VmList {
+ public:
+  struct Options {
+    double max_loss = 0.2;
+    Millis doubt{30'000};
+  };
+
+  VmList(const util::Clock& clock, Options options);
+
+  // Commands.
+  void OnList(const VmListResult& result);
+  // A worker that answers is alive whatever the list says.
+  void OnContact(const std::string& vm);
+  void Tick();
+
+  // Queries.
+  // Endpoints to keep a lease on or claim, with leaving ones marked.
+  std::vector<Vm> Endpoints() const;
+  std::vector<Vm> Entries() const;
+  bool doubted() const;
+  uint64_t version() const;
+
+ private:
+  const util::Clock& clock_;
+  const Options options_;
+  std::map<std::string, Vm> believed_;
+  std::map<std::string, Vm> listed_;
+  std::map<std::string, util::TimePoint> contact_;
+  util::TimePoint doubted_since_{};
+  bool doubted_ = false;
+  uint64_t version_ = 0;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_VM_LIST_H_
--- /dev/null
+++ b/scripts/install_packages.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs the build tools and libraries on a Debian machine. Does nothing when
+# all of them are present, so that a build without network still works.
+set -euo pipefail
+packages=(g++ cmake ninja-build ccache clang-format clang-tidy git
+  libboost-dev libboost-test-dev liblog4cxx-dev libmsgpack-cxx-dev
+  nlohmann-json3-dev librapidcheck-dev libssl-dev libxxhash-dev)
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
+    grep -q 'ok installed' || missing+=("$package")
+done
+[ "${#missing[@]}" -eq 0 ] && exit 0
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq --no-install-recommends "${missing[@]}"
--- /dev/null
+++ b/util/clock.h
@@ -0,0 +1,38 @@
+// Time source. Decision code takes a Clock& through its constructor, so that a
+// test can drive it with chivedale/testing/fake_clock.h.
+#ifndef UTIL_CLOCK_H_
+#define UTIL_CLOCK_H_
+
+#include <chrono>
+
+namespace chivedale::util {
+
+using Duration = std::chrono::nanoseconds;
+// Monotonic time; only differences have a meaning.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+// Calendar time, for records that people or other processes read.
+using WallTime = std::chrono::time_point<std::chrono::system_clock,
+                                         std::chrono::milliseconds>;
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual TimePoint Now() const = 0;
+  virtual WallTime WallNow() const = 0;
+};
+
+class SteadyClock final : public Clock {
+ public:
+  TimePoint Now() const override {
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  }
+  WallTime WallNow() const override {
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+  }
+};
+
+}  // namespace chivedale::util
+
+#endif  // UTIL_CLOCK_H_
