Registration of request ids with the holder of their group

Cause: a refusal must not say 'not run' of an id that another entry has run, and a refused id must not stay known. Change: Register can only ask (probe), Unregister frees an id that certainly did not run, Attach can ask for the status or cancel. Registrar is the asking side.

--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -170,6 +170,15 @@
   // The sender already runs it (an owner that adopts after an entry's death,
   // or an entry that registers again with a new holder).
   bool running = false;
+  // Only asks: a new id is neither registered nor recorded.
+  bool probe = false;
+};
+
+// The entry refused or cancelled the request before any start: the holder
+// forgets an idempotent id, so that a later send is new.
+struct Unregister {
+  RequestId request;
+  MemberId entry;
 };
 
 enum class RegisterOutcome {
@@ -189,20 +198,33 @@
   Millis retry_after{0};
 };
 
-// Asks the entry that has the request for its answer (or the owner that
-// adopted it). Answered by Attached now and AttachAnswer at the end.
+enum class AttachMode {
+  kWait,    // answer when the request has ended
+  kStatus,  // answer now
+  kCancel,  // cancel it; answer when it has ended
+};
+
+// Sent to the entry that has the request, or to the owner that adopted it.
 struct Attach {
   RequestId request;
   MemberId sender;
+  AttachMode mode = AttachMode::kWait;
 };
 
 struct AttachAnswer {
   RequestId request;
+  AttachMode mode = AttachMode::kWait;
+  // False: the receiver of the Attach does not have the request.
   bool found = false;
+  // False only with kStatus: not ended yet.
+  bool ended = true;
   bool ok = false;
   ErrorKind error = ErrorKind::kInternal;
   Ran ran = Ran::kUnknown;
   std::string detail;
+  std::string kind;
+  uint32_t attempt = 0;
+  WorkerId worker;
   Body payload;
 };
 
@@ -264,6 +286,7 @@
                              WorkerTaken,
                              Register,
                              RegisterReply,
+                             Unregister,
                              Attach,
                              AttachAnswer,
                              EntryGone,
--- /dev/null
+++ b/chivedale/registrar.cc
@@ -0,0 +1,138 @@
+// A start waits for the holder's answer, also for idempotent work: starting
+// without it would let a second send through another entry run beside the
+// first one. A silent holder is asked again; once membership calls it dead,
+// another member holds the group, so the wait is bounded by failure detection.
+#include "chivedale/registrar.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace chivedale {
+
+Registrar::Registrar(const util::Clock& clock,
+                     const RequestDirectory& directory,
+                     MemberSender& sender,
+                     MemberId self,
+                     Options options)
+    : clock_(clock),
+      directory_(directory),
+      sender_(sender),
+      self_(std::move(self)),
+      options_(options) {}
+
+void Registrar::Begin(const RequestId& id,
+                      bool repeatable,
+                      uint64_t digest,
+                      Done done) {
+  Registration registration;
+  registration.repeatable = repeatable;
+  registration.digest = digest;
+  registration.done = std::move(done);
+  Insert(id, std::move(registration));
+}
+
+void Registrar::Probe(const RequestId& id,
+                      bool repeatable,
+                      uint64_t digest,
+                      Done done) {
+  Registration registration;
+  registration.repeatable = repeatable;
+  registration.digest = digest;
+  registration.probe = true;
+  registration.done = std::move(done);
+  Insert(id, std::move(registration));
+}
+
+void Registrar::Insert(const RequestId& id, Registration registration) {
+  Registration& kept = ids_[id];
+  kept = std::move(registration);
+  asking_[id] = true;
+  Ask(id, kept);
+}
+
+void Registrar::End(const RequestId& id, bool ran) {
+  auto it = ids_.find(id);
+  if (it == ids_.end()) {
+    return;
+  }
+  if (!ran && !it->second.probe && !it->second.holder.empty()) {
+    sender_.SendToMember(it->second.holder, Unregister{id, self_});
+  }
+  asking_.erase(id);
+  ids_.erase(it);
+}
+
+bool Registrar::OnReply(const RegisterReply& reply) {
+  auto it = ids_.find(reply.request);
+  if (it == ids_.end() || asking_.count(reply.request) == 0) {
+    return it != ids_.end();
+  }
+  Registration& registration = it->second;
+  if (reply.outcome == RegisterOutcome::kNotHolder ||
+      reply.outcome == RegisterOutcome::kWait) {
+    const Millis pause = reply.outcome == RegisterOutcome::kWait
+                             ? std::max(reply.retry_after, Millis(10))
+                             : options_.ask_again;
+    registration.ask_at = clock_.Now() + pause;
+    return true;
+  }
+  asking_.erase(reply.request);
+  const bool repeated_registration = registration.held;
+  Done done = std::move(registration.done);
+  registration.done = nullptr;
+  if (registration.probe) {
+    ids_.erase(it);
+  } else {
+    registration.held = true;
+  }
+  if (done && !repeated_registration) {
+    done(reply);
+  }
+  return true;
+}
+
+void Registrar::OnMembersChanged() {
+  for (auto& [id, registration] : ids_) {
+    const MemberId holder = directory_.HolderOf(id, registration.repeatable);
+    if (holder == registration.holder) {
+      continue;
+    }
+    asking_[id] = true;
+    registration.ask_at = clock_.Now();
+  }
+}
+
+void Registrar::Tick() {
+  const util::TimePoint now = clock_.Now();
+  std::vector<RequestId> due;
+  for (const auto& [id, asking] : asking_) {
+    if (ids_.at(id).ask_at <= now) {
+      due.push_back(id);
+    }
+  }
+  for (const RequestId& id : due) {
+    auto it = ids_.find(id);
+    if (it != ids_.end()) {
+      Ask(id, it->second);
+    }
+  }
+}
+
+void Registrar::Ask(const RequestId& id, Registration& registration) {
+  registration.holder = directory_.HolderOf(id, registration.repeatable);
+  registration.ask_at = clock_.Now() + options_.ask_again;
+  if (registration.holder.empty()) {
+    return;
+  }
+  Register message;
+  message.request = id;
+  message.entry = self_;
+  message.repeatable = registration.repeatable;
+  message.digest = registration.digest;
+  message.running = registration.held;
+  message.probe = registration.probe;
+  sender_.SendToMember(registration.holder, message);
+}
+
+}  // namespace chivedale
