Number each dispatch try

Cause: a task of a job keeps its attempt number over owners that had no room, so an owner cannot tell a repeated send from a new try by the key alone. Change: Dispatch and DispatchReply carry a sequence per entry.

--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -102,6 +102,9 @@
   // Workers, racks and data centres to avoid where others have room (spread).
   std::vector<std::string> avoid;
   Body payload;
+  // Grows with each try of the entry; a repeated send of one try has the same
+  // number, and an owner answers it as the first one.
+  uint64_t sequence = 0;
 };
 
 enum class DispatchOutcome {
@@ -113,6 +116,7 @@
 
 struct DispatchReply {
   TaskKey key;
+  uint64_t sequence = 0;
   DispatchOutcome outcome = DispatchOutcome::kNoRoom;
   WorkerId worker;
   // With kAccepted: the worker's rack and data centre, for spreading.
