Dispatcher: queued tasks to owners with room, attempts followed to their end

Cause: the entry role needs one place that follows attempts over refusals, lost messages and dead owners. Change: Dispatcher; DispatchReply and WorkerTaken carry the lease token, since a WorkerTaken that is delayed past a later start must not end that attempt. Conclusion: compiles; its histories are tested with the entry role.

--- /dev/null
+++ b/chivedale/dispatcher.cc
@@ -0,0 +1,345 @@
+// Owners never queue: an attempt is sent when some owner reports room, and a
+// refusal puts it back to its place in this entry's queue. So the loss of an
+// owner loses no waiting work, and the order of service is decided in one
+// place. A message may be lost with its connection, hence each try is sent
+// again under the same sequence number until the owner answers.
+#include "chivedale/dispatcher.h"
+
+#include <utility>
+#include <vector>
+
+namespace chivedale {
+
+Dispatcher::Dispatcher(Deps deps, MemberId self, Options options)
+    : deps_(deps), self_(std::move(self)), options_(options) {}
+
+QueuedItem Dispatcher::ItemOf(const DispatchTask& task) {
+  QueuedItem item;
+  item.task = task.dispatch.key.task;
+  item.kind = task.dispatch.kind;
+  item.urgency = task.dispatch.urgency;
+  item.size = task.dispatch.size;
+  item.cost = task.cost;
+  item.enqueued = task.enqueued;
+  item.deadline = task.deadline;
+  item.not_before = task.not_before;
+  return item;
+}
+
+void Dispatcher::Enqueue(DispatchTask task, AttemptListener& listener) {
+  Insert(std::move(task), listener, /*again=*/false);
+}
+
+void Dispatcher::EnqueueAgain(DispatchTask task, AttemptListener& listener) {
+  Insert(std::move(task), listener, /*again=*/true);
+}
+
+void Dispatcher::Insert(DispatchTask task,
+                        AttemptListener& listener,
+                        bool again) {
+  task.dispatch.entry = self_;
+  const QueuedItem item = ItemOf(task);
+  if (again) {
+    deps_.queue.PutBack(item);
+  } else {
+    deps_.queue.Push(item);
+  }
+  Attempt& attempt = attempts_[item.task];
+  attempt = Attempt();
+  attempt.task = std::move(task);
+  attempt.listener = &listener;
+}
+
+bool Dispatcher::Withdraw(const TaskId& task) {
+  auto it = attempts_.find(task);
+  if (it == attempts_.end() || it->second.phase != Phase::kQueued) {
+    return false;
+  }
+  deps_.queue.Remove(task);
+  attempts_.erase(it);
+  return true;
+}
+
+bool Dispatcher::Stop(const TaskId& task, bool checkpoint) {
+  auto it = attempts_.find(task);
+  if (it == attempts_.end() || it->second.phase == Phase::kQueued) {
+    return false;
+  }
+  Attempt& attempt = it->second;
+  attempt.cancelled = !checkpoint;
+  deps_.sender.SendToMember(attempt.owner,
+                            Cancel{attempt.task.dispatch.key, checkpoint});
+  return true;
+}
+
+void Dispatcher::Pump() {
+  if (pumping_) {
+    return;
+  }
+  pumping_ = true;
+  for (int i = 0; i < options_.max_pops_per_pump; ++i) {
+    const util::TimePoint begin = deps_.clock.Now();
+    std::optional<MemberId> target;
+    std::optional<QueuedItem> item =
+        deps_.queue.PopFirst([&](const QueuedItem& candidate) {
+          target = ChooseOwner(candidate);
+          return target.has_value();
+        });
+    if (!item) {
+      break;
+    }
+    auto it = attempts_.find(item->task);
+    if (it == attempts_.end()) {
+      continue;
+    }
+    SendTo(*target, it->second);
+    deps_.metrics.Observe(Timer::kDecision, item->kind,
+                          deps_.clock.Now() - begin);
+  }
+  pumping_ = false;
+}
+
+std::optional<MemberId> Dispatcher::ChooseOwner(const QueuedItem& item) {
+  if (!deps_.limits.MayStart(item.kind, item.size)) {
+    return std::nullopt;
+  }
+  if (deps_.owner.HasRoom(item.size)) {
+    return self_;
+  }
+  auto it = attempts_.find(item.task);
+  const RegionRule region =
+      it == attempts_.end() ? RegionRule::kHome : it->second.task.region;
+  if (!deps_.routing.HasRoom(item.size, region)) {
+    return std::nullopt;
+  }
+  const auto waited =
+      std::chrono::duration_cast<Millis>(deps_.clock.Now() - item.enqueued);
+  return deps_.routing.Pick(item.size, region, waited);
+}
+
+void Dispatcher::SendTo(const MemberId& owner, Attempt& attempt) {
+  Dispatch& dispatch = attempt.task.dispatch;
+  const TaskId task = dispatch.key.task;
+  dispatch.key.attempt = attempt.listener->NextAttempt(task);
+  dispatch.sequence = ++sequence_;
+  attempt.phase = Phase::kSent;
+  attempt.owner = owner;
+  attempt.worker = WorkerId();
+  attempt.sent_at = deps_.clock.Now();
+  attempt.owner_lost = util::TimePoint();
+  sent_[task] = true;
+  deps_.limits.OnStart(dispatch.kind, dispatch.size);
+  deps_.metrics.Count(Counter::kAttempts);
+  if (owner == self_) {
+    deps_.owner.OnDispatch(dispatch);
+    return;
+  }
+  deps_.metrics.Count(Counter::kDispatchesRemote);
+  if (deps_.routing.IsRemoteRegion(owner)) {
+    deps_.metrics.Count(Counter::kDispatchesCrossRegion);
+  }
+  deps_.routing.OnDispatched(owner, dispatch.size);
+  if (!deps_.sender.SendToMember(owner, dispatch)) {
+    deps_.routing.OnNoRoom(owner, dispatch.size);
+    ReturnToQueue(attempt);
+  }
+}
+
+void Dispatcher::ReturnToQueue(Attempt& attempt) {
+  const Dispatch& dispatch = attempt.task.dispatch;
+  deps_.limits.OnEnd(dispatch.kind, dispatch.size);
+  sent_.erase(dispatch.key.task);
+  attempt.phase = Phase::kQueued;
+  attempt.owner = MemberId();
+  deps_.queue.PutBack(ItemOf(attempt.task));
+}
+
+Dispatcher::Attempt* Dispatcher::FindSent(const TaskKey& key) {
+  auto it = attempts_.find(key.task);
+  if (it == attempts_.end() || it->second.phase == Phase::kQueued ||
+      it->second.task.dispatch.key != key) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+void Dispatcher::OnDispatchReply(const MemberId& owner,
+                                 const DispatchReply& reply) {
+  if (reply.summary) {
+    deps_.routing.OnSummary(*reply.summary);
+  }
+  Attempt* attempt = FindSent(reply.key);
+  if (attempt == nullptr || attempt->owner != owner ||
+      attempt->task.dispatch.sequence != reply.sequence ||
+      attempt->phase != Phase::kSent) {
+    return;
+  }
+  switch (reply.outcome) {
+    case DispatchOutcome::kAccepted:
+      attempt->phase = Phase::kRunning;
+      attempt->worker = reply.worker;
+      attempt->token = reply.token;
+      attempt->listener->OnAttemptStarted(owner, reply);
+      return;
+    case DispatchOutcome::kUnknown:
+      // The owner resolves it and sends an Answer or another reply.
+      attempt->worker = reply.worker;
+      attempt->token = reply.token;
+      attempt->sent_at = deps_.clock.Now();
+      deps_.metrics.Count(Counter::kStartsUnknown);
+      return;
+    case DispatchOutcome::kNoRoom:
+    case DispatchOutcome::kRefused:
+      break;
+  }
+  deps_.metrics.Count(Counter::kDispatchesRefused);
+  deps_.routing.OnNoRoom(owner, attempt->task.dispatch.size);
+  if (!attempt->cancelled) {
+    ReturnToQueue(*attempt);
+    return;
+  }
+  Answer answer;
+  answer.key = reply.key;
+  answer.error = ErrorKind::kCancelled;
+  answer.ran = Ran::kNo;
+  End(owner, answer);
+}
+
+void Dispatcher::OnAnswer(const MemberId& owner, const Answer& answer) {
+  Attempt* attempt = FindSent(answer.key);
+  if (attempt == nullptr) {
+    deps_.metrics.Count(Counter::kLateAnswers);
+  } else {
+    End(owner, answer);
+  }
+  // Acknowledged only after the result was taken over, so that the worker
+  // keeps the completion until then.
+  deps_.sender.SendToMember(owner, AnswerAck{answer.key});
+}
+
+void Dispatcher::End(const MemberId& owner, const Answer& answer) {
+  auto it = attempts_.find(answer.key.task);
+  AttemptListener* listener = it->second.listener;
+  const DispatchTask task = std::move(it->second.task);
+  attempts_.erase(it);
+  sent_.erase(answer.key.task);
+  deps_.limits.OnEnd(task.dispatch.kind, task.dispatch.size);
+  if (answer.run_time > Millis(0)) {
+    const double expected_s =
+        std::chrono::duration<double>(task.dispatch.expected_run).count();
+    const double actual_s =
+        std::chrono::duration<double>(answer.run_time).count();
+    if (expected_s > 0) {
+      deps_.queue.SettleCost(task.dispatch.kind, task.cost,
+                             task.cost * actual_s / expected_s);
+    }
+    if (answer.ok) {
+      deps_.run_times.Learn(task.dispatch.kind, answer.run_time);
+      deps_.metrics.Observe(Timer::kRun, task.dispatch.kind, answer.run_time);
+    }
+  }
+  listener->OnAttemptEnded(owner, answer);
+}
+
+void Dispatcher::EndLost(const TaskId& task) {
+  const Attempt& attempt = attempts_.at(task);
+  Answer answer;
+  answer.key = attempt.task.dispatch.key;
+  answer.worker = attempt.worker;
+  answer.error = ErrorKind::kOutcomeUnknown;
+  answer.ran = Ran::kUnknown;
+  End(attempt.owner, answer);
+}
+
+void Dispatcher::OnWorkerTaken(const WorkerTaken& taken) {
+  for (const TaskKey& key : taken.running) {
+    Attempt* attempt = FindSent(key);
+    if (attempt == nullptr) {
+      continue;
+    }
+    const bool first_sign = attempt->phase == Phase::kSent;
+    attempt->phase = Phase::kRunning;
+    attempt->owner = taken.owner;
+    attempt->worker = taken.worker;
+    attempt->token = taken.token;
+    attempt->owner_lost = util::TimePoint();
+    if (first_sign) {
+      DispatchReply reply;
+      reply.key = key;
+      reply.outcome = DispatchOutcome::kAccepted;
+      reply.worker = taken.worker;
+      reply.token = taken.token;
+      attempt->listener->OnAttemptStarted(taken.owner, reply);
+    }
+  }
+  std::vector<TaskId> ended;
+  for (const auto& [task, sent] : sent_) {
+    const Attempt& attempt = attempts_.at(task);
+    // A list that was delayed past a later start says nothing about it.
+    if (attempt.worker == taken.worker && attempt.owner != taken.owner &&
+        (taken.reboot || attempt.token < taken.token)) {
+      ended.push_back(task);
+    }
+  }
+  for (const TaskId& task : ended) {
+    EndLost(task);
+  }
+}
+
+void Dispatcher::OnMemberDead(const MemberId& member) {
+  for (const auto& [task, sent] : sent_) {
+    Attempt& attempt = attempts_.at(task);
+    if (attempt.owner == member && attempt.owner_lost == util::TimePoint()) {
+      attempt.owner_lost = deps_.clock.Now();
+    }
+  }
+}
+
+void Dispatcher::Tick() {
+  for (const QueuedItem& item : deps_.queue.TakeExpired()) {
+    auto it = attempts_.find(item.task);
+    if (it == attempts_.end()) {
+      continue;
+    }
+    AttemptListener* listener = it->second.listener;
+    attempts_.erase(it);
+    listener->OnExpired(item.task);
+  }
+  const util::TimePoint now = deps_.clock.Now();
+  std::vector<TaskId> lost;
+  for (const auto& [task, sent] : sent_) {
+    Attempt& attempt = attempts_.at(task);
+    if (attempt.owner_lost != util::TimePoint()) {
+      if (now - attempt.owner_lost >= options_.orphan_wait) {
+        lost.push_back(task);
+      }
+      continue;
+    }
+    if (attempt.phase == Phase::kSent &&
+        now - attempt.sent_at >= options_.resend) {
+      attempt.sent_at = now;
+      Deliver(attempt.owner, attempt.task.dispatch);
+    }
+  }
+  for (const TaskId& task : lost) {
+    EndLost(task);
+  }
+}
+
+void Dispatcher::Deliver(const MemberId& owner, const Dispatch& dispatch) {
+  if (owner == self_) {
+    deps_.owner.OnDispatch(dispatch);
+  } else {
+    deps_.sender.SendToMember(owner, dispatch);
+  }
+}
+
+int64_t Dispatcher::sent() const {
+  return static_cast<int64_t>(sent_.size());
+}
+
+bool Dispatcher::IsOpen(const TaskId& task) const {
+  return attempts_.count(task) > 0;
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/dispatcher.h
@@ -0,0 +1,130 @@
+// Brings queued tasks to owners that have room for them and follows each
+// attempt until it has ended. At most one attempt of a task is open here.
+//
+//   dispatcher.Enqueue(task, listener);
+//   dispatcher.Pump();  // after each change of room or queue
+#ifndef CHIVEDALE_DISPATCHER_H_
+#define CHIVEDALE_DISPATCHER_H_
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "chivedale/fair_queue.h"
+#include "chivedale/ids.h"
+#include "chivedale/limit_share.h"
+#include "chivedale/messages.h"
+#include "chivedale/metrics.h"
+#include "chivedale/owner_agent.h"
+#include "chivedale/registrar.h"
+#include "chivedale/routing.h"
+#include "chivedale/run_time_model.h"
+#include "util/clock.h"
+
+namespace chivedale {
+
+// Who enqueued a task and decides on its attempts.
+class AttemptListener {
+ public:
+  virtual ~AttemptListener() = default;
+  // The number of the attempt that is about to be sent.
+  virtual uint32_t NextAttempt(const TaskId& task) = 0;
+  virtual void OnAttemptStarted(const MemberId& owner,
+                                const DispatchReply& reply) = 0;
+  // The attempt has ended or is lost; see Answer::ran.
+  virtual void OnAttemptEnded(const MemberId& owner, const Answer& answer) = 0;
+  // The deadline passed in the queue: certainly not run by this attempt.
+  virtual void OnExpired(const TaskId& task) = 0;
+};
+
+struct DispatchTask {
+  // key.attempt is filled in by the listener.
+  Dispatch dispatch;
+  RegionRule region = RegionRule::kPreferHome;
+  util::TimePoint enqueued{};
+  util::TimePoint deadline{};
+  util::TimePoint not_before{};
+  double cost = 1;
+};
+
+class Dispatcher {
+ public:
+  struct Options {
+    Millis resend{1'000};
+    // After an owner's death an attempt is known ended after this, unless its
+    // worker's next owner tells more.
+    Millis orphan_wait{6'600};
+    int max_pops_per_pump = 256;
+  };
+  struct Deps {
+    const util::Clock& clock;
+    FairQueue& queue;
+    RunTimeModel& run_times;
+    LimitShare& limits;
+    Routing& routing;
+    OwnerAgent& owner;
+    MemberSender& sender;
+    Metrics& metrics;
+  };
+
+  Dispatcher(Deps deps, MemberId self, Options options);
+
+  // Commands.
+  // Throws Error(kQueueFull).
+  void Enqueue(DispatchTask task, AttemptListener& listener);
+  // For a retry of accepted work: never refused.
+  void EnqueueAgain(DispatchTask task, AttemptListener& listener);
+  // Takes the task out of the queue. False when it is not queued.
+  bool Withdraw(const TaskId& task);
+  // Asks the owner of a sent attempt to stop it. False when there is none.
+  bool Stop(const TaskId& task, bool checkpoint);
+  void Pump();
+  void OnDispatchReply(const MemberId& owner, const DispatchReply& reply);
+  void OnAnswer(const MemberId& owner, const Answer& answer);
+  void OnWorkerTaken(const WorkerTaken& taken);
+  void OnMemberDead(const MemberId& member);
+  void Tick();
+
+  // Queries.
+  int64_t sent() const;
+  bool IsOpen(const TaskId& task) const;
+
+ private:
+  enum class Phase { kQueued, kSent, kRunning };
+  struct Attempt {
+    DispatchTask task;
+    AttemptListener* listener = nullptr;
+    Phase phase = Phase::kQueued;
+    MemberId owner;
+    WorkerId worker;
+    uint64_t token = 0;
+    util::TimePoint sent_at{};
+    // Zero while the owner is believed alive.
+    util::TimePoint owner_lost{};
+    bool cancelled = false;
+  };
+
+  void Insert(DispatchTask task, AttemptListener& listener, bool again);
+  // The owner to ask for an item, or nothing when it has to wait.
+  std::optional<MemberId> ChooseOwner(const QueuedItem& item);
+  void SendTo(const MemberId& owner, Attempt& attempt);
+  void Deliver(const MemberId& owner, const Dispatch& dispatch);
+  void ReturnToQueue(Attempt& attempt);
+  void End(const MemberId& owner, const Answer& answer);
+  void EndLost(const TaskId& task);
+  Attempt* FindSent(const TaskKey& key);
+  static QueuedItem ItemOf(const DispatchTask& task);
+
+  const Deps deps_;
+  const MemberId self_;
+  const Options options_;
+  std::unordered_map<TaskId, Attempt> attempts_;
+  // Sent attempts, so that a tick does not visit the queue.
+  std::unordered_map<TaskId, bool> sent_;
+  uint64_t sequence_ = 0;
+  bool pumping_ = false;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_DISPATCHER_H_
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -119,6 +119,8 @@
   uint64_t sequence = 0;
   DispatchOutcome outcome = DispatchOutcome::kNoRoom;
   WorkerId worker;
+  // With kAccepted and kUnknown: the lease token of the start.
+  uint64_t token = 0;
   // With kAccepted: the worker's rack and data centre, for spreading.
   std::string rack;
   std::string data_centre;
@@ -159,6 +161,9 @@
   WorkerId worker;
   MemberId owner;
   std::vector<TaskKey> running;
+  // The new owner's lease token. An attempt started under a later token is not
+  // covered by this list.
+  uint64_t token = 0;
   // The worker restarted since the earlier owner: unlisted attempts may have
   // run. False: an unlisted attempt without an answer never started.
   bool reboot = false;
