Compare boot ids before an attempt is given up

Cause: after a reboot tokens start again, so token order alone says nothing. Change: DispatchReply and WorkerTaken carry the boot id; a list of another boot only starts the wait for the attempt's orphan time.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -179,12 +179,14 @@
       attempt->phase = Phase::kRunning;
       attempt->worker = reply.worker;
       attempt->token = reply.token;
+      attempt->boot_id = reply.boot_id;
       attempt->listener->OnAttemptStarted(owner, reply);
       return;
     case DispatchOutcome::kUnknown:
       // The owner resolves it and sends an Answer or another reply.
       attempt->worker = reply.worker;
       attempt->token = reply.token;
+      attempt->boot_id = reply.boot_id;
       attempt->sent_at = deps_.clock.Now();
       deps_.metrics.Count(Counter::kStartsUnknown);
       return;
@@ -262,6 +264,7 @@
     attempt->owner = taken.owner;
     attempt->worker = taken.worker;
     attempt->token = taken.token;
+    attempt->boot_id = taken.boot_id;
     attempt->owner_lost = util::TimePoint();
     if (first_sign) {
       DispatchReply reply;
@@ -269,15 +272,22 @@
       reply.outcome = DispatchOutcome::kAccepted;
       reply.worker = taken.worker;
       reply.token = taken.token;
+      reply.boot_id = taken.boot_id;
       attempt->listener->OnAttemptStarted(taken.owner, reply);
     }
   }
   std::vector<TaskId> ended;
   for (const auto& [task, sent] : sent_) {
-    const Attempt& attempt = attempts_.at(task);
-    // A list that was delayed past a later start says nothing about it.
-    if (attempt.worker == taken.worker && attempt.owner != taken.owner &&
-        (taken.reboot || attempt.token < taken.token)) {
+    Attempt& attempt = attempts_.at(task);
+    if (attempt.worker != taken.worker || attempt.owner == taken.owner) {
+      continue;
+    }
+    if (attempt.boot_id != taken.boot_id) {
+      // Boot ids have no order, so this list may be the older one: the attempt
+      // is given up only if no sign of it comes in time.
+      MarkOwnerLost(attempt);
+    } else if (attempt.token < taken.token) {
+      // A list that was delayed past a later start says nothing about it.
       ended.push_back(task);
     }
   }
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 #include "chivedale/fair_queue.h"
@@ -98,6 +99,7 @@
     MemberId owner;
     WorkerId worker;
     uint64_t token = 0;
+    std::string boot_id;
     util::TimePoint sent_at{};
     // Zero while the owner is believed alive.
     util::TimePoint owner_lost{};
@@ -112,6 +114,7 @@
   void ReturnToQueue(Attempt& attempt);
   void End(const MemberId& owner, const Answer& answer);
   void EndLost(const TaskId& task);
+  void MarkOwnerLost(Attempt& attempt);
   Attempt* FindSent(const TaskKey& key);
   static QueuedItem ItemOf(const DispatchTask& task);
 
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -121,6 +121,7 @@
   WorkerId worker;
   // With kAccepted and kUnknown: the lease token of the start.
   uint64_t token = 0;
+  std::string boot_id;
   // With kAccepted: the worker's rack and data centre, for spreading.
   std::string rack;
   std::string data_centre;
@@ -164,6 +165,7 @@
   // The new owner's lease token. An attempt started under a later token is not
   // covered by this list.
   uint64_t token = 0;
+  std::string boot_id;
   // The worker restarted since the earlier owner: unlisted attempts may have
   // run. False: an unlisted attempt without an answer never started.
   bool reboot = false;
