--- /dev/null
+++ b/chivedale/entry_agent.cc
@@ -0,0 +1,633 @@
+// An answer "not run" speaks about the request, not about this send of it: an
+// earlier send may have run through another entry. So a refusal of an id that
+// is new here first asks the holder of the id's group whether it is known.
+#include "chivedale/entry_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "util/random.h"
+
+namespace chivedale {
+namespace {
+
+RequestResult ErrorResult(ErrorKind kind,
+                          Ran ran,
+                          const std::string& detail,
+                          Millis retry_after = Millis(0)) {
+  RequestResult result;
+  result.error = kind;
+  result.ran = ran;
+  result.detail = detail;
+  result.retry_after = retry_after;
+  return result;
+}
+
+RequestResult NotKnown(const RequestId& id) {
+  return ErrorResult(ErrorKind::kNotFound, Ran::kUnknown,
+                     "request '" + id.str() + "' is not known");
+}
+
+RequestResult ResultOf(const AttachAnswer& answer) {
+  RequestResult result;
+  result.ok = answer.ok;
+  result.error = answer.error;
+  result.ran = answer.ran;
+  result.detail = answer.detail;
+  result.payload = answer.payload;
+  result.attempts = answer.attempt;
+  return result;
+}
+
+RequestView ViewOf(const MemberId& entry, const AttachAnswer& answer) {
+  RequestView view;
+  view.id = answer.request;
+  view.kind = answer.kind;
+  view.attempt = answer.attempt;
+  view.worker = answer.worker;
+  view.entry = entry;
+  view.phase = answer.ended ? RequestPhase::kFinished : RequestPhase::kRunning;
+  if (answer.ended) {
+    view.result = ResultOf(answer);
+  }
+  return view;
+}
+
+void Call(const ResultCallback& callback,
+          const RequestId& id,
+          const RequestResult& result) {
+  if (callback) {
+    callback(id, result);
+  }
+}
+
+}  // namespace
+
+EntryAgent::EntryAgent(Deps deps, MemberId self, Options options)
+    : deps_(deps),
+      self_(std::move(self)),
+      options_(options),
+      attach_client_(deps.clock, deps.sender, self_, options.attach_again) {}
+
+void EntryAgent::SetTable(const Table& table) {
+  table_ = table;
+}
+
+void EntryAgent::Submit(const CallerSubmission& submission,
+                        ResultCallback accepted,
+                        ResultCallback finished) {
+  Submission request;
+  request.id = submission.id;
+  request.kind = submission.kind;
+  request.payload = submission.payload;
+  request.deadline =
+      deps_.clock.Now() + std::min(submission.deadline, options_.max_deadline);
+  const std::string& body =
+      submission.payload ? *submission.payload : std::string();
+  request.digest = util::Hash64(body, util::Hash64(submission.kind));
+  const RequestState* known = deps_.ledger.Find(submission.id);
+  const WorkRow* row = table_.FindRow(submission.kind);
+  if (known == nullptr &&
+      (row == nullptr || row->shape != WorkShape::kRequest || draining_)) {
+    const ErrorKind kind = draining_        ? ErrorKind::kDraining
+                           : row == nullptr ? ErrorKind::kNoRow
+                                            : ErrorKind::kBadRequest;
+    const std::string detail =
+        draining_ ? "this process is stopping"
+        : row == nullptr
+            ? "kind '" + submission.kind + "' is not in the table"
+            : "kind '" + submission.kind + "' is not a request; use /v1/jobs";
+    // Only this send is refused; the id may be known elsewhere.
+    const Ran ran = draining_ ? Ran::kUnknown : Ran::kNo;
+    const RequestResult refusal =
+        ErrorResult(kind, ran, detail, draining_ ? Millis(100) : Millis(0));
+    deps_.metrics.Count(Counter::kRequestsRefused);
+    Call(accepted, submission.id, refusal);
+    Call(finished, submission.id, refusal);
+    return;
+  }
+  if (row != nullptr) {
+    request.size = submission.size.value_or(row->size);
+    request.repeatable = row->repeatable;
+  }
+  RequestLedger::BeginOutcome begun;
+  try {
+    begun = deps_.ledger.Begin(request);
+  } catch (const Error& error) {
+    // Too many open requests: there is no room to ask whether the id is known.
+    const RequestResult refusal =
+        ErrorResult(error.kind(), Ran::kUnknown, error.what(), Millis(1'000));
+    deps_.metrics.Count(Counter::kRequestsRefused);
+    Call(accepted, submission.id, refusal);
+    Call(finished, submission.id, refusal);
+    return;
+  }
+  if (begun == RequestLedger::BeginOutcome::kDigestDiffers) {
+    const RequestResult refusal =
+        ErrorResult(ErrorKind::kBadRequest, Ran::kUnknown,
+                    "this Idempotency-Key was used with other content");
+    Call(accepted, submission.id, refusal);
+    Call(finished, submission.id, refusal);
+    return;
+  }
+  if (finished) {
+    deps_.ledger.OnFinish(submission.id, std::move(finished));
+  }
+  if (begun != RequestLedger::BeginOutcome::kNew) {
+    deps_.metrics.Count(Counter::kRequestsRepeated);
+    RequestResult taken;
+    taken.ok = true;
+    Call(accepted, submission.id, taken);
+    return;
+  }
+  flights_[submission.id].accepted = std::move(accepted);
+  Begin(request, *row);
+}
+
+void EntryAgent::Begin(const Submission& submission, const WorkRow& row) {
+  const RequestId id = submission.id;
+  deps_.limits.OnArrival(submission.kind);
+  try {
+    deps_.admission.Check(row, submission.size, submission.deadline,
+                          deps_.routing.Cell());
+  } catch (const AdmissionError& error) {
+    const RequestResult refusal =
+        ErrorResult(error.kind(), Ran::kNo, error.what(), error.retry_after());
+    deps_.registrar.Probe(id, submission.repeatable, submission.digest,
+                          [this, id, refusal](const RegisterReply& reply) {
+                            OnRefusedAndProbed(id, refusal, reply);
+                          });
+    return;
+  }
+  deps_.registrar.Begin(
+      id, submission.repeatable, submission.digest,
+      [this, id](const RegisterReply& reply) { OnRegistered(id, reply); });
+}
+
+void EntryAgent::OnRefusedAndProbed(const RequestId& id,
+                                    const RequestResult& refusal,
+                                    const RegisterReply& reply) {
+  if (reply.outcome == RegisterOutcome::kNew) {
+    Finish(id, refusal);
+    return;
+  }
+  OnRegistered(id, reply);
+}
+
+void EntryAgent::OnRegistered(const RequestId& id, const RegisterReply& reply) {
+  const RequestState* state = deps_.ledger.Find(id);
+  if (state == nullptr || state->phase != RequestPhase::kRegistering) {
+    return;
+  }
+  switch (reply.outcome) {
+    case RegisterOutcome::kNew:
+      Admit(id);
+      return;
+    case RegisterOutcome::kKnown:
+      if (reply.entry == self_ && state->submission.repeatable) {
+        Admit(id);
+        return;
+      }
+      if (reply.entry == self_) {
+        Fail(id, ErrorKind::kOutcomeUnknown, Ran::kUnknown,
+             "an earlier send of this id went through this process");
+        return;
+      }
+      AttachTo(id, reply.entry);
+      return;
+    case RegisterOutcome::kDigestDiffers:
+      Fail(id, ErrorKind::kBadRequest, Ran::kUnknown,
+           "this Idempotency-Key was used with other content");
+      return;
+    case RegisterOutcome::kRecordedBefore:
+      Fail(id, ErrorKind::kOutcomeUnknown, Ran::kUnknown,
+           "an earlier send of this id was recorded and may have run");
+      return;
+    case RegisterOutcome::kStoreDown:
+      Fail(id, ErrorKind::kStoreDown, Ran::kNo,
+           "the record that must come before the start could not be written",
+           Millis(1'000));
+      return;
+    case RegisterOutcome::kNotHolder:
+    case RegisterOutcome::kWait:
+      break;  // the registrar asks again
+  }
+}
+
+void EntryAgent::Admit(const RequestId& id) {
+  Enqueue(id, Millis(0), /*again=*/false);
+  auto flight = flights_.find(id);
+  if (flight == flights_.end()) {
+    return;  // refused by the queue
+  }
+  deps_.metrics.Count(Counter::kRequestsAccepted);
+  RequestResult taken;
+  taken.ok = true;
+  Call(std::exchange(flight->second.accepted, nullptr), id, taken);
+  deps_.dispatcher.Pump();
+}
+
+void EntryAgent::Enqueue(const RequestId& id, Millis backoff, bool again) {
+  RequestState* state = deps_.ledger.FindMutable(id);
+  const Submission& submission = state->submission;
+  const WorkRow* row = table_.FindRow(submission.kind);
+  if (row == nullptr) {
+    Fail(id, ErrorKind::kNoRow, state->may_have_run ? Ran::kUnknown : Ran::kNo,
+         "kind '" + submission.kind + "' was removed from the table");
+    return;
+  }
+  DispatchTask task;
+  task.dispatch.key.task = TaskOfRequest(id);
+  task.dispatch.kind = submission.kind;
+  task.dispatch.size = submission.size;
+  task.dispatch.expected_run =
+      Millis(static_cast<int64_t>(deps_.run_times.MeanSeconds(*row) * 1000.0));
+  task.dispatch.longest_run = row->longest_run;
+  task.dispatch.urgency = row->urgency;
+  task.dispatch.repeatable = row->repeatable;
+  task.dispatch.checkpoint = row->checkpoint;
+  task.dispatch.payload = submission.payload;
+  task.region = row->region;
+  task.enqueued = state->accepted;
+  task.deadline = submission.deadline;
+  task.not_before = deps_.clock.Now() + backoff;
+  task.cost = deps_.run_times.Cost(*row, submission.size);
+  flights_[id].cost = task.cost;
+  state->phase = RequestPhase::kQueued;
+  if (again) {
+    deps_.dispatcher.EnqueueAgain(std::move(task), *this);
+    return;
+  }
+  deps_.retries.OnFirstAttempt();
+  try {
+    deps_.dispatcher.Enqueue(std::move(task), *this);
+  } catch (const Error& error) {
+    Fail(id, error.kind(), Ran::kNo, error.what(), Millis(1'000));
+  }
+}
+
+void EntryAgent::AttachTo(const RequestId& id, const MemberId& entry) {
+  deps_.ledger.SetPhase(id, RequestPhase::kAttached);
+  deps_.metrics.Count(Counter::kRequestsRepeated);
+  auto flight = flights_.find(id);
+  if (flight != flights_.end()) {
+    RequestResult taken;
+    taken.ok = true;
+    Call(std::exchange(flight->second.accepted, nullptr), id, taken);
+  }
+  const util::TimePoint give_up_at =
+      deps_.ledger.Find(id)->submission.deadline + options_.max_deadline;
+  attach_client_.Ask(id, entry, AttachMode::kWait, give_up_at,
+                     [this, id](const std::optional<AttachAnswer>& answer) {
+                       OnAttached(id, answer);
+                     });
+}
+
+void EntryAgent::OnAttached(const RequestId& id,
+                            const std::optional<AttachAnswer>& answer) {
+  const RequestState* state = deps_.ledger.Find(id);
+  if (state == nullptr || state->phase != RequestPhase::kAttached) {
+    return;
+  }
+  if (answer && answer->found) {
+    Finish(id, ResultOf(*answer));
+    return;
+  }
+  const Submission submission = state->submission;
+  if (answer && !submission.repeatable) {
+    Fail(id, ErrorKind::kOutcomeUnknown, Ran::kUnknown,
+         "the earlier send of this id has no retained answer");
+    return;
+  }
+  // The other entry is gone, or no longer has it: the holder knows when the id
+  // is free.
+  deps_.ledger.SetPhase(id, RequestPhase::kRegistering);
+  deps_.registrar.Begin(
+      id, submission.repeatable, submission.digest,
+      [this, id](const RegisterReply& reply) { OnRegistered(id, reply); });
+}
+
+AttachAnswer EntryAgent::AnswerOf(const RequestState& state, AttachMode mode) {
+  AttachAnswer answer;
+  answer.request = state.submission.id;
+  answer.mode = mode;
+  answer.found = true;
+  answer.ended = state.phase == RequestPhase::kFinished;
+  answer.kind = state.submission.kind;
+  answer.attempt = state.attempt;
+  answer.worker = state.worker;
+  if (state.result) {
+    answer.ok = state.result->ok;
+    answer.error = state.result->error;
+    answer.ran = state.result->ran;
+    answer.detail = state.result->detail;
+    answer.payload = state.result->payload;
+  }
+  return answer;
+}
+
+bool EntryAgent::OnAttach(const Attach& attach) {
+  const RequestState* state = deps_.ledger.Find(attach.request);
+  if (state == nullptr || state->phase == RequestPhase::kAttached) {
+    return false;
+  }
+  if (attach.mode == AttachMode::kStatus) {
+    deps_.sender.SendToMember(attach.sender, AnswerOf(*state, attach.mode));
+    return true;
+  }
+  const auto reply = [this, attach](const RequestId& id, const RequestResult&) {
+    const RequestState* ended = deps_.ledger.Find(id);
+    if (ended != nullptr) {
+      deps_.sender.SendToMember(attach.sender, AnswerOf(*ended, attach.mode));
+    }
+  };
+  if (attach.mode == AttachMode::kCancel) {
+    Cancel(attach.request, reply);
+  } else {
+    deps_.ledger.OnFinish(attach.request, reply);
+  }
+  return true;
+}
+
+void EntryAgent::Locate(const RequestId& id,
+                        std::function<void(const MemberId&)> done) {
+  const MemberId attached = attach_client_.EntryOf(id);
+  if (!attached.empty()) {
+    done(attached);
+    return;
+  }
+  // Whether the id is idempotent is not known here, and the two sorts have
+  // different holders.
+  deps_.registrar.Probe(
+      id, /*repeatable=*/true, 0, [this, id, done](const RegisterReply& first) {
+        if (!first.entry.empty()) {
+          done(first.entry);
+          return;
+        }
+        deps_.registrar.Probe(
+            id, /*repeatable=*/false, 0,
+            [done](const RegisterReply& second) { done(second.entry); });
+      });
+}
+
+void EntryAgent::Cancel(const RequestId& id, ResultCallback done) {
+  RequestState* state = deps_.ledger.FindMutable(id);
+  if (state == nullptr || state->phase == RequestPhase::kAttached) {
+    Locate(id, [this, id, done](const MemberId& entry) {
+      if (entry.empty() || entry == self_) {
+        Call(done, id, NotKnown(id));
+        return;
+      }
+      attach_client_.Ask(
+          id, entry, AttachMode::kCancel,
+          deps_.clock.Now() + options_.ask_timeout,
+          [id, done](const std::optional<AttachAnswer>& answer) {
+            Call(done, id,
+                 answer && answer->found ? ResultOf(*answer) : NotKnown(id));
+          });
+    });
+    return;
+  }
+  if (done) {
+    deps_.ledger.OnFinish(id, std::move(done));
+  }
+  if (state->phase == RequestPhase::kFinished) {
+    return;
+  }
+  state->cancel_requested = true;
+  const TaskId task = TaskOfRequest(id);
+  if (state->phase == RequestPhase::kRegistering ||
+      deps_.dispatcher.Withdraw(task)) {
+    const bool may_have_run = state->may_have_run;
+    Fail(id,
+         may_have_run ? ErrorKind::kCancelledRunning : ErrorKind::kCancelled,
+         may_have_run ? Ran::kUnknown : Ran::kNo, "cancelled by the caller");
+    return;
+  }
+  deps_.dispatcher.Stop(task, /*checkpoint=*/false);
+}
+
+void EntryAgent::FindRequest(
+    const RequestId& id,
+    std::function<void(std::optional<RequestView>)> done) {
+  RequestView view;
+  view.id = id;
+  const RequestState* state = deps_.ledger.Find(id);
+  if (state != nullptr) {
+    view.kind = state->submission.kind;
+    view.phase = state->phase;
+    view.attempt = state->attempt;
+    view.worker = state->worker;
+    view.entry = self_;
+    view.result = state->result;
+    done(view);
+    return;
+  }
+  Locate(id, [this, id, done](const MemberId& entry) {
+    if (entry.empty() || entry == self_) {
+      done(std::nullopt);
+      return;
+    }
+    attach_client_.Ask(
+        id, entry, AttachMode::kStatus,
+        deps_.clock.Now() + options_.ask_timeout,
+        [entry, done](const std::optional<AttachAnswer>& answer) {
+          done(answer && answer->found
+                   ? std::optional<RequestView>(ViewOf(entry, *answer))
+                   : std::nullopt);
+        });
+  });
+}
+
+uint32_t EntryAgent::NextAttempt(const TaskId& task) {
+  const RequestId id = RequestOfTask(task);
+  const uint32_t attempt = deps_.ledger.BeginAttempt(id);
+  RequestState* state = deps_.ledger.FindMutable(id);
+  state->phase = RequestPhase::kDispatched;
+  state->dispatched = deps_.clock.Now();
+  flights_[id].sent = state->dispatched;
+  return attempt;
+}
+
+void EntryAgent::OnAttemptStarted(const MemberId& owner,
+                                  const DispatchReply& reply) {
+  const RequestId id = RequestOfTask(reply.key.task);
+  RequestState* state = deps_.ledger.FindMutable(id);
+  if (state == nullptr) {
+    return;
+  }
+  state->phase = RequestPhase::kRunning;
+  state->owner = owner;
+  state->worker = reply.worker;
+  state->started = deps_.clock.Now();
+  state->may_have_run = true;
+  Flight& flight = flights_[id];
+  ++flight.starts;
+  if (!flight.started) {
+    flight.started = state->started;
+    deps_.metrics.Observe(Timer::kWait, state->submission.kind,
+                          state->started - state->accepted);
+  }
+}
+
+void EntryAgent::OnAttemptEnded(const MemberId& owner, const Answer& answer) {
+  (void)owner;
+  const RequestId id = RequestOfTask(answer.key.task);
+  RequestState* state = deps_.ledger.FindMutable(id);
+  if (state == nullptr || state->phase == RequestPhase::kFinished) {
+    return;
+  }
+  if (answer.ok) {
+    RequestResult result;
+    result.ok = true;
+    result.ran = Ran::kYes;
+    result.payload = answer.payload;
+    result.attempts = answer.key.attempt;
+    Finish(id, std::move(result));
+    return;
+  }
+  if (answer.ran != Ran::kNo) {
+    state->may_have_run = true;
+  }
+  if (state->cancel_requested) {
+    const Ran ran = state->may_have_run ? Ran::kUnknown : Ran::kNo;
+    Fail(id,
+         ran == Ran::kNo ? ErrorKind::kCancelled : ErrorKind::kCancelledRunning,
+         ran, "cancelled by the caller");
+    return;
+  }
+  Retry(id, answer);
+}
+
+void EntryAgent::Retry(const RequestId& id, const Answer& answer) {
+  RequestState* state = deps_.ledger.FindMutable(id);
+  const WorkRow* row = table_.FindRow(state->submission.kind);
+  const bool repeatable = state->submission.repeatable;
+  if (row != nullptr && answer.checkpointed && row->checkpoint) {
+    // A preempted attempt resumes from its checkpoint; that is no retry.
+    deps_.metrics.Count(Counter::kPreemptions);
+    Enqueue(id, Millis(0), /*again=*/true);
+    return;
+  }
+  std::optional<Millis> backoff;
+  if (row != nullptr && (answer.ran == Ran::kNo || repeatable)) {
+    backoff = deps_.retries.Grant(*row, flights_[id].starts, answer.ran,
+                                  state->submission.deadline);
+  }
+  if (!backoff) {
+    const Ran ran = answer.ran == Ran::kNo && state->may_have_run
+                        ? Ran::kUnknown
+                        : answer.ran;
+    Fail(id, answer.error, ran,
+         "attempt " + std::to_string(answer.key.attempt) + " on worker '" +
+             answer.worker.str() + "' ended without a result");
+    return;
+  }
+  deps_.metrics.Count(Counter::kRetries);
+  deps_.log.Write(Event::kRequestRetried,
+                  {{"request", id.str()},
+                   {"attempt", std::to_string(answer.key.attempt)},
+                   {"worker", answer.worker.str()},
+                   {"error", std::string(AnswerFor(answer.error).name)}});
+  Enqueue(id, *backoff, /*again=*/true);
+}
+
+void EntryAgent::OnExpired(const TaskId& task) {
+  const RequestId id = RequestOfTask(task);
+  const RequestState* state = deps_.ledger.Find(id);
+  if (state == nullptr) {
+    return;
+  }
+  Fail(id, ErrorKind::kDeadlinePassed,
+       state->may_have_run ? Ran::kUnknown : Ran::kNo,
+       "the deadline passed while the request was queued");
+}
+
+void EntryAgent::Fail(const RequestId& id,
+                      ErrorKind kind,
+                      Ran ran,
+                      const std::string& detail,
+                      Millis retry_after) {
+  Finish(id, ErrorResult(kind, ran, detail, retry_after));
+}
+
+void EntryAgent::Finish(const RequestId& id, RequestResult result) {
+  const RequestState* state = deps_.ledger.Find(id);
+  if (state == nullptr || state->phase == RequestPhase::kFinished) {
+    return;
+  }
+  auto it = flights_.find(id);
+  const Flight flight = it == flights_.end() ? Flight() : std::move(it->second);
+  flights_.erase(id);
+  RecordBurn(*state, flight, result);
+  if (result.ok) {
+    deps_.metrics.Count(Counter::kRequestsSucceeded);
+  } else if (result.error == ErrorKind::kCancelled ||
+             result.error == ErrorKind::kCancelledRunning) {
+    deps_.metrics.Count(Counter::kRequestsCancelled);
+  } else if (result.ran == Ran::kUnknown) {
+    deps_.metrics.Count(Counter::kRequestsUnknown);
+    deps_.log.Write(Event::kRequestUnknown,
+                    {{"request", id.str()}, {"detail", result.detail}});
+  } else if (flight.starts == 0) {
+    deps_.metrics.Count(Counter::kRequestsRefused);
+  } else {
+    deps_.metrics.Count(Counter::kRequestsFailed);
+  }
+  deps_.metrics.Observe(Timer::kTotal, state->submission.kind,
+                        deps_.clock.Now() - state->accepted);
+  const bool not_run = !result.ok && result.ran == Ran::kNo;
+  deps_.registrar.End(id, !not_run);
+  Call(flight.accepted, id, result);
+  deps_.ledger.Finish(id, std::move(result));
+}
+
+void EntryAgent::RecordBurn(const RequestState& state,
+                            const Flight& flight,
+                            const RequestResult& result) {
+  const WorkRow* row = table_.FindRow(state.submission.kind);
+  const bool by_caller = result.error == ErrorKind::kCancelled ||
+                         result.error == ErrorKind::kCancelledRunning ||
+                         result.error == ErrorKind::kBadRequest;
+  if (row == nullptr || (!result.ok && by_caller)) {
+    return;
+  }
+  const util::TimePoint end = flight.started.value_or(deps_.clock.Now());
+  const auto wait = std::chrono::duration_cast<Millis>(end - state.accepted);
+  const bool good = result.ok && wait <= row->objective.wait;
+  BurnCause cause = BurnCause::kQueueing;
+  if (!flight.started) {
+    cause = BurnCause::kRefusals;
+  } else if (!result.ok) {
+    cause = BurnCause::kWorkers;
+  } else if (flight.starts > 1) {
+    cause = BurnCause::kRetries;
+  } else if ((end - flight.sent) * 2 > end - state.accepted) {
+    cause = BurnCause::kPlacement;
+  }
+  deps_.burn.Record(*row, wait, good, cause);
+}
+
+void EntryAgent::OnAttachAnswer(const MemberId& from,
+                                const AttachAnswer& answer) {
+  attach_client_.OnAnswer(from, answer);
+}
+
+void EntryAgent::OnMemberDead(const MemberId& member) {
+  attach_client_.OnMemberDead(member);
+}
+
+void EntryAgent::Tick() {
+  attach_client_.Tick();
+  deps_.ledger.Expire();
+}
+
+void EntryAgent::Drain() {
+  draining_ = true;
+}
+
+bool EntryAgent::drained() const {
+  return draining_ && deps_.ledger.open() == 0;
+}
+
+}  // namespace chivedale
--- a/chivedale/registrar.cc
+++ b/chivedale/registrar.cc
@@ -28,7 +28,7 @@
   Registration registration;
   registration.repeatable = repeatable;
   registration.digest = digest;
-  registration.done = std::move(done);
+  registration.done.push_back(std::move(done));
   Insert(id, std::move(registration));
 }
 
@@ -40,11 +40,30 @@
   registration.repeatable = repeatable;
   registration.digest = digest;
   registration.probe = true;
-  registration.done = std::move(done);
+  registration.done.push_back(std::move(done));
   Insert(id, std::move(registration));
 }
 
 void Registrar::Insert(const RequestId& id, Registration registration) {
+  auto it = ids_.find(id);
+  if (it != ids_.end() && registration.probe) {
+    if (asking_.count(id) > 0) {
+      it->second.done.push_back(std::move(registration.done.front()));
+      return;
+    }
+    RegisterReply known;
+    known.request = id;
+    known.outcome = RegisterOutcome::kKnown;
+    known.entry = self_;
+    registration.done.front()(known);
+    return;
+  }
+  if (it != ids_.end() && it->second.probe) {
+    // A probe of the same id is under way: its callers get this answer too.
+    for (Done& done : it->second.done) {
+      registration.done.push_back(std::move(done));
+    }
+  }
   Registration& kept = ids_[id];
   kept = std::move(registration);
   asking_[id] = true;
@@ -78,15 +97,15 @@
     return true;
   }
   asking_.erase(reply.request);
-  const bool repeated_registration = registration.held;
-  Done done = std::move(registration.done);
-  registration.done = nullptr;
-  if (registration.probe) {
-    ids_.erase(it);
-  } else {
+  // A repeated registration with a new holder has no caller.
+  const std::vector<Done> callers =
+      std::exchange(registration.done, std::vector<Done>());
+  if (reply.outcome == RegisterOutcome::kNew && !registration.probe) {
     registration.held = true;
+  } else if (!registration.held) {
+    ids_.erase(it);
   }
-  if (done && !repeated_registration) {
+  for (const Done& done : callers) {
     done(reply);
   }
   return true;
--- a/chivedale/registrar.h
+++ b/chivedale/registrar.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <unordered_map>
+#include <vector>
 
 #include "chivedale/ids.h"
 #include "chivedale/messages.h"
@@ -41,7 +42,8 @@
   // Commands.
   // `done` gets the final reply: never kNotHolder or kWait.
   void Begin(const RequestId& id, bool repeatable, uint64_t digest, Done done);
-  // Only asks whether the id is known; the id is not kept here.
+  // Only asks whether the id is known; the id is not kept here. A digest of 0
+  // is not compared.
   void Probe(const RequestId& id, bool repeatable, uint64_t digest, Done done);
   // The request has ended. `ran` false: certainly not run, the id is freed.
   void End(const RequestId& id, bool ran);
@@ -62,7 +64,7 @@
     bool held = false;  // granted; kept for a change of holder
     MemberId holder;
     util::TimePoint ask_at{};
-    Done done;
+    std::vector<Done> done;
   };
 
   void Ask(const RequestId& id, Registration& registration);
--- a/chivedale/routing.h
+++ b/chivedale/routing.h
@@ -48,6 +48,8 @@
                                RegionRule rule,
                                Millis home_wait);
   CellRoom Cell() const;
+  // The latest summary of each live owner.
+  std::vector<Summary> Summaries() const;
   bool IsRemoteRegion(const MemberId& owner) const;
 
  private:
--- /dev/null
+++ b/chivedale/scheduler_parts.cc
@@ -0,0 +1,271 @@
+// Each message type has one handler; a new type that is not handled does not
+// compile.
+#include "chivedale/scheduler_parts.h"
+
+#include <utility>
+
+namespace chivedale {
+
+void Scheduler::OwnerEvents::SendToMember(const MemberId& to,
+                                          const Message& message) {
+  scheduler_.SendToMember(to, message);
+}
+
+void Scheduler::OwnerEvents::OnRoom() {
+  scheduler_.room_changed_ = true;
+}
+
+void Scheduler::OwnerEvents::OnRunTime(const std::string&, Millis) {
+  // The entry learns from the answers of its own work.
+}
+
+void Scheduler::JobEvents::Enqueue(const Dispatch& dispatch,
+                                   util::TimePoint not_before) {
+  Parts& parts = *scheduler_.parts_;
+  const WorkRow* row = FindRow(dispatch.kind);
+  DispatchTask task;
+  task.dispatch = dispatch;
+  task.enqueued = scheduler_.deps_.clock.Now();
+  task.deadline = util::TimePoint::max();
+  task.not_before = not_before;
+  if (row != nullptr) {
+    task.region = row->region;
+    task.cost = parts.run_times.Cost(*row, dispatch.size);
+  }
+  attempts_[dispatch.key.task] = dispatch.key.attempt;
+  parts.dispatcher.EnqueueAgain(std::move(task), *this);
+}
+
+void Scheduler::JobEvents::Withdraw(const TaskKey& key, const MemberId& owner) {
+  Dispatcher& dispatcher = scheduler_.parts_->dispatcher;
+  if (dispatcher.Withdraw(key.task) ||
+      dispatcher.Stop(key.task, /*checkpoint=*/false)) {
+    return;
+  }
+  if (!owner.empty()) {
+    scheduler_.SendToMember(owner, chivedale::Cancel{key, false});
+  }
+}
+
+void Scheduler::JobEvents::SendToMember(const MemberId& to,
+                                        const Message& message) {
+  scheduler_.SendToMember(to, message);
+}
+
+const WorkRow* Scheduler::JobEvents::FindRow(const std::string& kind) const {
+  return scheduler_.parts_->replica.table().FindRow(kind);
+}
+
+std::vector<Summary> Scheduler::JobEvents::Summaries() const {
+  std::vector<Summary> summaries = scheduler_.parts_->routing.Summaries();
+  Summary own = scheduler_.parts_->owner.CurrentSummary();
+  own.owner = scheduler_.self_.id;
+  summaries.push_back(std::move(own));
+  return summaries;
+}
+
+uint32_t Scheduler::JobEvents::NextAttempt(const TaskId& task) {
+  return attempts_[task];
+}
+
+void Scheduler::JobEvents::OnAttemptStarted(const MemberId& owner,
+                                            const DispatchReply& reply) {
+  scheduler_.parts_->jobs.OnDispatchReply(owner, reply);
+}
+
+void Scheduler::JobEvents::OnAttemptEnded(const MemberId& owner,
+                                          const Answer& answer) {
+  attempts_.erase(answer.key.task);
+  scheduler_.parts_->jobs.OnAnswer(owner, answer);
+}
+
+void Scheduler::JobEvents::OnExpired(const TaskId&) {}
+
+Scheduler::Parts::Parts(Scheduler& scheduler_in)
+    : scheduler(scheduler_in),
+      owner_events(scheduler),
+      job_events(scheduler),
+      store(scheduler.deps_.store,
+            scheduler.deps_.metrics,
+            scheduler.deps_.log),
+      burn(scheduler.deps_.clock),
+      queue(scheduler.deps_.clock,
+            [&] {
+              FairQueue::Options options;
+              options.max_items = scheduler.settings_.max_queued;
+              return options;
+            }()),
+      limits(scheduler.deps_.clock, scheduler.self_.id),
+      routing(scheduler.deps_.clock,
+              scheduler.deps_.random,
+              scheduler.self_,
+              scheduler.settings_.routing),
+      admission(scheduler.deps_.clock, queue, limits, run_times),
+      retries(scheduler.deps_.clock,
+              scheduler.deps_.random,
+              RetryPolicy::Options()),
+      ledger(scheduler.deps_.clock,
+             [&] {
+               RequestLedger::Options options;
+               options.answer_retention = scheduler.settings_.answer_retention;
+               return options;
+             }()),
+      records(scheduler.deps_.clock,
+              scheduler.deps_.random,
+              store,
+              [&] {
+                RecordLog::Options options;
+                options.record_groups = scheduler.settings_.record_groups;
+                return options;
+              }()),
+      directory(scheduler.deps_.clock,
+                scheduler.self_,
+                records,
+                [&] {
+                  RequestDirectory::Options options;
+                  options.record_groups = scheduler.settings_.record_groups;
+                  return options;
+                }()),
+      registrar(scheduler.deps_.clock,
+                directory,
+                scheduler,
+                scheduler.self_.id,
+                Registrar::Options()),
+      owner(scheduler.deps_.clock,
+            scheduler.deps_.random,
+            scheduler.deps_.workers,
+            owner_events,
+            scheduler.self_,
+            [&] {
+              OwnerAgent::Options options;
+              options.lease_ttl = scheduler.settings_.lease_ttl;
+              options.orphan_ttl = scheduler.settings_.orphan_ttl;
+              options.placement = scheduler.settings_.placement;
+              return options;
+            }()),
+      dispatcher({scheduler.deps_.clock, queue, run_times, limits, routing,
+                  owner, scheduler, scheduler.deps_.metrics},
+                 scheduler.self_.id,
+                 Dispatcher::Options()),
+      entry({scheduler.deps_.clock, scheduler.deps_.random, ledger, registrar,
+             admission, dispatcher, retries, run_times, limits, routing, burn,
+             scheduler, scheduler.deps_.metrics, scheduler.deps_.log},
+            scheduler.self_.id,
+            [&] {
+              EntryAgent::Options options;
+              options.max_deadline = scheduler.settings_.max_deadline;
+              return options;
+            }()),
+      jobs(scheduler.deps_.clock,
+           scheduler.deps_.random,
+           store,
+           job_events,
+           scheduler.self_.id,
+           JobManager::Options()),
+      editor(scheduler.deps_.clock, store),
+      replica(
+          scheduler.deps_.clock,
+          store,
+          scheduler.self_,
+          [this](const MemberId& to, const Message& message) {
+            scheduler.SendToMember(to, message);
+          },
+          [this](const Table& table) { scheduler.OnTableApplied(table); }),
+      lifecycle([this](LifecycleState state) { scheduler.OnLifecycle(state); }),
+      membership(
+          scheduler.deps_.clock,
+          scheduler.deps_.random,
+          scheduler.deps_.peers,
+          scheduler.self_,
+          Membership::Options(),
+          Membership::Hooks{
+              [this] {
+                Membership::Extras extras;
+                extras.table_revision = replica.table().revision;
+                extras.demand = limits.OwnDemand();
+                return extras;
+              },
+              [this](const MemberInfo& member) {
+                scheduler.OnMemberChanged(member);
+              },
+              [this](const MemberId& member, const Membership::Extras& extras) {
+                replica.OnRevision(member, extras.table_revision);
+                limits.OnDemand(member, extras.demand);
+              }}),
+      vm_list(scheduler.deps_.clock, VmList::Options()) {}
+
+// One overload per message type.
+class Scheduler::MessageHandler {
+ public:
+  MessageHandler(Parts& parts, const MemberId& from)
+      : parts_(parts), from_(from) {}
+
+  void operator()(const Hello&) {}
+  void operator()(const Ping& m) { parts_.membership.OnPing(from_, m); }
+  void operator()(const PingReply& m) {
+    parts_.membership.OnPingReply(from_, m);
+  }
+  void operator()(const PingRequest& m) {
+    parts_.membership.OnPingRequest(from_, m);
+  }
+  void operator()(const Summary& m) { parts_.routing.OnSummary(m); }
+  void operator()(const Dispatch& m) { parts_.owner.OnDispatch(m); }
+  void operator()(const DispatchReply& m) {
+    parts_.dispatcher.OnDispatchReply(from_, m);
+  }
+  void operator()(const Answer& m) {
+    if (JobManager::IsJobTask(m.key.task) &&
+        !parts_.dispatcher.IsOpen(m.key.task)) {
+      // The attempt of an earlier manager, which this one has taken over.
+      parts_.jobs.OnAnswer(from_, m);
+      parts_.scheduler.SendToMember(from_, AnswerAck{m.key});
+      return;
+    }
+    parts_.dispatcher.OnAnswer(from_, m);
+  }
+  void operator()(const AnswerAck& m) { parts_.owner.OnAnswerAck(m); }
+  void operator()(const chivedale::Cancel& m) { parts_.owner.OnCancel(m); }
+  void operator()(const WorkerTaken& m) {
+    parts_.dispatcher.OnWorkerTaken(m);
+    parts_.jobs.OnWorkerTaken(m);
+  }
+  void operator()(const Register& m) {
+    Scheduler& scheduler = parts_.scheduler;
+    const MemberId to = from_;
+    parts_.directory.OnRegister(m, [&scheduler, to](const RegisterReply& r) {
+      scheduler.SendToMember(to, r);
+      scheduler.Flush();
+    });
+  }
+  void operator()(const RegisterReply& m) {
+    if (!parts_.registrar.OnReply(m)) {
+      parts_.owner.OnRegisterReply(m);
+    }
+  }
+  void operator()(const Unregister& m) { parts_.directory.OnUnregister(m); }
+  void operator()(const Attach& m) {
+    if (!parts_.entry.OnAttach(m)) {
+      parts_.owner.OnAttach(m);
+    }
+  }
+  void operator()(const AttachAnswer& m) {
+    parts_.entry.OnAttachAnswer(from_, m);
+  }
+  void operator()(const EntryGone& m) { parts_.directory.OnEntryGone(m); }
+  void operator()(const TablePull& m) { parts_.replica.OnPull(from_, m); }
+  void operator()(const TableData& m) { parts_.replica.OnData(m); }
+  void operator()(const Hold& m) { parts_.owner.OnHold(from_, m); }
+  void operator()(const HoldReply& m) { parts_.jobs.OnHoldReply(from_, m); }
+  void operator()(const HoldRelease& m) { parts_.owner.OnHoldRelease(m); }
+  void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
+
+ private:
+  Parts& parts_;
+  const MemberId& from_;
+};
+
+void Scheduler::Parts::Handle(const MemberId& from, const Message& message) {
+  std::visit(MessageHandler(*this, from), message);
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/scheduler_parts.h
@@ -0,0 +1,87 @@
+// The modules of one Scheduler in the order of their construction, and the
+// routing of messages to them. Only scheduler.cc and scheduler_parts.cc use
+// this header.
+#ifndef CHIVEDALE_SCHEDULER_PARTS_H_
+#define CHIVEDALE_SCHEDULER_PARTS_H_
+
+#include <unordered_map>
+
+#include "chivedale/counted_store.h"
+#include "chivedale/scheduler.h"
+
+namespace chivedale {
+
+// What the owner role tells the scheduler.
+class Scheduler::OwnerEvents final : public OwnerListener {
+ public:
+  explicit OwnerEvents(Scheduler& scheduler) : scheduler_(scheduler) {}
+
+  void SendToMember(const MemberId& to, const Message& message) override;
+  void OnRoom() override;
+  void OnRunTime(const std::string& kind, Millis run_time) override;
+
+ private:
+  Scheduler& scheduler_;
+};
+
+// Connects the job manager with the dispatcher.
+class Scheduler::JobEvents final : public JobListener, public AttemptListener {
+ public:
+  explicit JobEvents(Scheduler& scheduler) : scheduler_(scheduler) {}
+
+  // JobListener:
+  void Enqueue(const Dispatch& dispatch, util::TimePoint not_before) override;
+  void Withdraw(const TaskKey& key, const MemberId& owner) override;
+  void SendToMember(const MemberId& to, const Message& message) override;
+  const WorkRow* FindRow(const std::string& kind) const override;
+  std::vector<Summary> Summaries() const override;
+
+  // AttemptListener:
+  uint32_t NextAttempt(const TaskId& task) override;
+  void OnAttemptStarted(const MemberId& owner,
+                        const DispatchReply& reply) override;
+  void OnAttemptEnded(const MemberId& owner, const Answer& answer) override;
+  void OnExpired(const TaskId& task) override;
+
+ private:
+  Scheduler& scheduler_;
+  std::unordered_map<TaskId, uint32_t> attempts_;
+};
+
+struct Scheduler::Parts {
+  explicit Parts(Scheduler& scheduler);
+
+  void Handle(const MemberId& from, const Message& message);
+
+  Scheduler& scheduler;
+  OwnerEvents owner_events;
+  JobEvents job_events;
+  CountedStore store;
+  BurnTracker burn;
+  FairQueue queue;
+  RunTimeModel run_times;
+  LimitShare limits;
+  Routing routing;
+  Admission admission;
+  RetryPolicy retries;
+  RequestLedger ledger;
+  RecordLog records;
+  RequestDirectory directory;
+  Registrar registrar;
+  OwnerAgent owner;
+  Dispatcher dispatcher;
+  EntryAgent entry;
+  JobManager jobs;
+  TableEditor editor;
+  TableReplica replica;
+  Lifecycle lifecycle;
+  Membership membership;
+  VmList vm_list;
+  bool vm_fetch_pending = false;
+  bool vms_changed = false;
+  bool vms_doubted = false;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_SCHEDULER_PARTS_H_
