Add in-memory store and worker with faults for tests

Change: StoreModel and WorkerModel hold the platform's contract without transport; FakeStore and FakeWorker queue their calls and callbacks in FakeQueue. TaskBook records each run and counts broken promises. WorkerReport says whether the worker honours fencing tokens, which the owner cannot know otherwise.

--- a/chivedale/ports.h
+++ b/chivedale/ports.h
@@ -40,6 +40,8 @@
   Resources used;
   Millis lag{0};
   bool leaving = false;
+  // False: the worker accepts starts with a stale token.
+  bool fencing = true;
 };
 
 struct LeaseResult {
--- /dev/null
+++ b/chivedale/testing/fake_worker.h
@@ -0,0 +1,99 @@
+// WorkerPort in memory over any number of WorkerModels. Each call is two
+// events in the queue: it takes effect, then its callback runs.
+//
+//   FakeWorker workers(queue);
+//   workers.Add({WorkerId("w-1")});
+//   workers.model(WorkerId("w-1")).faults().lose_starts = 1;
+//   workers.Lease(WorkerId("w-1"), self, {}, Millis(2000), [](auto r) { ... });
+//   queue.Advance(Millis(10));
+//   BOOST_TEST(workers.book().violations().total() == 0);
+#ifndef CHIVEDALE_TESTING_FAKE_WORKER_H_
+#define CHIVEDALE_TESTING_FAKE_WORKER_H_
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "chivedale/ports.h"
+#include "chivedale/testing/fake_queue.h"
+#include "chivedale/testing/worker_model.h"
+
+namespace chivedale::testing {
+
+class FakeWorker final : public WorkerPort {
+ public:
+  explicit FakeWorker(FakeQueue& queue) : queue_(queue) {}
+
+  // Commands. An added worker is known at once, without SetAddress.
+  void Add(WorkerOptions options);
+  // Calls end kNotSent from now on, as to a worker that is not listening.
+  void Remove(const WorkerId& worker);
+  // Ends the pause and answers the calls that waited for it.
+  void Resume(const WorkerId& worker);
+  // From a call to its effect, and again to its callback.
+  void set_delay(Millis delay) { delay_ = delay; }
+  // A call to a dead worker ends after this.
+  void set_timeout(Millis timeout) { timeout_ = timeout; }
+
+  // Queries.
+  WorkerModel& model(const WorkerId& worker) { return *models_.at(worker); }
+  const TaskBook& book() const { return book_; }
+  int64_t calls() const { return calls_; }
+
+  void Lease(const WorkerId& worker,
+             const MemberId& owner,
+             const LeaseToken& token,
+             Millis ttl,
+             std::function<void(LeaseResult)> done) override;
+  void Release(const WorkerId& worker,
+               const MemberId& owner,
+               const LeaseToken& token,
+               std::function<void(PortStatus)> done) override;
+  void List(const WorkerId& worker,
+            std::function<void(TaskList)> done) override;
+  void Start(const WorkerId& worker,
+             const StartRequest& request,
+             std::function<void(StartOutcome)> done) override;
+  void Completions(const WorkerId& worker,
+                   const CompletionsRequest& request,
+                   std::function<void(CompletionsResult)> done) override;
+  void Control(const WorkerId& worker,
+               const LeaseToken& token,
+               const TaskKey& key,
+               TaskControl control,
+               std::function<void(PortStatus)> done) override;
+  void SetAddress(const WorkerId&, const std::string&) override {}
+
+ private:
+  struct Poll {
+    WorkerId worker;
+    CompletionsRequest request;
+    std::function<void(CompletionsResult)> done;
+  };
+
+  // `reached` makes the call on the model and returns its answer's callback;
+  // `lost` runs with kNotSent or kUnreachable instead.
+  void Call(const WorkerId& worker,
+            std::function<std::function<void()>(WorkerModel&)> reached,
+            std::function<void(PortStatus)> lost);
+  void Deliver(
+      const WorkerId& worker,
+      const std::function<std::function<void()>(WorkerModel&)>& reached,
+      const std::function<void(PortStatus)>& lost);
+  void Settle(const WorkerId& worker);
+  void AnswerPoll(const std::shared_ptr<Poll>& poll);
+
+  FakeQueue& queue_;
+  TaskBook book_;
+  std::map<WorkerId, std::unique_ptr<WorkerModel>> models_;
+  std::map<WorkerId, std::list<std::function<void()>>> paused_;
+  std::list<std::shared_ptr<Poll>> polls_;
+  Millis delay_{0};
+  Millis timeout_{1'000};
+  int64_t calls_ = 0;
+};
+
+}  // namespace chivedale::testing
+
+#endif  // CHIVEDALE_TESTING_FAKE_WORKER_H_
--- /dev/null
+++ b/chivedale/testing/task_book.cc
@@ -0,0 +1,69 @@
+// A run counts as going on until its worker ended it, also while that worker
+// cannot be reached: this is what P2 is about.
+#include "chivedale/testing/task_book.h"
+
+#include <sstream>
+
+namespace chivedale::testing {
+namespace {
+
+constexpr size_t kMaxDetails = 50;
+
+}  // namespace
+
+void TaskBook::Note(const std::string& what,
+                    const WorkerId& worker,
+                    const TaskKey& key) {
+  if (violations_.details.size() < kMaxDetails) {
+    std::ostringstream text;
+    text << what << ": " << key << " on " << worker;
+    violations_.details.push_back(text.str());
+  }
+}
+
+void TaskBook::OnStart(const WorkerId& worker,
+                       const TaskKey& key,
+                       bool repeatable,
+                       util::TimePoint at) {
+  std::vector<TaskRun>& runs = runs_[key.task.str()];
+  for (const TaskRun& run : runs) {
+    if (!run.ended) {
+      ++violations_.ran_in_two_places;
+      Note("already running on " + run.worker.str(), worker, key);
+    }
+  }
+  if (!repeatable && !runs.empty()) {
+    ++violations_.unrepeatable_reruns;
+    Note("second run of unrepeatable work", worker, key);
+  }
+  runs.push_back({worker, key.attempt, at, {}, false, ""});
+  ++starts_;
+  ++running_;
+}
+
+void TaskBook::OnEnd(const WorkerId& worker,
+                     const TaskKey& key,
+                     const std::string& outcome,
+                     util::TimePoint at) {
+  for (TaskRun& run : runs_[key.task.str()]) {
+    if (!run.ended && run.worker == worker && run.attempt == key.attempt) {
+      run.ended = true;
+      run.end = at;
+      run.outcome = outcome;
+      --running_;
+      return;
+    }
+  }
+}
+
+void TaskBook::OnOverloadAttempt(const WorkerId& worker, const TaskKey& key) {
+  ++violations_.overload_attempts;
+  Note("start above capacity", worker, key);
+}
+
+void TaskBook::OnStartWhenLeaving(const WorkerId& worker, const TaskKey& key) {
+  ++violations_.started_when_leaving;
+  Note("start on a leaving worker", worker, key);
+}
+
+}  // namespace chivedale::testing
--- /dev/null
+++ b/chivedale/testing/worker_model.h
@@ -0,0 +1,161 @@
+// One worker's contract without transport or threads: owner lease with fencing
+// tokens, task lease, capacity, completions kept until acknowledged, faults.
+// Serves FakeWorker and WorkerStandin, which call Tick() at NextEvent().
+//
+// The payload of a task may be a JSON object with `run_ms`, `fail` (true),
+// `used_cpu_milli`, `used_memory_mb` and `answer_bytes`.
+#ifndef CHIVEDALE_TESTING_WORKER_MODEL_H_
+#define CHIVEDALE_TESTING_WORKER_MODEL_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chivedale/ports.h"
+#include "chivedale/testing/task_book.h"
+#include "util/clock.h"
+#include "util/random.h"
+
+namespace chivedale::testing {
+
+// The answer of a task that ended well: callers compare it with what came
+// back. It depends on all bytes of the payload and on the task's id.
+std::string ExpectedAnswer(const TaskId& task, const std::string& payload);
+
+enum class LeavingMode {
+  kStaying,
+  kAccepting,  // reports that it leaves and would still take work
+  kRefusing,   // reports that it leaves and refuses work
+};
+
+struct WorkerFaults {
+  // Calls end without an answer; tasks go on until their lease lapses.
+  bool dead = false;
+  // Calls wait for the end of the pause; tasks make no progress meanwhile.
+  bool paused = false;
+  // Each task fails at once.
+  bool fail_all = false;
+  // Factor on the run time of tasks started from now on.
+  double straggle = 1;
+  // A completion becomes visible this much later.
+  Millis late{0};
+  // Each completion is delivered a second time.
+  bool duplicate = false;
+  // Completions become visible after a random part of `late`, and each list is
+  // in random order.
+  bool reorder = false;
+  // Next starts that are done and whose response is lost.
+  int lose_starts = 0;
+  // Next completion lists whose response is lost.
+  int lose_completions = 0;
+};
+
+struct WorkerOptions {
+  WorkerId id;
+  Resources capacity{32'000, 131'072, 0, 8};
+  Millis orphan_ttl{6'000};
+  Millis usage_lag{2'000};
+  // False: starts are accepted with any token.
+  bool fencing = true;
+};
+
+class WorkerModel {
+ public:
+  WorkerModel(const util::Clock& clock,
+              util::Random& random,
+              TaskBook& book,
+              WorkerOptions options);
+
+  // Commands: the protocol. Each first does what is due.
+  LeaseResult Lease(const MemberId& owner, const LeaseToken& token, Millis ttl);
+  PortStatus Release(const MemberId& owner, const LeaseToken& token);
+  TaskList List();
+  StartOutcome Start(const StartRequest& request);
+  // Drops the completions that `request.acks` names.
+  void Acknowledge(const CompletionsRequest& request);
+  // Acknowledges, and returns at once what is visible above `after`.
+  CompletionsResult Completions(const CompletionsRequest& request);
+  PortStatus Control(const LeaseToken& token,
+                     const TaskKey& key,
+                     TaskControl control);
+  // Ends tasks and leases whose time has come.
+  void Tick();
+
+  // Commands: faults.
+  WorkerFaults& faults() { return faults_; }
+  void Reboot();
+  void SetLeaving(LeavingMode mode);
+  void Resume();
+
+  // Queries.
+  // Earliest time at which Tick() has something to do; max() for never.
+  util::TimePoint NextEvent() const;
+  // Whether a completions call with this `after` would return something.
+  bool HasCompletions(uint64_t after) const;
+  bool HasCurrentToken(const LeaseToken& token) const;
+  // Whether calls with this token are taken.
+  bool Accepts(const LeaseToken& token) const;
+  const WorkerId& id() const { return options_.id; }
+  const std::string& boot_id() const { return boot_id_; }
+  const WorkerOptions& options() const { return options_; }
+  Resources committed() const { return committed_; }
+  size_t running() const { return running_.size(); }
+  size_t unacknowledged() const { return kept_.size() + hidden_.size(); }
+
+ private:
+  struct Running {
+    StartRequest request;
+    util::TimePoint start;
+    util::TimePoint end;
+    bool times_out = false;
+    bool fails = false;
+    Resources used;
+  };
+  struct Hidden {
+    util::TimePoint visible;
+    Completion completion;
+  };
+
+  bool LeaseIsValid() const;
+  util::TimePoint OrphanDeadline() const;
+  void Finish(const TaskKey& key,
+              Completion completion,
+              util::TimePoint at,
+              const std::string& outcome);
+  void EndDue(util::TimePoint now);
+  void StopOrphans(util::TimePoint now);
+  void Reveal(util::TimePoint now);
+  void SampleUse(util::TimePoint at);
+  WorkerReport Report() const;
+  void Overload(const StartRequest& request);
+
+  const util::Clock& clock_;
+  util::Random& random_;
+  TaskBook& book_;
+  const WorkerOptions options_;
+  WorkerFaults faults_;
+  LeavingMode leaving_ = LeavingMode::kStaying;
+  util::TimePoint leaving_since_{};
+
+  std::string boot_id_;
+  uint64_t token_ = 0;
+  MemberId owner_;
+  util::TimePoint lease_end_{};
+  // The present token's owner has read the running list.
+  bool owner_has_list_ = false;
+
+  std::map<TaskKey, Running> running_;
+  Resources committed_;
+  // Attempts that ended here in this boot; a repeated start is refused.
+  std::map<TaskKey, util::TimePoint> ended_;
+  std::vector<Hidden> hidden_;
+  std::map<uint64_t, Completion> kept_;
+  std::vector<Completion> repeats_;
+  uint64_t sequence_ = 0;
+  std::deque<std::pair<util::TimePoint, Resources>> use_samples_;
+};
+
+}  // namespace chivedale::testing
+
+#endif  // CHIVEDALE_TESTING_WORKER_MODEL_H_
