--- /dev/null
+++ b/chivedale/admission.cc
@@ -0,0 +1,93 @@
+// A refusal at once is cheaper for the caller than a wait that cannot end in
+// time. The checks run from the lasting reason to the passing one; the rate
+// token is taken last, so that a refused request uses up no rate.
+#include "chivedale/admission.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <string>
+
+namespace chivedale {
+namespace {
+
+constexpr std::array<int64_t Resources::*, 4> kComponents = {
+    &Resources::cpu_milli, &Resources::memory_mb, &Resources::accelerators,
+    &Resources::slots};
+
+// A full queue is worth another try when part of it has been served.
+constexpr Millis kShortestRetry{100};
+constexpr Millis kLongestRetry{10'000};
+
+// How many reference workers the cell has, in the component that `size` takes
+// most of.
+double ReferenceWorkers(const Resources& capacity, const Resources& size) {
+  double largest = -1;
+  double workers = 0;
+  for (auto component : kComponents) {
+    const auto whole = static_cast<double>(kReferenceWorker.*component);
+    const double part = static_cast<double>(size.*component) / whole;
+    if (part > largest) {
+      largest = part;
+      workers = static_cast<double>(capacity.*component) / whole;
+    }
+  }
+  return workers;
+}
+
+}  // namespace
+
+Admission::Admission(const util::Clock& clock,
+                     const FairQueue& queue,
+                     LimitShare& limits,
+                     const RunTimeModel& run_times)
+    : clock_(clock), queue_(queue), limits_(limits), run_times_(run_times) {}
+
+void Admission::Check(const WorkRow& row,
+                      const Resources& size,
+                      util::TimePoint deadline,
+                      const CellRoom& cell) {
+  if (cell.complete && !size.FitsIn(cell.largest_plain) &&
+      !size.FitsIn(cell.largest_accelerated)) {
+    throw AdmissionError(
+        ErrorKind::kNeverFits,
+        "work of kind '" + row.kind + "' is larger than every worker",
+        Millis(0));
+  }
+  const Millis wait = EstimatedWait(row, cell);
+  const Millis retry = std::clamp(wait / 2, kShortestRetry, kLongestRetry);
+  if (queue_.IsFull(row.kind)) {
+    throw AdmissionError(ErrorKind::kQueueFull,
+                         "the queue of kind '" + row.kind + "' is full", retry);
+  }
+  if (clock_.Now() + wait > deadline) {
+    throw AdmissionError(ErrorKind::kDeadlineUnmet,
+                         "the expected wait of " +
+                             std::to_string(wait.count()) +
+                             " ms exceeds the time to the deadline",
+                         retry);
+  }
+  if (!limits_.TakeRate(row.kind)) {
+    throw AdmissionError(
+        ErrorKind::kRateLimited,
+        "the rate of kind '" + row.kind + "' is used up",
+        std::max(kShortestRetry, limits_.RetryAfter(row.kind)));
+  }
+}
+
+Millis Admission::EstimatedWait(const WorkRow& row,
+                                const CellRoom& cell) const {
+  const double ahead = queue_.CostAhead(row.kind);
+  // This entry gets about the part of the cell that it has of the demand.
+  const double workers = ReferenceWorkers(cell.capacity, row.size) *
+                         limits_.DemandFraction(row.kind);
+  // Less than one item ahead is work on its way to an owner, not a backlog.
+  if (ahead < run_times_.Cost(row, row.size) || workers <= 0) {
+    return Millis(0);
+  }
+  const double seconds = ahead / workers;
+  // An hour is longer than every deadline.
+  return Millis(static_cast<int64_t>(std::min(seconds, 3'600.0) * 1e3));
+}
+
+}  // namespace chivedale
--- a/chivedale/fair_queue.h
+++ b/chivedale/fair_queue.h
@@ -36,8 +36,13 @@
   util::TimePoint deadline{};
   // Not offered before this (backoff of a retry).
   util::TimePoint not_before{};
+  // Set by the queue: the order of arrival, and what its row was charged.
+  uint64_t place = 0;
+  double charge = 0;
 };
 
+enum class QueuePolicyKind { kOurs, kFifo };
+
 struct RowQueueState {
   std::string kind;
   int64_t queued = 0;
@@ -52,6 +57,10 @@
     // Of ten pops while all classes wait, at least this many go to classes
     // after the first, so that heavy work is not starved.
     int reserve_per_ten = 1;
+    QueuePolicyKind policy = QueuePolicyKind::kOurs;
+    // An item that was passed over this often for want of room becomes a
+    // candidate for a reservation.
+    int64_t passed_over_limit = 20;
   };
 
   FairQueue(const util::Clock& clock, Options options);
@@ -80,6 +89,13 @@
 
   // Queries.
   int64_t size() const;
+  // Whether Push would throw for this kind.
+  bool IsFull(const std::string& kind) const;
+  // The item that was passed over for want of room the longest and for which
+  // `eligible` holds (a row at its limit needs no room kept). The caller keeps
+  // room for it. Nothing when none reached the limit.
+  std::optional<QueuedItem> BlockedLarge(
+      const std::function<bool(const QueuedItem&)>& eligible = {}) const;
   int64_t QueuedOf(const std::string& kind) const;
   std::vector<RowQueueState> Rows() const;
   // Cost waiting ahead of a new item of this row, for wait estimates.
--- a/chivedale/limit_share.h
+++ b/chivedale/limit_share.h
@@ -25,12 +25,17 @@
   // Commands.
   void SetTable(const Table& table);
   void SetMembers(const std::vector<MemberId>& live);
+  // Own demand is also given here, as it was sent with the heartbeat: only
+  // then do all members compute from the same figures. Without it the present
+  // own demand is used.
   void OnDemand(const MemberId& member,
                 const std::map<std::string, DemandReport>& demand);
   // Own arrivals, starts and ends; starts and ends carry the size for quotas.
   void OnArrival(const std::string& kind);
   void OnStart(const std::string& kind, const Resources& size);
   void OnEnd(const std::string& kind, const Resources& size);
+  // Items of this kind that wait in the own queue.
+  void SetQueued(const std::string& kind, int64_t queued);
   // Takes one token of the row's rate; false when there is none.
   bool TakeRate(const std::string& kind);
 
@@ -39,6 +44,8 @@
   // and its team's quota.
   bool MayStart(const std::string& kind, const Resources& size) const;
   int64_t RunningShare(const std::string& kind) const;
+  // The part of the cell's work of this kind that this member has, 0 to 1.
+  double DemandFraction(const std::string& kind) const;
   // Time until TakeRate may succeed.
   Millis RetryAfter(const std::string& kind) const;
   // For heartbeats.
--- /dev/null
+++ b/chivedale/retry_policy.cc
@@ -0,0 +1,71 @@
+// The budget is a token bucket filled by first attempts and by time, so that
+// a cell that fails everything gets at most a tenth more load from retries.
+// The backoff is drawn from its upper half, so that work that failed together
+// does not return together.
+#include "chivedale/retry_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivedale {
+namespace {
+
+// The bucket holds this much time's worth of the least budget, and a constant
+// part, so that the work of one failed owner can be tried again at once.
+constexpr double kSavedSeconds = 10;
+constexpr double kSavedRetries = 100;
+
+}  // namespace
+
+RetryPolicy::RetryPolicy(const util::Clock& clock,
+                         util::Random& random,
+                         Options options)
+    : clock_(clock),
+      random_(random),
+      options_(options),
+      budget_(options.budget_min_per_s),
+      refilled_(clock.Now()) {}
+
+void RetryPolicy::OnFirstAttempt() {
+  Refill();
+  budget_ += options_.budget_ratio;
+}
+
+std::optional<Millis> RetryPolicy::Grant(const WorkRow& row,
+                                         uint32_t attempts_made,
+                                         Ran ran,
+                                         util::TimePoint deadline) {
+  if (ran != Ran::kNo) {
+    const auto retries_made =
+        static_cast<int64_t>(std::max<uint32_t>(attempts_made, 1)) - 1;
+    if (!row.repeatable || retries_made >= row.max_retries) {
+      return std::nullopt;
+    }
+  }
+  const double doublings = std::min<double>(attempts_made, 30) - 1;
+  const double full =
+      std::min(static_cast<double>(options_.first_backoff.count()) *
+                   std::exp2(std::max(0.0, doublings)),
+               static_cast<double>(options_.longest_backoff.count()));
+  const Millis backoff(
+      static_cast<int64_t>(full * (0.5 + 0.5 * random_.Unit())));
+  if (clock_.Now() + backoff >= deadline) {
+    return std::nullopt;
+  }
+  Refill();
+  if (budget_ < 1) {
+    return std::nullopt;
+  }
+  budget_ -= 1;
+  return backoff;
+}
+
+void RetryPolicy::Refill() {
+  const util::TimePoint now = clock_.Now();
+  const double passed = std::chrono::duration<double>(now - refilled_).count();
+  const double most = options_.budget_min_per_s * kSavedSeconds + kSavedRetries;
+  budget_ = std::min(most, budget_ + options_.budget_min_per_s * passed);
+  refilled_ = now;
+}
+
+}  // namespace chivedale
--- a/chivedale/run_time_model.h
+++ b/chivedale/run_time_model.h
@@ -6,10 +6,14 @@
 #include <memory>
 #include <string>
 
+#include "chivedale/resources.h"
 #include "chivedale/work.h"
 
 namespace chivedale {
 
+// The worker in whose time a cost is counted.
+inline constexpr Resources kReferenceWorker{32'000, 131'072, 8, 8};
+
 class RunTimeModel {
  public:
   RunTimeModel();
