--- a/chivedale/record_log.h
+++ b/chivedale/record_log.h
@@ -19,8 +19,8 @@
 enum class RecordOutcome {
   kRecorded,   // new, and now in the store: it may be started
   kKnown,      // recorded earlier: never start it again
-  kStoreDown,  // certainly or possibly not in the store: must not be started
-  kNotHolder,  // this process is not the group's writer
+  kStoreDown,  // not granted by any holder: certainly not run
+  kNotHolder,  // not the group's writer, or cannot confirm that it still is
 };
 
 class RecordLog {
@@ -32,6 +32,11 @@
     // A record that could not be written in this time is refused.
     Millis write_timeout{2'000};
     size_t max_segment_bytes = 512 * 1024;
+    // A new holder grants nothing for this long, so that an earlier holder
+    // that is alive has heard of the change before an id is granted here.
+    Millis takeover_wait{1'000};
+    // A gap between two calls above this counts as a pause of this process.
+    Millis pause_limit{1'000};
   };
 
   RecordLog(const util::Clock& clock,
@@ -45,6 +50,9 @@
   // records wait for that.
   void Hold(int group);
   void Resign(int group);
+  // Another holder may exist (a member is suspect or lost). Until the store
+  // confirms that nobody else wrote, failures are kNotHolder, not kStoreDown.
+  void Doubt();
   void Record(int group,
               const RequestId& request,
               std::function<void(RecordOutcome)> done);
@@ -53,8 +61,13 @@
 
   // Queries.
   bool IsHeld(int group) const;
+  // True when the group's segments have been read and no doubt is open.
+  bool IsConfirmed(int group) const;
   uint64_t writes() const;
   uint64_t records() const;
+  // Reads that found a segment that is not in the expected form. Its group
+  // stays unusable, since the ids in it are unknown.
+  uint64_t unreadable_segments() const;
 
  private:
   struct Impl;
--- a/chivedale/request_directory.h
+++ b/chivedale/request_directory.h
@@ -29,6 +29,12 @@
     // After an entry's death its unreported ids are free after this.
     Millis orphan_wait{6'600};
     int64_t max_ids = 2'000'000;
+    // A member that has just become a holder answers kWait for ids that it
+    // does not know for this long (two heartbeat intervals), so that entries
+    // register their ids again first.
+    Millis settle{1'000};
+    // In a kWait or kNotHolder reply.
+    Millis ask_again{100};
   };
 
   RequestDirectory(const util::Clock& clock,
