Request directory; honest store_down in the record log

Cause: repeated sends through other entries need one place that knows who has an id; and a holder that another one has replaced must not report 'not run'. Change: directory with settling time, orphan wait, adoption, bounded ids. Register has a registration number, so that a repeated send of one registration gets its first reply while an unrepeatable id is new only once. kStoreDown only when members' views cannot differ.

--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -183,6 +183,9 @@
   bool running = false;
   // Only asks: a new id is neither registered nor recorded.
   bool probe = false;
+  // Chosen by the entry for one registration, not 0. A repeated send of it gets
+  // the first reply again; without it an unrepeatable id is kNew only once.
+  uint64_t registration = 0;
 };
 
 // The entry refused or cancelled the request before any start: the holder
--- a/chivedale/record_log.cc
+++ b/chivedale/record_log.cc
@@ -20,11 +20,12 @@
 // Why kStoreDown needs more care than a grant. It tells a caller that the
 // request was not run, which is false when another holder has granted it. Only
 // the store can exclude another holder, and it is down. So kStoreDown is given
-// only while no other holder can have granted anything: the group's segments
-// were read, no member has been suspect or lost since, and this process has
-// not been paused. A new holder grants nothing during the takeover wait, in
-// which earlier holders learn of the change. In all other cases the answer is
-// kNotHolder.
+// only while the members' views cannot differ: no member was suspect or lost,
+// this process was not paused and no other writer was met within the doubt
+// time. A planned change of holder is known everywhere within the takeover
+// wait: a new holder grants nothing before its end and reads once more after
+// it, and an earlier holder ignores answers that come long after its
+// resignation. In all other cases the answer is kNotHolder.
 #include "chivedale/record_log.h"
 
 #include <algorithm>
@@ -32,7 +33,6 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -47,6 +47,10 @@
 // Old segments are looked for this often.
 constexpr Millis kExpireInterval{1'000};
 constexpr int kNonceDigits = 24;
+// A write that was in flight at the resignation is still granted this long.
+// Longer than a store call; with the delay of the news of the new holder it
+// stays below the takeover wait.
+constexpr Millis kResignGrace{200};
 // Room for the segment's other fields and separators.
 constexpr size_t kSegmentOverheadBytes = 256;
 
@@ -136,15 +140,14 @@
     bool held = false;
     // All segments have been read since Hold().
     bool read = false;
-    // Nobody else can have written since the last contact with the store.
-    bool confirmed = false;
     // A store call is in flight.
     bool busy = false;
     uint64_t holds = 0;
-    uint64_t doubts = 0;
     uint64_t next_sequence = 1;
     util::TimePoint next_call{};
     util::TimePoint grants_from{};
+    util::TimePoint resigned{};
+    util::TimePoint doubted_until{};
     util::TimePoint contact{};
     util::WallTime contact_wall{};
     util::TimePoint next_expire{};
@@ -193,11 +196,19 @@
 
   void DoubtAll() {
     for (Group& group : groups) {
-      group.confirmed = false;
-      ++group.doubts;
+      Doubt(group);
     }
   }
 
+  void Doubt(Group& group) {
+    group.doubted_until = clock.Now() + options.doubt_time;
+  }
+
+  bool Confirmed(const Group& group) const {
+    return group.held && group.read && group.contact >= group.grants_from &&
+           clock.Now() >= group.doubted_until;
+  }
+
   bool ContactIsOld(const Group& group) const {
     return clock.Now() - group.contact > options.retention / 2 ||
            clock.WallNow() - group.contact_wall > options.retention / 2;
@@ -216,9 +227,8 @@
 
   // What a request gets whose record did not reach the store in time.
   RecordOutcome Failure(const Group& group) const {
-    return group.held && group.read && group.confirmed
-               ? RecordOutcome::kStoreDown
-               : RecordOutcome::kNotHolder;
+    return Confirmed(group) ? RecordOutcome::kStoreDown
+                            : RecordOutcome::kNotHolder;
   }
 
   void Hold(Group& group) {
@@ -227,7 +237,6 @@
     }
     group.held = true;
     group.read = false;
-    group.confirmed = false;
     ++group.holds;
     group.grants_from = clock.Now() + options.takeover_wait;
     group.next_call = clock.Now();
@@ -241,7 +250,7 @@
     }
     group.held = false;
     group.read = false;
-    group.confirmed = false;
+    group.resigned = clock.Now();
     ++group.holds;
     std::deque<Waiting> waiting = std::move(group.waiting);
     group.waiting.clear();
@@ -267,10 +276,14 @@
     if (!group.held) {
       return;
     }
-    if (!group.read || !group.confirmed || ContactIsOld(group)) {
+    if (!group.read || ContactIsOld(group)) {
       Read(group);
       return;
     }
+    if (now >= group.grants_from && group.contact < group.grants_from) {
+      ReadNext(group);
+      return;
+    }
     if (!group.waiting.empty() && now >= group.grants_from) {
       BeginWrite(group);
       return;
@@ -284,11 +297,10 @@
   void Read(Group& group) {
     group.busy = true;
     const uint64_t holds = group.holds;
-    const uint64_t doubts = group.doubts;
     const util::TimePoint sent = clock.Now();
     const util::WallTime sent_wall = clock.WallNow();
-    store.List(Prefix(group), [this, guard = Guard(), &group, holds, doubts,
-                               sent, sent_wall](const StoreResult& result) {
+    store.List(Prefix(group), [this, guard = Guard(), &group, holds, sent,
+                               sent_wall](const StoreResult& result) {
       if (guard.expired()) {
         return;
       }
@@ -307,7 +319,6 @@
         return;
       }
       group.read = true;
-      group.confirmed = group.doubts == doubts;
       group.retry = kFirstRetry;
       SetContact(group, sent, sent_wall);
       SettleKnown(group);
@@ -315,6 +326,35 @@
     });
   }
 
+  // Looks for a segment that an earlier holder wrote after Read().
+  void ReadNext(Group& group) {
+    group.busy = true;
+    const uint64_t holds = group.holds;
+    const util::TimePoint sent = clock.Now();
+    const util::WallTime sent_wall = clock.WallNow();
+    store.Get(Key(group, group.next_sequence),
+              [this, guard = Guard(), &group, holds, sent,
+               sent_wall](const StoreResult& result) {
+                if (guard.expired()) {
+                  return;
+                }
+                Observe();
+                group.busy = false;
+                if (!group.held || group.holds != holds) {
+                  return;
+                }
+                if (result.status == StoreStatus::kNotFound) {
+                  group.retry = kFirstRetry;
+                  SetContact(group, sent, sent_wall);
+                } else if (result.status == StoreStatus::kOk) {
+                  group.read = false;
+                } else {
+                  Delay(group);
+                }
+                Advance(group);
+              });
+  }
+
   // False when a segment is unreadable: then nothing is changed.
   bool TakeSegments(Group& group, const StoreResult& result) {
     std::map<uint64_t, Segment> segments;
@@ -414,24 +454,24 @@
     group.busy = true;
     const util::TimePoint sent = clock.Now();
     const util::WallTime sent_wall = clock.WallNow();
-    store.Get(Key(group, group.write->sequence),
-              [this, guard = Guard(), &group, sent,
-               sent_wall](const StoreResult& result) {
-                if (guard.expired()) {
-                  return;
-                }
-                Observe();
-                group.busy = false;
-                if (result.status == StoreStatus::kOk &&
-                    result.entries.size() == 1) {
-                  Compare(group, result.entries.front(), sent, sent_wall);
-                } else if (result.status == StoreStatus::kNotFound) {
-                  // Deleted after the conflict: older than the retention.
-                  LoseWrite(group);
-                } else {
-                  Delay(group);
-                }
-              });
+    store.Get(
+        Key(group, group.write->sequence),
+        [this, guard = Guard(), &group, sent,
+         sent_wall](const StoreResult& result) {
+          if (guard.expired()) {
+            return;
+          }
+          Observe();
+          group.busy = false;
+          if (result.status == StoreStatus::kOk && result.entries.size() == 1) {
+            Compare(group, result.entries.front(), sent, sent_wall);
+          } else if (result.status == StoreStatus::kNotFound) {
+            // Deleted after the conflict: older than the retention.
+            LoseWrite(group);
+          } else {
+            Delay(group);
+          }
+        });
   }
 
   void Compare(Group& group,
@@ -453,8 +493,11 @@
                uint64_t revision,
                util::TimePoint sent,
                util::WallTime sent_wall) {
-    // The check comes after the effect: a pause before it shows here.
+    // The checks come after the effect: a pause before it shows here.
     const bool trusted = !ContactIsOld(group);
+    const bool timely =
+        group.held || clock.Now() - group.resigned <= kResignGrace;
+    const bool granted = trusted && timely;
     Write write = std::move(*group.write);
     group.write.reset();
     group.retry = kFirstRetry;
@@ -471,11 +514,10 @@
       SetContact(group, sent, sent_wall);
     } else {
       group.read = false;
-      group.confirmed = false;
     }
     for (Waiting& item : write.items) {
       if (item.done) {
-        item.done(trusted ? RecordOutcome::kRecorded : RecordOutcome::kKnown);
+        item.done(granted ? RecordOutcome::kRecorded : RecordOutcome::kKnown);
       }
     }
   }
@@ -487,7 +529,7 @@
     Write write = std::move(*group.write);
     group.write.reset();
     group.read = false;
-    group.confirmed = false;
+    Doubt(group);
     std::vector<Waiting> refused;
     for (auto it = write.items.rbegin(); it != write.items.rend(); ++it) {
       if (!it->done) {
@@ -556,9 +598,9 @@
       return;
     }
     const uint64_t key = KeyOf(id.str());
-    const bool waits = std::any_of(
-        group.waiting.begin(), group.waiting.end(),
-        [&](const Waiting& item) { return item.id == id; });
+    const bool waits =
+        std::any_of(group.waiting.begin(), group.waiting.end(),
+                    [&](const Waiting& item) { return item.id == id; });
     // Before the read is done an unknown outcome of an earlier hold still
     // counts; ids that are not known may turn out to be.
     if (waits || group.known.count(key) != 0) {
@@ -650,9 +692,20 @@
   return impl_->groups.at(static_cast<size_t>(group)).held;
 }
 
-bool RecordLog::IsConfirmed(int group) const {
+std::optional<bool> RecordLog::IsRecorded(int group,
+                                          const RequestId& request) const {
   const Impl::Group& state = impl_->groups.at(static_cast<size_t>(group));
-  return state.held && state.read && state.confirmed;
+  if (state.held && state.known.count(KeyOf(request.str())) != 0) {
+    return true;
+  }
+  if (!state.held || !state.read) {
+    return std::nullopt;
+  }
+  return false;
+}
+
+bool RecordLog::IsConfirmed(int group) const {
+  return impl_->Confirmed(impl_->groups.at(static_cast<size_t>(group)));
 }
 
 uint64_t RecordLog::writes() const {
--- a/chivedale/record_log.h
+++ b/chivedale/record_log.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "chivedale/ids.h"
 #include "chivedale/ports.h"
@@ -37,6 +38,8 @@
     Millis takeover_wait{1'000};
     // A gap between two calls above this counts as a pause of this process.
     Millis pause_limit{1'000};
+    // Partitions between regions last minutes, several times a year.
+    Millis doubt_time{600'000};
   };
 
   RecordLog(const util::Clock& clock,
@@ -50,8 +53,8 @@
   // records wait for that.
   void Hold(int group);
   void Resign(int group);
-  // Another holder may exist (a member is suspect or lost). Until the store
-  // confirms that nobody else wrote, failures are kNotHolder, not kStoreDown.
+  // Another holder may exist: a member is suspect or lost. For `doubt_time`
+  // failures are kNotHolder instead of kStoreDown.
   void Doubt();
   void Record(int group,
               const RequestId& request,
@@ -61,7 +64,9 @@
 
   // Queries.
   bool IsHeld(int group) const;
-  // True when the group's segments have been read and no doubt is open.
+  // Whether the id is recorded; empty while the segments are unread.
+  std::optional<bool> IsRecorded(int group, const RequestId& request) const;
+  // True when no other holder can have granted an id of the group unseen.
   bool IsConfirmed(int group) const;
   uint64_t writes() const;
   uint64_t records() const;
--- /dev/null
+++ b/chivedale/request_directory.cc
@@ -0,0 +1,635 @@
+// Idempotent ids live in this process's memory only. A holder that has just
+// taken a group does not know what its predecessor knew, so it answers kWait
+// during the settling time, in which the entries register their ids again. Ids
+// that were not registered by then are free: a second run of idempotent work is
+// allowed, only wasteful.
+//
+// Unrepeatable ids are backed by the record log. The memory here only tells
+// which entry has an id. Without that knowledge a recorded id is
+// kRecordedBefore and never kNew, so losing this memory cannot cause a second
+// run.
+//
+// Doubts. kStoreDown is honest only while no other holder of the group can
+// exist (record_log.cc). Another member takes a group over only after it has
+// called this one dead, and before that this one has seen some member suspect
+// or gone; therefore each such change raises RecordLog::Doubt().
+#include "chivedale/request_directory.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "util/random.h"
+
+namespace chivedale {
+namespace {
+
+// An entry that registers ids without being a member for this long is treated
+// as dead; membership news may be that late.
+constexpr Millis kUnknownEntryGrace{3'000};
+constexpr Millis kSweepInterval{500};
+
+bool MayHold(MemberState state) {
+  return state == MemberState::kLive || state == MemberState::kSuspect;
+}
+
+}  // namespace
+
+struct RequestDirectory::Impl {
+  using Reply = std::function<void(const RegisterReply&)>;
+
+  struct Entry {
+    MemberId entry;
+    uint64_t digest = 0;
+    uint64_t registration = 0;
+    uint64_t order = 0;
+    bool repeatable = true;
+    // The record is being written; `entry` may start it only after that.
+    bool recording = false;
+    // The entry is gone and no member has adopted the id.
+    bool orphaned = false;
+    // What the first registration got, for a repeated send of it.
+    std::optional<RegisterReply> first_reply;
+  };
+  struct Departure {
+    util::TimePoint at{};
+    std::set<MemberId> awaited;
+    bool over = false;
+  };
+  struct Group {
+    bool held = false;
+    util::TimePoint taken{};
+  };
+  struct Aged {
+    RequestId id;
+    uint64_t order = 0;
+    util::TimePoint at{};
+  };
+
+  Impl(const util::Clock& clock,
+       MemberInfo self,
+       RecordLog& records,
+       Options options)
+      : clock(clock),
+        self(std::move(self)),
+        records(records),
+        options(options),
+        once_groups(static_cast<size_t>(options.record_groups)),
+        repeatable_groups(static_cast<size_t>(options.record_groups)) {}
+
+  int GroupOf(const RequestId& id) const {
+    return static_cast<int>(util::Hash64(id.str()) %
+                            static_cast<uint64_t>(options.record_groups));
+  }
+
+  // Draining and starting members hold groups only when nobody else can.
+  MemberId Holder(int group, bool repeatable) const {
+    const std::string key =
+        (repeatable ? "idempotent/" : "once/") + std::to_string(group);
+    MemberId best;
+    bool best_may_hold = false;
+    uint64_t best_weight = 0;
+    for (const auto& [id, member] : members) {
+      if (repeatable && member.region != self.region) {
+        continue;
+      }
+      const bool may_hold = MayHold(member.state);
+      const uint64_t weight = util::RendezvousWeight(key, id.str());
+      const bool better =
+          best.empty() ||
+          (may_hold != best_may_hold ? may_hold : weight > best_weight);
+      if (better) {
+        best = id;
+        best_may_hold = may_hold;
+        best_weight = weight;
+      }
+    }
+    return best;
+  }
+
+  Group& GroupState(const RequestId& id, bool repeatable) {
+    auto& groups = repeatable ? repeatable_groups : once_groups;
+    return groups[static_cast<size_t>(GroupOf(id))];
+  }
+
+  bool Settling(const Group& group) const {
+    return clock.Now() - group.taken < options.settle;
+  }
+
+  void SetMembers(const std::vector<MemberInfo>& list) {
+    std::map<MemberId, MemberInfo> next;
+    bool doubt = false;
+    for (const MemberInfo& member : list) {
+      if (member.state == MemberState::kDead ||
+          member.state == MemberState::kLeft) {
+        continue;
+      }
+      doubt = doubt || member.state == MemberState::kSuspect;
+      next.emplace(member.id, member);
+    }
+    std::vector<MemberId> lost;
+    for (const auto& [id, member] : members) {
+      if (next.count(id) == 0) {
+        lost.push_back(id);
+      }
+    }
+    auto me = next.find(self.id);
+    doubt = doubt || !lost.empty() || me == next.end() ||
+            !MayHold(me->second.state);
+    members = std::move(next);
+    for (const auto& [id, member] : members) {
+      departures.erase(id);
+      missing.erase(id);
+    }
+    for (const MemberId& id : lost) {
+      OnMemberDead(id);
+    }
+    TakeGroups();
+    if (doubt) {
+      records.Doubt();
+    }
+  }
+
+  void TakeGroups() {
+    for (int number = 0; number < options.record_groups; ++number) {
+      const auto i = static_cast<size_t>(number);
+      Take(repeatable_groups[i], Holder(number, true) == self.id, number, true);
+      const bool held = Holder(number, false) == self.id;
+      Take(once_groups[i], held, number, false);
+      if (held) {
+        records.Hold(number);
+      } else {
+        records.Resign(number);
+      }
+    }
+  }
+
+  void Take(Group& group, bool held, int number, bool repeatable) {
+    if (held == group.held) {
+      return;
+    }
+    group.held = held;
+    group.taken = clock.Now();
+    if (!held) {
+      DropGroup(number, repeatable);
+    }
+  }
+
+  void DropGroup(int number, bool repeatable) {
+    std::vector<RequestId> dropped;
+    for (const auto& [id, entry] : ids) {
+      if (entry.repeatable == repeatable && GroupOf(id) == number) {
+        dropped.push_back(id);
+      }
+    }
+    for (const RequestId& id : dropped) {
+      Erase(id);
+    }
+  }
+
+  void Insert(const RequestId& id, Entry entry) {
+    entry.order = ++last_order;
+    by_entry[entry.entry].insert(id);
+    ages.push_back({id, entry.order, clock.Now()});
+    ids[id] = std::move(entry);
+    while (static_cast<int64_t>(ids.size()) > options.max_ids) {
+      DropOldest();
+    }
+  }
+
+  void DropOldest() {
+    const Aged oldest = ages.front();
+    ages.pop_front();
+    auto it = ids.find(oldest.id);
+    if (it != ids.end() && it->second.order == oldest.order) {
+      Erase(oldest.id);
+    }
+  }
+
+  void Erase(const RequestId& id) {
+    auto it = ids.find(id);
+    if (it == ids.end()) {
+      return;
+    }
+    Unlink(id, it->second.entry);
+    ids.erase(it);
+  }
+
+  void Unlink(const RequestId& id, const MemberId& entry) {
+    auto of_entry = by_entry.find(entry);
+    if (of_entry == by_entry.end()) {
+      return;
+    }
+    of_entry->second.erase(id);
+    if (of_entry->second.empty()) {
+      by_entry.erase(of_entry);
+    }
+  }
+
+  void Assign(const RequestId& id, Entry& entry, const MemberId& member) {
+    if (entry.entry != member) {
+      Unlink(id, entry.entry);
+      by_entry[member].insert(id);
+    }
+    entry.entry = member;
+    entry.orphaned = false;
+  }
+
+  RegisterReply MakeReply(const RequestId& id,
+                          RegisterOutcome outcome,
+                          const MemberId& entry) const {
+    RegisterReply reply;
+    reply.request = id;
+    reply.outcome = outcome;
+    reply.entry = entry;
+    if (outcome == RegisterOutcome::kWait ||
+        outcome == RegisterOutcome::kNotHolder) {
+      reply.retry_after = options.ask_again;
+    }
+    return reply;
+  }
+
+  void OnRegister(const Register& request, const Reply& reply) {
+    const RequestId& id = request.request;
+    Group& group = GroupState(id, request.repeatable);
+    if (!group.held) {
+      reply(MakeReply(id, RegisterOutcome::kNotHolder, MemberId()));
+      return;
+    }
+    auto it = ids.find(id);
+    if (it != ids.end()) {
+      ReplyKnown(request, it->second, reply);
+      return;
+    }
+    if (request.running) {
+      Entry entry = NewEntry(request);
+      Insert(id, std::move(entry));
+      reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
+      return;
+    }
+    if (request.repeatable) {
+      RegisterRepeatable(request, group, reply);
+      return;
+    }
+    if (request.probe) {
+      ProbeOnce(request, group, reply);
+      return;
+    }
+    RecordOnce(request, reply);
+  }
+
+  Entry NewEntry(const Register& request) const {
+    Entry entry;
+    entry.entry = request.entry;
+    entry.digest = request.digest;
+    entry.registration = request.registration;
+    entry.repeatable = request.repeatable;
+    return entry;
+  }
+
+  void ReplyKnown(const Register& request, Entry& entry, const Reply& reply) {
+    const RequestId& id = request.request;
+    const bool digest_differs = entry.digest != 0 && request.digest != 0 &&
+                                entry.digest != request.digest;
+    if (digest_differs || entry.repeatable != request.repeatable) {
+      reply(MakeReply(id, RegisterOutcome::kDigestDiffers, entry.entry));
+      return;
+    }
+    if (request.running && (entry.orphaned || entry.entry == request.entry)) {
+      Assign(id, entry, request.entry);
+      reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
+      return;
+    }
+    if (entry.recording) {
+      // The first registration gets the answer; this one asks again.
+      reply(MakeReply(id, RegisterOutcome::kWait, entry.entry));
+      return;
+    }
+    if (entry.orphaned) {
+      reply(ReplyOrphan(id, entry));
+      return;
+    }
+    const bool same = entry.entry == request.entry && !request.probe;
+    if (same && entry.repeatable) {
+      reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
+      return;
+    }
+    if (same && request.registration != 0 && entry.first_reply &&
+        entry.registration == request.registration) {
+      reply(*entry.first_reply);
+      return;
+    }
+    reply(MakeReply(id, RegisterOutcome::kKnown, entry.entry));
+  }
+
+  RegisterReply ReplyOrphan(const RequestId& id, const Entry& entry) const {
+    auto departure = departures.find(entry.entry);
+    const bool over = departure == departures.end() || departure->second.over;
+    const RegisterOutcome outcome =
+        over ? RegisterOutcome::kRecordedBefore : RegisterOutcome::kWait;
+    return MakeReply(id, outcome, entry.entry);
+  }
+
+  void RegisterRepeatable(const Register& request,
+                          const Group& group,
+                          const Reply& reply) {
+    const RequestId& id = request.request;
+    if (Settling(group)) {
+      reply(MakeReply(id, RegisterOutcome::kWait, MemberId()));
+      return;
+    }
+    if (!request.probe) {
+      Insert(id, NewEntry(request));
+    }
+    reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
+  }
+
+  void ProbeOnce(const Register& request,
+                 const Group& group,
+                 const Reply& reply) {
+    const std::optional<bool> recorded =
+        records.IsRecorded(GroupOf(request.request), request.request);
+    RegisterOutcome outcome = RegisterOutcome::kNew;
+    if (!recorded || (*recorded && Settling(group))) {
+      outcome = RegisterOutcome::kWait;
+    } else if (*recorded) {
+      outcome = RegisterOutcome::kRecordedBefore;
+    }
+    reply(MakeReply(request.request, outcome, MemberId()));
+  }
+
+  void RecordOnce(const Register& request, const Reply& reply) {
+    const RequestId id = request.request;
+    Entry entry = NewEntry(request);
+    entry.recording = true;
+    Insert(id, std::move(entry));
+    const uint64_t order = last_order;
+    records.Record(GroupOf(id), id,
+                   [this, guard = std::weak_ptr<int>(alive), id, order,
+                    from = request.entry, reply](RecordOutcome outcome) {
+                     if (!guard.expired()) {
+                       reply(Recorded(id, order, from, outcome));
+                     }
+                   });
+  }
+
+  RegisterReply Recorded(const RequestId& id,
+                         uint64_t order,
+                         const MemberId& from,
+                         RecordOutcome outcome) {
+    auto it = ids.find(id);
+    // Another registration has replaced it, or the group was given up.
+    const bool mine = it != ids.end() && it->second.order == order;
+    if (mine && it->second.recording) {
+      it->second.recording = false;
+    }
+    if (outcome == RecordOutcome::kRecorded) {
+      const RegisterReply reply = MakeReply(id, RegisterOutcome::kNew, from);
+      if (mine) {
+        it->second.first_reply = reply;
+      }
+      return reply;
+    }
+    if (mine && it->second.entry == from) {
+      Erase(id);
+    }
+    if (outcome == RecordOutcome::kStoreDown) {
+      return MakeReply(id, RegisterOutcome::kStoreDown, MemberId());
+    }
+    if (outcome == RecordOutcome::kNotHolder) {
+      return MakeReply(id, RegisterOutcome::kNotHolder, MemberId());
+    }
+    // Its entry may be about to register again with this new holder.
+    return MakeReply(id,
+                     Settling(GroupState(id, false))
+                         ? RegisterOutcome::kWait
+                         : RegisterOutcome::kRecordedBefore,
+                     MemberId());
+  }
+
+  void OnUnregister(const Unregister& message) {
+    auto it = ids.find(message.request);
+    // A recorded id stays: its record cannot be withdrawn.
+    if (it != ids.end() && it->second.repeatable &&
+        it->second.entry == message.entry) {
+      Erase(message.request);
+    }
+  }
+
+  void OnMemberDead(const MemberId& member) {
+    if (departures.count(member) != 0) {
+      return;
+    }
+    missing.erase(member);
+    Departure departure;
+    departure.at = clock.Now();
+    for (const auto& [id, info] : members) {
+      if (id != member) {
+        departure.awaited.insert(id);
+      }
+    }
+    for (const MemberId& reporter : reported[member]) {
+      departure.awaited.erase(reporter);
+    }
+    departures[member] = std::move(departure);
+    auto owned = by_entry.find(member);
+    if (owned != by_entry.end()) {
+      for (const RequestId& id : owned->second) {
+        ids.at(id).orphaned = true;
+      }
+    }
+    for (auto& [gone, other] : departures) {
+      other.awaited.erase(member);
+    }
+    EndDepartures();
+  }
+
+  void OnEntryGone(const EntryGone& message) {
+    const bool alive_here = members.count(message.gone) != 0;
+    for (const RequestId& id : message.running) {
+      auto it = ids.find(id);
+      if (it == ids.end()) {
+        continue;  // The adopter registers it, with its digest.
+      }
+      if (it->second.entry == message.gone && !alive_here) {
+        Assign(id, it->second, message.sender);
+      } else if (it->second.entry == message.gone) {
+        early_adoptions[message.gone][id] = message.sender;
+      }
+    }
+    if (!message.complete) {
+      return;
+    }
+    auto departure = departures.find(message.gone);
+    if (departure == departures.end()) {
+      reported[message.gone].insert(message.sender);
+      return;
+    }
+    departure->second.awaited.erase(message.sender);
+    EndDepartures();
+  }
+
+  // Frees the ids of departed entries that no member runs.
+  void EndDepartures() {
+    const util::TimePoint now = clock.Now();
+    for (auto& [member, departure] : departures) {
+      Adopt(member);
+      const bool due = departure.awaited.empty() ||
+                       now - departure.at >= options.orphan_wait;
+      if (departure.over || !due) {
+        continue;
+      }
+      departure.over = true;
+      FreeOrphans(member);
+    }
+  }
+
+  // Applies reports that came before this member knew of the death.
+  void Adopt(const MemberId& gone) {
+    auto early = early_adoptions.find(gone);
+    if (early == early_adoptions.end()) {
+      return;
+    }
+    for (const auto& [id, sender] : early->second) {
+      auto it = ids.find(id);
+      if (it != ids.end() && it->second.entry == gone) {
+        Assign(id, it->second, sender);
+      }
+    }
+    early_adoptions.erase(early);
+  }
+
+  void FreeOrphans(const MemberId& member) {
+    auto owned = by_entry.find(member);
+    if (owned == by_entry.end()) {
+      return;
+    }
+    const std::vector<RequestId> orphans(owned->second.begin(),
+                                         owned->second.end());
+    for (const RequestId& id : orphans) {
+      // An unrepeatable id stays, as recorded before.
+      if (ids.at(id).repeatable) {
+        Erase(id);
+      }
+    }
+  }
+
+  // An entry that is no member has died before its news came, or never joined.
+  void FindMissing() {
+    const util::TimePoint now = clock.Now();
+    std::vector<MemberId> dead;
+    for (const auto& [member, owned] : by_entry) {
+      if (members.count(member) != 0 || departures.count(member) != 0) {
+        continue;
+      }
+      const auto [it, added] = missing.emplace(member, now);
+      if (!added && now - it->second >= kUnknownEntryGrace) {
+        dead.push_back(member);
+      }
+    }
+    for (const MemberId& member : dead) {
+      OnMemberDead(member);
+    }
+  }
+
+  void Expire() {
+    const util::TimePoint now = clock.Now();
+    while (!ages.empty() && now - ages.front().at >= options.retention) {
+      DropOldest();
+    }
+    for (auto it = departures.begin(); it != departures.end();) {
+      if (now - it->second.at >= options.retention) {
+        reported.erase(it->first);
+        early_adoptions.erase(it->first);
+        it = departures.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  void Tick() {
+    const util::TimePoint now = clock.Now();
+    EndDepartures();
+    if (now < next_sweep) {
+      return;
+    }
+    next_sweep = now + kSweepInterval;
+    FindMissing();
+    Expire();
+  }
+
+  const util::Clock& clock;
+  const MemberInfo self;
+  RecordLog& records;
+  const Options options;
+  std::map<MemberId, MemberInfo> members;
+  std::vector<Group> once_groups;
+  std::vector<Group> repeatable_groups;
+  std::unordered_map<RequestId, Entry> ids;
+  std::unordered_map<MemberId, std::unordered_set<RequestId>> by_entry;
+  std::deque<Aged> ages;
+  uint64_t last_order = 0;
+  std::map<MemberId, Departure> departures;
+  std::map<MemberId, util::TimePoint> missing;
+  // Reports about a member that is still alive here.
+  std::map<MemberId, std::set<MemberId>> reported;
+  std::map<MemberId, std::map<RequestId, MemberId>> early_adoptions;
+  util::TimePoint next_sweep{};
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+RequestDirectory::RequestDirectory(const util::Clock& clock,
+                                   MemberInfo self,
+                                   RecordLog& records,
+                                   Options options)
+    : impl_(std::make_unique<Impl>(clock, std::move(self), records, options)) {}
+
+RequestDirectory::~RequestDirectory() = default;
+
+void RequestDirectory::SetMembers(const std::vector<MemberInfo>& members) {
+  impl_->SetMembers(members);
+}
+
+void RequestDirectory::OnRegister(
+    const Register& request,
+    std::function<void(const RegisterReply&)> reply) {
+  impl_->OnRegister(request, reply);
+}
+
+void RequestDirectory::OnUnregister(const Unregister& message) {
+  impl_->OnUnregister(message);
+}
+
+void RequestDirectory::OnEntryGone(const EntryGone& message) {
+  impl_->OnEntryGone(message);
+}
+
+void RequestDirectory::OnMemberDead(const MemberId& member) {
+  impl_->OnMemberDead(member);
+}
+
+void RequestDirectory::Tick() {
+  impl_->Tick();
+}
+
+int RequestDirectory::GroupOf(const RequestId& request) const {
+  return impl_->GroupOf(request);
+}
+
+MemberId RequestDirectory::HolderOf(const RequestId& request,
+                                    bool repeatable) const {
+  return impl_->Holder(impl_->GroupOf(request), repeatable);
+}
+
+int64_t RequestDirectory::known_ids() const {
+  return static_cast<int64_t>(impl_->ids.size());
+}
+
+}  // namespace chivedale
--- a/chivedale/request_directory.h
+++ b/chivedale/request_directory.h
@@ -49,6 +49,7 @@
   // `reply` is called once, at once or after the record is in the store.
   void OnRegister(const Register& request,
                   std::function<void(const RegisterReply&)> reply);
+  void OnUnregister(const Unregister& message);
   void OnEntryGone(const EntryGone& message);
   void OnMemberDead(const MemberId& member);
   void Tick();
