Peer codec: messages to and from bounded msgpack frames

Cause: daemons of different versions exchange messages, and any process can connect to the peer port.

Change: writer and reader walk one field list per struct (peer_fields.h); a static assertion fails when a member of a struct in messages.h is not listed. The reader checks types, ranges, lengths and depth and throws PeerCodecError with a CodecFault; unknown message types have a fault of their own so that the link can skip them. Fields added at the end are skipped by older readers.

Conclusion: peer_codec_test round-trips every message type and checks truncated, mutated and arbitrary frames. It found that msgpack writes floating-point values without a fraction as integers; the reader takes both.

--- /dev/null
+++ b/chivedale/peer_codec.h
@@ -0,0 +1,63 @@
+// Messages between daemons to and from frames. A frame is one msgpack array:
+// type number, protocol version, then the fields in the order of messages.h.
+//
+//   std::string frame = EncodeMessage(Ping{...});
+//   Message message = DecodeMessage(frame);  // throws PeerCodecError
+//
+// Fields are only ever added at the end of a struct; a reader skips those that
+// it does not know. Times are integer milliseconds.
+#ifndef CHIVEDALE_PEER_CODEC_H_
+#define CHIVEDALE_PEER_CODEC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "chivedale/error.h"
+#include "chivedale/messages.h"
+
+namespace chivedale {
+
+inline constexpr uint32_t kPeerProtocol = 1;
+inline constexpr size_t kMaxFrameBytes = 8 << 20;
+inline constexpr size_t kMaxIdBytes = 1'024;
+// Of kinds, addresses and details.
+inline constexpr size_t kMaxTextBytes = 64 * 1024;
+// Of bodies and tables; the rest of a frame is for the other fields.
+inline constexpr size_t kMaxBodyBytes = kMaxFrameBytes - 64 * 1024;
+inline constexpr size_t kMaxListLength = 200'000;
+
+enum class CodecFault {
+  kMalformed,    // no msgpack, truncated, or bytes after its end
+  kUnknownType,  // well formed, but of a later version; to be skipped
+  kWrongVersion,
+  kMissingField,
+  kWrongType,  // or a value outside the field's range
+  kTooLong,
+};
+std::string_view CodecFaultName(CodecFault fault);
+
+// kind() is kBadRequest.
+class PeerCodecError : public Error {
+ public:
+  PeerCodecError(CodecFault fault, const std::string& detail)
+      : Error(ErrorKind::kBadRequest, detail), fault_(fault) {}
+  CodecFault fault() const { return fault_; }
+
+ private:
+  CodecFault fault_;
+};
+
+// Throws PeerCodecError(kTooLong).
+std::string EncodeMessage(const Message& message);
+// Throws PeerCodecError. Never reads outside `frame`.
+Message DecodeMessage(std::string_view frame);
+
+// About the size of the frame, without encoding.
+size_t EstimateFrameBytes(const Message& message);
+std::string_view MessageName(const Message& message);
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_PEER_CODEC_H_
--- /dev/null
+++ b/chivedale/peer_fields.h
@@ -0,0 +1,205 @@
+// The fields of each message in the order in which they travel. peer_codec.cc
+// visits them to write and to read; the tests visit them to compare and to
+// generate values. A field is only ever added at the end of its list.
+#ifndef CHIVEDALE_PEER_FIELDS_H_
+#define CHIVEDALE_PEER_FIELDS_H_
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+
+#include "chivedale/messages.h"
+
+namespace chivedale {
+
+// `visit` is called once with all fields of `m`.
+template <typename T>
+struct FieldsOf;
+
+#define CHIVEDALE_FIELDS(TYPE, ...)                  \
+  template <>                                        \
+  struct FieldsOf<TYPE> {                            \
+    static constexpr std::string_view kName = #TYPE; \
+    template <typename V, typename M>                \
+    static auto Visit(V& visit, M& m) {              \
+      return visit(__VA_ARGS__);                     \
+    }                                                \
+  }
+
+CHIVEDALE_FIELDS(Resources, m.cpu_milli, m.memory_mb, m.accelerators, m.slots);
+CHIVEDALE_FIELDS(TaskKey, m.task, m.attempt);
+CHIVEDALE_FIELDS(MemberInfo,
+                 m.id,
+                 m.address,
+                 m.data_centre,
+                 m.region,
+                 m.state,
+                 m.incarnation);
+CHIVEDALE_FIELDS(DemandReport, m.running, m.queued, m.arrivals_per_s);
+CHIVEDALE_FIELDS(RoomSummary, m.workers, m.capacity, m.free, m.largest);
+CHIVEDALE_FIELDS(Hello, m.sender, m.protocol);
+CHIVEDALE_FIELDS(Ping,
+                 m.sequence,
+                 m.sender,
+                 m.updates,
+                 m.table_revision,
+                 m.demand);
+CHIVEDALE_FIELDS(PingReply,
+                 m.sequence,
+                 m.sender,
+                 m.updates,
+                 m.table_revision,
+                 m.demand);
+CHIVEDALE_FIELDS(PingRequest, m.sequence, m.target);
+CHIVEDALE_FIELDS(Summary,
+                 m.owner,
+                 m.sequence,
+                 m.plain,
+                 m.accelerated,
+                 m.draining);
+CHIVEDALE_FIELDS(Dispatch,
+                 m.key,
+                 m.entry,
+                 m.kind,
+                 m.size,
+                 m.expected_run,
+                 m.longest_run,
+                 m.urgency,
+                 m.repeatable,
+                 m.checkpoint,
+                 m.worker,
+                 m.hold,
+                 m.avoid,
+                 m.payload,
+                 m.sequence);
+CHIVEDALE_FIELDS(DispatchReply,
+                 m.key,
+                 m.sequence,
+                 m.outcome,
+                 m.worker,
+                 m.token,
+                 m.boot_id,
+                 m.rack,
+                 m.data_centre,
+                 m.summary);
+CHIVEDALE_FIELDS(Answer,
+                 m.key,
+                 m.worker,
+                 m.ok,
+                 m.error,
+                 m.ran,
+                 m.checkpointed,
+                 m.run_time,
+                 m.payload);
+CHIVEDALE_FIELDS(AnswerAck, m.key);
+CHIVEDALE_FIELDS(Cancel, m.key, m.checkpoint);
+CHIVEDALE_FIELDS(WorkerTaken,
+                 m.worker,
+                 m.owner,
+                 m.running,
+                 m.token,
+                 m.boot_id,
+                 m.reboot);
+CHIVEDALE_FIELDS(Register,
+                 m.request,
+                 m.entry,
+                 m.repeatable,
+                 m.digest,
+                 m.running,
+                 m.probe);
+CHIVEDALE_FIELDS(Unregister, m.request, m.entry);
+CHIVEDALE_FIELDS(RegisterReply, m.request, m.outcome, m.entry, m.retry_after);
+CHIVEDALE_FIELDS(Attach, m.request, m.sender, m.mode);
+CHIVEDALE_FIELDS(AttachAnswer,
+                 m.request,
+                 m.mode,
+                 m.found,
+                 m.ended,
+                 m.ok,
+                 m.error,
+                 m.ran,
+                 m.detail,
+                 m.kind,
+                 m.attempt,
+                 m.worker,
+                 m.payload);
+CHIVEDALE_FIELDS(EntryGone, m.gone, m.sender, m.running, m.complete);
+CHIVEDALE_FIELDS(TablePull, m.have_revision);
+CHIVEDALE_FIELDS(TableData, m.revision, m.base_revision, m.json);
+CHIVEDALE_FIELDS(Hold, m.hold, m.job, m.size, m.count, m.ttl);
+CHIVEDALE_FIELDS(HoldReply, m.hold, m.job, m.workers);
+CHIVEDALE_FIELDS(HoldRelease, m.hold);
+CHIVEDALE_FIELDS(Handover, m.workers);
+
+#undef CHIVEDALE_FIELDS
+
+// Converts to anything but an optional, whose own constructor takes it.
+struct AnyField {
+  template <typename T>
+  struct IsOptional : std::false_type {};
+  template <typename T>
+  struct IsOptional<std::optional<T>> : std::true_type {};
+  template <typename T, std::enable_if_t<!IsOptional<T>::value, int> = 0>
+  operator T() const;
+};
+
+struct FieldCounter {
+  template <typename... Fields>
+  std::integral_constant<size_t, sizeof...(Fields)> operator()(
+      Fields&...) const;
+};
+
+template <typename T, size_t... I>
+auto TakesFields(std::index_sequence<I...>)
+    -> decltype(T{(static_cast<void>(I), AnyField())...}, std::true_type());
+template <typename T>
+std::false_type TakesFields(...);
+
+// Whether the list above names every member of T: T can be initialised from so
+// many values and not from one more.
+template <typename T>
+constexpr bool ListsAllFields() {
+  constexpr size_t kListed = decltype(FieldsOf<T>::Visit(
+      std::declval<FieldCounter&>(), std::declval<T&>()))::value;
+  return decltype(TakesFields<T>(std::make_index_sequence<kListed>()))::value &&
+         !decltype(TakesFields<T>(
+             std::make_index_sequence<kListed + 1>()))::value;
+}
+
+// The last value of each enumeration that travels.
+template <typename E>
+struct LastOf;
+template <>
+struct LastOf<MemberState> {
+  static constexpr MemberState kValue = MemberState::kLeft;
+};
+template <>
+struct LastOf<Urgency> {
+  static constexpr Urgency kValue = Urgency::kBatch;
+};
+template <>
+struct LastOf<DispatchOutcome> {
+  static constexpr DispatchOutcome kValue = DispatchOutcome::kUnknown;
+};
+template <>
+struct LastOf<ErrorKind> {
+  static constexpr ErrorKind kValue = ErrorKind::kInternal;
+};
+template <>
+struct LastOf<Ran> {
+  static constexpr Ran kValue = Ran::kUnknown;
+};
+template <>
+struct LastOf<AttachMode> {
+  static constexpr AttachMode kValue = AttachMode::kCancel;
+};
+template <>
+struct LastOf<RegisterOutcome> {
+  static constexpr RegisterOutcome kValue = RegisterOutcome::kWait;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_PEER_FIELDS_H_
