Join entry role with queue, directory and ledger as they came

Cause: the queue hands out its place and charge with each item, the directory numbers registrations, and a refusal must not be kept as the request's answer. Change: items go back to the queue as they came out; Registrar numbers its registrations; a repeated send of a refused request opens it again, on the earlier record when there is one; queued counts go into the demand report.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -92,6 +92,7 @@
     if (it == attempts_.end()) {
       continue;
     }
+    it->second.item = *item;
     SendTo(*target, it->second);
     deps_.metrics.Observe(Timer::kDecision, item->kind,
                           deps_.clock.Now() - begin);
@@ -151,7 +152,7 @@
   sent_.erase(dispatch.key.task);
   attempt.phase = Phase::kQueued;
   attempt.owner = MemberId();
-  deps_.queue.PutBack(ItemOf(attempt.task));
+  deps_.queue.PutBack(std::move(attempt.item));
 }
 
 Dispatcher::Attempt* Dispatcher::FindSent(const TaskKey& key) {
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -94,6 +94,9 @@
   enum class Phase { kQueued, kSent, kRunning };
   struct Attempt {
     DispatchTask task;
+    // As the queue gave it out; goes back unchanged, so that it keeps its
+    // place.
+    QueuedItem item;
     AttemptListener* listener = nullptr;
     Phase phase = Phase::kQueued;
     MemberId owner;
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -53,6 +53,11 @@
   return view;
 }
 
+// A refusal is not the request's answer: the caller was told to try again.
+bool MayBeSentAgain(const RequestResult& result) {
+  return !result.ok && result.ran == Ran::kNo && AnswerFor(result.error).retry;
+}
+
 void Call(const ResultCallback& callback,
           const RequestId& id,
           const RequestResult& result) {
@@ -130,6 +135,11 @@
     Call(finished, submission.id, refusal);
     return;
   }
+  if (begun == RequestLedger::BeginOutcome::kFinished && row != nullptr &&
+      MayBeSentAgain(*known->result) && !draining_) {
+    deps_.ledger.Reopen(request);
+    begun = RequestLedger::BeginOutcome::kNew;
+  }
   if (finished) {
     deps_.ledger.OnFinish(submission.id, std::move(finished));
   }
@@ -181,6 +191,7 @@
   }
   switch (reply.outcome) {
     case RegisterOutcome::kNew:
+      deps_.ledger.FindMutable(id)->granted = true;
       Admit(id);
       return;
     case RegisterOutcome::kKnown:
@@ -360,7 +371,7 @@
   // different holders.
   deps_.registrar.Probe(
       id, /*repeatable=*/true, 0, [this, id, done](const RegisterReply& first) {
-        if (!first.entry.empty()) {
+        if (first.outcome != RegisterOutcome::kNew && !first.entry.empty()) {
           done(first.entry);
           return;
         }
--- a/chivedale/registrar.cc
+++ b/chivedale/registrar.cc
@@ -64,6 +64,7 @@
       registration.done.push_back(std::move(done));
     }
   }
+  registration.number = ++last_number_;
   Registration& kept = ids_[id];
   kept = std::move(registration);
   asking_[id] = true;
@@ -151,6 +152,7 @@
   message.digest = registration.digest;
   message.running = registration.held;
   message.probe = registration.probe;
+  message.registration = registration.number;
   sender_.SendToMember(registration.holder, message);
 }
 
--- a/chivedale/registrar.h
+++ b/chivedale/registrar.h
@@ -60,6 +60,7 @@
   struct Registration {
     bool repeatable = true;
     uint64_t digest = 0;
+    uint64_t number = 0;
     bool probe = false;
     bool held = false;  // granted; kept for a change of holder
     MemberId holder;
@@ -78,6 +79,7 @@
   std::unordered_map<RequestId, Registration> ids_;
   // Ids that wait for a reply; the others need no timer.
   std::unordered_map<RequestId, bool> asking_;
+  uint64_t last_number_ = 0;
 };
 
 }  // namespace chivedale
--- a/chivedale/request_ledger.cc
+++ b/chivedale/request_ledger.cc
@@ -68,6 +68,23 @@
   done(id, result);
 }
 
+void RequestLedger::Reopen(const Submission& submission) {
+  auto it = requests_.find(submission.id);
+  if (it == requests_.end() ||
+      it->second.state.phase != RequestPhase::kFinished) {
+    return;
+  }
+  const RequestState ended = std::move(it->second.state);
+  retained_bytes_ -= RetainedBytes(ended);
+  RequestState& state = it->second.state;
+  state = RequestState();
+  state.submission = submission;
+  state.accepted = clock_.Now();
+  state.attempt = ended.attempt;
+  state.granted = ended.granted;
+  ++open_;
+}
+
 uint32_t RequestLedger::BeginAttempt(const RequestId& id) {
   RequestState* state = FindMutable(id);
   if (state == nullptr || state->phase == RequestPhase::kFinished) {
@@ -135,6 +152,11 @@
   const util::TimePoint now = clock_.Now();
   while (ended_begin_ < ended_.size()) {
     auto it = requests_.find(ended_[ended_begin_]);
+    if (it == requests_.end() ||
+        it->second.state.phase != RequestPhase::kFinished) {
+      ++ended_begin_;  // opened again; listed once more when it ends
+      continue;
+    }
     const bool old =
         now - it->second.state.finished >= options_.answer_retention;
     if (!old && retained_bytes_ <= options_.max_retained_bytes) {
--- a/chivedale/request_ledger.h
+++ b/chivedale/request_ledger.h
@@ -65,6 +65,8 @@
   util::TimePoint started{};
   util::TimePoint finished{};
   bool cancel_requested = false;
+  // The holder of its group granted the id to this entry.
+  bool granted = false;
   // True when some earlier attempt may have run.
   bool may_have_run = false;
   std::optional<RequestResult> result;
@@ -84,6 +86,9 @@
   // Commands.
   // Throws Error(kOverloaded) over max_open.
   BeginOutcome Begin(const Submission& submission);
+  // Opens an ended request again, for a repeated send of one that certainly
+  // did not run. Attempt numbers go on.
+  void Reopen(const Submission& submission);
   // Calls `done` once, at the end, or at once when it has ended.
   // Throws Error(kNotFound).
   void OnFinish(const RequestId& id, ResultCallback done);
--- a/chivedale/routing.cc
+++ b/chivedale/routing.cc
@@ -316,6 +316,16 @@
   return cell;
 }
 
+std::vector<Summary> Routing::Summaries() const {
+  std::vector<Summary> summaries;
+  for (const auto& [id, owner] : impl_->owners) {
+    if (owner.has_summary) {
+      summaries.push_back(owner.summary);
+    }
+  }
+  return summaries;
+}
+
 bool Routing::IsRemoteRegion(const MemberId& owner) const {
   auto it = impl_->owners.find(owner);
   return it != impl_->owners.end() &&
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -342,6 +342,7 @@
   Summary summary = parts_->owner.CurrentSummary();
   summary.owner = self_.id;
   summary.sequence = ++summary_sequence_;
+  parts_->routing.OnSummary(summary);
   for (const MemberInfo& member : parts_->membership.Members()) {
     if (member.id == self_.id || (member.region != self_.region && !far)) {
       continue;
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -57,11 +57,7 @@
 }
 
 std::vector<Summary> Scheduler::JobEvents::Summaries() const {
-  std::vector<Summary> summaries = scheduler_.parts_->routing.Summaries();
-  Summary own = scheduler_.parts_->owner.CurrentSummary();
-  own.owner = scheduler_.self_.id;
-  summaries.push_back(std::move(own));
-  return summaries;
+  return scheduler_.parts_->routing.Summaries();
 }
 
 uint32_t Scheduler::JobEvents::NextAttempt(const TaskId& task) {
@@ -182,7 +178,12 @@
               [this] {
                 Membership::Extras extras;
                 extras.table_revision = replica.table().revision;
+                for (const auto& [kind, row] : replica.table().rows) {
+                  limits.SetQueued(kind, queue.QueuedOf(kind));
+                }
                 extras.demand = limits.OwnDemand();
+                // All members must compute the shares from the same figures.
+                limits.OnDemand(scheduler.self_.id, extras.demand);
                 return extras;
               },
               [this](const MemberInfo& member) {
