Table codec, editor and replica in a first working form

Cause: operators edit one table, and each daemon needs the newest valid one. Change: strict codec driven by one list of columns; editor with compare-and-swap, history and lost answers settled by change id; replica that only moves forward and pulls deltas from peers.

--- a/chivedale/record_log.cc
+++ b/chivedale/record_log.cc
@@ -132,6 +132,8 @@
     std::string nonce;
     std::string value;
     util::WallTime written{};
+    // Value of Group::holds at the start.
+    uint64_t holds = 0;
     std::vector<Waiting> items;
     std::vector<uint64_t> keys;
   };
@@ -402,6 +404,7 @@
     write.sequence = group.next_sequence;
     write.nonce = random.Hex(kNonceDigits);
     write.written = clock.WallNow();
+    write.holds = group.holds;
     json ids = json::array();
     size_t bytes = kSegmentOverheadBytes;
     while (!group.waiting.empty()) {
@@ -495,8 +498,8 @@
                util::WallTime sent_wall) {
     // The checks come after the effect: a pause before it shows here.
     const bool trusted = !ContactIsOld(group);
-    const bool timely =
-        group.held || clock.Now() - group.resigned <= kResignGrace;
+    const bool timely = group.write->holds == group.holds ||
+                        clock.Now() - group.resigned <= kResignGrace;
     const bool granted = trusted && timely;
     Write write = std::move(*group.write);
     group.write.reset();
@@ -636,8 +639,9 @@
   void Tick() {
     Observe();
     for (Group& group : groups) {
-      Advance(group);
+      // Before a write is begun, since an id in a write is never free again.
       RefuseLate(group);
+      Advance(group);
     }
   }
 
--- /dev/null
+++ b/chivedale/table_codec.cc
@@ -0,0 +1,804 @@
+// Rows and teams are arrays of objects, so that two rows of one kind are seen
+// and named; as keys of an object the parser would keep the last one silently.
+// Each column is one entry of a list that serves reading, writing, checking and
+// comparing, so that none of the four can miss a column.
+#include "chivedale/table_codec.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <type_traits>
+#include <utility>
+
+#include "chivedale/error.h"
+
+namespace chivedale {
+namespace {
+
+using nlohmann::json;
+using Faults = std::vector<std::string>;
+
+// The store holds values up to 1 MB; the rest is room for its own envelope.
+constexpr size_t kMaxTableBytes = 900'000;
+constexpr size_t kMaxNameSize = 64;
+constexpr size_t kMaxChangeIdSize = 128;
+constexpr size_t kMaxAuthorSize = 128;
+constexpr size_t kMaxRows = 5'000;
+constexpr size_t kMaxTeams = 5'000;
+// Larger integers are not exact in programs that read JSON numbers as double.
+constexpr int64_t kMaxInteger = int64_t{1} << 53;
+// Sum of shares given as decimal fractions.
+constexpr double kShareRounding = 1e-9;
+constexpr int64_t kLongestMillis = int64_t{366} * 24 * 3600 * 1000;
+// Faults of one table beyond this many are only counted.
+constexpr size_t kMaxFaults = 200;
+
+constexpr const char* kShapes[] = {"request", "task", "gang", "service"};
+constexpr const char* kUrgencies[] = {"urgent", "normal", "batch"};
+constexpr const char* kRegionRules[] = {"home", "prefer_home", "any"};
+
+std::string Text(double value) {
+  std::ostringstream out;
+  out.precision(std::numeric_limits<double>::max_digits10);
+  out << value;
+  return out.str();
+}
+
+std::string Short(const json& value) {
+  constexpr size_t kShown = 60;
+  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (text.size() > kShown) {
+    text = text.substr(0, kShown) + "...";
+  }
+  return text;
+}
+
+// One column of a row or team. `set` and `check` return a fault or "".
+template <typename T>
+struct Column {
+  std::string name;
+  std::function<json(const T&)> get;
+  std::function<std::string(T&, const json&)> set;
+  std::function<std::string(const T&)> check;
+};
+
+std::string OutOfBounds(const std::string& value,
+                        const std::string& low,
+                        const std::string& high) {
+  return "value " + value + " is outside " + low + " to " + high;
+}
+
+template <typename T, typename Field>
+Column<T> IntegerColumn(const char* name,
+                        Field field,
+                        int64_t low,
+                        int64_t high) {
+  Column<T> column;
+  column.name = name;
+  column.get = [field](const T& row) { return json(int64_t{field(row)}); };
+  column.check = [field, low, high](const T& row) {
+    const int64_t value = field(row);
+    return value < low || value > high
+               ? OutOfBounds(std::to_string(value), std::to_string(low),
+                             std::to_string(high))
+               : std::string();
+  };
+  column.set = [field, low, high](T& row, const json& value) {
+    const bool huge =
+        value.is_number_unsigned() &&
+        value.get<uint64_t>() > static_cast<uint64_t>(kMaxInteger);
+    if (!value.is_number_integer()) {
+      return "value " + Short(value) + " is not an integer";
+    }
+    if (huge || value.get<int64_t>() < low || value.get<int64_t>() > high) {
+      return OutOfBounds(Short(value), std::to_string(low),
+                         std::to_string(high));
+    }
+    using Value = std::remove_reference_t<decltype(field(row))>;
+    field(row) = static_cast<Value>(value.get<int64_t>());
+    return std::string();
+  };
+  return column;
+}
+
+template <typename Field>
+Column<WorkRow> MillisColumn(const char* name,
+                             Field field,
+                             int64_t low,
+                             int64_t high) {
+  Column<WorkRow> column;
+  column.name = name;
+  column.get = [field](const WorkRow& row) { return json(field(row).count()); };
+  column.check = [field, low, high](const WorkRow& row) {
+    const int64_t value = field(row).count();
+    return value < low || value > high
+               ? OutOfBounds(std::to_string(value) + " ms", std::to_string(low),
+                             std::to_string(high) + " ms")
+               : std::string();
+  };
+  column.set = [field, low, high](WorkRow& row, const json& value) {
+    struct Number {
+      int64_t value = 0;
+    } number;
+    const auto integer = IntegerColumn<Number>(
+        "", [](auto& n) -> auto& { return n.value; }, low, high);
+    std::string fault = integer.set(number, value);
+    if (fault.empty()) {
+      field(row) = Millis(number.value);
+    }
+    return fault;
+  };
+  return column;
+}
+
+template <typename Field>
+Column<WorkRow> RealColumn(const char* name,
+                           Field field,
+                           double low,
+                           double high) {
+  Column<WorkRow> column;
+  column.name = name;
+  column.get = [field](const WorkRow& row) { return json(field(row)); };
+  column.check = [field, low, high](const WorkRow& row) {
+    const double value = field(row);
+    // Written so that NaN is outside.
+    return value >= low && value <= high
+               ? std::string()
+               : OutOfBounds(Text(value), Text(low), Text(high));
+  };
+  column.set = [field, check = column.check](WorkRow& row, const json& value) {
+    if (!value.is_number()) {
+      return "value " + Short(value) + " is not a number";
+    }
+    field(row) = value.get<double>();
+    return check(row);
+  };
+  return column;
+}
+
+template <typename Field>
+Column<WorkRow> BooleanColumn(const char* name, Field field) {
+  Column<WorkRow> column;
+  column.name = name;
+  column.get = [field](const WorkRow& row) { return json(field(row)); };
+  column.check = [](const WorkRow&) { return std::string(); };
+  column.set = [field](WorkRow& row, const json& value) {
+    if (!value.is_boolean()) {
+      return "value " + Short(value) + " is neither true nor false";
+    }
+    field(row) = value.get<bool>();
+    return std::string();
+  };
+  return column;
+}
+
+template <typename Field, size_t N>
+Column<WorkRow> EnumColumn(const char* name,
+                           Field field,
+                           const char* const (&names)[N]) {
+  std::string list;
+  for (const char* each : names) {
+    list += (list.empty() ? "" : ", ") + std::string(each);
+  }
+  Column<WorkRow> column;
+  column.name = name;
+  column.get = [field, &names](const WorkRow& row) {
+    const auto i = static_cast<size_t>(field(row));
+    return json(i < N ? names[i] : "?");
+  };
+  column.check = [field, list](const WorkRow& row) {
+    return static_cast<size_t>(field(row)) < N ? std::string()
+                                               : "value is not one of " + list;
+  };
+  column.set = [field, &names, list](WorkRow& row, const json& value) {
+    for (size_t i = 0; i < N; ++i) {
+      if (value == names[i]) {
+        field(row) = static_cast<std::decay_t<decltype(field(row))>>(i);
+        return std::string();
+      }
+    }
+    return "value " + Short(value) + " is not one of " + list;
+  };
+  return column;
+}
+
+std::string CheckName(const std::string& name, bool may_be_empty) {
+  const bool good = std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_' ||
+           c == '.' || c == '-';
+  });
+  if (good && name.size() <= kMaxNameSize && (may_be_empty || !name.empty())) {
+    return std::string();
+  }
+  return "value " + Short(json(name)) + " is not " +
+         (may_be_empty ? "0" : "1") + " to " + std::to_string(kMaxNameSize) +
+         " characters of a-z 0-9 _ . -";
+}
+
+template <typename T, typename Field>
+Column<T> NameColumn(const char* name, Field field, bool may_be_empty) {
+  Column<T> column;
+  column.name = name;
+  column.get = [field](const T& row) { return json(field(row)); };
+  column.check = [field, may_be_empty](const T& row) {
+    return CheckName(field(row), may_be_empty);
+  };
+  column.set = [field, may_be_empty](T& row, const json& value) {
+    if (!value.is_string()) {
+      return "value " + Short(value) + " is not a string";
+    }
+    field(row) = value.get<std::string>();
+    return CheckName(field(row), may_be_empty);
+  };
+  return column;
+}
+
+// Gives a reference to a field of a const or non-const row.
+#define CHIVEDALE_FIELD(path) \
+  [](auto& row) -> auto& {    \
+    return row.path;          \
+  }
+
+const std::vector<Column<WorkRow>>& RowColumns() {
+  static const std::vector<Column<WorkRow>> columns = {
+      NameColumn<WorkRow>("kind", CHIVEDALE_FIELD(kind), false),
+      EnumColumn("shape", CHIVEDALE_FIELD(shape), kShapes),
+      EnumColumn("urgency", CHIVEDALE_FIELD(urgency), kUrgencies),
+      RealColumn("weight", CHIVEDALE_FIELD(weight), 0.001, 1000),
+      RealColumn("guaranteed_share", CHIVEDALE_FIELD(guaranteed_share), 0, 1),
+      IntegerColumn<WorkRow>("max_running", CHIVEDALE_FIELD(limits.max_running),
+                             0, 10'000'000),
+      IntegerColumn<WorkRow>("max_queued", CHIVEDALE_FIELD(limits.max_queued),
+                             0, 10'000'000),
+      RealColumn("max_rate_per_s", CHIVEDALE_FIELD(limits.max_rate_per_s), 0,
+                 1e6),
+      IntegerColumn<WorkRow>("cpu_milli", CHIVEDALE_FIELD(size.cpu_milli), 0,
+                             1'000'000),
+      IntegerColumn<WorkRow>("memory_mb", CHIVEDALE_FIELD(size.memory_mb), 0,
+                             16'000'000),
+      IntegerColumn<WorkRow>("accelerators", CHIVEDALE_FIELD(size.accelerators),
+                             0, 64),
+      IntegerColumn<WorkRow>("slots", CHIVEDALE_FIELD(size.slots), 0, 1024),
+      MillisColumn("expected_run_ms", CHIVEDALE_FIELD(expected_run), 1,
+                   kLongestMillis),
+      MillisColumn("longest_run_ms", CHIVEDALE_FIELD(longest_run), 1,
+                   kLongestMillis),
+      IntegerColumn<WorkRow>("max_retries", CHIVEDALE_FIELD(max_retries), 0,
+                             20),
+      BooleanColumn("repeatable", CHIVEDALE_FIELD(repeatable)),
+      BooleanColumn("checkpoint", CHIVEDALE_FIELD(checkpoint)),
+      EnumColumn("region", CHIVEDALE_FIELD(region), kRegionRules),
+      NameColumn<WorkRow>("team", CHIVEDALE_FIELD(team), true),
+      MillisColumn("objective_wait_ms", CHIVEDALE_FIELD(objective.wait), 0,
+                   kLongestMillis),
+      RealColumn("objective_share", CHIVEDALE_FIELD(objective.share), 0,
+                 0.99999),
+  };
+  return columns;
+}
+
+const std::vector<Column<Team>>& TeamColumns() {
+  static const std::vector<Column<Team>> columns = {
+      NameColumn<Team>("name", CHIVEDALE_FIELD(name), false),
+      IntegerColumn<Team>("cpu_milli", CHIVEDALE_FIELD(quota.cpu_milli), 0,
+                          kMaxInteger),
+      IntegerColumn<Team>("memory_mb", CHIVEDALE_FIELD(quota.memory_mb), 0,
+                          kMaxInteger),
+      IntegerColumn<Team>("accelerators", CHIVEDALE_FIELD(quota.accelerators),
+                          0, kMaxInteger),
+      IntegerColumn<Team>("slots", CHIVEDALE_FIELD(quota.slots), 0,
+                          kMaxInteger),
+  };
+  return columns;
+}
+
+#undef CHIVEDALE_FIELD
+
+const std::vector<Column<WorkRow>>& ColumnsOf(const WorkRow&) {
+  return RowColumns();
+}
+const std::vector<Column<Team>>& ColumnsOf(const Team&) {
+  return TeamColumns();
+}
+const std::string& NameOf(const WorkRow& row) {
+  return row.kind;
+}
+const std::string& NameOf(const Team& team) {
+  return team.name;
+}
+std::string Label(const WorkRow& row) {
+  return "row " + row.kind;
+}
+std::string Label(const Team& team) {
+  return "team " + team.name;
+}
+
+template <typename T>
+json ToObject(const T& row) {
+  json object = json::object();
+  for (const Column<T>& column : ColumnsOf(row)) {
+    object[column.name] = column.get(row);
+  }
+  return object;
+}
+
+template <typename T>
+T FromObject(const json& object, const std::string& place, Faults& faults) {
+  T row;
+  if (!object.is_object()) {
+    faults.push_back(place + ": value " + Short(object) + " is not an object");
+    return row;
+  }
+  const std::vector<Column<T>>& columns = ColumnsOf(row);
+  const json& name = object.contains(columns.front().name)
+                         ? object.at(columns.front().name)
+                         : json();
+  const std::string where =
+      name.is_string() ? place + " " + Short(name) : place;
+  if (name.is_null()) {
+    faults.push_back(where + ", column " + columns.front().name +
+                     ": value is missing");
+  }
+  for (const auto& [key, value] : object.items()) {
+    const auto column =
+        std::find_if(columns.begin(), columns.end(),
+                     [&key = key](const auto& c) { return c.name == key; });
+    if (column == columns.end()) {
+      faults.push_back(where + ", column " + Short(json(key)) +
+                       ": unknown column");
+      continue;
+    }
+    const std::string fault = column->set(row, value);
+    if (!fault.empty()) {
+      faults.push_back(where + ", column " + key + ": " + fault);
+    }
+  }
+  return row;
+}
+
+template <typename T>
+std::map<std::string, T> FromArray(const json& object,
+                                   const char* key,
+                                   const std::string& place,
+                                   Faults& faults) {
+  std::map<std::string, T> result;
+  if (!object.contains(key)) {
+    faults.push_back(std::string(key) + ": value is missing");
+    return result;
+  }
+  if (!object.at(key).is_array()) {
+    faults.push_back(std::string(key) + ": value is not an array");
+    return result;
+  }
+  int number = 0;
+  for (const json& element : object.at(key)) {
+    ++number;
+    T row =
+        FromObject<T>(element, place + " " + std::to_string(number), faults);
+    const std::string name = NameOf(row);
+    if (!result.emplace(name, std::move(row)).second) {
+      faults.push_back(place + " " + std::to_string(number) + ": " + place +
+                       " " + Short(json(name)) + " occurs twice");
+    }
+  }
+  return result;
+}
+
+// Parses and refuses an object that has one key twice.
+json ParseStrict(const std::string& text) {
+  if (text.size() > kMaxTableBytes) {
+    throw Error(ErrorKind::kBadTable,
+                "table: size " + std::to_string(text.size()) + " is above " +
+                    std::to_string(kMaxTableBytes) + " bytes");
+  }
+  std::vector<std::set<std::string>> keys;
+  std::string twice;
+  const json::parser_callback_t callback = [&](int, json::parse_event_t event,
+                                               json& parsed) {
+    if (event == json::parse_event_t::object_start) {
+      keys.emplace_back();
+    } else if (event == json::parse_event_t::object_end) {
+      keys.pop_back();
+    } else if (event == json::parse_event_t::key &&
+               !keys.back().insert(parsed.get<std::string>()).second) {
+      twice = parsed.get<std::string>();
+    }
+    return true;
+  };
+  json value;
+  try {
+    value = json::parse(text, callback);
+  } catch (const json::exception& error) {
+    throw Error(ErrorKind::kBadTable, std::string("table: ") + error.what());
+  }
+  if (!twice.empty()) {
+    throw Error(ErrorKind::kBadTable,
+                "table: column " + Short(json(twice)) + " occurs twice");
+  }
+  if (!value.is_object()) {
+    throw Error(ErrorKind::kBadTable, "table: value is not an object");
+  }
+  return value;
+}
+
+void ReadUnsigned(const json& object,
+                  const char* key,
+                  uint64_t& out,
+                  Faults& faults) {
+  if (!object.contains(key)) {
+    return;
+  }
+  const json& value = object.at(key);
+  if (!value.is_number_unsigned() ||
+      value.get<uint64_t>() > static_cast<uint64_t>(kMaxInteger)) {
+    faults.push_back(std::string(key) + ": value " + Short(value) +
+                     " is outside 0 to " + std::to_string(kMaxInteger));
+    return;
+  }
+  out = value.get<uint64_t>();
+}
+
+void ReadString(const json& object,
+                const char* key,
+                std::string& out,
+                Faults& faults) {
+  if (!object.contains(key)) {
+    return;
+  }
+  if (!object.at(key).is_string()) {
+    faults.push_back(std::string(key) + ": value " + Short(object.at(key)) +
+                     " is not a string");
+    return;
+  }
+  out = object.at(key).get<std::string>();
+}
+
+// Revision, change id, author and time.
+void ReadHead(const json& object,
+              const std::set<std::string>& others,
+              Table& table,
+              Faults& faults) {
+  ReadUnsigned(object, "revision", table.revision, faults);
+  ReadString(object, "change_id", table.change_id, faults);
+  ReadString(object, "author", table.author, faults);
+  uint64_t changed_at = 0;
+  ReadUnsigned(object, "changed_at_ms", changed_at, faults);
+  table.changed_at = util::WallTime(Millis(changed_at));
+  for (const auto& [key, value] : object.items()) {
+    const bool known = key == "revision" || key == "change_id" ||
+                       key == "author" || key == "changed_at_ms" ||
+                       others.count(key) != 0;
+    if (!known) {
+      faults.push_back("table, column " + Short(json(key)) +
+                       ": unknown column");
+    }
+  }
+}
+
+json HeadToJson(const Table& table) {
+  return json{{"revision", table.revision},
+              {"change_id", table.change_id},
+              {"author", table.author},
+              {"changed_at_ms", table.changed_at.time_since_epoch().count()}};
+}
+
+void ThrowFaults(const Faults& faults) {
+  if (faults.empty()) {
+    return;
+  }
+  std::string text;
+  for (const std::string& fault : faults) {
+    text += (text.empty() ? "" : "\n") + fault;
+  }
+  throw Error(ErrorKind::kBadTable, text);
+}
+
+template <typename T>
+json ToArray(const std::map<std::string, T>& rows) {
+  json array = json::array();
+  for (const auto& [name, row] : rows) {
+    array.push_back(ToObject(row));
+  }
+  return array;
+}
+
+std::string Dump(const json& value) {
+  try {
+    return value.dump();
+  } catch (const json::exception& error) {
+    throw Error(ErrorKind::kBadTable, std::string("table: ") + error.what());
+  }
+}
+
+template <typename T>
+void CheckColumns(const std::string& key, const T& row, Faults& faults) {
+  if (key != NameOf(row)) {
+    faults.push_back(Label(row) + ": is stored under the name " +
+                     Short(json(key)));
+  }
+  for (const Column<T>& column : ColumnsOf(row)) {
+    const std::string fault = column.check(row);
+    if (!fault.empty()) {
+      faults.push_back(Label(row) + ", column " + column.name + ": " + fault);
+    }
+  }
+}
+
+void CheckRow(const Table& table, const WorkRow& row, Faults& faults) {
+  if (!row.team.empty() && table.teams.count(row.team) == 0) {
+    faults.push_back(Label(row) + ", column team: value " +
+                     Short(json(row.team)) + " is not a team of the table");
+  }
+  if (row.longest_run < row.expected_run) {
+    faults.push_back(Label(row) + ", column longest_run_ms: value " +
+                     std::to_string(row.longest_run.count()) +
+                     " ms is below expected_run_ms, " +
+                     std::to_string(row.expected_run.count()) + " ms");
+  }
+  if (row.urgency == Urgency::kUrgent && row.objective.wait.count() <= 0) {
+    faults.push_back(Label(row) +
+                     ", column objective_wait_ms: value 0 ms is below 1 ms, "
+                     "the least for urgent rows");
+  }
+  if (row.size.IsZero()) {
+    faults.push_back(Label(row) +
+                     ", column cpu_milli: all components of the size are 0");
+  }
+}
+
+bool HasControlCharacter(const std::string& text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+  });
+}
+
+void CheckHead(const Table& table, Faults& faults) {
+  if (table.revision > static_cast<uint64_t>(kMaxInteger)) {
+    faults.push_back("table, column revision: " +
+                     OutOfBounds(std::to_string(table.revision), "0",
+                                 std::to_string(kMaxInteger)));
+  }
+  if (table.change_id.size() > kMaxChangeIdSize ||
+      HasControlCharacter(table.change_id)) {
+    faults.push_back("table, column change_id: value " +
+                     Short(json(table.change_id)) + " is not at most " +
+                     std::to_string(kMaxChangeIdSize) +
+                     " bytes without control characters");
+  }
+  if (table.author.size() > kMaxAuthorSize ||
+      HasControlCharacter(table.author)) {
+    faults.push_back("table, column author: value " +
+                     Short(json(table.author)) + " is not at most " +
+                     std::to_string(kMaxAuthorSize) +
+                     " bytes without control characters");
+  }
+  if (table.rows.size() > kMaxRows) {
+    faults.push_back("table: " + std::to_string(table.rows.size()) +
+                     " rows, at most " + std::to_string(kMaxRows));
+  }
+  if (table.teams.size() > kMaxTeams) {
+    faults.push_back("table: " + std::to_string(table.teams.size()) +
+                     " teams, at most " + std::to_string(kMaxTeams));
+  }
+}
+
+void CheckShares(const Table& table, Faults& faults) {
+  double sum = 0;
+  for (const auto& [kind, row] : table.rows) {
+    sum += row.guaranteed_share;
+  }
+  if (sum > 1 + kShareRounding) {
+    faults.push_back("table, column guaranteed_share: sum " + Text(sum) +
+                     " is above 1");
+  }
+}
+
+void CheckSize(const Table& table, Faults& faults) {
+  try {
+    const size_t bytes = TableToJson(table).size();
+    if (bytes > kMaxTableBytes) {
+      faults.push_back("table: size " + std::to_string(bytes) + " is above " +
+                       std::to_string(kMaxTableBytes) + " bytes");
+    }
+  } catch (const Error& error) {
+    faults.emplace_back(error.what());
+  }
+}
+
+// Everything but the size, which a parsed table has passed already.
+Faults CheckTable(const Table& table) {
+  Faults faults;
+  CheckHead(table, faults);
+  for (const auto& [name, team] : table.teams) {
+    CheckColumns(name, team, faults);
+  }
+  for (const auto& [kind, row] : table.rows) {
+    CheckColumns(kind, row, faults);
+    CheckRow(table, row, faults);
+  }
+  CheckShares(table, faults);
+  return faults;
+}
+
+void Shorten(Faults& faults) {
+  if (faults.size() <= kMaxFaults) {
+    return;
+  }
+  const size_t more = faults.size() - kMaxFaults;
+  faults.resize(kMaxFaults);
+  faults.push_back("and " + std::to_string(more) + " further faults");
+}
+
+template <typename T>
+void Diff(const std::map<std::string, T>& before,
+          const std::map<std::string, T>& after,
+          const std::string& prefix,
+          std::vector<TableChange>& changes) {
+  for (const auto& [name, row] : before) {
+    auto it = after.find(name);
+    if (it == after.end()) {
+      changes.push_back({TableChange::Kind::kRemoved, prefix + name, "",
+                         Dump(ToObject(row)), ""});
+      continue;
+    }
+    for (const Column<T>& column : ColumnsOf(row)) {
+      const json old_value = column.get(row);
+      const json new_value = column.get(it->second);
+      if (old_value != new_value) {
+        changes.push_back({TableChange::Kind::kChanged, prefix + name,
+                           column.name, Dump(old_value), Dump(new_value)});
+      }
+    }
+  }
+  for (const auto& [name, row] : after) {
+    if (before.count(name) == 0) {
+      changes.push_back({TableChange::Kind::kAdded, prefix + name, "", "",
+                         Dump(ToObject(row))});
+    }
+  }
+}
+
+template <typename T>
+bool Same(const T& a, const T& b) {
+  for (const Column<T>& column : ColumnsOf(a)) {
+    if (column.get(a) != column.get(b)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+template <typename T>
+void AddDelta(const std::map<std::string, T>& before,
+              const std::map<std::string, T>& after,
+              const std::string& key,
+              json& delta) {
+  json changed = json::array();
+  json removed = json::array();
+  for (const auto& [name, row] : after) {
+    auto it = before.find(name);
+    if (it == before.end() || !Same(it->second, row)) {
+      changed.push_back(ToObject(row));
+    }
+  }
+  for (const auto& [name, row] : before) {
+    if (after.count(name) == 0) {
+      removed.push_back(name);
+    }
+  }
+  delta[key] = std::move(changed);
+  delta["removed_" + key] = std::move(removed);
+}
+
+template <typename T>
+void ApplyDelta(const json& delta,
+                const std::string& key,
+                const std::string& place,
+                std::map<std::string, T>& rows,
+                Faults& faults) {
+  const std::string removed = "removed_" + key;
+  if (!delta.contains(removed) || !delta.at(removed).is_array()) {
+    faults.push_back(removed + ": value is not an array");
+    return;
+  }
+  for (const json& name : delta.at(removed)) {
+    if (!name.is_string() || rows.erase(name.get<std::string>()) == 0) {
+      faults.push_back(removed + ": value " + Short(name) +
+                       " is not in the base");
+    }
+  }
+  std::map<std::string, T> changed =
+      FromArray<T>(delta, key.c_str(), place, faults);
+  for (auto& [name, row] : changed) {
+    rows[name] = std::move(row);
+  }
+}
+
+}  // namespace
+
+Table ParseTable(const std::string& text) {
+  const json object = ParseStrict(text);
+  Faults faults;
+  Table table;
+  ReadHead(object, {"rows", "teams"}, table, faults);
+  table.teams = FromArray<Team>(object, "teams", "team", faults);
+  table.rows = FromArray<WorkRow>(object, "rows", "row", faults);
+  // Checks over several columns only make sense once each column is right.
+  if (faults.empty()) {
+    faults = CheckTable(table);
+  }
+  Shorten(faults);
+  ThrowFaults(faults);
+  return table;
+}
+
+std::string TableToJson(const Table& table) {
+  json object = HeadToJson(table);
+  object["teams"] = ToArray(table.teams);
+  object["rows"] = ToArray(table.rows);
+  return Dump(object);
+}
+
+std::vector<std::string> ValidateTable(const Table& table) {
+  Faults faults = CheckTable(table);
+  CheckSize(table, faults);
+  Shorten(faults);
+  return faults;
+}
+
+std::vector<TableChange> DiffTables(const Table& before, const Table& after) {
+  std::vector<TableChange> changes;
+  Diff(before.rows, after.rows, "", changes);
+  Diff(before.teams, after.teams, "team ", changes);
+  return changes;
+}
+
+std::string ShapeName(WorkShape shape) {
+  return kShapes[static_cast<size_t>(shape)];
+}
+
+std::string UrgencyName(Urgency urgency) {
+  return kUrgencies[static_cast<size_t>(urgency)];
+}
+
+std::string RegionRuleName(RegionRule rule) {
+  return kRegionRules[static_cast<size_t>(rule)];
+}
+
+std::string TableDeltaToJson(const Table& base, const Table& table) {
+  json delta = HeadToJson(table);
+  delta["base_revision"] = base.revision;
+  AddDelta(base.rows, table.rows, "rows", delta);
+  AddDelta(base.teams, table.teams, "teams", delta);
+  return Dump(delta);
+}
+
+Table ApplyTableDelta(const Table& base, const std::string& text) {
+  const json delta = ParseStrict(text);
+  Faults faults;
+  uint64_t base_revision = 0;
+  ReadUnsigned(delta, "base_revision", base_revision, faults);
+  if (base_revision != base.revision) {
+    faults.push_back("base_revision: value " + std::to_string(base_revision) +
+                     " is not that of the base, " +
+                     std::to_string(base.revision));
+  }
+  Table table = base;
+  ReadHead(delta,
+           {"base_revision", "rows", "teams", "removed_rows", "removed_teams"},
+           table, faults);
+  ApplyDelta(delta, "teams", "team", table.teams, faults);
+  ApplyDelta(delta, "rows", "row", table.rows, faults);
+  if (faults.empty()) {
+    faults = CheckTable(table);
+  }
+  Shorten(faults);
+  ThrowFaults(faults);
+  return table;
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/table_editor.cc
@@ -0,0 +1,298 @@
+// The store's compare-and-swap decides between racing editors. The present
+// table is archived before it is replaced, so every table that was ever in the
+// store and is not there now is in the history. An edit whose answer was lost
+// is therefore found either as the present table or in the history under
+// base + 1, by its change id.
+//
+// A write with an unknown outcome is sent again with the same bytes on the same
+// store revision: if the first send takes effect late, the second one conflicts
+// and the change id tells that the conflict is with itself.
+#include "chivedale/table_editor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "chivedale/table_codec.h"
+
+namespace chivedale {
+namespace {
+
+constexpr char kTableKey[] = "table";
+constexpr char kHistoryPrefix[] = "table_history/";
+// Calls per step; each ends by the port's own timeout.
+constexpr int kMaxTries = 3;
+// A table of 500 rows has about 250 KB, so the history takes about 25 MB.
+constexpr uint64_t kHistoryKept = 100;
+
+std::string HistoryKey(uint64_t revision) {
+  return kHistoryPrefix + std::to_string(revision);
+}
+
+// One edit until its answer. Keeps itself alive through its callbacks.
+class Edit : public std::enable_shared_from_this<Edit> {
+ public:
+  Edit(StorePort& store,
+       util::WallTime now,
+       const TableEdit& edit,
+       std::function<void(EditResult)> done)
+      : store_(store),
+        base_revision_(edit.base_revision),
+        next_(edit.table),
+        done_(std::move(done)) {
+    next_.revision = edit.base_revision + 1;
+    next_.change_id = edit.change_id;
+    next_.author = edit.author;
+    next_.changed_at = now;
+  }
+
+  void Run() {
+    std::vector<std::string> faults = ValidateTable(next_);
+    if (next_.change_id.empty()) {
+      faults.insert(faults.begin(),
+                    "table, column change_id: value is missing");
+    }
+    if (!faults.empty()) {
+      std::string text;
+      for (const std::string& fault : faults) {
+        text += (text.empty() ? "" : "\n") + fault;
+      }
+      Fail(ErrorKind::kBadTable, text);
+      return;
+    }
+    text_ = TableToJson(next_);
+    ReadPresent();
+  }
+
+ private:
+  void ReadPresent() {
+    store_.Get(kTableKey, [self = shared_from_this()](const StoreResult& r) {
+      self->OnPresent(r);
+    });
+  }
+
+  void OnPresent(const StoreResult& result) {
+    if (result.status == StoreStatus::kNotFound) {
+      present_ = Table();
+      present_store_revision_ = 0;
+      Compare();
+      return;
+    }
+    if (result.status != StoreStatus::kOk || result.entries.empty()) {
+      Retry(&Edit::ReadPresent);
+      return;
+    }
+    try {
+      present_ = ParseTable(result.entries.front().value);
+    } catch (const Error& error) {
+      Fail(ErrorKind::kInternal,
+           std::string("the table in the store is invalid: ") + error.what());
+      return;
+    }
+    present_text_ = result.entries.front().value;
+    present_store_revision_ = result.entries.front().revision;
+    Compare();
+  }
+
+  void Compare() {
+    if (present_.change_id == next_.change_id) {
+      Succeed(present_);
+    } else if (present_.revision == base_revision_) {
+      ArchivePresent();
+    } else if (present_.revision > base_revision_) {
+      ReadOwnHistory();
+    } else {
+      Conflict();
+    }
+  }
+
+  // Others may have changed the table after this edit took effect.
+  void ReadOwnHistory() {
+    store_.Get(HistoryKey(base_revision_ + 1),
+               [self = shared_from_this()](const StoreResult& result) {
+                 self->OnOwnHistory(result);
+               });
+  }
+
+  void OnOwnHistory(const StoreResult& result) {
+    if (result.status == StoreStatus::kUnavailable) {
+      Retry(&Edit::ReadOwnHistory);
+      return;
+    }
+    if (result.status == StoreStatus::kOk && !result.entries.empty()) {
+      try {
+        const Table archived = ParseTable(result.entries.front().value);
+        if (archived.change_id == next_.change_id) {
+          Succeed(archived);
+          return;
+        }
+      } catch (const Error&) {
+        // Not a table that this edit wrote.
+      }
+    }
+    Conflict();
+  }
+
+  void ArchivePresent() {
+    if (present_.revision == 0) {
+      Write();
+      return;
+    }
+    store_.Put(HistoryKey(present_.revision), present_text_, 0,
+               [self = shared_from_this()](const StoreResult& result) {
+                 if (result.status == StoreStatus::kUnavailable) {
+                   self->Retry(&Edit::ArchivePresent);
+                 } else {
+                   self->Write();
+                 }
+               });
+  }
+
+  void Write() {
+    store_.Put(kTableKey, text_, present_store_revision_,
+               [self = shared_from_this()](const StoreResult& result) {
+                 if (result.status == StoreStatus::kOk) {
+                   self->Succeed(self->next_);
+                 } else if (result.status == StoreStatus::kUnavailable) {
+                   self->Retry(&Edit::ReadPresent);
+                 } else {
+                   self->ReadPresent();
+                 }
+               });
+  }
+
+  void Retry(void (Edit::*step)()) {
+    ++tries_;
+    if (tries_ >= kMaxTries) {
+      Fail(ErrorKind::kStoreDown,
+           "the store does not answer; the change may still be made, send it "
+           "again with the same change id");
+      return;
+    }
+    (this->*step)();
+  }
+
+  void Conflict() {
+    EditResult result;
+    result.error = ErrorKind::kTableConflict;
+    result.detail = "the edit was made on revision " +
+                    std::to_string(base_revision_) + ", the table has " +
+                    std::to_string(present_.revision);
+    result.table = present_;
+    done_(result);
+  }
+
+  void Succeed(const Table& table) {
+    EditResult result;
+    result.ok = true;
+    result.table = table;
+    done_(result);
+    if (table.revision > kHistoryKept) {
+      DropHistory(table.revision - kHistoryKept);
+    }
+  }
+
+  void DropHistory(uint64_t revision) {
+    const std::string key = HistoryKey(revision);
+    store_.Get(key, [self = shared_from_this(), key](const StoreResult& r) {
+      if (r.status == StoreStatus::kOk && !r.entries.empty()) {
+        self->store_.Delete(key, r.entries.front().revision,
+                            [](const StoreResult&) {});
+      }
+    });
+  }
+
+  void Fail(ErrorKind kind, const std::string& detail) {
+    EditResult result;
+    result.error = kind;
+    result.detail = detail;
+    done_(result);
+  }
+
+  StorePort& store_;
+  const uint64_t base_revision_;
+  Table next_;
+  std::string text_;
+  std::function<void(EditResult)> done_;
+  Table present_;
+  std::string present_text_;
+  uint64_t present_store_revision_ = 0;
+  int tries_ = 0;
+};
+
+// Reads the present table and then its predecessors one by one.
+class HistoryRead : public std::enable_shared_from_this<HistoryRead> {
+ public:
+  using Done = std::function<void(StoreStatus, std::vector<Table>)>;
+
+  HistoryRead(StorePort& store, int limit, Done done)
+      : store_(store),
+        limit_(static_cast<size_t>(std::max(limit, 0))),
+        done_(std::move(done)) {}
+
+  void Run() { Read(kTableKey); }
+
+ private:
+  void Read(const std::string& key) {
+    if (tables_.size() >= limit_) {
+      done_(StoreStatus::kOk, std::move(tables_));
+      return;
+    }
+    store_.Get(key, [self = shared_from_this()](const StoreResult& result) {
+      self->OnRead(result);
+    });
+  }
+
+  void OnRead(const StoreResult& result) {
+    if (result.status == StoreStatus::kUnavailable) {
+      done_(StoreStatus::kUnavailable, {});
+      return;
+    }
+    if (result.status != StoreStatus::kOk || result.entries.empty()) {
+      done_(StoreStatus::kOk, std::move(tables_));
+      return;
+    }
+    try {
+      tables_.push_back(ParseTable(result.entries.front().value));
+    } catch (const Error&) {
+      done_(StoreStatus::kOk, std::move(tables_));
+      return;
+    }
+    if (tables_.back().revision <= 1) {
+      done_(StoreStatus::kOk, std::move(tables_));
+      return;
+    }
+    Read(HistoryKey(tables_.back().revision - 1));
+  }
+
+  StorePort& store_;
+  const size_t limit_;
+  Done done_;
+  std::vector<Table> tables_;
+};
+
+}  // namespace
+
+struct TableEditor::Impl {
+  const util::Clock& clock;
+  StorePort& store;
+};
+
+TableEditor::TableEditor(const util::Clock& clock, StorePort& store)
+    : impl_(new Impl{clock, store}) {}
+
+TableEditor::~TableEditor() = default;
+
+void TableEditor::Apply(const TableEdit& edit,
+                        std::function<void(EditResult)> done) {
+  std::make_shared<Edit>(impl_->store, impl_->clock.WallNow(), edit,
+                         std::move(done))
+      ->Run();
+}
+
+void TableEditor::History(
+    int limit,
+    std::function<void(StoreStatus, std::vector<Table>)> done) {
+  std::make_shared<HistoryRead>(impl_->store, limit, std::move(done))->Run();
+}
+
+}  // namespace chivedale
--- a/chivedale/table_replica.h
+++ b/chivedale/table_replica.h
@@ -49,7 +49,7 @@
 
  private:
   struct Impl;
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace chivedale
