Membership in a first working form

Cause: members must agree on who is live, at a cost that does not grow with their number, also after pauses and partitions.

--- /dev/null
+++ b/chivedale/membership.cc
@@ -0,0 +1,552 @@
+// Beyond the full mesh each member pings two others of its region per interval:
+// its successor in a ring ordered by hash, and the next of a shuffled list. The
+// successor makes the time to detect a death bounded (each member is pinged in
+// each interval by its predecessor), the shuffled list spreads news and finds
+// deaths when the predecessor has died too. Both cost the same at any size.
+//
+// Time to detect: ping interval 500 ms + direct and indirect timeout of 300 ms
+// each + suspicion 1,500 ms = 2,600 ms, below the 3 s of the promise.
+//
+// Own faults. After a pause all answers that were due during it are missing; so
+// timers are moved by the length of the pause. When most others are silent at
+// once, this process is more likely cut off than they are dead, so none is
+// declared dead for the isolation time.
+#include "chivedale/membership.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "chivedale/member_list.h"
+
+namespace chivedale {
+namespace {
+
+// Answers to pings that this member relays are kept this long.
+constexpr Millis kRelayTime{1'000};
+constexpr Millis kSeedInterval{1'000};
+// One dead member is pinged this often, so that two halves of a healed
+// partition find each other.
+constexpr Millis kDeadPingInterval{1'000};
+// Own isolation is only recognised with at least this many others.
+constexpr size_t kLeastOthersForIsolation = 3;
+constexpr int kBridgesPerRegion = 2;
+// Members told of an own leave or state change at once, beyond the full mesh.
+constexpr size_t kMaxBroadcast = 512;
+
+}  // namespace
+
+struct Membership::Impl {
+  struct Sent {
+    MemberId target;
+    util::TimePoint at{};
+    bool indirect = false;
+  };
+  struct Relay {
+    MemberId requester;
+    uint64_t sequence = 0;
+    util::TimePoint at{};
+  };
+
+  Impl(const util::Clock& clock,
+       util::Random& random,
+       PeerPort& peers,
+       MemberInfo self,
+       Options options,
+       Hooks hooks)
+      : clock(clock),
+        random(random),
+        peers(peers),
+        options(options),
+        hooks(std::move(hooks)),
+        list(clock, random, std::move(self), [this](const MemberInfo& info) {
+          if (!info.address.empty() && info.id != list.self().id) {
+            this->peers.SetAddress(info.id, info.address);
+          }
+          if (this->hooks.changed) {
+            this->hooks.changed(info);
+          }
+        }) {
+    last_call = clock.Now();
+  }
+
+  // Moves timers when this process was paused.
+  void Observe() {
+    const util::TimePoint now = clock.Now();
+    const util::Duration gap = now - last_call;
+    last_call = now;
+    if (gap <= options.ping_timeout) {
+      return;
+    }
+    for (auto& [sequence, ping] : sent) {
+      ping.at += gap;
+    }
+    list.ShiftSuspicions(gap);
+    if (silent_since) {
+      *silent_since += gap;
+    }
+  }
+
+  template <typename T>
+  T Make(uint64_t sequence, const MemberId& to) {
+    T message;
+    message.sequence = sequence;
+    message.sender = list.self();
+    message.updates =
+        list.TakeUpdates(static_cast<size_t>(options.max_updates_per_ping));
+    // The receiver must know what to refute.
+    const MemberList::Member* member = list.Find(to);
+    const bool doubted =
+        member != nullptr && (member->info.state == MemberState::kSuspect ||
+                              member->info.state == MemberState::kDead);
+    if (doubted) {
+      message.updates.push_back(member->info);
+    }
+    if (hooks.extras) {
+      Extras extras = hooks.extras();
+      message.table_revision = extras.table_revision;
+      message.demand = std::move(extras.demand);
+    }
+    return message;
+  }
+
+  void SendPing(const MemberId& target) {
+    const uint64_t sequence = ++last_sequence;
+    sent[sequence] = {target, clock.Now(), false};
+    peers.Send(target, Make<Ping>(sequence, target));
+  }
+
+  void OnPing(const MemberId& from, const Ping& ping) {
+    Observe();
+    const bool first_contact = list.Find(ping.sender.id) == nullptr;
+    TakeNews(ping.sender, ping.updates);
+    TellHooks(ping);
+    PingReply reply = Make<PingReply>(ping.sequence, ping.sender.id);
+    if (first_contact) {
+      reply.updates = list.All();
+    }
+    peers.Send(from.empty() ? ping.sender.id : from, reply);
+  }
+
+  void OnPingReply(const MemberId& from, const PingReply& reply) {
+    Observe();
+    auto relay = relays.find(reply.sequence);
+    if (relay != relays.end()) {
+      PingReply copy = reply;
+      copy.sequence = relay->second.sequence;
+      peers.Send(relay->second.requester, copy);
+      relays.erase(relay);
+    }
+    sent.erase(reply.sequence);
+    TakeNews(reply.sender, reply.updates);
+    // A reply that came by a relay says nothing about the direct way.
+    if (from.empty() || from == reply.sender.id) {
+      TellHooks(reply);
+    }
+  }
+
+  void OnPingRequest(const MemberId& from, const PingRequest& request) {
+    Observe();
+    const uint64_t sequence = ++last_sequence;
+    relays[sequence] = {from, request.sequence, clock.Now()};
+    if (!request.target.address.empty()) {
+      peers.SetAddress(request.target.id, request.target.address);
+    }
+    peers.Send(request.target.id, Make<Ping>(sequence, request.target.id));
+  }
+
+  template <typename T>
+  void TellHooks(const T& message) {
+    if (!hooks.heard) {
+      return;
+    }
+    Extras extras;
+    extras.table_revision = message.table_revision;
+    extras.demand = message.demand;
+    hooks.heard(message.sender.id, extras);
+  }
+
+  void TakeNews(const MemberInfo& sender,
+                const std::vector<MemberInfo>& updates) {
+    const uint64_t incarnation = list.self().incarnation;
+    list.Merge(sender);
+    list.Heard(sender.id);
+    for (const MemberInfo& update : updates) {
+      list.Merge(update);
+    }
+    // Refuted: the accuser learns at once, others by the next pings.
+    if (list.self().incarnation != incarnation) {
+      SendPing(sender.id);
+    }
+  }
+
+  void Tick() {
+    Observe();
+    const util::TimePoint now = clock.Now();
+    CheckTimeouts(now);
+    CheckSuspects(now);
+    if (now >= next_ping) {
+      next_ping = now + options.ping_interval;
+      PingRound(now);
+    }
+    PingSeeds(now);
+    PingDead(now);
+    for (auto it = relays.begin(); it != relays.end();) {
+      it = now - it->second.at >= kRelayTime ? relays.erase(it) : std::next(it);
+    }
+    list.DropTombstones(options.tombstone);
+  }
+
+  void CheckTimeouts(util::TimePoint now) {
+    std::vector<MemberId> silent;
+    std::vector<std::pair<uint64_t, MemberId>> indirect;
+    for (auto it = sent.begin(); it != sent.end();) {
+      Sent& ping = it->second;
+      const MemberList::Member* member = list.Find(ping.target);
+      const bool settled = member == nullptr || member->heard > ping.at;
+      const util::Duration age = now - ping.at;
+      if (settled || age >= 2 * options.ping_timeout) {
+        if (!settled) {
+          silent.push_back(ping.target);
+        }
+        it = sent.erase(it);
+        continue;
+      }
+      if (!ping.indirect && age >= options.ping_timeout) {
+        ping.indirect = true;
+        indirect.emplace_back(it->first, ping.target);
+      }
+      ++it;
+    }
+    for (const auto& [sequence, target] : indirect) {
+      AskOthers(sequence, target);
+    }
+    for (const MemberId& id : silent) {
+      list.Suspect(id);
+    }
+  }
+
+  void AskOthers(uint64_t sequence, const MemberId& target) {
+    const MemberList::Member* member = list.Find(target);
+    if (member == nullptr || !IsPresent(member->info.state)) {
+      return;
+    }
+    std::vector<MemberId> helpers;
+    for (const auto& [id, other] : list.others()) {
+      if (id != target && other.info.state != MemberState::kSuspect &&
+          IsPresent(other.info.state)) {
+        helpers.push_back(id);
+      }
+    }
+    for (int i = 0; i < options.indirect_pings && !helpers.empty(); ++i) {
+      const size_t pick = random.Below(helpers.size());
+      peers.Send(helpers[pick], PingRequest{sequence, member->info});
+      helpers.erase(helpers.begin() + static_cast<ptrdiff_t>(pick));
+    }
+  }
+
+  void CheckSuspects(util::TimePoint now) {
+    std::vector<MemberId> due;
+    size_t others = 0;
+    size_t suspects = 0;
+    for (const auto& [id, member] : list.others()) {
+      if (!IsPresent(member.info.state)) {
+        continue;
+      }
+      ++others;
+      if (member.info.state != MemberState::kSuspect) {
+        continue;
+      }
+      ++suspects;
+      if (now - member.since >= options.suspicion) {
+        due.push_back(id);
+      }
+    }
+    const bool most_silent =
+        others >= kLeastOthersForIsolation && suspects * 2 > others;
+    if (!most_silent) {
+      silent_since.reset();
+    } else if (!silent_since) {
+      silent_since = now;
+    }
+    if (Isolated()) {
+      return;
+    }
+    for (const MemberId& id : due) {
+      list.Declare(id);
+    }
+  }
+
+  bool Isolated() const {
+    return silent_since && clock.Now() - *silent_since < options.isolation;
+  }
+
+  void PingRound(util::TimePoint now) {
+    const bool cross = now >= next_cross;
+    if (cross) {
+      next_cross = now + options.cross_region_interval;
+    }
+    std::vector<MemberId> near;
+    std::vector<MemberId> far;
+    for (const auto& [id, member] : list.others()) {
+      if (!IsPresent(member.info.state)) {
+        continue;
+      }
+      const bool same = member.info.region == list.self().region;
+      (same ? near : far).push_back(id);
+    }
+    const size_t count = near.size() + far.size() + 1;
+    if (count <= static_cast<size_t>(options.full_mesh_limit)) {
+      PingAll(near);
+      if (cross) {
+        PingAll(far);
+      }
+      return;
+    }
+    PingSome(near);
+    if (cross) {
+      PingBridges(near, far);
+    }
+  }
+
+  void PingAll(const std::vector<MemberId>& ids) {
+    for (const MemberId& id : ids) {
+      SendPing(id);
+    }
+  }
+
+  void PingSome(const std::vector<MemberId>& near) {
+    if (near.empty()) {
+      return;
+    }
+    std::set<MemberId> targets;
+    AddSuccessors(near, targets);
+    targets.insert(NextShuffled(near));
+    for (const MemberId& id : targets) {
+      SendPing(id);
+    }
+  }
+
+  // The first member after this one in the ring that is not suspect, and the
+  // suspects before it: their predecessor may be this member alone.
+  void AddSuccessors(const std::vector<MemberId>& near,
+                     std::set<MemberId>& targets) {
+    std::vector<std::pair<uint64_t, MemberId>> ring;
+    ring.reserve(near.size());
+    const uint64_t own = util::Hash64(list.self().id.str());
+    for (const MemberId& id : near) {
+      // The distance to walk around the ring of 2^64 positions.
+      ring.emplace_back(util::Hash64(id.str()) - own, id);
+    }
+    std::sort(ring.begin(), ring.end());
+    constexpr size_t kMostSuccessors = 4;
+    for (size_t i = 0; i < ring.size() && i < kMostSuccessors; ++i) {
+      targets.insert(ring[i].second);
+      if (list.Find(ring[i].second)->info.state != MemberState::kSuspect) {
+        return;
+      }
+    }
+  }
+
+  MemberId NextShuffled(const std::vector<MemberId>& near) {
+    while (!shuffled.empty()) {
+      const MemberId id = shuffled.back();
+      shuffled.pop_back();
+      const MemberList::Member* member = list.Find(id);
+      if (member != nullptr && IsPresent(member->info.state)) {
+        return id;
+      }
+    }
+    shuffled = near;
+    for (size_t i = shuffled.size(); i > 1; --i) {
+      std::swap(shuffled[i - 1], shuffled[random.Below(i)]);
+    }
+    const MemberId id = shuffled.back();
+    shuffled.pop_back();
+    return id;
+  }
+
+  // Beyond the full mesh two members of each region keep contact with two of
+  // each other region.
+  void PingBridges(const std::vector<MemberId>& near,
+                   const std::vector<MemberId>& far) {
+    const auto lower =
+        std::count_if(near.begin(), near.end(), [this](const MemberId& id) {
+          return id < list.self().id &&
+                 list.Find(id)->info.state != MemberState::kSuspect;
+        });
+    if (lower >= kBridgesPerRegion) {
+      return;
+    }
+    std::map<RegionId, int> pinged;
+    for (const MemberId& id : far) {
+      const MemberInfo& info = list.Find(id)->info;
+      int& count = pinged[info.region];
+      if (count >= kBridgesPerRegion) {
+        continue;
+      }
+      SendPing(id);
+      // A silent region still costs a bounded number of pings.
+      count += info.state == MemberState::kSuspect ? 0 : 1;
+    }
+  }
+
+  void PingSeeds(util::TimePoint now) {
+    if (now < next_seeds) {
+      return;
+    }
+    next_seeds = now + kSeedInterval;
+    for (const std::string& address : seeds) {
+      const bool present = std::any_of(
+          list.others().begin(), list.others().end(), [&](const auto& entry) {
+            return entry.second.info.address == address &&
+                   IsPresent(entry.second.info.state);
+          });
+      if (!present && address != list.self().address) {
+        peers.SendToAddress(address, Make<Ping>(++last_sequence, MemberId()));
+      }
+    }
+  }
+
+  void PingDead(util::TimePoint now) {
+    if (now < next_dead || list.self().state == MemberState::kLeft) {
+      return;
+    }
+    next_dead = now + kDeadPingInterval;
+    std::vector<MemberId> dead;
+    for (const auto& [id, member] : list.others()) {
+      if (member.info.state == MemberState::kDead) {
+        dead.push_back(id);
+      }
+    }
+    if (dead.empty()) {
+      return;
+    }
+    const MemberId target = dead[random.Below(dead.size())];
+    peers.Send(target, Make<Ping>(++last_sequence, target));
+  }
+
+  void Broadcast() {
+    size_t count = 0;
+    for (const auto& [id, member] : list.others()) {
+      if (IsPresent(member.info.state) && ++count <= kMaxBroadcast) {
+        peers.Send(id, Make<Ping>(++last_sequence, id));
+      }
+    }
+  }
+
+  std::vector<MemberInfo> Members() const {
+    std::vector<MemberInfo> members;
+    for (const auto& [id, member] : list.others()) {
+      if (IsPresent(member.info.state) &&
+          member.info.state != MemberState::kStarting) {
+        members.push_back(member.info);
+      }
+    }
+    const auto after = std::find_if(
+        members.begin(), members.end(),
+        [this](const MemberInfo& m) { return list.self().id < m.id; });
+    members.insert(after, list.self());
+    return members;
+  }
+
+  const util::Clock& clock;
+  util::Random& random;
+  PeerPort& peers;
+  const Options options;
+  const Hooks hooks;
+  MemberList list;
+  std::set<std::string> seeds;
+  std::map<uint64_t, Sent> sent;
+  std::map<uint64_t, Relay> relays;
+  std::vector<MemberId> shuffled;
+  uint64_t last_sequence = 0;
+  util::TimePoint last_call{};
+  util::TimePoint next_ping{};
+  util::TimePoint next_cross{};
+  util::TimePoint next_seeds{};
+  util::TimePoint next_dead{};
+  std::optional<util::TimePoint> silent_since;
+};
+
+Membership::Membership(const util::Clock& clock,
+                       util::Random& random,
+                       PeerPort& peers,
+                       MemberInfo self,
+                       Options options,
+                       Hooks hooks)
+    : impl_(std::make_unique<Impl>(clock,
+                                   random,
+                                   peers,
+                                   std::move(self),
+                                   options,
+                                   std::move(hooks))) {}
+
+Membership::~Membership() = default;
+
+void Membership::AddSeed(const std::string& address) {
+  impl_->seeds.insert(address);
+}
+
+void Membership::SetSelfState(MemberState state) {
+  impl_->list.SetSelfState(state);
+  impl_->Broadcast();
+}
+
+void Membership::OnPing(const MemberId& from, const Ping& ping) {
+  impl_->OnPing(from, ping);
+}
+
+void Membership::OnPingReply(const MemberId& from, const PingReply& reply) {
+  impl_->OnPingReply(from, reply);
+}
+
+void Membership::OnPingRequest(const MemberId& from,
+                               const PingRequest& request) {
+  impl_->OnPingRequest(from, request);
+}
+
+void Membership::Tick() {
+  impl_->Tick();
+}
+
+void Membership::Leave() {
+  SetSelfState(MemberState::kLeft);
+}
+
+const MemberInfo& Membership::self() const {
+  return impl_->list.self();
+}
+
+std::vector<MemberInfo> Membership::Members() const {
+  return impl_->Members();
+}
+
+std::vector<MemberInfo> Membership::Owners() const {
+  std::vector<MemberInfo> owners;
+  for (const MemberInfo& member : impl_->Members()) {
+    const MemberList::Member* other = impl_->list.Find(member.id);
+    const MemberState announced =
+        other == nullptr ? member.state : other->announced;
+    if (announced == MemberState::kLive) {
+      owners.push_back(member);
+    }
+  }
+  return owners;
+}
+
+const MemberInfo* Membership::Find(const MemberId& id) const {
+  if (id == impl_->list.self().id) {
+    return &impl_->list.self();
+  }
+  const MemberList::Member* member = impl_->list.Find(id);
+  return member == nullptr ? nullptr : &member->info;
+}
+
+bool Membership::isolated() const {
+  return impl_->Isolated();
+}
+
+}  // namespace chivedale
--- a/chivedale/membership.h
+++ b/chivedale/membership.h
@@ -31,6 +31,9 @@
     int indirect_pings = 2;
     Millis cross_region_interval{2'000};
     int max_updates_per_ping = 16;
+    // More than half of the others silent at once is taken as a fault of this
+    // process's own network for this long.
+    Millis isolation{5'000};
   };
   // What rides on each ping besides member updates.
   struct Extras {
@@ -71,6 +74,8 @@
   std::vector<MemberInfo> Owners() const;
   // Null when unknown.
   const MemberInfo* Find(const MemberId& id) const;
+  // Most others are silent: deaths are not declared now.
+  bool isolated() const;
 
  private:
   struct Impl;
