--- /dev/null
+++ b/chivedale/load_caller.h
@@ -0,0 +1,62 @@
+// The callers of a load run: sends a plan's requests to random entries as the
+// balancer would, sends again under the same id after a lost connection or a
+// refusal that allows it, and checks each answer.
+#ifndef CHIVEDALE_LOAD_CALLER_H_
+#define CHIVEDALE_LOAD_CALLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chivedale/http_client.h"
+#include "chivedale/load_plan.h"
+#include "chivedale/load_results.h"
+#include "util/clock.h"
+#include "util/random.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace chivedale {
+
+class LoadCaller {
+ public:
+  struct Options {
+    std::vector<std::string> entries;  // IP:PORT each
+    // One send without an answer is given up after this and sent again.
+    Millis send_timeout{15'000};
+    // After its deadline a request is given up as lost after this.
+    Millis patience{45'000};
+    Millis send_again{100};
+  };
+  // Whether `answer` (JSON text) is the answer to this request.
+  using Check = std::function<bool(const std::string& id,
+                                   const std::string& payload,
+                                   const std::string& answer)>;
+
+  LoadCaller(boost::asio::io_context& io,
+             HttpClient& client,
+             const util::Clock& clock,
+             LoadPlan& plan,
+             uint64_t seed,
+             Options options,
+             Check check);
+  ~LoadCaller();
+
+  // Command. `io` must be run by one thread; its run() returns some time after
+  // the last request has ended.
+  void Start();
+
+  // Query.
+  const LoadResults& results() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_LOAD_CALLER_H_
--- /dev/null
+++ b/chivedale/load_plan.h
@@ -0,0 +1,92 @@
+// What a load run sends and when: open-loop arrivals, so that a slow answer
+// does not slow the load. The same seed gives the same plan.
+//
+//   LoadPlan plan(ParseLoadProfile(json), seed);
+//   while (std::optional<LoadArrival> arrival = plan.Next()) ...
+#ifndef CHIVEDALE_LOAD_PLAN_H_
+#define CHIVEDALE_LOAD_PLAN_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chivedale/work.h"
+#include "util/clock.h"
+#include "util/random.h"
+
+namespace chivedale {
+
+// One kind of work in the mix.
+struct LoadKind {
+  std::string kind;
+  // Part of the arrivals, relative to the other kinds.
+  double share = 1;
+  // Run times are exponential with this mean.
+  Millis run_mean{100};
+  // This part of the work runs `straggler_factor` times the mean.
+  double straggler_share = 0;
+  double straggler_factor = 50;
+  int64_t payload_bytes = 200;
+  int64_t answer_bytes = 200;
+  Millis deadline{30'000};
+  // Part that the caller cancels, all at `LoadProfile::cancel_at`.
+  double cancel_share = 0;
+  // Part that is sent again through another entry at the same time.
+  double repeat_share = 0;
+};
+
+struct LoadProfile {
+  double rate_per_s = 200;
+  Millis duration{10'000};
+  // The rate rises to `crest_factor` times within `crest_rise` at `crest_at`,
+  // stays for `crest_length` and falls back at once.
+  double crest_factor = 1;
+  Millis crest_at{0};
+  Millis crest_rise{2'000};
+  Millis crest_length{0};
+  // Zero: no wave of cancellations.
+  Millis cancel_at{0};
+  std::vector<LoadKind> kinds;
+};
+
+// Throws Error(kBadRequest) that names the key.
+LoadProfile ParseLoadProfile(const std::string& json);
+
+struct LoadArrival {
+  util::Duration at{0};
+  std::string id;
+  size_t kind = 0;
+  Millis run{0};
+  bool straggler = false;
+  bool cancel = false;
+  bool repeat = false;
+  // The `payload` value of the request.
+  std::string payload;
+};
+
+class LoadPlan {
+ public:
+  LoadPlan(LoadProfile profile, uint64_t seed);
+
+  // Command. Nothing after the end of the duration.
+  std::optional<LoadArrival> Next();
+
+  // Queries.
+  const LoadProfile& profile() const { return profile_; }
+  double RateAt(util::Duration at) const;
+
+ private:
+  size_t DrawKind();
+
+  const LoadProfile profile_;
+  util::Random random_;
+  const std::string prefix_;
+  double total_share_ = 0;
+  util::Duration at_{0};
+  uint64_t number_ = 0;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_LOAD_PLAN_H_
