--- /dev/null
+++ b/scripts/cell.sh
@@ -0,0 +1,74 @@
+# Functions that start and end a small cell on loopback; sourced by demo.sh,
+# bench.sh and soak.sh. Needs `dir` (scratch folder) and `build`.
+# Ports: 21000 store, 21001 VM list, 21002 control, 21100.. workers,
+# 22000+n callers, 23000+n peers.
+
+cell_pids=()
+
+cell_start_standin() {  # workers, GPU workers
+  "$build/standin" --store 127.0.0.1:21000 --vm-list 127.0.0.1:21001 \
+    --control 127.0.0.1:21002 --base-port 21100 --workers "$1" \
+    --gpu-workers "$2" --data-centres fukuoka-1,fukuoka-2,kumamoto-1 \
+    --seed "${seed:-1}" >"$dir/standin.log" 2>&1 &
+  standin_pid=$!
+  cell_pids+=("$standin_pid")
+  cell_wait_for 127.0.0.1:21002 /book
+}
+
+cell_wait_for() {  # address, path
+  for _ in $(seq 100); do
+    if curl -s -o "$dir/wait.out" --max-time 1 "http://$1$2"; then return 0; fi
+    sleep 0.1
+  done
+  echo "no answer from http://$1$2" >&2
+  return 1
+}
+
+cell_start_daemon() {  # number from 1, further settings as JSON text
+  local n=$1 extra=${2:-}
+  local centre=fukuoka-1 region=fukuoka
+  case $((n % 3)) in
+    1) centre=fukuoka-1 ;;
+    2) centre=fukuoka-2 ;;
+    0) centre=kumamoto-1 region=kumamoto ;;
+  esac
+  cat >"$dir/daemon-$n.json" <<JSON
+{"vm_id": "entry-$n", "data_centre": "$centre", "region": "$region",
+ "caller_address": "127.0.0.1:$((22000 + n))",
+ "peer_address": "127.0.0.1:$((23000 + n))",
+ "store_address": "127.0.0.1:21000", "vm_list_address": "127.0.0.1:21001",
+ "seeds": ["127.0.0.1:23001", "127.0.0.1:23002"],
+ "log_file": "$dir/daemon-$n.log"$extra}
+JSON
+  "$build/chivedaled" --config "$dir/daemon-$n.json" \
+    >>"$dir/daemon-$n.out" 2>&1 &
+  daemon_pid[n]=$!
+  cell_pids+=("$!")
+}
+
+cell_wait_ready() {  # number of daemons
+  local n
+  for n in $(seq "$1"); do
+    for _ in $(seq 200); do
+      if curl -sf -o "$dir/wait.out" --max-time 1 \
+        "http://127.0.0.1:$((22000 + n))/readyz"; then continue 2; fi
+      sleep 0.1
+    done
+    echo "daemon $n did not become ready: $(cat "$dir/wait.out")" >&2
+    tail -5 "$dir/daemon-$n.log" >&2
+    return 1
+  done
+}
+
+cell_entries() {  # number of daemons
+  local list= n
+  for n in $(seq "$1"); do list+="${list:+,}127.0.0.1:$((22000 + n))"; done
+  echo "$list"
+}
+
+cell_stop() {
+  local pid
+  for pid in "${cell_pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  for pid in "${cell_pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Installs, builds, starts a cell of both firms' size on loopback, sends several
+# thousand requests, kills one daemon in the middle and compares what callers
+# got with what workers ran. Exit code 0 only when nothing was lost, doubled or
+# mixed up.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install_packages.sh
+scripts/build.sh build
+build=$PWD/build
+dir=$(mktemp -d)
+daemon_pid=()
+seed=${SEED:-1}
+. scripts/cell.sh
+trap 'cell_stop; rm -rf "$dir"' EXIT
+
+echo "starting the stand-ins (48 workers) and 7 daemons"
+cell_start_standin 35 13
+for n in 1 2 3 4 5 6 7; do cell_start_daemon "$n"; done
+cell_wait_for 127.0.0.1:22001 /healthz
+"$build/chivedalectl" --server 127.0.0.1:22001 table apply examples/table.json
+cell_wait_ready 7
+sleep 3
+"$build/chivedalectl" --server 127.0.0.1:22001 status
+
+echo "sending requests; daemon 3 is killed after 8 seconds"
+(sleep 8; kill -KILL "${daemon_pid[3]}") &
+cell_pids+=("$!")
+"$build/chivedale_load" --entries "$(cell_entries 7)" \
+  --profile examples/load_demo.json --table examples/table.json \
+  --book 127.0.0.1:21002 --seed "$seed" --label demo
