--- /dev/null
+++ b/chivedale/daemon.cc
@@ -0,0 +1,181 @@
+// The order of the stop: the scheduler drains (the balancer sees not ready at
+// once), then the HTTP server closes its connections, then messages that are
+// queued for peers go out, then the threads end.
+#include "chivedale/daemon.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "chivedale/api_server.h"
+#include "chivedale/control_loop.h"
+#include "chivedale/http_client.h"
+#include "chivedale/log4cxx_event_log.h"
+#include "chivedale/peer_link.h"
+#include "chivedale/scheduler.h"
+#include "chivedale/store_client.h"
+#include "chivedale/vm_list_client.h"
+#include "chivedale/worker_client.h"
+
+namespace chivedale {
+namespace {
+
+constexpr Millis kTick{5};
+constexpr int kIdDigits = 12;
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+
+uint64_t SeedOf(const Settings& settings) {
+  if (settings.seed != 0) {
+    return settings.seed;
+  }
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+}  // namespace
+
+struct Daemon::Impl {
+  explicit Impl(const Settings& settings_in)
+      : settings(settings_in),
+        seed(SeedOf(settings)),
+        random(seed),
+        self(settings.vm_id + "/" + random.Hex(kIdDigits)),
+        log({settings.log_file, settings.log_level}),
+        loop(metrics, kTick),
+        work(boost::asio::make_work_guard(io)),
+        platform_http(io, HttpClient::Options()),
+        worker_http(io, HttpClient::Options()),
+        store(platform_http, {settings.store_address}, Posting()),
+        workers(worker_http, WorkerClient::Options(), Posting()),
+        vms(platform_http, {settings.vm_list_address}, Posting()),
+        peers(
+            io,
+            clock,
+            log,
+            metrics,
+            [&] {
+              PeerLink::Options options;
+              options.seed = seed;
+              return options;
+            }(),
+            Posting(),
+            [this](const MemberId& from, const Message& message) {
+              scheduler.OnMessage(from, message);
+            }),
+        scheduler({clock, random, store, workers, peers, vms, metrics, log},
+                  settings,
+                  self),
+        api(io, settings, loop, scheduler, scheduler, metrics, log),
+        signals(io, SIGTERM, SIGINT),
+        deadline(io) {
+    peers.Listen(settings.peer_address);
+  }
+
+  PostFunction Posting() {
+    return [this](std::function<void()> run) { loop.Post(std::move(run)); };
+  }
+
+  void WaitForSignal() {
+    signals.async_wait([this](const boost::system::error_code& error, int) {
+      if (error) {
+        return;
+      }
+      if (stopping.exchange(true)) {
+        loop.Stop();
+        return;
+      }
+      loop.Post([this] { scheduler.Drain(); });
+      deadline.expires_after(settings.stop_deadline);
+      deadline.async_wait([this](const boost::system::error_code& aborted) {
+        if (!aborted) {
+          log.Write(Event::kStopDeadline, {});
+          loop.Stop();
+        }
+      });
+      WaitForSignal();
+    });
+  }
+
+  void Tick() {
+    scheduler.Tick();
+    if (scheduler.stopped() && !closing) {
+      closing = true;
+      graceful = true;
+      api.Close([this] { loop.Post([this] { loop.Stop(); }); });
+    }
+  }
+
+  int Run() {
+    WaitForSignal();
+    for (int i = 0; i < std::max(1, settings.traffic_threads); ++i) {
+      threads.emplace_back([this] { io.run(); });
+    }
+    loop.Post([this] {
+      MemberInfo info;
+      info.id = self;
+      info.address = settings.peer_address;
+      info.data_centre = DataCentreId(settings.data_centre);
+      info.region = RegionId(settings.region);
+      peers.Start(info);
+      scheduler.Start();
+    });
+    loop.Run([this] { Tick(); });
+    if (graceful) {
+      peers.Close();
+      // Time for the queued messages, which PeerLink bounds itself.
+      std::this_thread::sleep_for(PeerLink::Options().close_flush);
+    }
+    io.stop();
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    return graceful ? kExitOk : kExitFailed;
+  }
+
+  const Settings settings;
+  const uint64_t seed;
+  util::SteadyClock clock;
+  util::Random random;
+  const MemberId self;
+  Metrics metrics;
+  Log4cxxEventLog log;
+  ControlLoop loop;
+  boost::asio::io_context io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  HttpClient platform_http;
+  HttpClient worker_http;
+  StoreClient store;
+  WorkerClient workers;
+  VmListClient vms;
+  PeerLink peers;
+  Scheduler scheduler;
+  ApiServer api;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer deadline;
+  std::vector<std::thread> threads;
+  std::atomic<bool> stopping{false};
+  bool closing = false;
+  bool graceful = false;
+};
+
+Daemon::Daemon(const Settings& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+
+Daemon::~Daemon() = default;
+
+int Daemon::Run() {
+  return impl_->Run();
+}
+
+}  // namespace chivedale
--- a/chivedale/load_caller.cc
+++ b/chivedale/load_caller.cc
@@ -56,6 +56,8 @@
   void ScheduleNext() {
     std::optional<LoadArrival> next = plan.Next();
     if (!next) {
+      all_sent = true;
+      EndIfDone();
       return;
     }
     arrivals.expires_at(started + next->at);
@@ -207,20 +209,27 @@
     auto it = open.find(id);
     const Open request = std::move(it->second);
     open.erase(it);
-    LoadRequest ended;
-    ended.id = id;
-    ended.kind = request.arrival.kind;
-    ended.run = request.arrival.run;
-    ended.straggler = request.arrival.straggler;
-    ended.outcome = outcome;
-    ended.error = error;
-    ended.latency = clock.Now() - request.due;
-    ended.at = request.arrival.at;
-    ended.sends = request.sends;
+    LoadRequest request_end;
+    request_end.id = id;
+    request_end.kind = request.arrival.kind;
+    request_end.run = request.arrival.run;
+    request_end.straggler = request.arrival.straggler;
+    request_end.outcome = outcome;
+    request_end.error = error;
+    request_end.latency = clock.Now() - request.due;
+    request_end.at = request.arrival.at;
+    request_end.sends = request.sends;
     if (request.arrival.repeat) {
       repeated[id] = request.arrival.payload;
     }
-    results.Add(std::move(ended));
+    results.Add(std::move(request_end));
+    EndIfDone();
+  }
+
+  void EndIfDone() {
+    if (all_sent && open.empty() && ended) {
+      std::exchange(ended, nullptr)();
+    }
   }
 
   // The second answer of a repeated send must be the request's own too.
@@ -268,6 +277,8 @@
   Timer arrivals;
   Timer wave;
   util::TimePoint started{};
+  bool all_sent = false;
+  std::function<void()> ended;
   std::unordered_map<std::string, Open> open;
   std::unordered_map<std::string, std::string> repeated;
 };
@@ -289,7 +300,8 @@
 
 LoadCaller::~LoadCaller() = default;
 
-void LoadCaller::Start() {
+void LoadCaller::Start(std::function<void()> ended) {
+  impl_->ended = std::move(ended);
   impl_->started = impl_->clock.Now();
   impl_->ScheduleNext();
   impl_->ScheduleWave();
--- a/chivedale/load_caller.h
+++ b/chivedale/load_caller.h
@@ -45,9 +45,9 @@
              Check check);
   ~LoadCaller();
 
-  // Command. `io` must be run by one thread; its run() returns some time after
-  // the last request has ended.
-  void Start();
+  // Command. `io` must be run by one thread; `ended` runs on it when the plan
+  // is over and the last request has ended.
+  void Start(std::function<void()> ended);
 
   // Query.
   const LoadResults& results() const;
