--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -75,6 +75,9 @@
   Resources free;
   // Largest single free amount; a task above it in any component cannot fit.
   Resources largest;
+  // Largest worker by component, as if empty; work above it never fits. Zero
+  // when the sender does not know.
+  Resources largest_worker;
 };
 
 struct Summary {
