Account for work per worker, learn sizes and failures, doubt the VM list

Cause: declared sizes are up to four times off, reports lag, some workers fail all they start, and the VM list may lose live machines.

Change: WorkerBooks counts every attempt until it is known to have ended, and holds until they expire; free room is the lesser of capacity less commitments and capacity less reported use and work younger than the report. WorkerHealth gives a failing worker single probes with backoff and leaves out kinds that fail on other workers too.

--- /dev/null
+++ b/chivedale/vm_list.cc
@@ -0,0 +1,116 @@
+#include "chivedale/vm_list.h"
+
+#include <algorithm>
+#include <utility>
+
+// A doubted list still counts for what it adds and for which VMs leave: only
+// its losses are put off. A VM that leaves must get no new work within
+// seconds, and one that is wrongly added is found out by its lease.
+namespace chivedale {
+
+VmList::VmList(const util::Clock& clock, Options options)
+    : clock_(clock), options_(options) {}
+
+void VmList::OnList(const VmListResult& result) {
+  if (!result.ok) {
+    return;
+  }
+  version_ = result.version;
+  Vms list;
+  for (const Vm& vm : result.vms) {
+    list[vm.id] = vm;
+  }
+  if (LossIn(list) <= options_.max_loss) {
+    Believe(std::move(list));
+    return;
+  }
+  if (!doubted_) {
+    doubted_ = true;
+    doubted_since_ = clock_.Now();
+  }
+  for (const auto& [id, vm] : list) {
+    believed_[id] = vm;
+  }
+  pending_ = std::move(list);
+  Tick();
+}
+
+double VmList::LossIn(const Vms& list) const {
+  if (listed_.empty()) {
+    return 0;
+  }
+  const auto lost = std::count_if(
+      listed_.begin(), listed_.end(),
+      [&list](const auto& item) { return list.count(item.first) == 0; });
+  return static_cast<double>(lost) / static_cast<double>(listed_.size());
+}
+
+void VmList::Believe(Vms list) {
+  doubted_ = false;
+  pending_.clear();
+  listed_ = std::move(list);
+  for (const auto& [id, vm] : listed_) {
+    believed_[id] = vm;
+  }
+  DropUnlisted();
+}
+
+void VmList::DropUnlisted() {
+  const util::TimePoint old = clock_.Now() - options_.doubt;
+  for (auto it = believed_.begin(); it != believed_.end();) {
+    auto contact = contact_.find(it->first);
+    const bool answers = contact != contact_.end() && contact->second > old;
+    if (listed_.count(it->first) != 0 || answers) {
+      ++it;
+      continue;
+    }
+    if (contact != contact_.end()) {
+      contact_.erase(contact);
+    }
+    it = believed_.erase(it);
+  }
+}
+
+void VmList::OnContact(const std::string& vm) {
+  if (believed_.count(vm) != 0) {
+    contact_[vm] = clock_.Now();
+  }
+}
+
+void VmList::Tick() {
+  if (doubted_) {
+    if (clock_.Now() - doubted_since_ >= options_.doubt) {
+      Believe(std::exchange(pending_, {}));
+    }
+    return;
+  }
+  DropUnlisted();
+}
+
+std::vector<Vm> VmList::WithRole(VmRole role) const {
+  std::vector<Vm> vms;
+  for (const auto& [id, vm] : believed_) {
+    if (vm.role == role) {
+      vms.push_back(vm);
+    }
+  }
+  return vms;
+}
+
+std::vector<Vm> VmList::Endpoints() const {
+  return WithRole(VmRole::kEndpoint);
+}
+
+std::vector<Vm> VmList::Entries() const {
+  return WithRole(VmRole::kEntry);
+}
+
+bool VmList::doubted() const {
+  return doubted_;
+}
+
+uint64_t VmList::version() const {
+  return version_;
+}
+
+}  // namespace chivedale
--- a/chivedale/vm_list.h
+++ b/chivedale/vm_list.h
@@ -36,10 +36,21 @@
   uint64_t version() const;
 
  private:
+  using Vms = std::map<std::string, Vm>;
+
+  // Part of the VMs in the last believed list that `list` lacks.
+  double LossIn(const Vms& list) const;
+  void Believe(Vms list);
+  void DropUnlisted();
+  std::vector<Vm> WithRole(VmRole role) const;
+
   const util::Clock& clock_;
   const Options options_;
-  std::map<std::string, Vm> believed_;
-  std::map<std::string, Vm> listed_;
+  // The believed list, and VMs outside it that answered lately.
+  Vms believed_;
+  // The last list that was believed, and the one that is doubted.
+  Vms listed_;
+  Vms pending_;
   std::map<std::string, util::TimePoint> contact_;
   util::TimePoint doubted_since_{};
   bool doubted_ = false;
--- /dev/null
+++ b/chivedale/worker_books.cc
@@ -0,0 +1,130 @@
+#include "chivedale/worker_books.h"
+
+#include <algorithm>
+
+// Work may use more than it was declared with. The report shows that, but
+// late: work that began after the measurement is added to it. The larger of
+// the two accounts decides.
+namespace chivedale {
+namespace {
+
+Resources AtLeastZero(const Resources& r) {
+  return {std::max<int64_t>(r.cpu_milli, 0), std::max<int64_t>(r.memory_mb, 0),
+          std::max<int64_t>(r.accelerators, 0), std::max<int64_t>(r.slots, 0)};
+}
+
+Resources Times(const Resources& r, int64_t count) {
+  return {r.cpu_milli * count, r.memory_mb * count, r.accelerators * count,
+          r.slots * count};
+}
+
+}  // namespace
+
+void WorkerBooks::SetReport(const WorkerReport& report, util::TimePoint now) {
+  report_ = report;
+  capacity_ = report.capacity;
+  measured_ = now - report.lag;
+}
+
+void WorkerBooks::Add(const TaskKey& key, const Item& item) {
+  Remove(key);
+  items_.emplace(key, item);
+  committed_ += item.size;
+  CountState(item.state, 1);
+}
+
+void WorkerBooks::SetState(const TaskKey& key, AttemptState state) {
+  auto it = items_.find(key);
+  if (it == items_.end()) {
+    return;
+  }
+  CountState(it->second.state, -1);
+  it->second.state = state;
+  CountState(state, 1);
+}
+
+void WorkerBooks::Remove(const TaskKey& key) {
+  auto it = items_.find(key);
+  if (it == items_.end()) {
+    return;
+  }
+  committed_ -= it->second.size;
+  CountState(it->second.state, -1);
+  items_.erase(it);
+}
+
+void WorkerBooks::CountState(AttemptState state, int64_t change) {
+  if (state == AttemptState::kStarting) {
+    starting_ += change;
+  }
+}
+
+void WorkerBooks::AddHold(uint64_t hold,
+                          const Resources& size,
+                          int64_t count,
+                          util::TimePoint expires) {
+  HeldRoom& held = holds_[hold];
+  held.size = size;
+  held.count += count;
+  held.expires = expires;
+  committed_ += Times(size, count);
+}
+
+bool WorkerBooks::TakeFromHold(uint64_t hold) {
+  auto it = holds_.find(hold);
+  if (it == holds_.end() || it->second.count == 0) {
+    return false;
+  }
+  --it->second.count;
+  committed_ -= it->second.size;
+  return true;
+}
+
+void WorkerBooks::ReleaseHold(uint64_t hold) {
+  auto it = holds_.find(hold);
+  if (it == holds_.end()) {
+    return;
+  }
+  committed_ -= Times(it->second.size, it->second.count);
+  holds_.erase(it);
+}
+
+bool WorkerBooks::ExpireHolds(util::TimePoint now) {
+  bool expired = false;
+  for (auto it = holds_.begin(); it != holds_.end();) {
+    auto next = std::next(it);
+    if (it->second.expires <= now) {
+      ReleaseHold(it->first);
+      expired = true;
+    }
+    it = next;
+  }
+  return expired;
+}
+
+void WorkerBooks::Clear() {
+  items_.clear();
+  holds_.clear();
+  committed_ = Resources();
+  starting_ = 0;
+}
+
+Resources WorkerBooks::Free() const {
+  Resources free = capacity_ - committed_;
+  const bool reports_use =
+      report_.used.cpu_milli > 0 || report_.used.memory_mb > 0;
+  if (reports_use) {
+    Resources unmeasured;
+    for (const auto& [key, item] : items_) {
+      if (item.since >= measured_) {
+        unmeasured += item.size;
+      }
+    }
+    const Resources real = capacity_ - report_.used - unmeasured;
+    free.cpu_milli = std::min(free.cpu_milli, real.cpu_milli);
+    free.memory_mb = std::min(free.memory_mb, real.memory_mb);
+  }
+  return AtLeastZero(free);
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/worker_health.h
@@ -0,0 +1,77 @@
+// Which workers fail what they start. A failing worker ends its work quickly,
+// so that by free room alone it would attract the most.
+//
+//   health.OnEnd(worker, kind, ok);
+//   if (health.MayStart(worker)) ... health.OnStart(worker);
+#ifndef CHIVEDALE_WORKER_HEALTH_H_
+#define CHIVEDALE_WORKER_HEALTH_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "chivedale/ids.h"
+#include "chivedale/work.h"
+#include "util/clock.h"
+
+namespace chivedale {
+
+class WorkerHealth {
+ public:
+  struct Options {
+    // Above this rate of failures a worker gets one attempt at a time.
+    double suspect_rate = 0.5;
+    // Above this one it gets single probes, with a growing pause between.
+    double failing_rate = 0.8;
+    double samples_before_verdict = 3;
+    Millis first_pause{1'000};
+    Millis longest_pause{60'000};
+    // Samples kept in effect per worker and kind.
+    double memory = 20;
+  };
+
+  WorkerHealth(const util::Clock& clock, Options options);
+  explicit WorkerHealth(const util::Clock& clock)
+      : WorkerHealth(clock, Options()) {}
+
+  // Commands.
+  void OnStart(const WorkerId& worker);
+  // The attempt certainly did not start: not a sample.
+  void OnNotStarted(const WorkerId& worker);
+  void OnEnd(const WorkerId& worker, const std::string& kind, bool ok);
+  void Forget(const WorkerId& worker);
+
+  // Queries.
+  bool MayStart(const WorkerId& worker) const;
+  // When MayStart may change without an event; the far future if it can't.
+  util::TimePoint NextProbe(const WorkerId& worker) const;
+  // 0 to 1, without failures of kinds that fail on the other workers too.
+  double FailureRate(const WorkerId& worker) const;
+  bool failing(const WorkerId& worker) const;
+
+ private:
+  struct Samples {
+    double ok = 0;
+    double failed = 0;
+    double total() const { return ok + failed; }
+  };
+  struct Worker {
+    std::unordered_map<std::string, Samples> kinds;
+    int64_t in_flight = 0;
+    Millis pause{0};
+    util::TimePoint next_probe{};
+  };
+
+  // Part of the failures of `kind` on a worker that the worker answers for.
+  double Attribution(const std::string& kind, const Samples& own) const;
+  Samples Attributed(const Worker& worker) const;
+  double Rate(const Worker& worker) const;
+
+  const util::Clock& clock_;
+  const Options options_;
+  std::unordered_map<WorkerId, Worker> workers_;
+  std::unordered_map<std::string, Samples> kinds_;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_WORKER_HEALTH_H_
