--- /dev/null
+++ b/chivedale/lease_keeper.cc
@@ -0,0 +1,587 @@
+#include "chivedale/lease_keeper.h"
+
+#include <algorithm>
+
+// Each worker has one timer for the earliest thing that is due, so that a tick
+// costs nothing for workers with nothing to do.
+//
+// A worker that went silent with work on it is asked for its list before it is
+// claimed: a claim whose answer is lost would keep the worker's tasks alive,
+// and with claims going out it would never be certain that they have ended.
+namespace chivedale {
+namespace {
+
+constexpr Millis kFirstBackoff{250};
+constexpr Millis kLongestBackoff{4'000};
+constexpr Millis kClaimRetry{500};
+constexpr Millis kReadRetry{100};
+constexpr Millis kReleaseRetry{10};
+constexpr Millis kIdle{60'000};
+// A poll that ended early without completions is not repeated at once.
+constexpr Millis kPollPause{20};
+// Reading from the start now and then finds a completion that became visible
+// below the highest sequence seen.
+constexpr Millis kFullPollInterval{2'000};
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(const util::Clock& clock,
+                         WorkerPort& port,
+                         LeaseEvents& events,
+                         MemberId self,
+                         Options options)
+    : clock_(clock),
+      port_(port),
+      events_(events),
+      self_(std::move(self)),
+      options_(options),
+      alive_(std::make_shared<bool>(true)) {}
+LeaseKeeper::~LeaseKeeper() = default;
+
+template <typename Result, typename Run>
+std::function<void(Result)> LeaseKeeper::Guard(WorkerRecord& worker, Run run) {
+  return [this, alive = std::weak_ptr<bool>(alive_), id = worker.id,
+          generation = worker.generation, run](Result result) {
+    if (alive.expired()) {
+      return;
+    }
+    WorkerRecord* record = Find(id);
+    if (record != nullptr && record->generation == generation) {
+      run(*record, result);
+      Service(*record);
+    }
+  };
+}
+
+WorkerRecord* LeaseKeeper::Find(const WorkerId& worker) {
+  auto it = workers_.find(worker);
+  return it == workers_.end() ? nullptr : it->second.get();
+}
+
+void LeaseKeeper::SetVms(const std::vector<Vm>& endpoints) {
+  for (auto& [id, worker] : workers_) {
+    worker->listed = false;
+  }
+  std::vector<WorkerRecord*> changed;
+  for (const Vm& vm : endpoints) {
+    auto& worker = workers_[WorkerId(vm.id)];
+    if (worker == nullptr) {
+      worker = std::make_unique<WorkerRecord>(vm, options_.lease);
+      worker->best_owner = choice_.BestOwner(vm);
+      port_.SetAddress(worker->id, vm.address);
+    } else if (worker->vm.address != vm.address) {
+      port_.SetAddress(worker->id, vm.address);
+    }
+    worker->listed = true;
+    worker->vm = vm;
+    changed.push_back(worker.get());
+  }
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    if (Forgettable(*it->second)) {
+      events_.OnChange(*it->second);
+      timers_.erase({it->second->due, it->first});
+      it = workers_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (WorkerRecord* worker : changed) {
+    events_.OnChange(*worker);
+    Service(*worker);
+  }
+}
+
+bool LeaseKeeper::Forgettable(const WorkerRecord& worker) const {
+  const LeaseState state = worker.lease.state();
+  return !worker.listed && worker.books.empty() && !worker.calling &&
+         (state == LeaseState::kUnowned || state == LeaseState::kLost);
+}
+
+void LeaseKeeper::SetMembers(const std::vector<MemberInfo>& members) {
+  choice_.SetMembers(members);
+  for (auto& [id, worker] : workers_) {
+    MemberId best = choice_.BestOwner(worker->vm);
+    if (best == worker->best_owner) {
+      continue;
+    }
+    worker->best_owner = std::move(best);
+    worker->misplaced_since = clock_.Now();
+    if (!worker->lease.held()) {
+      worker->next_try = clock_.Now();
+    }
+    Service(*worker);
+  }
+}
+
+void LeaseKeeper::OnHandover(const std::vector<WorkerId>& workers) {
+  for (const WorkerId& id : workers) {
+    WorkerRecord* worker = Find(id);
+    if (worker != nullptr) {
+      worker->handed_until = clock_.Now() + options_.handover_grace;
+      worker->next_try = clock_.Now();
+      worker->backoff = Millis(0);
+      Service(*worker);
+    }
+  }
+}
+
+void LeaseKeeper::OnTakenElsewhere(const WorkerId& id,
+                                   const LeaseToken& token) {
+  WorkerRecord* worker = Find(id);
+  if (worker == nullptr) {
+    return;
+  }
+  const LeaseToken& own = worker->lease.token();
+  if (own.boot_id == token.boot_id) {
+    if (own.token >= token.token) {
+      return;  // an older grant than the own one
+    }
+    worker->lease.Revoke();
+    events_.OnTaken(*worker);
+    worker->taken_over = true;
+  }
+  if (!worker->lease.held()) {
+    worker->known_boot = token.boot_id;
+  }
+  Service(*worker);
+}
+
+void LeaseKeeper::Drain() {
+  draining_ = true;
+  for (auto& [id, worker] : workers_) {
+    Service(*worker);
+  }
+}
+
+void LeaseKeeper::Tick() {
+  const util::TimePoint now = clock_.Now();
+  const double elapsed =
+      std::chrono::duration<double>(now - credit_at_).count();
+  credit_at_ = now;
+  rebalance_credit_ = std::min(
+      std::max(1.0, options_.rebalances_per_s / 10),
+      rebalance_credit_ + std::min(elapsed, 1.0) * options_.rebalances_per_s);
+  std::vector<WorkerId> due;
+  for (const auto& [time, id] : timers_) {
+    if (time > now) {
+      break;
+    }
+    due.push_back(id);
+  }
+  for (const WorkerId& id : due) {
+    WorkerRecord* worker = Find(id);
+    if (worker == nullptr) {
+      continue;
+    }
+    if (worker->books.ExpireHolds(now)) {
+      events_.OnChange(*worker);
+    }
+    Service(*worker);
+  }
+}
+
+bool LeaseKeeper::Wanted(const WorkerRecord& worker) const {
+  if (draining_) {
+    return false;
+  }
+  // Its best owner asks for it, and so does a member with work there whose
+  // fate it has to learn.
+  return (worker.listed &&
+          (worker.best_owner == self_ || clock_.Now() < worker.handed_until)) ||
+         !worker.books.empty();
+}
+
+// The worker's lease runs from the arrival of the last lease message; its
+// tasks may go on for orphan_ttl after that lease.
+util::TimePoint LeaseKeeper::AllEndedAt(const WorkerRecord& worker) const {
+  const auto longest = std::chrono::duration_cast<util::Duration>(
+      (options_.lease.ttl + options_.orphan_ttl) * (1 + options_.lease.drift));
+  return worker.lease_sent + options_.lease.flight + longest;
+}
+
+void LeaseKeeper::Schedule(WorkerRecord& worker, util::TimePoint due) {
+  timers_.erase({worker.due, worker.id});
+  worker.due = due;
+  timers_.emplace(due, worker.id);
+}
+
+void LeaseKeeper::Service(WorkerRecord& worker) {
+  const util::TimePoint now = clock_.Now();
+  const LeaseState state = worker.lease.state();
+  if ((worker.lease.held() || state == LeaseState::kHandingOver) &&
+      now >= worker.lease.valid_until()) {
+    Lose(worker);
+  }
+  if (state == LeaseState::kHandingOver &&
+      worker.lease.state() == LeaseState::kLost) {
+    // The release may have arrived; either way the lease is over.
+    events_.OnReleased(worker, worker.release_to);
+  }
+  switch (worker.lease.state()) {
+    case LeaseState::kUnowned:
+    case LeaseState::kLost:
+      ServiceUnheld(worker);
+      break;
+    case LeaseState::kClaiming:
+    case LeaseState::kHandingOver:
+      break;
+    case LeaseState::kWaitingOut:
+    case LeaseState::kReading:
+    case LeaseState::kOwned:
+      ServiceHeld(worker);
+      break;
+  }
+  Schedule(worker, std::max(NextDue(worker), now + Millis(1)));
+}
+
+util::TimePoint LeaseKeeper::NextDue(const WorkerRecord& worker) const {
+  const util::TimePoint idle = clock_.Now() + kIdle;
+  const util::TimePoint lease_due =
+      std::min(worker.next_renew, worker.lease.valid_until());
+  switch (worker.lease.state()) {
+    case LeaseState::kUnowned:
+    case LeaseState::kLost: {
+      util::TimePoint due = idle;
+      if (Wanted(worker) && !worker.calling) {
+        due = worker.next_try;
+      }
+      return worker.books.empty() ? due : std::min(due, AllEndedAt(worker));
+    }
+    case LeaseState::kClaiming:
+      return idle;
+    case LeaseState::kHandingOver:
+      return worker.lease.valid_until();
+    case LeaseState::kWaitingOut:
+      return std::min(lease_due, worker.lease.waits_until());
+    case LeaseState::kReading:
+      return worker.reading ? lease_due : std::min(lease_due, worker.next_try);
+    case LeaseState::kOwned:
+      break;
+  }
+  util::TimePoint due = lease_due;
+  if (!worker.polling) {
+    due = std::min(due, worker.next_poll);
+  }
+  if (draining_) {
+    due = std::min(due, clock_.Now() + kReleaseRetry);
+  }
+  return due;
+}
+
+void LeaseKeeper::ServiceUnheld(WorkerRecord& worker) {
+  const util::TimePoint now = clock_.Now();
+  if (!worker.books.empty() && draining_) {
+    events_.OnTaken(worker);
+  }
+  if (!worker.books.empty() && now >= AllEndedAt(worker)) {
+    events_.OnAllEnded(worker);
+  }
+  if (!Wanted(worker) || worker.calling || now < worker.next_try) {
+    return;
+  }
+  if (worker.books.empty()) {
+    Claim(worker);
+  } else {
+    Probe(worker);
+  }
+}
+
+void LeaseKeeper::ServiceHeld(WorkerRecord& worker) {
+  const util::TimePoint now = clock_.Now();
+  if (worker.lease.WaitedOut(now)) {
+    worker.next_try = now;
+  }
+  if (now >= worker.next_renew) {
+    Renew(worker);
+  }
+  if (worker.lease.state() == LeaseState::kReading && !worker.reading &&
+      now >= worker.next_try) {
+    Read(worker);
+  }
+  if (worker.lease.state() != LeaseState::kOwned) {
+    return;
+  }
+  if (worker.resolve) {
+    Claim(worker);
+  } else if (!ReleaseIfDue(worker) && !worker.polling &&
+             now >= worker.next_poll) {
+    Poll(worker);
+  }
+}
+
+void LeaseKeeper::Claim(WorkerRecord& worker) {
+  const util::TimePoint now = clock_.Now();
+  if (!worker.lease.Claim(now)) {
+    return;
+  }
+  ++worker.generation;
+  worker.calling = true;
+  worker.reading = false;
+  worker.polling = false;
+  worker.lease_sent = now;
+  events_.OnChange(worker);
+  port_.Lease(worker.id, self_, LeaseToken(), options_.lease.ttl,
+              Guard<LeaseResult>(worker, [this](WorkerRecord& record,
+                                                const LeaseResult& result) {
+                record.calling = false;
+                OnClaimed(record, result);
+              }));
+}
+
+void LeaseKeeper::OnClaimed(WorkerRecord& worker, const LeaseResult& result) {
+  const util::TimePoint now = clock_.Now();
+  if (result.status == PortStatus::kOk) {
+    worker.backoff = Millis(0);
+    worker.resolve = false;
+    worker.next_renew = worker.lease_sent + options_.renew_interval;
+    worker.next_try = now;
+    worker.after = 0;
+    worker.report = result.report;
+    worker.books.SetReport(result.report, now);
+    worker.lease.Granted(result.token, result.report.fencing, now);
+    return;
+  }
+  worker.lease.ClaimFailed();
+  worker.taken_over = true;
+  if (result.status != PortStatus::kRefused) {
+    BackOff(worker);
+    return;
+  }
+  worker.next_try = now + std::clamp(result.remaining, Millis(20), kClaimRetry);
+  if (!result.holder.empty() && result.holder != self_) {
+    events_.OnTaken(worker);
+  }
+}
+
+void LeaseKeeper::BackOff(WorkerRecord& worker) {
+  worker.backoff =
+      std::clamp(worker.backoff * 2, kFirstBackoff, kLongestBackoff);
+  worker.next_try = clock_.Now() + worker.backoff;
+}
+
+void LeaseKeeper::Renew(WorkerRecord& worker) {
+  const util::TimePoint sent = clock_.Now();
+  worker.lease_sent = sent;
+  worker.next_renew = sent + options_.renew_interval;
+  port_.Lease(
+      worker.id, self_, worker.lease.token(), options_.lease.ttl,
+      Guard<LeaseResult>(worker, [this, sent](WorkerRecord& record,
+                                              const LeaseResult& result) {
+        OnRenewed(record, result, sent);
+      }));
+}
+
+void LeaseKeeper::OnRenewed(WorkerRecord& worker,
+                            const LeaseResult& result,
+                            util::TimePoint sent) {
+  if (!worker.lease.held()) {
+    return;
+  }
+  if (result.status == PortStatus::kOk &&
+      result.token == worker.lease.token()) {
+    worker.lease.Renewed(sent);
+    worker.report = result.report;
+    worker.books.SetReport(result.report, clock_.Now());
+    events_.OnChange(worker);
+  } else if (result.status == PortStatus::kOk ||
+             result.status == PortStatus::kRefused) {
+    Lose(worker);
+    if (!result.holder.empty() && result.holder != self_) {
+      events_.OnTaken(worker);
+    }
+  }
+}
+
+void LeaseKeeper::Lose(WorkerRecord& worker) {
+  if (!worker.lease.Revoke()) {
+    return;
+  }
+  ++worker.generation;
+  worker.calling = false;
+  worker.reading = false;
+  worker.polling = false;
+  worker.taken_over = true;
+  worker.next_try = clock_.Now();
+  events_.OnChange(worker);
+}
+
+void LeaseKeeper::OnTokenDenied(WorkerRecord& worker, const LeaseToken& token) {
+  if (worker.lease.held() && worker.lease.token() == token) {
+    Lose(worker);
+    Service(worker);
+  }
+}
+
+void LeaseKeeper::Probe(WorkerRecord& worker) {
+  worker.calling = true;
+  port_.List(worker.id, Guard<TaskList>(worker, [this](WorkerRecord& record,
+                                                       const TaskList& list) {
+               record.calling = false;
+               if (list.status == PortStatus::kOk) {
+                 Claim(record);
+               } else {
+                 BackOff(record);
+               }
+             }));
+}
+
+void LeaseKeeper::Read(WorkerRecord& worker) {
+  worker.reading = true;
+  port_.List(worker.id, Guard<TaskList>(worker, [this](WorkerRecord& record,
+                                                       const TaskList& list) {
+               OnListed(record, list);
+             }));
+}
+
+// The list comes first: a task that ends in between is in both.
+void LeaseKeeper::OnListed(WorkerRecord& worker, const TaskList& list) {
+  if (worker.lease.state() != LeaseState::kReading) {
+    return;
+  }
+  if (list.status != PortStatus::kOk) {
+    worker.reading = false;
+    worker.next_try = clock_.Now() + kReadRetry;
+    return;
+  }
+  const CompletionsRequest request{worker.lease.token(), 0,
+                                   events_.AcksFor(worker), Millis(0)};
+  port_.Completions(
+      worker.id, request,
+      Guard<CompletionsResult>(
+          worker, [this, list, acks = request.acks](
+                      WorkerRecord& record, const CompletionsResult& result) {
+            record.reading = false;
+            if (record.lease.state() != LeaseState::kReading) {
+              return;
+            }
+            if (result.status != PortStatus::kOk) {
+              record.next_try = clock_.Now() + kReadRetry;
+              return;
+            }
+            events_.OnAcksDelivered(record, acks);
+            for (const Completion& completion : result.completions) {
+              record.after = std::max(record.after, completion.sequence);
+            }
+            const std::string& boot = record.lease.token().boot_id;
+            const bool reboot = record.known_boot != boot;
+            if (reboot) {
+              record.refused_leaving = false;
+            }
+            record.known_boot = boot;
+            record.next_poll = clock_.Now();
+            record.next_full_poll = clock_.Now() + kFullPollInterval;
+            record.lease.ListRead();
+            events_.OnRead(record, list.tasks, result.completions, reboot);
+            record.taken_over = false;
+            events_.OnChange(record);
+          }));
+}
+
+void LeaseKeeper::Poll(WorkerRecord& worker) {
+  const util::TimePoint now = clock_.Now();
+  worker.polling = true;
+  worker.poll_sent = now;
+  CompletionsRequest request{worker.lease.token(), worker.after,
+                             events_.AcksFor(worker), options_.completion_wait};
+  if (now >= worker.next_full_poll) {
+    request.after = 0;
+    request.wait = Millis(0);
+    worker.next_full_poll = now + kFullPollInterval;
+  }
+  port_.Completions(
+      worker.id, request,
+      Guard<CompletionsResult>(
+          worker, [this, acks = request.acks](WorkerRecord& record,
+                                              const CompletionsResult& result) {
+            OnPolled(record, result, acks);
+          }));
+}
+
+void LeaseKeeper::OnPolled(WorkerRecord& worker,
+                           const CompletionsResult& result,
+                           const std::vector<uint64_t>& acks) {
+  const util::TimePoint now = clock_.Now();
+  worker.polling = false;
+  if (worker.lease.state() != LeaseState::kOwned) {
+    return;
+  }
+  if (result.status != PortStatus::kOk) {
+    // The next renewal tells whether the token or the worker is the trouble.
+    worker.next_poll = now + kReadRetry;
+    return;
+  }
+  events_.OnAcksDelivered(worker, acks);
+  const uint64_t before = worker.after;
+  for (const Completion& completion : result.completions) {
+    worker.after = std::max(worker.after, completion.sequence);
+  }
+  const bool waited = now - worker.poll_sent >= kPollPause;
+  worker.next_poll = worker.after > before || waited ? now : now + kPollPause;
+  if (!result.completions.empty()) {
+    events_.OnCompletions(worker, result.completions);
+  }
+}
+
+bool LeaseKeeper::ReleaseIfDue(WorkerRecord& worker) {
+  if (worker.books.starting() > 0) {
+    return false;
+  }
+  const util::TimePoint now = clock_.Now();
+  if (draining_) {
+    Release(worker, choice_.BestOwner(worker.vm, self_));
+    return true;
+  }
+  if (worker.best_owner == self_ || worker.best_owner.empty() ||
+      now < worker.handed_until ||
+      now - worker.misplaced_since < options_.rebalance_after ||
+      rebalance_credit_ < 1) {
+    return false;
+  }
+  rebalance_credit_ -= 1;
+  Release(worker, worker.best_owner);
+  return true;
+}
+
+void LeaseKeeper::Release(WorkerRecord& worker, const MemberId& next) {
+  if (!worker.lease.Release()) {
+    return;
+  }
+  ++worker.generation;
+  worker.polling = false;
+  worker.taken_over = true;
+  worker.release_to = next;
+  events_.OnChange(worker);
+  port_.Release(
+      worker.id, self_, worker.lease.token(),
+      Guard<PortStatus>(
+          worker, [this, next](WorkerRecord& record, PortStatus status) {
+            // Refused: the lease is over or another member's already.
+            if (status == PortStatus::kOk || status == PortStatus::kRefused) {
+              record.lease.Released();
+              // The next owner is given time to claim it.
+              record.next_try = clock_.Now() + options_.lease.ttl;
+              events_.OnReleased(record, next);
+            }
+          }));
+}
+
+bool LeaseKeeper::settled() const {
+  return std::all_of(workers_.begin(), workers_.end(), [this](const auto& w) {
+    return !Wanted(*w.second) || w.second->lease.state() == LeaseState::kOwned;
+  });
+}
+
+bool LeaseKeeper::idle() const {
+  return std::all_of(workers_.begin(), workers_.end(), [](const auto& w) {
+    const LeaseState state = w.second->lease.state();
+    return state == LeaseState::kUnowned || state == LeaseState::kLost;
+  });
+}
+
+int64_t LeaseKeeper::owned() const {
+  return std::count_if(workers_.begin(), workers_.end(), [](const auto& w) {
+    return w.second->lease.state() == LeaseState::kOwned;
+  });
+}
+
+}  // namespace chivedale
--- a/chivedale/owner_agent.h
+++ b/chivedale/owner_agent.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "chivedale/event_log.h"
 #include "chivedale/messages.h"
 #include "chivedale/placement.h"
 #include "chivedale/ports.h"
@@ -28,6 +29,9 @@
   virtual void OnRoom() = 0;
   // A completion was seen, for the run-time and usage models.
   virtual void OnRunTime(const std::string& kind, Millis run_time) = 0;
+  // To the holder of the request's group, for a request whose entry is gone;
+  // the reply comes back through OnRegisterReply.
+  virtual void SendToHolder(const Register&) {}
 };
 
 struct WorkerStatus {
@@ -52,6 +56,13 @@
     double drift_margin = 0.1;
     Millis answer_resend{1'000};
     Millis completion_wait{1'000};
+    // How long the answer of a request whose entry is gone is kept.
+    Millis answer_retention{600'000};
+    // Work stopped after a checkpoint to make room for urgent work.
+    double preemptions_per_s = 5;
+    // See LeaseKeeper.
+    Millis rebalance_after{10'000};
+    double rebalances_per_s = 50;
     PlacementPolicyKind placement = PlacementPolicyKind::kPack;
   };
 
@@ -60,13 +71,15 @@
              WorkerPort& workers,
              OwnerListener& listener,
              MemberInfo self,
-             Options options);
+             Options options,
+             EventLog* log = nullptr);
   ~OwnerAgent();
 
   // Commands.
   // The endpoints that VmList believes in.
   void SetVms(const std::vector<Vm>& endpoints);
-  // Members that may own workers.
+  // All members that are not dead or left; those live or suspect may own
+  // workers. This member counts as live unless it drains.
   void SetMembers(const std::vector<MemberInfo>& owners);
   // Places and starts at once, or refuses; replies through the listener with a
   // DispatchReply, later an Answer.
@@ -76,6 +89,9 @@
   void OnHold(const MemberId& from, const Hold& hold);
   void OnHoldRelease(const HoldRelease& release);
   void OnHandover(const Handover& handover);
+  // Another member owns the worker now: its attempts are no longer followed
+  // here. The entry role learns of the message on its own.
+  void OnWorkerTaken(const WorkerTaken& taken);
   // Reports EntryGone to all members and adopts the tasks of that entry: their
   // answers are kept for Attach.
   void OnMemberDead(const MemberId& member);
@@ -91,6 +107,8 @@
   Summary CurrentSummary() const;
   // Whether an own worker has room for this size now.
   bool HasRoom(const Resources& size) const;
+  // Whether OnAttach can answer for this request.
+  bool HasAdopted(const RequestId& request) const;
   std::vector<WorkerStatus> Workers() const;
   int64_t owned_workers() const;
 
--- /dev/null
+++ b/chivedale/owner_starts.cc
@@ -0,0 +1,470 @@
+#include "chivedale/owner_agent_impl.h"
+
+// Dispatches and their outcomes. A refusal is certain: whatever may have
+// reached the worker is first resolved by claiming the own lease again, which
+// fences the start, and by reading what the worker has.
+namespace chivedale {
+namespace {
+
+// A picked worker whose lease is about to end leaves the index; the next best
+// is tried.
+constexpr int kPlaceTries = 4;
+constexpr int kPreemptionCandidates = 64;
+// A worker that refused for lack of room, or took no connection, is passed
+// over for this long.
+constexpr Millis kClosedAfterRefusal{1'000};
+
+}  // namespace
+
+void OwnerAgent::Impl::OnDispatch(const Dispatch& dispatch) {
+  if (AnswerAsFirst(dispatch)) {
+    return;
+  }
+  if (draining_ || tracker_.HasOtherAttempt(dispatch.key)) {
+    Refuse(dispatch, DispatchOutcome::kRefused);
+    return;
+  }
+  Resources size = usage_.Corrected(dispatch.kind, dispatch.size);
+  WorkerRecord* worker = dispatch.worker.empty() ? Place(dispatch, &size)
+                                                 : PlaceOnHold(dispatch, &size);
+  if (worker == nullptr) {
+    Preempt(dispatch);
+    Refuse(dispatch, DispatchOutcome::kNoRoom);
+    return;
+  }
+  Start(dispatch, *worker, size);
+}
+
+bool OwnerAgent::Impl::AnswerAsFirst(const Dispatch& dispatch) {
+  if (Attempt* attempt = tracker_.Find(dispatch.key)) {
+    const bool same_entry = attempt->entry == dispatch.entry;
+    if (same_entry && !attempt->inherited &&
+        dispatch.sequence < attempt->sequence) {
+      return true;
+    }
+    // A job's next manager asks for the attempt by dispatching it again.
+    attempt->entry = dispatch.entry;
+    attempt->sequence = dispatch.sequence;
+    if (attempt->state != AttemptState::kStarting) {
+      Reply(*attempt, attempt->state == AttemptState::kRunning
+                          ? DispatchOutcome::kAccepted
+                          : DispatchOutcome::kUnknown);
+    }
+    return true;
+  }
+  const Decision* found = tracker_.FindDecision(dispatch.key);
+  if (const auto* pending = relay_.Find(dispatch.key)) {
+    Decision decision;
+    decision.outcome = DispatchOutcome::kAccepted;
+    decision.worker = pending->answer.worker;
+    if (found != nullptr) {
+      decision.token = found->token;
+    }
+    ReplyWith(dispatch, decision);
+    relay_.SetEntry(dispatch.key, dispatch.entry);
+    SendAnswers();
+    return true;
+  }
+  if (found == nullptr) {
+    return false;
+  }
+  Decision decision = *found;
+  const bool repeated = decision.entry == dispatch.entry &&
+                        dispatch.sequence <= decision.sequence;
+  const bool not_run = decision.outcome == DispatchOutcome::kNoRoom ||
+                       decision.outcome == DispatchOutcome::kRefused;
+  if (!repeated && not_run && !decision.cancelled) {
+    return false;
+  }
+  if (!repeated) {
+    decision.outcome = DispatchOutcome::kRefused;
+  }
+  // Kept anew: it must outlive the sender's repetitions.
+  tracker_.Decide(dispatch.key, *found);
+  ReplyWith(dispatch, decision);
+  return true;
+}
+
+void OwnerAgent::Impl::ReplyWith(const Dispatch& dispatch,
+                                 const Decision& decision) {
+  DispatchReply reply;
+  reply.key = dispatch.key;
+  reply.sequence = dispatch.sequence;
+  reply.outcome = decision.outcome;
+  reply.worker = decision.worker;
+  reply.token = decision.token.token;
+  reply.boot_id = decision.token.boot_id;
+  if (const WorkerRecord* worker = keeper_.Find(decision.worker)) {
+    reply.rack = worker->vm.rack;
+    reply.data_centre = worker->vm.data_centre.str();
+  }
+  if (decision.outcome == DispatchOutcome::kNoRoom ||
+      decision.outcome == DispatchOutcome::kRefused) {
+    reply.summary = CurrentSummary();
+  }
+  Send(dispatch.entry, std::move(reply));
+}
+
+void OwnerAgent::Impl::Reply(const Attempt& attempt, DispatchOutcome outcome) {
+  Dispatch dispatch;
+  dispatch.key = attempt.key;
+  dispatch.entry = attempt.entry;
+  dispatch.sequence = attempt.sequence;
+  Decision decision;
+  decision.outcome = outcome;
+  decision.worker = attempt.worker;
+  decision.token = attempt.token;
+  // Nobody waits for the outcome of a start that an earlier owner made.
+  if (!attempt.inherited || attempt.sequence != 0) {
+    ReplyWith(dispatch, decision);
+  }
+}
+
+void OwnerAgent::Impl::Refuse(const Dispatch& dispatch,
+                              DispatchOutcome outcome) {
+  Decision decision;
+  decision.entry = dispatch.entry;
+  decision.sequence = dispatch.sequence;
+  decision.outcome = outcome;
+  ReplyWith(dispatch, decision);
+  tracker_.Decide(dispatch.key, decision);
+}
+
+bool OwnerAgent::Impl::CanStart(const WorkerRecord& worker) const {
+  const util::TimePoint now = clock_.Now();
+  return worker.lease.CanStart(now) && !worker.leaving() && !worker.resolve &&
+         now >= worker.closed_until;
+}
+
+WorkerRecord* OwnerAgent::Impl::Place(const Dispatch& dispatch,
+                                      Resources* size) {
+  for (int i = 0; i < kPlaceTries; ++i) {
+    const auto picked = placement_.Pick(*size, dispatch.avoid);
+    if (!picked) {
+      return nullptr;
+    }
+    WorkerRecord* worker = keeper_.Find(*picked);
+    if (worker != nullptr && CanStart(*worker) &&
+        size->FitsIn(worker->books.Free())) {
+      return worker;
+    }
+    placement_.Remove(*picked);
+    indexed_.erase(*picked);
+  }
+  return nullptr;
+}
+
+WorkerRecord* OwnerAgent::Impl::PlaceOnHold(const Dispatch& dispatch,
+                                            Resources* size) {
+  WorkerRecord* worker = keeper_.Find(dispatch.worker);
+  if (worker == nullptr || !CanStart(*worker)) {
+    return nullptr;
+  }
+  // The hold was made before the kind was known, with the declared size.
+  if (worker->books.TakeFromHold(dispatch.hold)) {
+    *size = dispatch.size;
+  }
+  if (size->FitsIn(worker->books.Free())) {
+    return worker;
+  }
+  Update(*worker);
+  return nullptr;
+}
+
+void OwnerAgent::Impl::Start(const Dispatch& dispatch,
+                             WorkerRecord& worker,
+                             const Resources& size) {
+  const util::TimePoint now = clock_.Now();
+  Attempt attempt;
+  attempt.key = dispatch.key;
+  attempt.entry = dispatch.entry;
+  attempt.sequence = dispatch.sequence;
+  attempt.kind = dispatch.kind;
+  attempt.declared = dispatch.size;
+  attempt.size = size;
+  attempt.worker = worker.id;
+  attempt.token = worker.lease.token();
+  attempt.urgency = dispatch.urgency;
+  attempt.checkpoint = dispatch.checkpoint;
+  attempt.repeatable = dispatch.repeatable;
+  attempt.longest_run = dispatch.longest_run;
+  attempt.started = now;
+
+  StartRequest request;
+  request.key = dispatch.key;
+  request.token = attempt.token;
+  request.kind = dispatch.kind;
+  request.size = size;
+  request.entry = dispatch.entry;
+  request.repeatable = dispatch.repeatable;
+  request.longest_run = dispatch.longest_run;
+  request.payload = dispatch.payload;
+
+  tracker_.Add(std::move(attempt));
+  worker.books.Add(dispatch.key, {size, AttemptState::kStarting, now});
+  health_.OnStart(worker.id);
+  Update(worker);
+  port_.Start(worker.id, request,
+              [this, alive = std::weak_ptr<bool>(alive_), key = request.key,
+               token = request.token](StartOutcome outcome) {
+                if (!alive.expired()) {
+                  Turn turn(*this);
+                  OnStarted(key, token, outcome);
+                }
+              });
+}
+
+void OwnerAgent::Impl::OnStarted(const TaskKey& key,
+                                 const LeaseToken& token,
+                                 StartOutcome outcome) {
+  Attempt* attempt = tracker_.Find(key);
+  // Settled in the meantime by a list, a completion or a verdict.
+  if (attempt == nullptr || attempt->state != AttemptState::kStarting ||
+      !(attempt->token == token)) {
+    return;
+  }
+  WorkerRecord* worker = keeper_.Find(attempt->worker);
+  const util::TimePoint now = clock_.Now();
+  switch (outcome) {
+    case StartOutcome::kAccepted:
+    case StartOutcome::kAlreadyThere:
+      SetRunning(*attempt, now);
+      break;
+    case StartOutcome::kUnknown:
+      OnStartUnknown(*attempt);
+      break;
+    case StartOutcome::kNoRoom:
+      EndNotRun(key, DispatchOutcome::kNoRoom);
+      if (worker != nullptr) {
+        // The books are wrong, or the capacity has changed: read it again.
+        worker->closed_until = now + kClosedAfterRefusal;
+        worker->resolve = true;
+      }
+      break;
+    case StartOutcome::kStaleToken:
+      EndNotRun(key, DispatchOutcome::kRefused);
+      if (worker != nullptr) {
+        keeper_.OnTokenDenied(*worker, token);
+      }
+      break;
+    case StartOutcome::kLeaving:
+      EndNotRun(key, DispatchOutcome::kRefused);
+      if (worker != nullptr) {
+        worker->refused_leaving = true;
+      }
+      break;
+    case StartOutcome::kNotSent:
+      EndNotRun(key, DispatchOutcome::kRefused);
+      if (worker != nullptr) {
+        worker->closed_until = now + kClosedAfterRefusal;
+      }
+      break;
+  }
+  if (worker != nullptr) {
+    Update(*worker);
+    keeper_.Service(*worker);
+  }
+}
+
+void OwnerAgent::Impl::OnStartUnknown(Attempt& attempt) {
+  if (attempt.fenced) {
+    EndNotRun(attempt.key, DispatchOutcome::kRefused);
+    return;
+  }
+  Log(Event::kStartUnknown,
+      {{"task", attempt.key.task.str()}, {"worker", attempt.worker.str()}});
+  attempt.state = AttemptState::kUnknown;
+  Reply(attempt, DispatchOutcome::kUnknown);
+  WorkerRecord* worker = keeper_.Find(attempt.worker);
+  if (worker == nullptr || !worker->books.Has(attempt.key)) {
+    // The worker's next owner reads it there and tells the entry.
+    Decision decision{attempt.entry, attempt.sequence,
+                      DispatchOutcome::kUnknown, attempt.worker, attempt.token};
+    tracker_.Decide(attempt.key, decision);
+    return;
+  }
+  worker->books.SetState(attempt.key, AttemptState::kUnknown);
+  worker->resolve = true;
+}
+
+void OwnerAgent::Impl::SetRunning(Attempt& attempt, util::TimePoint started) {
+  tracker_.SetRunning(attempt, started);
+  Reply(attempt, DispatchOutcome::kAccepted);
+  WorkerRecord* worker = keeper_.Find(attempt.worker);
+  if (worker != nullptr && worker->books.Has(attempt.key)) {
+    worker->books.SetState(attempt.key, AttemptState::kRunning);
+    return;
+  }
+  Decision decision{attempt.entry, attempt.sequence, DispatchOutcome::kAccepted,
+                    attempt.worker, attempt.token};
+  tracker_.Decide(attempt.key, decision);
+}
+
+void OwnerAgent::Impl::EndNotRun(const TaskKey& key, DispatchOutcome outcome) {
+  const Attempt attempt = *tracker_.Find(key);
+  if (WorkerRecord* worker = keeper_.Find(attempt.worker)) {
+    worker->books.Remove(attempt.key);
+    health_.OnNotStarted(attempt.worker);
+    Update(*worker);
+  }
+  Decision decision;
+  decision.entry = attempt.entry;
+  decision.sequence = attempt.sequence;
+  decision.outcome = outcome;
+  tracker_.Decide(attempt.key, decision);
+  Reply(attempt, outcome);
+}
+
+void OwnerAgent::Impl::EndUnknown(const TaskKey& key) {
+  const Attempt attempt = *tracker_.Find(key);
+  if (WorkerRecord* worker = keeper_.Find(attempt.worker)) {
+    worker->books.Remove(attempt.key);
+    health_.OnNotStarted(attempt.worker);
+  }
+  Decision decision{attempt.entry, attempt.sequence, DispatchOutcome::kAccepted,
+                    attempt.worker, attempt.token};
+  tracker_.Decide(attempt.key, decision);
+  Answer answer;
+  answer.key = attempt.key;
+  answer.worker = attempt.worker;
+  answer.error = ErrorKind::kOutcomeUnknown;
+  answer.ran = Ran::kUnknown;
+  relay_.Add(answer, attempt.entry, {attempt.worker, "", 0});
+  if (gone_.count(attempt.entry) != 0) {
+    AdoptAttempt(attempt.key, attempt.entry, attempt.repeatable);
+  }
+  SendAnswers();
+}
+
+void OwnerAgent::Impl::Preempt(const Dispatch& dispatch) {
+  if (dispatch.urgency != Urgency::kUrgent || preemption_credit_ < 1) {
+    return;
+  }
+  auto earlier = preempted_for_.find(dispatch.key.task);
+  if (earlier != preempted_for_.end()) {
+    if (tracker_.Find(earlier->second) != nullptr) {
+      return;  // its room is on the way
+    }
+    preempted_for_.erase(earlier);
+  }
+  const Resources size = usage_.Corrected(dispatch.kind, dispatch.size);
+  int left = kPreemptionCandidates;
+  for (const auto& rank : tracker_.preemptible()) {
+    Attempt* attempt = tracker_.Find(std::get<TaskKey>(rank));
+    if (left-- == 0 || attempt->urgency <= dispatch.urgency) {
+      return;
+    }
+    const WorkerRecord* worker = keeper_.Find(attempt->worker);
+    if (worker == nullptr || !CanStart(*worker) ||
+        !size.FitsIn(worker->books.Free() + attempt->size)) {
+      continue;
+    }
+    preemption_credit_ -= 1;
+    preempted_for_[dispatch.key.task] = attempt->key;
+    tracker_.RequestStop(*attempt, StopReason::kPreempted, true);
+    TickStops();
+    return;
+  }
+}
+
+void OwnerAgent::Impl::OnCancel(const Cancel& cancel) {
+  if (Attempt* attempt = tracker_.Find(cancel.key)) {
+    tracker_.RequestStop(*attempt, StopReason::kCancelled, cancel.checkpoint);
+    TickStops();
+    return;
+  }
+  if (relay_.Find(cancel.key) == nullptr &&
+      tracker_.FindDecision(cancel.key) == nullptr) {
+    Decision decision;
+    decision.cancelled = true;
+    tracker_.Decide(cancel.key, decision);
+  }
+}
+
+void OwnerAgent::Impl::TickStops() {
+  for (const TaskKey& key : tracker_.TakeDue()) {
+    const Attempt* attempt = tracker_.Find(key);
+    WorkerRecord* worker = keeper_.Find(attempt->worker);
+    if (attempt->state != AttemptState::kRunning || worker == nullptr ||
+        !worker->lease.held()) {
+      continue;
+    }
+    port_.Control(worker->id, worker->lease.token(), key,
+                  attempt->stop_by_checkpoint ? TaskControl::kCheckpoint
+                                              : TaskControl::kStop,
+                  [](PortStatus) {});
+  }
+}
+
+void OwnerAgent::Impl::OnHold(const MemberId& from, const Hold& hold) {
+  auto it = holds_.find(hold.hold);
+  if (it != holds_.end()) {
+    Send(from, it->second.reply);
+    return;
+  }
+  HoldReply reply;
+  reply.hold = hold.hold;
+  reply.job = hold.job;
+  const util::TimePoint expires = clock_.Now() + hold.ttl;
+  Dispatch dispatch;
+  Resources size = hold.size;
+  for (int64_t i = 0; i < hold.count && !draining_; ++i) {
+    WorkerRecord* worker = Place(dispatch, &size);
+    if (worker == nullptr) {
+      break;
+    }
+    worker->books.AddHold(hold.hold, size, 1, expires);
+    reply.workers.push_back(worker->id);
+    Update(*worker);
+  }
+  if (!reply.workers.empty()) {
+    holds_[hold.hold] = {from, reply, expires};
+  }
+  Send(from, std::move(reply));
+}
+
+void OwnerAgent::Impl::OnHoldRelease(uint64_t hold) {
+  auto it = holds_.find(hold);
+  if (it == holds_.end()) {
+    return;
+  }
+  const std::vector<WorkerId> workers = it->second.reply.workers;
+  holds_.erase(it);
+  for (const WorkerId& id : workers) {
+    if (WorkerRecord* worker = keeper_.Find(id)) {
+      worker->books.ReleaseHold(hold);
+      Update(*worker);
+    }
+  }
+}
+
+void OwnerAgent::Impl::Update(WorkerRecord& worker) {
+  const bool may_start = health_.MayStart(worker.id);
+  const bool open = worker.lease.state() == LeaseState::kOwned && !draining_ &&
+                    !worker.leaving() && !worker.resolve &&
+                    clock_.Now() >= worker.closed_until && may_start;
+  auto it = indexed_.find(worker.id);
+  if (!open) {
+    if (it != indexed_.end()) {
+      placement_.Remove(worker.id);
+      indexed_.erase(it);
+    }
+    const util::TimePoint probe = health_.NextProbe(worker.id);
+    if (!may_start && probe != util::TimePoint::max()) {
+      probes_.emplace(probe, worker.id);
+    }
+    return;
+  }
+  const Resources free = worker.books.Free();
+  placement_.Update(worker.id, {worker.vm.rack, worker.vm.data_centre.str(),
+                                worker.books.capacity(), free});
+  if (it == indexed_.end()) {
+    room_ = room_ || free.slots > 0;
+    indexed_.emplace(worker.id, free);
+    return;
+  }
+  room_ = room_ || !free.FitsIn(it->second);
+  it->second = free;
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/owner_workers.cc
@@ -0,0 +1,290 @@
+#include <set>
+
+#include "chivedale/owner_agent_impl.h"
+
+// What the workers tell. The worker's own account decides: what it lists runs,
+// what it completed has ended, and what it knows nothing of never started,
+// unless it was restarted in between.
+namespace chivedale {
+namespace {
+
+// WorkerTaken has no acknowledgement; it is sent this often in all.
+constexpr int kAnnouncements = 3;
+constexpr Millis kAnnounceAgain{1'000};
+
+}  // namespace
+
+void OwnerAgent::Impl::OnRead(WorkerRecord& worker,
+                              const std::vector<RunningTask>& tasks,
+                              const std::vector<Completion>& completions,
+                              bool reboot) {
+  Turn turn(*this);
+  Log(Event::kWorkerClaimed,
+      {{"worker", worker.id.str()},
+       {"token", std::to_string(worker.lease.token().token)}});
+  for (const Completion& completion : completions) {
+    OnCompletion(worker, completion);
+  }
+  for (const RunningTask& task : tasks) {
+    OnListedTask(worker, task);
+  }
+  SettleUnlisted(worker, tasks, reboot);
+  if (worker.taken_over || reboot) {
+    announcements_[worker.id] = {
+        kAnnouncements, reboot, worker.lease.token().token, {}};
+    Announce(worker, reboot);
+  }
+  SendAnswers();
+}
+
+void OwnerAgent::Impl::OnListedTask(WorkerRecord& worker,
+                                    const RunningTask& task) {
+  if (relay_.Find(task.key) != nullptr) {
+    return;  // it ended between the list and the completions
+  }
+  const util::TimePoint started = clock_.Now() - task.running_for;
+  if (Attempt* attempt = tracker_.Find(task.key)) {
+    if (attempt->state != AttemptState::kRunning) {
+      Log(Event::kStartResolved,
+          {{"task", task.key.task.str()}, {"ran", "yes"}});
+      SetRunning(*attempt, started);
+    }
+    return;
+  }
+  Attempt attempt;
+  attempt.key = task.key;
+  attempt.entry = task.entry;
+  attempt.kind = task.kind;
+  attempt.declared = task.size;
+  attempt.size = task.size;
+  attempt.worker = worker.id;
+  attempt.token = worker.lease.token();
+  attempt.state = AttemptState::kRunning;
+  attempt.inherited = true;
+  attempt.repeatable = task.repeatable;
+  attempt.started = started;
+  tracker_.Add(std::move(attempt));
+  worker.books.Add(task.key, {task.size, AttemptState::kRunning, started});
+  health_.OnStart(worker.id);
+  if (gone_.count(task.entry) != 0) {
+    AdoptAttempt(task.key, task.entry, task.repeatable);
+  }
+}
+
+void OwnerAgent::Impl::SettleUnlisted(WorkerRecord& worker,
+                                      const std::vector<RunningTask>& tasks,
+                                      bool reboot) {
+  std::set<TaskKey> listed;
+  for (const RunningTask& task : tasks) {
+    listed.insert(task.key);
+  }
+  std::vector<TaskKey> unlisted;
+  for (const auto& [key, item] : worker.books.items()) {
+    if (listed.count(key) == 0) {
+      unlisted.push_back(key);
+    }
+  }
+  for (const TaskKey& key : unlisted) {
+    Attempt* attempt = tracker_.Find(key);
+    if (attempt == nullptr) {
+      worker.books.Remove(key);
+    } else if (reboot || attempt->state == AttemptState::kRunning) {
+      EndUnknown(key);
+    } else if (attempt->state == AttemptState::kUnknown) {
+      Log(Event::kStartResolved, {{"task", key.task.str()}, {"ran", "no"}});
+      EndNotRun(key, DispatchOutcome::kRefused);
+    } else {
+      // Its call has not ended, but can no longer have an effect.
+      attempt->fenced = true;
+    }
+  }
+}
+
+void OwnerAgent::Impl::OnCompletions(
+    WorkerRecord& worker,
+    const std::vector<Completion>& completions) {
+  Turn turn(*this);
+  for (const Completion& completion : completions) {
+    OnCompletion(worker, completion);
+  }
+  Update(worker);
+  SendAnswers();
+}
+
+void OwnerAgent::Impl::OnCompletion(WorkerRecord& worker,
+                                    const Completion& completion) {
+  const CompletionRelay::Origin origin{worker.id, worker.lease.token().boot_id,
+                                       completion.sequence};
+  if (relay_.IsAcknowledged(origin)) {
+    return;
+  }
+  Answer answer;
+  answer.key = completion.key;
+  answer.worker = worker.id;
+  answer.ok = completion.ok;
+  answer.error = completion.error;
+  answer.ran = completion.ran;
+  answer.checkpointed = completion.checkpointed;
+  answer.run_time = completion.run_time;
+  answer.payload = completion.payload;
+  MemberId entry = completion.entry;
+  bool repeatable = completion.repeatable;
+  if (Attempt* found = tracker_.Find(completion.key)) {
+    if (found->state != AttemptState::kRunning) {
+      Reply(*found, DispatchOutcome::kAccepted);
+    }
+    const Attempt attempt = *found;
+    entry = attempt.entry;
+    repeatable = attempt.repeatable;
+    if (!answer.ok && attempt.stop == StopReason::kTimedOut &&
+        answer.error == ErrorKind::kCancelledRunning) {
+      answer.error = ErrorKind::kTimedOut;
+    }
+    worker.books.Remove(attempt.key);
+    LearnFrom(worker, attempt, completion);
+    tracker_.Decide(attempt.key,
+                    {entry, attempt.sequence, DispatchOutcome::kAccepted,
+                     worker.id, attempt.token, false});
+  }
+  relay_.Add(answer, entry, origin);
+  if (gone_.count(entry) != 0) {
+    AdoptAttempt(completion.key, entry, repeatable);
+  }
+}
+
+void OwnerAgent::Impl::LearnFrom(WorkerRecord& worker,
+                                 const Attempt& attempt,
+                                 const Completion& completion) {
+  if (completion.ok) {
+    run_times_.emplace_back(attempt.kind, completion.run_time);
+  }
+  // The list of an earlier owner shows the corrected size, not the declared.
+  if (!attempt.inherited) {
+    // A run cut short says what was used at least.
+    usage_.Observe(attempt.kind, attempt.declared, completion.peak_used,
+                   completion.ok ? completion.run_time : Millis(0),
+                   worker.report.lag);
+  }
+  if (completion.ok || completion.error == ErrorKind::kTaskFailed) {
+    const bool failing = health_.failing(worker.id);
+    health_.OnEnd(worker.id, attempt.kind, completion.ok);
+    if (failing != health_.failing(worker.id)) {
+      Log(failing ? Event::kWorkerRecovered : Event::kWorkerFailing,
+          {{"worker", worker.id.str()}});
+    }
+  } else {
+    health_.OnNotStarted(worker.id);
+  }
+}
+
+void OwnerAgent::Impl::OnChange(WorkerRecord& worker) {
+  Turn turn(*this);
+  Update(worker);
+}
+
+// Attempts that ended are listed until their entry has the answer, so that it
+// does not take them for lost.
+void OwnerAgent::Impl::Announce(WorkerRecord& worker, bool reboot) {
+  Announcement& announcement = announcements_[worker.id];
+  --announcement.left;
+  announcement.next = clock_.Now() + kAnnounceAgain;
+  if (worker.lease.state() != LeaseState::kOwned) {
+    return;
+  }
+  WorkerTaken taken;
+  taken.worker = worker.id;
+  taken.owner = self_.id;
+  taken.token = worker.lease.token().token;
+  taken.boot_id = worker.lease.token().boot_id;
+  taken.reboot = reboot;
+  std::set<MemberId> entries;
+  for (const auto& [key, item] : worker.books.items()) {
+    taken.running.push_back(key);
+    if (const Attempt* attempt = tracker_.Find(key)) {
+      entries.insert(attempt->entry);
+    }
+  }
+  for (const TaskKey& key : relay_.KeysOf(worker.id)) {
+    taken.running.push_back(key);
+    entries.insert(relay_.Find(key)->entry);
+  }
+  SendToAll(taken);
+  for (const MemberId& entry : entries) {
+    if (!IsMember(entry) && gone_.count(entry) == 0) {
+      Send(entry, taken);
+    }
+  }
+}
+
+void OwnerAgent::Impl::OnTaken(WorkerRecord& worker) {
+  Turn turn(*this);
+  Log(Event::kWorkerLost, {{"worker", worker.id.str()}});
+  Forget(worker);
+}
+
+void OwnerAgent::Impl::OnReleased(WorkerRecord& worker, const MemberId& next) {
+  Turn turn(*this);
+  Log(Event::kWorkerReleased,
+      {{"worker", worker.id.str()}, {"next", next.str()}});
+  Forget(worker);
+  if (!next.empty() && next != self_.id) {
+    Send(next, Handover{{worker.id}});
+  }
+}
+
+// A start whose call has not ended stays known until it ends. The rest is
+// remembered as decided: a late repetition of its dispatch must start nothing.
+void OwnerAgent::Impl::Forget(WorkerRecord& worker) {
+  std::vector<TaskKey> keys;
+  for (const auto& [key, item] : worker.books.items()) {
+    keys.push_back(key);
+  }
+  worker.books.Clear();
+  for (const TaskKey& key : keys) {
+    adopted_.Forget(key);
+    const Attempt* attempt = tracker_.Find(key);
+    if (attempt == nullptr || attempt->state == AttemptState::kStarting) {
+      continue;
+    }
+    const auto outcome = attempt->state == AttemptState::kRunning
+                             ? DispatchOutcome::kAccepted
+                             : DispatchOutcome::kUnknown;
+    tracker_.Decide(key, {attempt->entry, attempt->sequence, outcome, worker.id,
+                          attempt->token, false});
+  }
+  for (const TaskKey& key : relay_.KeysOf(worker.id)) {
+    adopted_.Forget(key);
+  }
+  relay_.ForgetWorker(worker.id);
+  health_.Forget(worker.id);
+  announcements_.erase(worker.id);
+  Update(worker);
+}
+
+void OwnerAgent::Impl::OnAllEnded(WorkerRecord& worker) {
+  Turn turn(*this);
+  Log(Event::kWorkerLost, {{"worker", worker.id.str()}});
+  std::vector<TaskKey> keys;
+  for (const auto& [key, item] : worker.books.items()) {
+    keys.push_back(key);
+  }
+  for (const TaskKey& key : keys) {
+    if (tracker_.Find(key) != nullptr) {
+      EndUnknown(key);
+    }
+  }
+  worker.books.Clear();
+  SendAnswers();
+}
+
+std::vector<uint64_t> OwnerAgent::Impl::AcksFor(
+    const WorkerRecord& worker) const {
+  return relay_.AcksFor(worker.id, worker.lease.token().boot_id);
+}
+
+void OwnerAgent::Impl::OnAcksDelivered(WorkerRecord& worker,
+                                       const std::vector<uint64_t>& acks) {
+  relay_.OnAcksDelivered(worker.id, worker.lease.token().boot_id, acks);
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/testing/owner_world.h
@@ -0,0 +1,181 @@
+// Several OwnerAgents over fake workers, with an entry that follows its tasks
+// as Dispatcher does, and the faults of a history. The worker's own book and
+// what the entry was told are compared after each step.
+//
+//   OwnerWorld world(options);
+//   world.AddTask(...);
+//   world.CrashNode(0);
+//   world.Run(Millis(5'000));
+//   BOOST_TEST(world.Broken() == "");
+#ifndef CHIVEDALE_TESTING_OWNER_WORLD_H_
+#define CHIVEDALE_TESTING_OWNER_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chivedale/owner_agent.h"
+#include "chivedale/testing/fake_worker.h"
+
+namespace chivedale::testing {
+
+// Passes calls on to the workers, unless its node is paused.
+class NodePort final : public WorkerPort {
+ public:
+  NodePort(FakeQueue& queue, FakeWorker& workers)
+      : queue_(queue), workers_(workers) {}
+
+  // The next start is held back for this long after the call: its sender
+  // paused between its check and the send.
+  void HoldNextStart(Millis time) { hold_ = time; }
+  void Pause() { paused_ = true; }
+  void Resume();
+  int64_t held_starts() const { return held_starts_; }
+
+  void Lease(const WorkerId& worker,
+             const MemberId& owner,
+             const LeaseToken& token,
+             Millis ttl,
+             std::function<void(LeaseResult)> done) override;
+  void Release(const WorkerId& worker,
+               const MemberId& owner,
+               const LeaseToken& token,
+               std::function<void(PortStatus)> done) override;
+  void List(const WorkerId& worker,
+            std::function<void(TaskList)> done) override;
+  void Start(const WorkerId& worker,
+             const StartRequest& request,
+             std::function<void(StartOutcome)> done) override;
+  void Completions(const WorkerId& worker,
+                   const CompletionsRequest& request,
+                   std::function<void(CompletionsResult)> done) override;
+  void Control(const WorkerId& worker,
+               const LeaseToken& token,
+               const TaskKey& key,
+               TaskControl control,
+               std::function<void(PortStatus)> done) override;
+  void SetAddress(const WorkerId&, const std::string&) override {}
+
+ private:
+  // Callbacks of a paused process wait for its end of the pause.
+  template <typename Result>
+  std::function<void(Result)> Gate(std::function<void(Result)> done);
+
+  FakeQueue& queue_;
+  FakeWorker& workers_;
+  bool paused_ = false;
+  Millis hold_{0};
+  int64_t held_starts_ = 0;
+  std::vector<std::function<void()>> waiting_;
+};
+
+class OwnerWorld {
+ public:
+  struct Options {
+    int nodes = 2;
+    int workers = 3;
+    Resources capacity{4'000, 8'192, 0, 4};
+    bool fencing = true;
+    uint64_t seed = 1;
+    OwnerAgent::Options agent;
+  };
+  struct TaskState {
+    enum class Phase { kIdle, kSent, kRunning, kDone, kGivenUp };
+    Dispatch dispatch;
+    Phase phase = Phase::kIdle;
+    MemberId owner;
+    WorkerId worker;
+    uint64_t token = 0;
+    std::string boot_id;
+    util::TimePoint sent{};
+    util::TimePoint owner_lost{};
+    Answer answer;
+  };
+
+  explicit OwnerWorld(Options options);
+  ~OwnerWorld();
+
+  // Commands.
+  // `script` is the payload that the worker model reads.
+  TaskId AddTask(Dispatch dispatch, const std::string& script);
+  void Run(Millis time);
+  void CrashNode(size_t node);
+  // Others take the node for dead after two seconds.
+  void PauseNode(size_t node, Millis time);
+  void AddNode();
+  void DrainNode(size_t node);
+  void LoseMessages(Millis time);
+  void DuplicateMessages(Millis time);
+  void Reboot(size_t worker);
+  // Sends a message to a node now.
+  void Send(size_t node, const Message& message);
+
+  // Queries.
+  size_t nodes() const { return nodes_.size(); }
+  bool alive(size_t node) const;
+  OwnerAgent& agent(size_t node);
+  NodePort& port(size_t node);
+  MemberId node_id(size_t node) const;
+  WorkerModel& worker(size_t i) { return workers_.model(WorkerIdOf(i)); }
+  FakeWorker& workers() { return workers_; }
+  FakeClock& clock() { return clock_; }
+  static WorkerId WorkerIdOf(size_t i);
+  const TaskState& task(const TaskId& id) const { return tasks_.at(id); }
+  int64_t owned() const;
+  // The first broken promise in words, or empty.
+  const std::string& Broken() const { return broken_; }
+  // At the end of a history: what should have ended and has not.
+  std::string Unfinished() const;
+  // Messages that no task was concerned by, in order.
+  const std::vector<std::pair<MemberId, Message>>& other_messages() const {
+    return other_messages_;
+  }
+  std::map<std::string, int64_t>& faults() { return faults_; }
+  MemberId entry_id() const { return MemberId("entry/1"); }
+
+ private:
+  struct Node;
+
+  void Step(Millis step);
+  void Deliver(const MemberId& from,
+               const MemberId& to,
+               const Message& message);
+  void ToNode(const MemberId& to, const Message& message);
+  void ToEntry(const MemberId& from, const Message& message);
+  void OnReply(const MemberId& from, const DispatchReply& reply);
+  void OnAnswer(const MemberId& from, const Answer& answer);
+  void OnTaken(const WorkerTaken& taken);
+  void EndLost(TaskState& task);
+  void TickEntry();
+  void TellMembers();
+  void MarkDead(const MemberId& member);
+  void Check();
+  void Break(const std::string& what);
+  TaskState* FindSent(const TaskKey& key);
+
+  const Options options_;
+  FakeClock clock_;
+  FakeQueue queue_;
+  FakeWorker workers_;
+  util::Random random_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::set<MemberId> dead_;
+  std::map<TaskId, TaskState> tasks_;
+  // Attempts that the entry was told did not run.
+  std::set<TaskKey> not_run_;
+  std::set<TaskKey> answered_;
+  std::set<WorkerId> rebooted_;
+  std::vector<std::pair<MemberId, Message>> other_messages_;
+  util::TimePoint lossy_until_{};
+  util::TimePoint duplicating_until_{};
+  uint64_t sequence_ = 0;
+  int next_task_ = 0;
+  std::string broken_;
+  std::map<std::string, int64_t> faults_;
+};
+
+}  // namespace chivedale::testing
+
+#endif  // CHIVEDALE_TESTING_OWNER_WORLD_H_
