--- a/chivedale/job_manager.h
+++ b/chivedale/job_manager.h
@@ -13,6 +13,7 @@
 
 #include "chivedale/error.h"
 #include "chivedale/ids.h"
+#include "chivedale/job_record.h"
 #include "chivedale/messages.h"
 #include "chivedale/ports.h"
 #include "chivedale/work.h"
@@ -21,35 +22,6 @@
 
 namespace chivedale {
 
-enum class JobPhase { kActive, kCancelling, kSucceeded, kFailed, kCancelled };
-enum class TaskPhase { kWaiting, kStarting, kRunning, kSucceeded, kFailed };
-
-struct JobSpec {
-  JobId id;
-  std::string kind;
-  int64_t tasks = 1;  // for a service the count to keep
-  std::string payload;
-  std::string submitter;
-};
-
-struct JobTaskStatus {
-  int64_t index = 0;
-  TaskPhase phase = TaskPhase::kWaiting;
-  uint32_t attempt = 0;
-  MemberId owner;
-  WorkerId worker;
-  std::string rack;
-  std::string data_centre;
-};
-
-struct JobStatus {
-  JobSpec spec;
-  JobPhase phase = JobPhase::kActive;
-  std::string reason;
-  std::vector<JobTaskStatus> tasks;
-  MemberId manager;
-};
-
 struct JobResult {
   bool ok = false;
   ErrorKind error = ErrorKind::kInternal;
@@ -63,14 +35,21 @@
  public:
   virtual ~JobListener() = default;
   // Puts one attempt into the entry's fair queue. The outcome comes back by
-  // OnDispatchReply and OnAnswer.
+  // OnDispatchReply and OnAnswer. The entry sends it to one owner at a time: to
+  // another one only after kNoRoom or kRefused, and a dispatch without a reply
+  // is reported as kUnknown with its owner.
   virtual void Enqueue(const Dispatch& dispatch,
                        util::TimePoint not_before) = 0;
-  // Removes it from the queue, or cancels it at its owner.
+  // Removes it from the queue, which comes back as kRefused; when it is no
+  // longer there, sends Cancel to `owner`, or if that is empty, to the owner
+  // that it was dispatched to. Called again until the attempt has ended.
   virtual void Withdraw(const TaskKey& key, const MemberId& owner) = 0;
   virtual void SendToMember(const MemberId& to, const Message& message) = 0;
   virtual const WorkRow* FindRow(const std::string& kind) const = 0;
-  // Owners with room by summary, most first, for gang holds.
+  // Takes it out of the queue and leaves it alone elsewhere: another member
+  // manages the job now.
+  virtual void Forget(const TaskKey& /*key*/) {}
+  // The latest summary of each owner, with room or without.
   virtual std::vector<Summary> Summaries() const = 0;
 };
 
@@ -81,6 +60,22 @@
     Millis orphan_wait{6'600};
     Millis hold_ttl{2'000};
     int64_t max_tasks_per_job = 10'000;
+    // The record with payload and tasks must stay below the store's 1 MB.
+    size_t max_payload = 65'536;
+    // Starts of one job that may wait in the queue at once.
+    int64_t max_starting = 256;
+    // Writes begun in one write_interval, over all jobs; the store takes
+    // several hundred a second from all members.
+    int64_t writes_per_interval = 4;
+    // Each member looks for jobs that it should manage this often.
+    Millis scan_interval{10'000};
+    // Answers to a caller whose store operation does not end.
+    Millis operation_timeout{5'000};
+    // A job that cannot run for want of a row or of a large enough worker ends
+    // after this long; workers that restart come back within it.
+    Millis never_fits_after{30'000};
+    // Finished jobs answer for this long, then their record is removed.
+    Millis retention{3'600'000};
   };
 
   JobManager(const util::Clock& clock,
@@ -101,6 +96,9 @@
   void OnAnswer(const MemberId& owner, const Answer& answer);
   void OnWorkerTaken(const WorkerTaken& taken);
   void OnHoldReply(const MemberId& owner, const HoldReply& reply);
+  void OnJobQueryReply(const MemberId& owner, const JobQueryReply& reply);
+  void OnJobChanged(const JobChanged& changed);
+  // Every 50 ms or so.
   void Tick();
 
   // Queries.
@@ -111,7 +109,7 @@
 
  private:
   struct Impl;
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace chivedale
--- /dev/null
+++ b/chivedale/job_operations.h
@@ -0,0 +1,39 @@
+// Callers' operations on job records: submit, cancel, scale, read. Each reads
+// the record, decides, and writes it by compare-and-swap, again until it is
+// settled or its time is up; the same on every member, manager or not.
+#ifndef CHIVEDALE_JOB_OPERATIONS_H_
+#define CHIVEDALE_JOB_OPERATIONS_H_
+
+#include <functional>
+#include <memory>
+
+#include "chivedale/job_manager.h"
+#include "chivedale/job_record.h"
+
+namespace chivedale {
+
+class JobOperations {
+ public:
+  // `changed` is called after each write, to tell the job's manager.
+  JobOperations(const util::Clock& clock,
+                StorePort& store,
+                std::function<void(const JobId&)> changed,
+                const JobManager::Options& options);
+  ~JobOperations();
+
+  // Commands.
+  void Submit(const JobSpec& spec, const WorkRow* row, JobCallback done);
+  void Cancel(const JobId& id, JobCallback done);
+  void SetCount(const JobId& id, int64_t count, JobCallback done);
+  void Get(const JobId& id, JobCallback done);
+  // Retries and ends operations.
+  void Tick();
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_JOB_OPERATIONS_H_
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -102,6 +102,9 @@
   // Empty, or the worker that a hold of a gang names.
   WorkerId worker;
   uint64_t hold = 0;
+  // For a job's task: the epoch of its manager's claim. An owner that has seen
+  // a JobQuery with a higher epoch refuses the start.
+  uint64_t job_epoch = 0;
   // Workers, racks and data centres to avoid where others have room (spread).
   std::vector<std::string> avoid;
   Body payload;
@@ -262,7 +265,8 @@
   std::string json;
 };
 
-// Holds room for one task of a gang until `ttl` passes or a release.
+// Holds room for `count` tasks of a gang until `ttl` passes or a release. The
+// same hold sent again starts its `ttl` anew and takes up to `count` in all.
 struct Hold {
   uint64_t hold = 0;
   JobId job;
@@ -282,6 +286,39 @@
   uint64_t hold = 0;
 };
 
+// An attempt and the worker it is recorded on, if known.
+struct JobAttempt {
+  TaskKey key;
+  WorkerId worker;
+};
+
+// From a job's manager to all owners, after a takeover or when an owner is
+// gone: from now on answers of these attempts go to `manager`, and starts with
+// a lower epoch are refused. An answer not yet acknowledged is sent at once.
+struct JobQuery {
+  JobId job;
+  MemberId manager;
+  uint64_t epoch = 0;
+  // Tells the reply's round from earlier ones.
+  uint64_t round = 0;
+  std::vector<JobAttempt> attempts;
+};
+
+struct JobQueryReply {
+  JobId job;
+  uint64_t epoch = 0;
+  uint64_t round = 0;
+  // Running on a worker of this owner, or ended with an unacknowledged answer.
+  std::vector<JobAttempt> present;
+  // The owner holds the attempt's worker and the attempt is not there.
+  std::vector<TaskKey> absent;
+};
+
+// To a job's manager: its record in the store was created or edited.
+struct JobChanged {
+  JobId job;
+};
+
 // A draining owner has released these workers; the receiver claims them now.
 struct Handover {
   std::vector<WorkerId> workers;
@@ -309,7 +346,10 @@
                              Hold,
                              HoldReply,
                              HoldRelease,
-                             Handover>;
+                             Handover,
+                             JobQuery,
+                             JobQueryReply,
+                             JobChanged>;
 
 }  // namespace chivedale
 
