--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -75,6 +75,9 @@
   Resources free;
   // Largest single free amount; a task above it in any component cannot fit.
   Resources largest;
+  // Largest worker by component, as if empty; work above it never fits. Zero
+  // when the sender does not know.
+  Resources largest_worker;
 };
 
 struct Summary {
@@ -183,6 +186,9 @@
   bool running = false;
   // Only asks: a new id is neither registered nor recorded.
   bool probe = false;
+  // Chosen by the entry for one registration, not 0. A repeated send of it gets
+  // the first reply again; without it an unrepeatable id is kNew only once.
+  uint64_t registration = 0;
 };
 
 // The entry refused or cancelled the request before any start: the holder
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -38,7 +38,12 @@
                  m.state,
                  m.incarnation);
 CHIVEDALE_FIELDS(DemandReport, m.running, m.queued, m.arrivals_per_s);
-CHIVEDALE_FIELDS(RoomSummary, m.workers, m.capacity, m.free, m.largest);
+CHIVEDALE_FIELDS(RoomSummary,
+                 m.workers,
+                 m.capacity,
+                 m.free,
+                 m.largest,
+                 m.largest_worker);
 CHIVEDALE_FIELDS(Hello, m.sender, m.protocol);
 CHIVEDALE_FIELDS(Ping,
                  m.sequence,
@@ -108,7 +113,8 @@
                  m.repeatable,
                  m.digest,
                  m.running,
-                 m.probe);
+                 m.probe,
+                 m.registration);
 CHIVEDALE_FIELDS(Unregister, m.request, m.entry);
 CHIVEDALE_FIELDS(RegisterReply, m.request, m.outcome, m.entry, m.retry_after);
 CHIVEDALE_FIELDS(Attach, m.request, m.sender, m.mode);
