Join the owner role, the job messages and the adopted requests; the control state links

Cause: the owner role is in, and the parts have to agree on who answers whom. Change: a registration's number comes back in its reply, so that the entry and owner roles of one member tell their replies apart; a request that this member has adopted is attached to, not run again; owners answer a job manager's query and refuse starts of earlier managers; peer fields of the job messages.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -60,6 +60,17 @@
   return true;
 }
 
+void Dispatcher::Forget(const TaskId& task) {
+  auto it = attempts_.find(task);
+  if (it == attempts_.end() || Withdraw(task)) {
+    return;
+  }
+  const Dispatch& dispatch = it->second.task.dispatch;
+  deps_.limits.OnEnd(dispatch.kind, dispatch.size);
+  sent_.erase(task);
+  attempts_.erase(it);
+}
+
 bool Dispatcher::Stop(const TaskId& task, bool checkpoint) {
   auto it = attempts_.find(task);
   if (it == attempts_.end() || it->second.phase == Phase::kQueued) {
@@ -300,12 +311,18 @@
 void Dispatcher::OnMemberDead(const MemberId& member) {
   for (const auto& [task, sent] : sent_) {
     Attempt& attempt = attempts_.at(task);
-    if (attempt.owner == member && attempt.owner_lost == util::TimePoint()) {
-      attempt.owner_lost = deps_.clock.Now();
+    if (attempt.owner == member) {
+      MarkOwnerLost(attempt);
     }
   }
 }
 
+void Dispatcher::MarkOwnerLost(Attempt& attempt) {
+  if (attempt.owner_lost == util::TimePoint()) {
+    attempt.owner_lost = deps_.clock.Now();
+  }
+}
+
 void Dispatcher::Tick() {
   for (const QueuedItem& item : deps_.queue.TakeExpired()) {
     auto it = attempts_.find(item.task);
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -77,6 +77,8 @@
   void EnqueueAgain(DispatchTask task, AttemptListener& listener);
   // Takes the task out of the queue. False when it is not queued.
   bool Withdraw(const TaskId& task);
+  // No longer follows the task, wherever it is.
+  void Forget(const TaskId& task);
   // Asks the owner of a sent attempt to stop it. False when there is none.
   bool Stop(const TaskId& task, bool checkpoint);
   void Pump();
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -156,6 +156,10 @@
 
 void EntryAgent::Begin(const Submission& submission, const WorkRow& row) {
   const RequestId id = submission.id;
+  if (deps_.owner.HasAdopted(id)) {
+    AttachTo(id, self_);
+    return;
+  }
   deps_.limits.OnArrival(submission.kind);
   try {
     deps_.admission.Check(row, submission.size, submission.deadline,
@@ -192,9 +196,19 @@
   switch (reply.outcome) {
     case RegisterOutcome::kNew:
       deps_.ledger.FindMutable(id)->granted = true;
+      if (deps_.owner.HasAdopted(id)) {
+        // Adopted while the holder was asked; to the holder both are this
+        // member.
+        AttachTo(id, self_);
+        return;
+      }
       Admit(id);
       return;
     case RegisterOutcome::kKnown:
+      if (reply.entry == self_ && deps_.owner.HasAdopted(id)) {
+        AttachTo(id, self_);
+        return;
+      }
       if (reply.entry == self_ && state->submission.repeatable) {
         Admit(id);
         return;
--- a/chivedale/entry_agent.h
+++ b/chivedale/entry_agent.h
@@ -39,6 +39,7 @@
     Registrar& registrar;
     Admission& admission;
     Dispatcher& dispatcher;
+    const OwnerAgent& owner;
     RetryPolicy& retries;
     RunTimeModel& run_times;
     LimitShare& limits;
--- a/chivedale/owner_agent.cc
+++ b/chivedale/owner_agent.cc
@@ -255,6 +255,7 @@
     return;
   }
   next_adoption_check_ = now + kAdoptionCheck;
+  ExpireJobEpochs();
   FindMissingEntries();
   AdoptedTasks::Due adopted = adopted_.TakeDue();
   for (Register& ask : adopted.registers) {
@@ -411,6 +412,11 @@
   impl_->keeper_.OnHandover(handover.workers);
 }
 
+void OwnerAgent::OnJobQuery(const JobQuery& query) {
+  Impl::Turn turn(*impl_);
+  impl_->OnJobQuery(query);
+}
+
 void OwnerAgent::OnWorkerTaken(const WorkerTaken& taken) {
   Impl::Turn turn(*impl_);
   if (taken.owner != impl_->self_.id) {
--- a/chivedale/owner_agent.h
+++ b/chivedale/owner_agent.h
@@ -89,6 +89,9 @@
   void OnHold(const MemberId& from, const Hold& hold);
   void OnHoldRelease(const HoldRelease& release);
   void OnHandover(const Handover& handover);
+  // Answers with what is known of the attempts; from now on their answers go
+  // to the job's new manager and starts of earlier managers are refused.
+  void OnJobQuery(const JobQuery& query);
   // Another member owns the worker now: its attempts are no longer followed
   // here. The entry role learns of the message on its own.
   void OnWorkerTaken(const WorkerTaken& taken);
--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -100,6 +100,12 @@
   void OnHoldRelease(uint64_t hold);
   void Update(WorkerRecord& worker);
 
+  // owner_jobs.cc
+  void OnJobQuery(const JobQuery& query);
+  bool IsOfEarlierManager(const Dispatch& dispatch) const;
+  bool HasRead(const WorkerId& id);
+  void ExpireJobEpochs();
+
   // owner_workers.cc: LeaseEvents
   void OnRead(WorkerRecord& worker,
               const std::vector<RunningTask>& tasks,
@@ -143,6 +149,14 @@
     util::TimePoint since{};
   };
 
+  // The highest epoch of a job's managers that was heard of.
+  struct JobEpoch {
+    uint64_t epoch = 0;
+    util::TimePoint heard{};
+  };
+  // Longer than a dispatch can be on its way.
+  static constexpr Millis kJobEpochRetention{3'600'000};
+
   const util::Clock& clock_;
   util::Random& random_;
   WorkerPort& port_;
@@ -163,6 +177,7 @@
   std::map<uint64_t, HeldWorkers> holds_;
   std::unordered_map<WorkerId, Announcement> announcements_;
   std::map<MemberId, GoneEntry> gone_;
+  std::unordered_map<JobId, JobEpoch> job_epochs_;
   std::set<std::pair<util::TimePoint, WorkerId>> probes_;
   // The running attempt that was stopped to make room for an urgent task.
   std::map<TaskId, TaskKey> preempted_for_;
--- a/chivedale/owner_starts.cc
+++ b/chivedale/owner_starts.cc
@@ -20,7 +20,8 @@
   if (AnswerAsFirst(dispatch)) {
     return;
   }
-  if (draining_ || tracker_.HasOtherAttempt(dispatch.key)) {
+  if (draining_ || tracker_.HasOtherAttempt(dispatch.key) ||
+      IsOfEarlierManager(dispatch)) {
     Refuse(dispatch, DispatchOutcome::kRefused);
     return;
   }
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -78,7 +78,8 @@
                  m.hold,
                  m.avoid,
                  m.payload,
-                 m.sequence);
+                 m.sequence,
+                 m.job_epoch);
 CHIVEDALE_FIELDS(DispatchReply,
                  m.key,
                  m.sequence,
@@ -116,7 +117,12 @@
                  m.probe,
                  m.registration);
 CHIVEDALE_FIELDS(Unregister, m.request, m.entry);
-CHIVEDALE_FIELDS(RegisterReply, m.request, m.outcome, m.entry, m.retry_after);
+CHIVEDALE_FIELDS(RegisterReply,
+                 m.request,
+                 m.outcome,
+                 m.entry,
+                 m.retry_after,
+                 m.registration);
 CHIVEDALE_FIELDS(Attach, m.request, m.sender, m.mode);
 CHIVEDALE_FIELDS(AttachAnswer,
                  m.request,
@@ -138,6 +144,10 @@
 CHIVEDALE_FIELDS(HoldReply, m.hold, m.job, m.workers);
 CHIVEDALE_FIELDS(HoldRelease, m.hold);
 CHIVEDALE_FIELDS(Handover, m.workers);
+CHIVEDALE_FIELDS(JobAttempt, m.key, m.worker);
+CHIVEDALE_FIELDS(JobQuery, m.job, m.manager, m.epoch, m.round, m.attempts);
+CHIVEDALE_FIELDS(JobQueryReply, m.job, m.epoch, m.round, m.present, m.absent);
+CHIVEDALE_FIELDS(JobChanged, m.job);
 
 #undef CHIVEDALE_FIELDS
 
--- a/chivedale/registrar.cc
+++ b/chivedale/registrar.cc
@@ -84,9 +84,13 @@
 }
 
 bool Registrar::OnReply(const RegisterReply& reply) {
+  if (reply.registration == 0) {
+    return false;  // of the owner role
+  }
   auto it = ids_.find(reply.request);
-  if (it == ids_.end() || asking_.count(reply.request) == 0) {
-    return it != ids_.end();
+  if (it == ids_.end() || asking_.count(reply.request) == 0 ||
+      it->second.number != reply.registration) {
+    return true;
   }
   Registration& registration = it->second;
   if (reply.outcome == RegisterOutcome::kNotHolder ||
--- a/chivedale/registrar.h
+++ b/chivedale/registrar.h
@@ -47,7 +47,7 @@
   void Probe(const RequestId& id, bool repeatable, uint64_t digest, Done done);
   // The request has ended. `ran` false: certainly not run, the id is freed.
   void End(const RequestId& id, bool ran);
-  // False when no registration waits for this reply.
+  // False when the reply is to no registration of an entry.
   bool OnReply(const RegisterReply& reply);
   // Registers open ids with new holders.
   void OnMembersChanged();
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -600,7 +600,11 @@
 void RequestDirectory::OnRegister(
     const Register& request,
     std::function<void(const RegisterReply&)> reply) {
-  impl_->OnRegister(request, reply);
+  impl_->OnRegister(request, [registration = request.registration,
+                              reply](RegisterReply answer) {
+    answer.registration = registration;
+    reply(answer);
+  });
 }
 
 void RequestDirectory::OnUnregister(const Unregister& message) {
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -229,7 +229,6 @@
   members_changed_ = false;
   Parts& parts = *parts_;
   const std::vector<MemberInfo> members = parts.membership.Members();
-  const std::vector<MemberInfo> owners = parts.membership.Owners();
   std::vector<MemberId> ids;
   for (const MemberInfo& member : members) {
     ids.push_back(member.id);
@@ -239,8 +238,8 @@
   parts.routing.SetMembers(members);
   parts.limits.SetMembers(ids);
   parts.replica.SetMembers(members);
-  parts.owner.SetMembers(owners);
-  parts.jobs.SetMembers(owners);
+  parts.owner.SetMembers(members);
+  parts.jobs.SetMembers(members);
 }
 
 void Scheduler::OnTableApplied(const Table& table) {
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -15,6 +15,14 @@
   scheduler_.room_changed_ = true;
 }
 
+void Scheduler::OwnerEvents::SendToHolder(const Register& message) {
+  const MemberId holder = scheduler_.parts_->directory.HolderOf(
+      message.request, message.repeatable);
+  if (!holder.empty()) {
+    scheduler_.SendToMember(holder, message);
+  }
+}
+
 void Scheduler::OwnerEvents::OnRunTime(const std::string&, Millis) {
   // The entry learns from the answers of its own work.
 }
@@ -37,16 +45,25 @@
 }
 
 void Scheduler::JobEvents::Withdraw(const TaskKey& key, const MemberId& owner) {
-  Dispatcher& dispatcher = scheduler_.parts_->dispatcher;
-  if (dispatcher.Withdraw(key.task) ||
-      dispatcher.Stop(key.task, /*checkpoint=*/false)) {
+  Parts& parts = *scheduler_.parts_;
+  if (parts.dispatcher.Withdraw(key.task)) {
+    DispatchReply reply;
+    reply.key = key;
+    reply.outcome = DispatchOutcome::kRefused;
+    parts.jobs.OnDispatchReply(scheduler_.self_.id, reply);
     return;
   }
-  if (!owner.empty()) {
+  if (!parts.dispatcher.Stop(key.task, /*checkpoint=*/false) &&
+      !owner.empty()) {
     scheduler_.SendToMember(owner, chivedale::Cancel{key, false});
   }
 }
 
+void Scheduler::JobEvents::Forget(const TaskKey& key) {
+  attempts_.erase(key.task);
+  scheduler_.parts_->dispatcher.Forget(key.task);
+}
+
 void Scheduler::JobEvents::SendToMember(const MemberId& to,
                                         const Message& message) {
   scheduler_.SendToMember(to, message);
@@ -127,25 +144,27 @@
                 scheduler,
                 scheduler.self_.id,
                 Registrar::Options()),
-      owner(scheduler.deps_.clock,
-            scheduler.deps_.random,
-            scheduler.deps_.workers,
-            owner_events,
-            scheduler.self_,
-            [&] {
-              OwnerAgent::Options options;
-              options.lease_ttl = scheduler.settings_.lease_ttl;
-              options.orphan_ttl = scheduler.settings_.orphan_ttl;
-              options.placement = scheduler.settings_.placement;
-              return options;
-            }()),
+      owner(
+          scheduler.deps_.clock,
+          scheduler.deps_.random,
+          scheduler.deps_.workers,
+          owner_events,
+          scheduler.self_,
+          [&] {
+            OwnerAgent::Options options;
+            options.lease_ttl = scheduler.settings_.lease_ttl;
+            options.orphan_ttl = scheduler.settings_.orphan_ttl;
+            options.placement = scheduler.settings_.placement;
+            return options;
+          }(),
+          &scheduler.deps_.log),
       dispatcher({scheduler.deps_.clock, queue, run_times, limits, routing,
                   owner, scheduler, scheduler.deps_.metrics},
                  scheduler.self_.id,
                  Dispatcher::Options()),
       entry({scheduler.deps_.clock, scheduler.deps_.random, ledger, registrar,
-             admission, dispatcher, retries, run_times, limits, routing, burn,
-             scheduler, scheduler.deps_.metrics, scheduler.deps_.log},
+             admission, dispatcher, owner, retries, run_times, limits, routing,
+             burn, scheduler, scheduler.deps_.metrics, scheduler.deps_.log},
             scheduler.self_.id,
             [&] {
               EntryAgent::Options options;
@@ -227,6 +246,7 @@
   void operator()(const AnswerAck& m) { parts_.owner.OnAnswerAck(m); }
   void operator()(const chivedale::Cancel& m) { parts_.owner.OnCancel(m); }
   void operator()(const WorkerTaken& m) {
+    parts_.owner.OnWorkerTaken(m);
     parts_.dispatcher.OnWorkerTaken(m);
     parts_.jobs.OnWorkerTaken(m);
   }
@@ -259,6 +279,11 @@
   void operator()(const HoldReply& m) { parts_.jobs.OnHoldReply(from_, m); }
   void operator()(const HoldRelease& m) { parts_.owner.OnHoldRelease(m); }
   void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
+  void operator()(const JobQuery& m) { parts_.owner.OnJobQuery(m); }
+  void operator()(const JobQueryReply& m) {
+    parts_.jobs.OnJobQueryReply(from_, m);
+  }
+  void operator()(const JobChanged& m) { parts_.jobs.OnJobChanged(m); }
 
  private:
   Parts& parts_;
--- a/chivedale/scheduler_parts.h
+++ b/chivedale/scheduler_parts.h
@@ -19,6 +19,7 @@
   void SendToMember(const MemberId& to, const Message& message) override;
   void OnRoom() override;
   void OnRunTime(const std::string& kind, Millis run_time) override;
+  void SendToHolder(const Register& message) override;
 
  private:
   Scheduler& scheduler_;
@@ -32,6 +33,7 @@
   // JobListener:
   void Enqueue(const Dispatch& dispatch, util::TimePoint not_before) override;
   void Withdraw(const TaskKey& key, const MemberId& owner) override;
+  void Forget(const TaskKey& key) override;
   void SendToMember(const MemberId& to, const Message& message) override;
   const WorkRow* FindRow(const std::string& kind) const override;
   std::vector<Summary> Summaries() const override;
