Caller and operator APIs over HTTP value types; burn windows

Cause: callers and operators reach the control state through SchedulerCommands and SchedulerQueries; none of their parsing or rendering may run on the control thread.

Change: CallerApi and OperatorApi parse on the calling thread, post to the control thread, and render on a traffic thread. Routes are tables of member pointers. A payload is cut out of the body as its own text (json_members) and an answer is inserted as its own text. Problems carry kind, ran, retry, retry_after_ms and Retry-After; an edit that the store did not answer says ran unknown.

--- a/chivedale/burn.h
+++ b/chivedale/burn.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chivedale/work.h"
@@ -23,6 +24,15 @@
 enum class BurnCause { kQueueing, kPlacement, kRetries, kWorkers, kRefusals };
 inline constexpr int kBurnCauseCount = 5;
 
+// 1 ms to 10^7 ms, ten buckets per decade; the last one is open.
+inline constexpr int kBurnWaitBuckets = 72;
+// Upper bound of a wait bucket in ms.
+double BurnWaitBound(int bucket);
+
+// Both windows of an alarm must burn at least at its rate.
+inline constexpr double kPageBurnRate = 14.4;
+inline constexpr double kTicketBurnRate = 1;
+
 // 5 min, 1 h, 6 h, 3 d.
 inline constexpr std::array<Millis, 4> kBurnWindows = {
     Millis(300'000), Millis(3'600'000), Millis(21'600'000),
@@ -37,8 +47,8 @@
 struct BurnRowSnapshot {
   Objective objective;
   std::array<BurnWindow, kBurnWindows.size()> windows;
-  // Counts per bucket of a fixed logarithmic wait scale, so that histograms of
-  // several daemons add up.
+  // Counts of the last hour per bucket of a fixed logarithmic wait scale (see
+  // BurnWaitBound), so that histograms of several daemons add up.
   std::vector<int64_t> wait_buckets;
 };
 
@@ -60,8 +70,11 @@
   // Page (5 min and 1 h) and ticket (6 h and 3 d) two-window alarms.
   bool page = false;
   bool ticket = false;
-  // At the present 1 h rate; zero when nothing is being spent.
+  // Until the budget of the longest window is used up at the present 1 h rate;
+  // zero when nothing is being spent, or all is.
   Millis time_to_exhaustion{0};
+  // The budget of the longest window is used up.
+  bool exhausted = false;
   double wait_p50_ms = 0;
   double wait_p99_ms = 0;
   BurnCause largest_cause = BurnCause::kQueueing;
--- /dev/null
+++ b/chivedale/caller_api.h
@@ -0,0 +1,102 @@
+// The callers' HTTP API: requests and jobs.
+//
+//   CallerApi api(commands, queries, threads, log, options);
+//   api.Handle(std::move(request), respond);  // any thread
+//
+// POST   /v1/requests[?wait=false]  submit; answers at the end, or 202
+// GET    /v1/requests/ID            state, and the answer when it has ended
+// DELETE /v1/requests/ID            cancel
+// POST   /v1/jobs                   submit
+// GET    /v1/jobs/ID                state of the job and its tasks
+// DELETE /v1/jobs/ID                cancel
+// PUT    /v1/jobs/ID/count          number of tasks of a service
+#ifndef CHIVEDALE_CALLER_API_H_
+#define CHIVEDALE_CALLER_API_H_
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "chivedale/event_log.h"
+#include "chivedale/http_routes.h"
+#include "chivedale/http_types.h"
+#include "chivedale/scheduler_api.h"
+#include "util/random.h"
+
+namespace chivedale {
+
+// Parsing of bodies and headers; each throws Error(kBadRequest).
+struct CallerLimits {
+  Millis max_deadline{1'800'000};
+  Millis default_deadline{60'000};
+  int64_t max_tasks = 10'000;
+};
+// Empty when there is no Idempotency-Key.
+RequestId ParseIdempotencyKey(const HttpHeaders& headers);
+// Everything but the id.
+CallerSubmission ParseSubmission(const std::string& body,
+                                 const CallerLimits& limits);
+JobSpec ParseJob(const std::string& body, const CallerLimits& limits);
+int64_t ParseJobCount(const std::string& body, const CallerLimits& limits);
+
+// The answer to a submit that waited for the end.
+HttpResponse RenderResult(const RequestId& id, const RequestResult& result);
+HttpResponse RenderAccepted(const RequestId& id, const RequestResult& result);
+HttpResponse RenderCancelled(const RequestId& id, const RequestResult& result);
+HttpResponse RenderRequest(const RequestView& view);
+HttpResponse RenderJob(const JobResult& result);
+
+class CallerApi {
+ public:
+  struct Options {
+    CallerLimits limits;
+    int64_t max_body_bytes = 1 << 20;
+    // Generated request ids begin with a hash of it, so that those of two
+    // processes differ even with equal seeds.
+    std::string member;
+    uint64_t seed = 1;
+  };
+
+  CallerApi(SchedulerCommands& commands,
+            SchedulerQueries& queries,
+            ApiThreads threads,
+            EventLog& log,
+            Options options);
+
+  // Command. Any thread; responds once.
+  void Handle(HttpRequest request, HttpRespond respond);
+  // Query.
+  bool Handles(const std::string& path) const;
+
+ private:
+  static const std::vector<ApiRoute<CallerApi>>& Routes();
+
+  void Submit(const ApiCall& call);
+  void GetRequest(const ApiCall& call);
+  void CancelRequest(const ApiCall& call);
+  void SubmitJob(const ApiCall& call);
+  void GetJob(const ApiCall& call);
+  void CancelJob(const ApiCall& call);
+  void SetJobCount(const ApiCall& call);
+
+  RequestId NewRequestId();
+  // The body; throws when it is too large.
+  const std::string& BodyOf(const HttpRequest& request) const;
+  ResultCallback RenderWith(const HttpRespond& respond,
+                            HttpResponse (*render)(const RequestId&,
+                                                   const RequestResult&)) const;
+  JobCallback RenderJobWith(const HttpRespond& respond) const;
+
+  SchedulerCommands& commands_;
+  SchedulerQueries& queries_;
+  const ApiThreads threads_;
+  EventLog& log_;
+  const Options options_;
+  std::mutex mutex_;
+  util::Random random_;  // guarded by mutex_
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_CALLER_API_H_
--- /dev/null
+++ b/chivedale/http_problem.cc
@@ -0,0 +1,92 @@
+#include "chivedale/http_problem.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace chivedale {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Millis kDefaultRetryAfter{1'000};
+
+Millis RetryAfter(const Problem& problem) {
+  const bool unset = problem.retry_after <= Millis(0);
+  return unset && AnswerFor(problem.kind).retry ? kDefaultRetryAfter
+                                                : problem.retry_after;
+}
+
+Json ToJson(const Problem& problem, int status) {
+  const ErrorAnswer& answer = AnswerFor(problem.kind);
+  Json json;
+  json["type"] = "about:blank";
+  json["title"] = answer.title;
+  json["status"] = status;
+  json["kind"] = answer.name;
+  json["ran"] = RanName(problem.ran.value_or(answer.ran));
+  json["retry"] = answer.retry;
+  json["retry_after_ms"] = RetryAfter(problem).count();
+  json["detail"] = problem.detail;
+  if (!problem.request_id.empty()) {
+    json["request_id"] = problem.request_id;
+  }
+  if (problem.attempts) {
+    json["attempts"] = *problem.attempts;
+  }
+  if (problem.revision) {
+    json["revision"] = *problem.revision;
+  }
+  return json;
+}
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+HttpResponse ProblemWithStatus(const Problem& problem, int status) {
+  HttpResponse response = JsonResponse(status, Dump(ToJson(problem, status)));
+  response.content_type = "application/problem+json";
+  if (AnswerFor(problem.kind).retry) {
+    // Whole seconds, rounded up: a caller must not come back too early.
+    const int64_t seconds = (RetryAfter(problem).count() + 999) / 1'000;
+    response.headers.Add("Retry-After", std::to_string(seconds));
+  }
+  return response;
+}
+
+}  // namespace
+
+Problem ProblemOf(const Error& error) {
+  Problem problem;
+  problem.kind = error.kind();
+  problem.detail = error.what();
+  return problem;
+}
+
+std::string ProblemToJson(const Problem& problem) {
+  return Dump(ToJson(problem, AnswerFor(problem.kind).http_status));
+}
+
+HttpResponse ProblemResponse(const Problem& problem) {
+  return ProblemWithStatus(problem, AnswerFor(problem.kind).http_status);
+}
+
+HttpResponse JsonResponse(int status, std::string json) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::make_shared<const std::string>(std::move(json));
+  return response;
+}
+
+HttpResponse MethodNotAllowed(const std::string& allow) {
+  constexpr int kMethodNotAllowed = 405;
+  Problem problem;
+  problem.kind = ErrorKind::kBadRequest;
+  problem.detail = "method not allowed; allowed: " + allow;
+  HttpResponse response = ProblemWithStatus(problem, kMethodNotAllowed);
+  response.headers.Add("Allow", allow);
+  return response;
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/json_members.cc
@@ -0,0 +1,167 @@
+// The text is first checked as a whole by the JSON library. After that, strings
+// and brackets are enough to find where each member ends.
+#include "chivedale/json_members.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "chivedale/error.h"
+
+namespace chivedale {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kBlanks = " \t\r\n";
+
+// Walks over text that is known to be JSON.
+class Cursor {
+ public:
+  explicit Cursor(std::string_view text) : text_(text) {}
+
+  char Peek() {
+    at_ = std::min(text_.find_first_not_of(kBlanks, at_), text_.size());
+    return at_ < text_.size() ? text_[at_] : '\0';
+  }
+  void Skip() { ++at_; }
+
+  std::string_view TakeValue() {
+    const char first = Peek();
+    const size_t begin = at_;
+    if (first == '"') {
+      SkipString();
+    } else if (first == '{' || first == '[') {
+      SkipNested();
+    } else {
+      at_ = std::min(text_.find_first_of(",}] \t\r\n", at_), text_.size());
+    }
+    return text_.substr(begin, at_ - begin);
+  }
+
+ private:
+  void SkipString() {
+    for (++at_; text_[at_] != '"'; ++at_) {
+      at_ += text_[at_] == '\\' ? 1 : 0;
+    }
+    ++at_;
+  }
+  void SkipNested() {
+    int depth = 0;
+    do {
+      const char c = text_[at_];
+      if (c == '"') {
+        SkipString();
+        continue;
+      }
+      depth += c == '{' || c == '[' ? 1 : 0;
+      depth -= c == '}' || c == ']' ? 1 : 0;
+      ++at_;
+    } while (depth > 0);
+  }
+
+  std::string_view text_;
+  size_t at_ = 0;
+};
+
+[[noreturn]] void Fail(const std::string& detail) {
+  throw Error(ErrorKind::kBadRequest, detail);
+}
+
+}  // namespace
+
+JsonMembers::JsonMembers(std::string_view text) {
+  if (!IsJson(text)) {
+    Fail("the body is not valid JSON");
+  }
+  Cursor cursor(text);
+  if (cursor.Peek() != '{') {
+    Fail("the body is not a JSON object");
+  }
+  cursor.Skip();
+  while (cursor.Peek() != '}') {
+    if (cursor.Peek() == ',') {
+      cursor.Skip();
+    }
+    std::string key = Json::parse(cursor.TakeValue()).get<std::string>();
+    cursor.Peek();
+    cursor.Skip();  // the colon
+    const std::string_view value = cursor.TakeValue();
+    if (Find(key)) {
+      Fail("'" + Excerpt(key) + "' is given twice");
+    }
+    members_.push_back({std::move(key), value});
+  }
+}
+
+std::optional<std::string_view> JsonMembers::Find(std::string_view key) const {
+  for (const Member& member : members_) {
+    if (member.key == key) {
+      return member.value;
+    }
+  }
+  return std::nullopt;
+}
+
+void JsonMembers::RejectUnknown(
+    const std::vector<std::string_view>& known) const {
+  std::string unknown;
+  for (const Member& member : members_) {
+    if (std::find(known.begin(), known.end(), member.key) == known.end()) {
+      unknown += (unknown.empty() ? "'" : ", '") + Excerpt(member.key) + "'";
+    }
+  }
+  if (!unknown.empty()) {
+    Fail("unknown: " + unknown);
+  }
+}
+
+std::string_view JsonMembers::Required(std::string_view key) const {
+  const std::optional<std::string_view> value = Find(key);
+  if (!value) {
+    Fail("'" + std::string(key) + "' is missing");
+  }
+  return *value;
+}
+
+std::string JsonMembers::Text(std::string_view key, size_t max_size) const {
+  const std::string_view raw = Required(key);
+  std::string text;
+  if (raw.front() == '"') {
+    text = Json::parse(raw).get<std::string>();
+  }
+  if (text.empty() || text.size() > max_size) {
+    Fail("'" + std::string(key) + "': " + Excerpt(raw) +
+         " is not a string of 1 to " + std::to_string(max_size) + " bytes");
+  }
+  return text;
+}
+
+int64_t JsonMembers::Integer(std::string_view key,
+                             int64_t min,
+                             int64_t max) const {
+  const std::string_view raw = Required(key);
+  const Json value = Json::parse(raw);
+  const bool fits = value.is_number_integer() &&
+                    (!value.is_number_unsigned() ||
+                     value.get<uint64_t>() <= static_cast<uint64_t>(max));
+  if (!fits || value.get<int64_t>() < min || value.get<int64_t>() > max) {
+    Fail("'" + std::string(key) + "': " + Excerpt(raw) +
+         " is not an integer from " + std::to_string(min) + " to " +
+         std::to_string(max));
+  }
+  return value.get<int64_t>();
+}
+
+bool IsJson(std::string_view text) {
+  return Json::accept(text);
+}
+
+std::string Excerpt(std::string_view text) {
+  constexpr size_t kMaxShown = 60;
+  std::string shown(text.substr(0, kMaxShown));
+  // The cut may fall into a character; the JSON library replaces the rest.
+  return text.size() > kMaxShown ? shown + "..." : shown;
+}
+
+}  // namespace chivedale
