chivedalectl: the operators' command-line tool

Cause: operators edit the table, look at state and drain daemons; scripts need exit codes that tell a refusal from an unknown outcome.

Change: verbs in one table with their options and help; changes (ctl_commands) and reads (ctl_queries) are apart.

--- a/chivedale/burn_html.cc
+++ b/chivedale/burn_html.cc
@@ -225,8 +225,10 @@
 
 }  // namespace
 
-std::string BurnReportToHtml(const std::vector<BurnSnapshot>& parts) {
-  const BurnReport report = EvaluateBurn(parts);
+std::string BurnReportToHtml(const std::vector<BurnSnapshot>& parts,
+                             const std::vector<std::string>& missing) {
+  BurnReport report = EvaluateBurn(parts);
+  report.gaps.insert(report.gaps.end(), missing.begin(), missing.end());
   const BurnSnapshot merged = MergeBurn(parts);
   std::string page = kHead;
   page += "<p>From " + std::to_string(parts.size()) +
--- a/chivedale/burn_html.h
+++ b/chivedale/burn_html.h
@@ -10,8 +10,10 @@
 namespace chivedale {
 
 // Loads nothing: no scripts, fonts or images from elsewhere. Follows the
-// reader's light or dark colour scheme.
-std::string BurnReportToHtml(const std::vector<BurnSnapshot>& parts);
+// reader's light or dark colour scheme. `missing` are sentences on daemons
+// without a snapshot.
+std::string BurnReportToHtml(const std::vector<BurnSnapshot>& parts,
+                             const std::vector<std::string>& missing = {});
 
 }  // namespace chivedale
 
--- /dev/null
+++ b/chivedale/ctl_commands.h
@@ -0,0 +1,22 @@
+// The verbs of chivedalectl that change something. Each change has an id of
+// its own and is sent again once, with the same id, after a lost answer.
+#ifndef CHIVEDALE_CTL_COMMANDS_H_
+#define CHIVEDALE_CTL_COMMANDS_H_
+
+#include "chivedale/ctl_context.h"
+
+namespace chivedale {
+
+// Each throws UsageError.
+ExitCode EditTable(CtlContext& context);
+ExitCode ApplyTable(CtlContext& context);
+ExitCode SubmitRequest(CtlContext& context);
+ExitCode CancelRequest(CtlContext& context);
+ExitCode SubmitJob(CtlContext& context);
+ExitCode CancelJob(CtlContext& context);
+ExitCode ScaleJob(CtlContext& context);
+ExitCode DrainServer(CtlContext& context);
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_CTL_COMMANDS_H_
--- /dev/null
+++ b/chivedale/ctl_queries.h
@@ -0,0 +1,22 @@
+// The verbs of chivedalectl that only read.
+#ifndef CHIVEDALE_CTL_QUERIES_H_
+#define CHIVEDALE_CTL_QUERIES_H_
+
+#include "chivedale/ctl_context.h"
+
+namespace chivedale {
+
+// Each throws UsageError, or Error when an answer cannot be read.
+ExitCode ShowTable(CtlContext& context);
+ExitCode DiffTable(CtlContext& context);
+ExitCode ShowHistory(CtlContext& context);
+ExitCode ShowStatus(CtlContext& context);
+ExitCode ShowWorkers(CtlContext& context);
+ExitCode ShowQueue(CtlContext& context);
+ExitCode ShowJob(CtlContext& context);
+// Asks every server and merges what they know.
+ExitCode ReportBurn(CtlContext& context);
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_CTL_QUERIES_H_
--- /dev/null
+++ b/chivedale/ctl_render.h
@@ -0,0 +1,44 @@
+// Text output of chivedalectl: aligned columns.
+#ifndef CHIVEDALE_CTL_RENDER_H_
+#define CHIVEDALE_CTL_RENDER_H_
+
+#include <string>
+#include <vector>
+
+#include "chivedale/burn.h"
+#include "chivedale/table_codec.h"
+#include "chivedale/work.h"
+
+namespace chivedale {
+
+// Columns as wide as their widest cell; a column of numbers is aligned to the
+// right. Control characters are replaced, so that a name cannot steer the
+// terminal.
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> heading);
+
+  // Command. As many cells as the heading has.
+  void Add(std::vector<std::string> cells);
+  // Query.
+  std::string Render() const;
+
+ private:
+  std::vector<std::vector<std::string>> lines_;
+};
+
+std::string RenderTable(const Table& table);
+std::string RenderChanges(const std::vector<TableChange>& changes);
+std::string RenderBurn(const BurnReport& report);
+
+// Of the JSON that the server answers; each throws Error(kBadRequest) when a
+// member is missing.
+std::string RenderHistoryText(const std::string& json);
+std::string RenderStatusText(const std::string& json);
+std::string RenderWorkersText(const std::string& json);
+std::string RenderQueueText(const std::string& json);
+std::string RenderJobText(const std::string& json);
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_CTL_RENDER_H_
