--- a/chivedale/testing/error_test.cc
+++ b/chivedale/testing/error_test.cc
@@ -6,6 +6,9 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <string>
+#include <vector>
+
+#include "chivedale/testing/doc_table.h"
 
 namespace chivedale {
 
@@ -32,6 +35,22 @@
   BOOST_TEST((AnswerFor(ErrorKind::kOutcomeUnknown).ran == Ran::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(ThePageOfErrorsMatches) {
+  const auto rows = testing::ReadDocTable("docs/errors.md");
+  BOOST_REQUIRE_EQUAL(rows.size(), static_cast<size_t>(kErrorKindCount));
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    const ErrorAnswer& answer = AnswerFor(static_cast<ErrorKind>(i));
+    const std::vector<std::string>& row = rows[static_cast<size_t>(i)];
+    BOOST_REQUIRE_EQUAL(row.size(), 6u);
+    BOOST_TEST(row[0] == answer.name);
+    BOOST_TEST(row[1] == std::to_string(answer.http_status));
+    BOOST_TEST(row[2] == RanName(answer.ran));
+    BOOST_TEST(row[3] == (answer.retry ? "yes" : "no"));
+    BOOST_TEST(!row[4].empty());
+    BOOST_TEST(!row[5].empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivedale
