Name the API's value types apart from the HTTP server's

Cause: the API layer and the HTTP server both have a request and a response type; the API's are free of sockets and connections. Change: api_types.h, api_routes.h, api_problem.h with ApiRequest, ApiResponse. Conclusion: mechanical rename.

--- a/chivedale/http_problem.cc
+++ b/chivedale/api_problem.cc
@@ -1,4 +1,4 @@
-#include "chivedale/http_problem.h"
+#include "chivedale/api_problem.h"
 
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -44,8 +44,8 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-HttpResponse ProblemWithStatus(const Problem& problem, int status) {
-  HttpResponse response = JsonResponse(status, Dump(ToJson(problem, status)));
+ApiResponse ProblemWithStatus(const Problem& problem, int status) {
+  ApiResponse response = JsonResponse(status, Dump(ToJson(problem, status)));
   response.content_type = "application/problem+json";
   if (AnswerFor(problem.kind).retry) {
     // Whole seconds, rounded up: a caller must not come back too early.
@@ -68,23 +68,23 @@
   return Dump(ToJson(problem, AnswerFor(problem.kind).http_status));
 }
 
-HttpResponse ProblemResponse(const Problem& problem) {
+ApiResponse ProblemResponse(const Problem& problem) {
   return ProblemWithStatus(problem, AnswerFor(problem.kind).http_status);
 }
 
-HttpResponse JsonResponse(int status, std::string json) {
-  HttpResponse response;
+ApiResponse JsonResponse(int status, std::string json) {
+  ApiResponse response;
   response.status = status;
   response.body = std::make_shared<const std::string>(std::move(json));
   return response;
 }
 
-HttpResponse MethodNotAllowed(const std::string& allow) {
+ApiResponse MethodNotAllowed(const std::string& allow) {
   constexpr int kMethodNotAllowed = 405;
   Problem problem;
   problem.kind = ErrorKind::kBadRequest;
   problem.detail = "method not allowed; allowed: " + allow;
-  HttpResponse response = ProblemWithStatus(problem, kMethodNotAllowed);
+  ApiResponse response = ProblemWithStatus(problem, kMethodNotAllowed);
   response.headers.Add("Allow", allow);
   return response;
 }
--- a/chivedale/http_problem.h
+++ b/chivedale/api_problem.h
@@ -1,13 +1,13 @@
 // Answers of the HTTP APIs: JSON documents and problems (RFC 7807).
-#ifndef CHIVEDALE_HTTP_PROBLEM_H_
-#define CHIVEDALE_HTTP_PROBLEM_H_
+#ifndef CHIVEDALE_API_PROBLEM_H_
+#define CHIVEDALE_API_PROBLEM_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
+#include "chivedale/api_types.h"
 #include "chivedale/error.h"
-#include "chivedale/http_types.h"
 #include "chivedale/work.h"
 
 namespace chivedale {
@@ -30,11 +30,11 @@
 // The JSON object; bytes that are not UTF-8 are replaced.
 std::string ProblemToJson(const Problem& problem);
 // application/problem+json, with Retry-After when a retry may succeed.
-HttpResponse ProblemResponse(const Problem& problem);
-HttpResponse JsonResponse(int status, std::string json);
+ApiResponse ProblemResponse(const Problem& problem);
+ApiResponse JsonResponse(int status, std::string json);
 // `allow` lists methods, as in the Allow header.
-HttpResponse MethodNotAllowed(const std::string& allow);
+ApiResponse MethodNotAllowed(const std::string& allow);
 
 }  // namespace chivedale
 
-#endif  // CHIVEDALE_HTTP_PROBLEM_H_
+#endif  // CHIVEDALE_API_PROBLEM_H_
--- a/chivedale/http_routes.cc
+++ b/chivedale/api_routes.cc
@@ -1,4 +1,4 @@
-#include "chivedale/http_routes.h"
+#include "chivedale/api_routes.h"
 
 #include <algorithm>
 #include <cctype>
@@ -73,7 +73,7 @@
   return value;
 }
 
-void RejectQuery(const HttpRequest& request) {
+void RejectQuery(const ApiRequest& request) {
   if (!request.query.empty()) {
     throw Error(ErrorKind::kBadRequest, "query: none is known here");
   }
@@ -90,7 +90,7 @@
 }
 
 void RunOnControl(const ApiThreads& threads,
-                  const HttpRespond& respond,
+                  const ApiRespond& respond,
                   std::function<void()> run) {
   const bool queued = threads.to_control([respond, run = std::move(run)] {
     try {
--- a/chivedale/http_routes.h
+++ b/chivedale/api_routes.h
@@ -1,6 +1,6 @@
 // Tables of routes: method and path to a member function of an API class.
-#ifndef CHIVEDALE_HTTP_ROUTES_H_
-#define CHIVEDALE_HTTP_ROUTES_H_
+#ifndef CHIVEDALE_API_ROUTES_H_
+#define CHIVEDALE_API_ROUTES_H_
 
 #include <functional>
 #include <optional>
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "chivedale/http_problem.h"
-#include "chivedale/http_types.h"
+#include "chivedale/api_problem.h"
+#include "chivedale/api_types.h"
 
 namespace chivedale {
 
@@ -25,10 +25,10 @@
 
 // One request on its way through a handler.
 struct ApiCall {
-  HttpRequest request;
+  ApiRequest request;
   // What stands for '*' in the path, percent-decoded.
   std::string id;
-  HttpRespond respond;
+  ApiRespond respond;
 };
 
 template <typename Api>
@@ -47,7 +47,7 @@
 std::optional<std::string> OnlyQuery(std::string_view query,
                                      std::string_view key);
 // Throws Error(kBadRequest) when there is a query string.
-void RejectQuery(const HttpRequest& request);
+void RejectQuery(const ApiRequest& request);
 // Throws Error(kBadRequest) unless `text` has 1 to 128 printable ASCII
 // characters.
 void CheckPrintable(std::string_view what, const std::string& text);
@@ -68,8 +68,8 @@
 template <typename Api>
 void RouteCall(Api& api,
                const std::vector<ApiRoute<Api>>& routes,
-               HttpRequest request,
-               HttpRespond respond) {
+               ApiRequest request,
+               ApiRespond respond) {
   try {
     std::string allow;
     for (const ApiRoute<Api>& route : routes) {
@@ -96,9 +96,9 @@
 // Runs `run` on the control thread; answers `overloaded` when its queue is
 // full, and an Error that `run` throws as a problem.
 void RunOnControl(const ApiThreads& threads,
-                  const HttpRespond& respond,
+                  const ApiRespond& respond,
                   std::function<void()> run);
 
 }  // namespace chivedale
 
-#endif  // CHIVEDALE_HTTP_ROUTES_H_
+#endif  // CHIVEDALE_API_ROUTES_H_
--- a/chivedale/http_types.h
+++ b/chivedale/api_types.h
@@ -1,8 +1,8 @@
 // One HTTP request and its answer, free of sockets and of the HTTP library.
 //
 //   std::optional<std::string> key = request.headers.Find("idempotency-key");
-#ifndef CHIVEDALE_HTTP_TYPES_H_
-#define CHIVEDALE_HTTP_TYPES_H_
+#ifndef CHIVEDALE_API_TYPES_H_
+#define CHIVEDALE_API_TYPES_H_
 
 #include <algorithm>
 #include <cctype>
@@ -24,13 +24,13 @@
          });
 }
 
-struct HttpField {
+struct ApiField {
   std::string name;
   std::string value;
 };
 
 // Header fields in order; names are compared without regard to case.
-class HttpHeaders {
+class ApiHeaders {
  public:
   // Commands.
   void Add(std::string name, std::string value) {
@@ -40,39 +40,39 @@
   // Queries.
   // The first field of that name.
   std::optional<std::string> Find(std::string_view name) const {
-    for (const HttpField& field : fields_) {
+    for (const ApiField& field : fields_) {
       if (EqualsIgnoringCase(field.name, name)) {
         return field.value;
       }
     }
     return std::nullopt;
   }
-  const std::vector<HttpField>& fields() const { return fields_; }
+  const std::vector<ApiField>& fields() const { return fields_; }
 
  private:
-  std::vector<HttpField> fields_;
+  std::vector<ApiField> fields_;
 };
 
-struct HttpRequest {
+struct ApiRequest {
   std::string method;  // upper case
   std::string path;    // of the target, percent escapes left as sent
   std::string query;   // after '?', without it; may be empty
-  HttpHeaders headers;
+  ApiHeaders headers;
   std::shared_ptr<const std::string> body;  // null: no body
   std::string remote;                       // IP:port
 };
 
-struct HttpResponse {
+struct ApiResponse {
   int status = 200;
   std::string content_type = "application/json";
-  HttpHeaders headers;
+  ApiHeaders headers;
   std::shared_ptr<const std::string> body;  // null: no body
 };
 
 // Callable from any thread, once per request.
-using HttpRespond = std::function<void(HttpResponse)>;
-using HttpHandler = std::function<void(HttpRequest, HttpRespond)>;
+using ApiRespond = std::function<void(ApiResponse)>;
+using ApiHandler = std::function<void(ApiRequest, ApiRespond)>;
 
 }  // namespace chivedale
 
-#endif  // CHIVEDALE_HTTP_TYPES_H_
+#endif  // CHIVEDALE_API_TYPES_H_
--- a/chivedale/caller_api.cc
+++ b/chivedale/caller_api.cc
@@ -120,7 +120,7 @@
 
 }  // namespace
 
-RequestId ParseIdempotencyKey(const HttpHeaders& headers) {
+RequestId ParseIdempotencyKey(const ApiHeaders& headers) {
   const std::optional<std::string> key = headers.Find("Idempotency-Key");
   if (!key) {
     return RequestId();
@@ -171,7 +171,7 @@
   return members.Integer("count", 0, limits.max_tasks);
 }
 
-HttpResponse RenderResult(const RequestId& id, const RequestResult& result) {
+ApiResponse RenderResult(const RequestId& id, const RequestResult& result) {
   if (!result.ok) {
     return ProblemResponse(ProblemOfResult(id, result));
   }
@@ -181,7 +181,7 @@
                           ",\"answer\":" + AnswerText(result.payload) + "}");
 }
 
-HttpResponse RenderAccepted(const RequestId& id, const RequestResult& result) {
+ApiResponse RenderAccepted(const RequestId& id, const RequestResult& result) {
   if (!result.ok) {
     return ProblemResponse(ProblemOfResult(id, result));
   }
@@ -189,7 +189,7 @@
                       Dump({{"request_id", id.str()}, {"phase", "queued"}}));
 }
 
-HttpResponse RenderCancelled(const RequestId& id, const RequestResult& result) {
+ApiResponse RenderCancelled(const RequestId& id, const RequestResult& result) {
   const bool cancelled =
       !result.ok && (result.error == ErrorKind::kCancelled ||
                      result.error == ErrorKind::kCancelledRunning);
@@ -202,7 +202,7 @@
                                  {"attempts", result.attempts}}));
 }
 
-HttpResponse RenderRequest(const RequestView& view) {
+ApiResponse RenderRequest(const RequestView& view) {
   std::string json = Dump({{"request_id", view.id.str()},
                            {"kind", view.kind},
                            {"phase", PhaseName(view.phase)},
@@ -220,7 +220,7 @@
   return JsonResponse(200, std::move(json));
 }
 
-HttpResponse RenderJob(const JobResult& result) {
+ApiResponse RenderJob(const JobResult& result) {
   if (!result.ok) {
     Problem problem;
     problem.kind = result.error;
@@ -256,10 +256,10 @@
   return routes;
 }
 
-void CallerApi::Handle(HttpRequest request, HttpRespond respond) {
+void CallerApi::Handle(ApiRequest request, ApiRespond respond) {
   const std::string remote = request.remote;
   const auto logged = [this, remote,
-                       respond = std::move(respond)](HttpResponse response) {
+                       respond = std::move(respond)](ApiResponse response) {
     if (response.status >= 400 && response.status < 500) {
       log_.Write(Event::kBadCallerInput,
                  {{"remote", remote},
@@ -286,7 +286,7 @@
   return RequestId(process.Hex(kDigits) + random_.Hex(kDigits));
 }
 
-const std::string& CallerApi::BodyOf(const HttpRequest& request) const {
+const std::string& CallerApi::BodyOf(const ApiRequest& request) const {
   static const auto& empty = *new std::string();
   const std::string& body = request.body ? *request.body : empty;
   if (body.size() > static_cast<size_t>(options_.max_body_bytes)) {
@@ -299,15 +299,15 @@
 }
 
 ResultCallback CallerApi::RenderWith(
-    const HttpRespond& respond,
-    HttpResponse (*render)(const RequestId&, const RequestResult&)) const {
+    const ApiRespond& respond,
+    ApiResponse (*render)(const RequestId&, const RequestResult&)) const {
   return [to_traffic = threads_.to_traffic, respond, render](
              const RequestId& id, const RequestResult& result) {
     to_traffic([respond, render, id, result] { respond(render(id, result)); });
   };
 }
 
-JobCallback CallerApi::RenderJobWith(const HttpRespond& respond) const {
+JobCallback CallerApi::RenderJobWith(const ApiRespond& respond) const {
   return [to_traffic = threads_.to_traffic, respond](const JobResult& result) {
     to_traffic([respond, result] { respond(RenderJob(result)); });
   };
@@ -326,8 +326,8 @@
   if (submission.id.empty()) {
     submission.id = NewRequestId();
   }
-  const HttpRespond respond = [id = submission.id,
-                               inner = call.respond](HttpResponse response) {
+  const ApiRespond respond = [id = submission.id,
+                              inner = call.respond](ApiResponse response) {
     response.headers.Add("Idempotency-Key", id.str());
     inner(std::move(response));
   };
@@ -369,7 +369,7 @@
 void CallerApi::SubmitJob(const ApiCall& call) {
   RejectQuery(call.request);
   const JobSpec spec = ParseJob(BodyOf(call.request), options_.limits);
-  const auto created = [inner = call.respond](HttpResponse response) {
+  const auto created = [inner = call.respond](ApiResponse response) {
     response.status = response.status == 200 ? kCreated : response.status;
     inner(std::move(response));
   };
--- a/chivedale/caller_api.h
+++ b/chivedale/caller_api.h
@@ -18,9 +18,9 @@
 #include <string>
 #include <vector>
 
+#include "chivedale/api_routes.h"
+#include "chivedale/api_types.h"
 #include "chivedale/event_log.h"
-#include "chivedale/http_routes.h"
-#include "chivedale/http_types.h"
 #include "chivedale/scheduler_api.h"
 #include "util/random.h"
 
@@ -33,7 +33,7 @@
   int64_t max_tasks = 10'000;
 };
 // Empty when there is no Idempotency-Key.
-RequestId ParseIdempotencyKey(const HttpHeaders& headers);
+RequestId ParseIdempotencyKey(const ApiHeaders& headers);
 // Everything but the id.
 CallerSubmission ParseSubmission(const std::string& body,
                                  const CallerLimits& limits);
@@ -41,11 +41,11 @@
 int64_t ParseJobCount(const std::string& body, const CallerLimits& limits);
 
 // The answer to a submit that waited for the end.
-HttpResponse RenderResult(const RequestId& id, const RequestResult& result);
-HttpResponse RenderAccepted(const RequestId& id, const RequestResult& result);
-HttpResponse RenderCancelled(const RequestId& id, const RequestResult& result);
-HttpResponse RenderRequest(const RequestView& view);
-HttpResponse RenderJob(const JobResult& result);
+ApiResponse RenderResult(const RequestId& id, const RequestResult& result);
+ApiResponse RenderAccepted(const RequestId& id, const RequestResult& result);
+ApiResponse RenderCancelled(const RequestId& id, const RequestResult& result);
+ApiResponse RenderRequest(const RequestView& view);
+ApiResponse RenderJob(const JobResult& result);
 
 class CallerApi {
  public:
@@ -65,7 +65,7 @@
             Options options);
 
   // Command. Any thread; responds once.
-  void Handle(HttpRequest request, HttpRespond respond);
+  void Handle(ApiRequest request, ApiRespond respond);
   // Query.
   bool Handles(const std::string& path) const;
 
@@ -82,11 +82,11 @@
 
   RequestId NewRequestId();
   // The body; throws when it is too large.
-  const std::string& BodyOf(const HttpRequest& request) const;
-  ResultCallback RenderWith(const HttpRespond& respond,
-                            HttpResponse (*render)(const RequestId&,
-                                                   const RequestResult&)) const;
-  JobCallback RenderJobWith(const HttpRespond& respond) const;
+  const std::string& BodyOf(const ApiRequest& request) const;
+  ResultCallback RenderWith(const ApiRespond& respond,
+                            ApiResponse (*render)(const RequestId&,
+                                                  const RequestResult&)) const;
+  JobCallback RenderJobWith(const ApiRespond& respond) const;
 
   SchedulerCommands& commands_;
   SchedulerQueries& queries_;
--- a/chivedale/operator_api.cc
+++ b/chivedale/operator_api.cc
@@ -96,7 +96,7 @@
   return limit;
 }
 
-HttpResponse NotReady(const StatusReport& report) {
+ApiResponse NotReady(const StatusReport& report) {
   Problem problem;
   problem.kind = report.lifecycle == "draining" ? ErrorKind::kDraining
                                                 : ErrorKind::kNotReady;
@@ -126,9 +126,9 @@
   return edit;
 }
 
-HttpResponse RenderEdit(const EditResult& result) {
+ApiResponse RenderEdit(const EditResult& result) {
   if (result.ok && result.table) {
-    HttpResponse response = JsonResponse(200, Dump(HeadOf(*result.table)));
+    ApiResponse response = JsonResponse(200, Dump(HeadOf(*result.table)));
     response.headers.Add("ETag", ETag(result.table->revision));
     return response;
   }
@@ -145,9 +145,9 @@
   return ProblemResponse(problem);
 }
 
-HttpResponse RenderHistory(StoreStatus status,
-                           const std::vector<Table>& tables,
-                           int limit) {
+ApiResponse RenderHistory(StoreStatus status,
+                          const std::vector<Table>& tables,
+                          int limit) {
   if (status != StoreStatus::kOk && status != StoreStatus::kNotFound) {
     Problem problem;
     problem.kind = ErrorKind::kStoreDown;
@@ -166,7 +166,7 @@
   return JsonResponse(200, Dump({{"history", std::move(history)}}));
 }
 
-HttpResponse RenderStatus(const StatusReport& report) {
+ApiResponse RenderStatus(const StatusReport& report) {
   Json members = Json::array();
   for (const MemberInfo& member : report.members) {
     members.push_back(ToJson(member));
@@ -190,7 +190,7 @@
                    {"accelerated", ToJson(report.summary.accelerated)}}}}));
 }
 
-HttpResponse RenderWorkers(const std::vector<WorkerStatus>& workers) {
+ApiResponse RenderWorkers(const std::vector<WorkerStatus>& workers) {
   Json list = Json::array();
   for (const WorkerStatus& worker : workers) {
     list.push_back({{"id", worker.id.str()},
@@ -207,7 +207,7 @@
   return JsonResponse(200, Dump({{"workers", std::move(list)}}));
 }
 
-HttpResponse RenderQueue(const std::vector<RowQueueState>& rows) {
+ApiResponse RenderQueue(const std::vector<RowQueueState>& rows) {
   Json list = Json::array();
   for (const RowQueueState& row : rows) {
     list.push_back(
@@ -246,7 +246,7 @@
   return routes;
 }
 
-void OperatorApi::Handle(HttpRequest request, HttpRespond respond) {
+void OperatorApi::Handle(ApiRequest request, ApiRespond respond) {
   RouteCall(*this, Routes(), std::move(request), std::move(respond));
 }
 
@@ -287,7 +287,7 @@
       const std::lock_guard lock(mutex_);
       table_ = text;
     }
-    HttpResponse response;
+    ApiResponse response;
     response.headers.Add("ETag", ETag(text.revision));
     if (known == ETag(text.revision)) {
       response.status = kNotModified;
@@ -377,7 +377,7 @@
 
 void OperatorApi::GetMetrics(const ApiCall& call) {
   RejectQuery(call.request);
-  HttpResponse response = JsonResponse(200, metrics_.PrometheusText());
+  ApiResponse response = JsonResponse(200, metrics_.PrometheusText());
   response.content_type = "text/plain; version=0.0.4; charset=utf-8";
   call.respond(std::move(response));
 }
--- a/chivedale/operator_api.h
+++ b/chivedale/operator_api.h
@@ -19,8 +19,8 @@
 #include <string>
 #include <vector>
 
-#include "chivedale/http_routes.h"
-#include "chivedale/http_types.h"
+#include "chivedale/api_routes.h"
+#include "chivedale/api_types.h"
 #include "chivedale/metrics.h"
 #include "chivedale/scheduler_api.h"
 
@@ -29,13 +29,13 @@
 // Throws Error(kBadRequest), or Error(kBadTable) with each fault of the table.
 TableEdit ParseTableEdit(const std::string& body);
 
-HttpResponse RenderEdit(const EditResult& result);
-HttpResponse RenderHistory(StoreStatus status,
-                           const std::vector<Table>& tables,
-                           int limit);
-HttpResponse RenderStatus(const StatusReport& report);
-HttpResponse RenderWorkers(const std::vector<WorkerStatus>& workers);
-HttpResponse RenderQueue(const std::vector<RowQueueState>& rows);
+ApiResponse RenderEdit(const EditResult& result);
+ApiResponse RenderHistory(StoreStatus status,
+                          const std::vector<Table>& tables,
+                          int limit);
+ApiResponse RenderStatus(const StatusReport& report);
+ApiResponse RenderWorkers(const std::vector<WorkerStatus>& workers);
+ApiResponse RenderQueue(const std::vector<RowQueueState>& rows);
 
 class OperatorApi {
  public:
@@ -45,7 +45,7 @@
               ApiThreads threads);
 
   // Command. Any thread; responds once.
-  void Handle(HttpRequest request, HttpRespond respond);
+  void Handle(ApiRequest request, ApiRespond respond);
   // Query.
   bool Handles(const std::string& path) const;
 
--- a/chivedale/testing/caller_api_test.cc
+++ b/chivedale/testing/caller_api_test.cc
@@ -25,24 +25,24 @@
   CallerApi api{scheduler, scheduler, scheduler.Threads(), log,
                 CallerApi::Options()};
 
-  HttpResponse Call(HttpRequest request) {
+  ApiResponse Call(ApiRequest request) {
     int answers = 0;
-    HttpResponse answer;
-    api.Handle(std::move(request), [&](HttpResponse response) {
+    ApiResponse answer;
+    api.Handle(std::move(request), [&](ApiResponse response) {
       ++answers;
       answer = std::move(response);
     });
     BOOST_TEST(answers == 1);
     return answer;
   }
-  HttpResponse Call(const std::string& method,
-                    const std::string& target,
-                    const std::string& body = "") {
+  ApiResponse Call(const std::string& method,
+                   const std::string& target,
+                   const std::string& body = "") {
     return Call(RequestTo(method, target, body));
   }
 };
 
-json BodyOf(const HttpResponse& response) {
+json BodyOf(const ApiResponse& response) {
   return response.body ? json::parse(*response.body) : json();
 }
 
@@ -69,11 +69,11 @@
 
 BOOST_AUTO_TEST_CASE(PayloadAndAnswerPassUnchanged) {
   scheduler.result = Ok("{\"n\": 1.10, \"s\":\"}\\\"\"}");
-  HttpRequest request = RequestTo(
+  ApiRequest request = RequestTo(
       "POST", "/v1/requests",
       R"({"payload": {"a": [1.0, "}\"{"], "b":1e2} , "kind":"sort","deadline_ms":5000,"size":{"cpu_milli":250}})");
   request.headers.Add("idempotency-key", "key 1");
-  const HttpResponse response = Call(std::move(request));
+  const ApiResponse response = Call(std::move(request));
   BOOST_TEST(response.status == 200);
   BOOST_TEST(*response.body ==
              "{\"request_id\":\"key 1\",\"attempts\":2,\"answer\":"
@@ -88,7 +88,7 @@
 
 BOOST_AUTO_TEST_CASE(AnswersThatAreNoJsonBecomeStrings) {
   scheduler.result = Ok("plain \xff text");
-  const HttpResponse response =
+  const ApiResponse response =
       Call("POST", "/v1/requests", R"({"kind":"sort"})");
   BOOST_TEST(BodyOf(response)["answer"] == "plain \xef\xbf\xbd text");
 }
@@ -106,7 +106,7 @@
   CallerApi::Options options;
   options.member = "e-2/77";
   CallerApi other(scheduler, scheduler, scheduler.Threads(), log, options);
-  other.Handle(RequestTo("POST", "/v1/requests", body), [](HttpResponse) {});
+  other.Handle(RequestTo("POST", "/v1/requests", body), [](ApiResponse) {});
   BOOST_TEST(scheduler.submissions[2].id.str() != a);
 }
 
@@ -126,7 +126,7 @@
            {ErrorKind::kInternal, Ran::kNo, 500, false}}) {
     scheduler.result = Failure(c.kind, c.ran);
     scheduler.result.retry_after = Millis(1'001);
-    const HttpResponse response =
+    const ApiResponse response =
         Call("POST", "/v1/requests", R"({"kind":"sort"})");
     BOOST_TEST(response.status == c.status);
     BOOST_TEST(response.content_type == "application/problem+json");
@@ -144,7 +144,7 @@
 
 BOOST_AUTO_TEST_CASE(WithoutWaitingTheQueuePlaceIsTheAnswer) {
   scheduler.result = Ok("1");
-  const HttpResponse response =
+  const ApiResponse response =
       Call("POST", "/v1/requests?wait=false", R"({"kind":"sort"})");
   BOOST_TEST(response.status == 202);
   BOOST_TEST(BodyOf(response)["phase"] == "queued");
@@ -174,7 +174,7 @@
       {R"({"kind":"a","deadline":5})", "unknown: 'deadline'"},
   };
   for (const auto& [body, detail] : cases) {
-    const HttpResponse response = Call("POST", "/v1/requests", body);
+    const ApiResponse response = Call("POST", "/v1/requests", body);
     BOOST_TEST(response.status == 400);
     const std::string found = BodyOf(response)["detail"];
     BOOST_TEST(found.find(detail) != std::string::npos, body << ": " << found);
@@ -186,7 +186,7 @@
   for (const std::string& key :
        {std::string(), std::string(129, 'k'), std::string("a\tb"),
         std::string("\xc3\xa9")}) {
-    HttpRequest request = RequestTo("POST", "/v1/requests", R"({"kind":"a"})");
+    ApiRequest request = RequestTo("POST", "/v1/requests", R"({"kind":"a"})");
     request.headers.Add("Idempotency-Key", key);
     BOOST_TEST(Call(std::move(request)).status == 400);
   }
@@ -197,7 +197,7 @@
 
 BOOST_AUTO_TEST_CASE(AFullControlQueueIsOverload) {
   scheduler.control_queue_full = true;
-  const HttpResponse response =
+  const ApiResponse response =
       Call("POST", "/v1/requests", R"({"kind":"sort"})");
   BOOST_TEST(response.status == 503);
   BOOST_TEST(BodyOf(response)["kind"] == "overloaded");
@@ -220,7 +220,7 @@
   BOOST_TEST(BodyOf(Call("GET", "/v1/requests/a%2Fb"))["error"]["kind"] ==
              "task_failed");
   scheduler.result = Failure(ErrorKind::kCancelled, Ran::kNo);
-  const HttpResponse response = Call("DELETE", "/v1/requests/a%2Fb");
+  const ApiResponse response = Call("DELETE", "/v1/requests/a%2Fb");
   BOOST_TEST(response.status == 200);
   BOOST_TEST(BodyOf(response)["ran"] == "no");
   BOOST_TEST(scheduler.cancelled.at(0).str() == "a/b");
@@ -240,7 +240,7 @@
   status.tasks.push_back({});
   scheduler.job_result.ok = true;
   scheduler.job_result.status = status;
-  const HttpResponse response =
+  const ApiResponse response =
       Call("POST", "/v1/jobs",
            R"({"id":"j-1","kind":"erosion","tasks":3,"payload":{"x": 1}})");
   BOOST_TEST(response.status == 201);
@@ -277,7 +277,7 @@
   BOOST_TEST(Call("GET", "/").status == 404);
   BOOST_TEST(Call("GET", "/v1/requests/a/b").status == 404);
   BOOST_TEST(Call("GET", "/v1/requests/").status == 404);
-  const HttpResponse response = Call("PUT", "/v1/requests/a");
+  const ApiResponse response = Call("PUT", "/v1/requests/a");
   BOOST_TEST(response.status == 405);
   BOOST_TEST(response.headers.Find("Allow").value() == "GET, DELETE");
   BOOST_TEST(api.Handles("/v1/jobs/x"));
--- a/chivedale/testing/ctl_test.cc
+++ b/chivedale/testing/ctl_test.cc
@@ -15,11 +15,11 @@
 #include <utility>
 #include <vector>
 
+#include "chivedale/api_problem.h"
 #include "chivedale/burn_json.h"
 #include "chivedale/ctl_render.h"
 #include "chivedale/ctl_run.h"
 #include "chivedale/ctl_table_edit.h"
-#include "chivedale/http_problem.h"
 
 namespace chivedale {
 namespace {
--- a/chivedale/testing/fake_scheduler.h
+++ b/chivedale/testing/fake_scheduler.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "chivedale/http_routes.h"
+#include "chivedale/api_routes.h"
 #include "chivedale/scheduler_api.h"
 
 namespace chivedale::testing {
@@ -105,10 +105,10 @@
   bool Ready() const override { return status.ready; }
 };
 
-inline HttpRequest RequestTo(const std::string& method,
-                             const std::string& target,
-                             const std::string& body = "") {
-  HttpRequest request;
+inline ApiRequest RequestTo(const std::string& method,
+                            const std::string& target,
+                            const std::string& body = "") {
+  ApiRequest request;
   request.method = method;
   const size_t question = target.find('?');
   request.path = target.substr(0, question);
--- a/chivedale/testing/operator_api_test.cc
+++ b/chivedale/testing/operator_api_test.cc
@@ -25,24 +25,24 @@
   Metrics metrics;
   OperatorApi api{scheduler, scheduler, metrics, scheduler.Threads()};
 
-  HttpResponse Call(HttpRequest request) {
+  ApiResponse Call(ApiRequest request) {
     int answers = 0;
-    HttpResponse answer;
-    api.Handle(std::move(request), [&](HttpResponse response) {
+    ApiResponse answer;
+    api.Handle(std::move(request), [&](ApiResponse response) {
       ++answers;
       answer = std::move(response);
     });
     BOOST_TEST(answers == 1);
     return answer;
   }
-  HttpResponse Call(const std::string& method,
-                    const std::string& target,
-                    const std::string& body = "") {
+  ApiResponse Call(const std::string& method,
+                   const std::string& target,
+                   const std::string& body = "") {
     return Call(RequestTo(method, target, body));
   }
 };
 
-json BodyOf(const HttpResponse& response) {
+json BodyOf(const ApiResponse& response) {
   return response.body ? json::parse(*response.body) : json();
 }
 
@@ -69,10 +69,10 @@
 
 BOOST_AUTO_TEST_CASE(GetHasAnETagAndFollowsTheTable) {
   scheduler.table = TableAt(7, 1);
-  HttpResponse response = Call("GET", "/v1/table");
+  ApiResponse response = Call("GET", "/v1/table");
   BOOST_TEST(response.headers.Find("ETag").value() == "\"7\"");
   BOOST_TEST(BodyOf(response)["rows"][0]["weight"] == 1);
-  HttpRequest request = RequestTo("GET", "/v1/table");
+  ApiRequest request = RequestTo("GET", "/v1/table");
   request.headers.Add("If-None-Match", "\"7\"");
   response = Call(request);
   BOOST_TEST(response.status == 304);
@@ -87,7 +87,7 @@
 BOOST_AUTO_TEST_CASE(EditsKeepTheirBaseAndChangeId) {
   scheduler.edit_result.ok = true;
   scheduler.edit_result.table = TableAt(7, 2.5);
-  const HttpResponse response = Call("PUT", "/v1/table", Edit(kHead));
+  const ApiResponse response = Call("PUT", "/v1/table", Edit(kHead));
   BOOST_TEST(response.status == 200);
   BOOST_TEST(BodyOf(response)["revision"] == 7);
   const TableEdit& edit = scheduler.edits.at(0);
@@ -101,7 +101,7 @@
 BOOST_AUTO_TEST_CASE(ConflictsNameThePresentRevision) {
   scheduler.edit_result.error = ErrorKind::kTableConflict;
   scheduler.edit_result.table = TableAt(9, 1);
-  const HttpResponse response = Call("PUT", "/v1/table", Edit(kHead));
+  const ApiResponse response = Call("PUT", "/v1/table", Edit(kHead));
   BOOST_TEST(response.status == 409);
   BOOST_TEST(BodyOf(response)["kind"] == "table_conflict");
   BOOST_TEST(BodyOf(response)["revision"] == 9);
@@ -161,7 +161,7 @@
 BOOST_AUTO_TEST_CASE(ReadinessGivesItsReason) {
   scheduler.status.lifecycle = "starting";
   scheduler.status.not_ready_reason = "no table yet";
-  HttpResponse response = Call("GET", "/readyz");
+  ApiResponse response = Call("GET", "/readyz");
   BOOST_TEST(response.status == 503);
   BOOST_TEST(BodyOf(response)["kind"] == "not_ready");
   BOOST_TEST(BodyOf(response)["detail"] == "no table yet");
@@ -187,7 +187,7 @@
   BOOST_TEST(BodyOf(Call("GET", "/v1/workers"))["workers"][1]["id"] == "w-1");
   BOOST_TEST(BodyOf(Call("GET", "/v1/queue"))["rows"][0]["oldest_wait_ms"] ==
              1'500);
-  const HttpResponse burn = Call("GET", "/v1/burn");
+  const ApiResponse burn = Call("GET", "/v1/burn");
   BOOST_TEST(ParseBurnSnapshot(*burn.body).member == "e-1/1");
 }
 
@@ -196,7 +196,7 @@
   BOOST_TEST(!scheduler.drained);
   BOOST_TEST(Call("POST", "/v1/drain").status == 202);
   BOOST_TEST(scheduler.drained);
-  const HttpResponse response = Call("GET", "/metrics");
+  const ApiResponse response = Call("GET", "/metrics");
   BOOST_TEST(response.body->find("# TYPE chivedale_queued gauge") !=
              std::string::npos);
   BOOST_TEST(Call("POST", "/v1/table").headers.Find("Allow").value() ==
