Add HTTP server, HTTP client and the clients of the platform's services

Cause: callers, operators and the platform are reached over HTTP/1.1; whether a start was certainly not sent decides whether it may be made elsewhere. Change: HttpServer on Beast with one deadline per phase, bounds on headers, bodies, connections and bytes being received, and a graceful close; HttpClient with a bounded pool per address that tells not sent from unreachable by the bytes the socket took. StoreClient, WorkerClient and VmListClient use it; payloads follow a JSON line and are not encoded again.

--- /dev/null
+++ b/chivedale/http_client.h
@@ -0,0 +1,86 @@
+// HTTP/1.1 client with a bounded pool of keep-alive connections per address.
+// Nothing is sent twice: whether to try again is for the caller to decide.
+//
+//   HttpClient client(io, {});
+//   client.Call({"10.0.0.7:8080/w/12", "POST", "/v1/tasks", {}, head, payload,
+//                Millis(500)},
+//               [](HttpResult result) { ... });  // on a thread of `io`
+#ifndef CHIVEDALE_HTTP_CLIENT_H_
+#define CHIVEDALE_HTTP_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "chivedale/http_types.h"
+
+namespace chivedale {
+
+struct HttpCall {
+  std::string address;  // IP:PORT or IP:PORT/prefix
+  std::string method;
+  std::string target;  // follows the prefix
+  HttpHeaders headers;
+  // The request's body is `head` followed by `body`; neither is copied.
+  std::string head;
+  Body body;
+  // From Call to the last byte of the answer.
+  Millis timeout{1'000};
+};
+
+enum class CallStatus {
+  kAnswered,
+  kNotSent,      // no byte of the request left this process
+  kUnreachable,  // some of it was sent and no whole answer came
+};
+
+struct HttpResult {
+  CallStatus status = CallStatus::kUnreachable;
+  int http_status = 0;
+  HttpHeaders headers;
+  Body body;          // never null with kAnswered
+  std::string error;  // reason when there is no answer
+};
+
+class HttpClient {
+ public:
+  struct Options {
+    size_t connections_per_address = 64;
+    // Calls that wait for a connection; more end kNotSent.
+    size_t waiting_per_address = 1'024;
+    size_t max_header_bytes = 16'384;
+    size_t max_body_bytes = size_t{64} << 20;
+    // Below the idle timeout of the servers, so that the client closes first.
+    Millis idle_timeout{30'000};
+  };
+  struct Counts {
+    int64_t connections = 0;  // open now
+    int64_t opened = 0;
+    int64_t calls = 0;
+    int64_t answered = 0;
+    int64_t not_sent = 0;
+    int64_t unreachable = 0;
+  };
+  using Done = std::function<void(HttpResult)>;
+
+  HttpClient(boost::asio::io_context& io, Options options);
+  // Ends all calls; callbacks run as long as `io` does.
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // `done` runs exactly once on a thread of `io`. From any thread.
+  void Call(HttpCall call, Done done);
+  // Ends all calls; later ones end kNotSent.
+  void Close();
+
+  Counts counts() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_HTTP_CLIENT_H_
--- /dev/null
+++ b/chivedale/http_connection.cc
@@ -0,0 +1,235 @@
+// Whether a call was sent decides whether the scheduler may start the work
+// elsewhere, so the boundary is drawn by bytes: the socket took none
+// (kNotSent), or it took some (kUnreachable unless a whole answer came).
+//
+// A pooled connection may have been closed by the server meanwhile. It is
+// peeked at before use, and replaced when its end of stream has arrived; this
+// is no second send, since nothing was written. The rest of that race shows as
+// kUnreachable, which is the truth.
+#include "chivedale/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace chivedale {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+// Receive buffer beyond the largest header; bodies pass through it.
+constexpr size_t kBufferSlack = size_t{64} << 10;
+
+std::string RequestHeader(const HttpCall& call, const HttpAddress& address) {
+  std::string out =
+      call.method + " " + address.prefix + call.target + " HTTP/1.1\r\n";
+  const bool ipv6 = address.ip.find(':') != std::string::npos;
+  AppendHeader(out, "Host",
+               (ipv6 ? "[" + address.ip + "]" : address.ip) + ":" +
+                   std::to_string(address.port));
+  for (const HttpHeader& header : call.headers) {
+    AppendHeader(out, header.name, header.value);
+  }
+  const size_t length = call.head.size() + (call.body ? call.body->size() : 0);
+  if (length > 0 || call.method == "POST" || call.method == "PUT") {
+    AppendHeader(out, "Content-Length", std::to_string(length));
+  }
+  return out += "\r\n";
+}
+
+}  // namespace
+
+HttpResult FailedCall(CallStatus status, std::string reason) {
+  HttpResult result;
+  result.status = status;
+  result.error = std::move(reason);
+  return result;
+}
+
+HttpConnection::HttpConnection(asio::io_context& io,
+                               std::shared_ptr<HttpConnectionOwner> owner,
+                               const HttpClient::Options& options,
+                               std::string key,
+                               HttpAddress address)
+    : owner_(std::move(owner)),
+      options_(options),
+      key_(std::move(key)),
+      address_(std::move(address)),
+      socket_(asio::make_strand(io)),
+      timer_(socket_.get_executor()),
+      buffer_(options.max_header_bytes + kBufferSlack) {}
+
+void HttpConnection::Run(PendingCall pending) {
+  asio::post(socket_.get_executor(), [self = shared_from_this(),
+                                      pending = std::move(pending)]() mutable {
+    self->Begin(std::move(pending));
+  });
+}
+
+void HttpConnection::Close() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->Shut(); });
+}
+
+void HttpConnection::Begin(PendingCall pending) {
+  if (shut_ || (connected_ && IsStale())) {
+    Shut();
+    return owner_->Replace(shared_from_this(), std::move(pending));
+  }
+  pending_ = std::move(pending);
+  ArmTimer();
+  if (connected_) {
+    return Send();
+  }
+  const tcp::endpoint endpoint(asio::ip::make_address(address_.ip),
+                               address_.port);
+  socket_.async_connect(endpoint,
+                        [self = shared_from_this()](error_code error) {
+                          self->OnConnect(error);
+                        });
+}
+
+// The peer has closed, or sent bytes that nobody asked for.
+bool HttpConnection::IsStale() {
+  char byte = 0;
+  const ssize_t got =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void HttpConnection::OnConnect(error_code error) {
+  if (error) {
+    return End(FailedCall(CallStatus::kNotSent, error.message()), false);
+  }
+  connected_ = true;
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  Send();
+}
+
+void HttpConnection::Send() {
+  header_ = RequestHeader(pending_->call, address_);
+  const HttpCall& call = pending_->call;
+  const std::array<asio::const_buffer, 3> buffers = {
+      asio::buffer(header_), asio::buffer(call.head),
+      call.body ? asio::buffer(*call.body) : asio::const_buffer()};
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](error_code error, size_t bytes) {
+        self->OnSent(error, bytes);
+      });
+}
+
+void HttpConnection::OnSent(error_code error, size_t bytes) {
+  if (error && bytes == 0) {
+    return End(FailedCall(CallStatus::kNotSent, error.message()), false);
+  }
+  // A server may refuse a request before it has read all of it, so an answer
+  // is looked for after a failed write as well.
+  parser_.emplace();
+  parser_->header_limit(static_cast<uint32_t>(options_.max_header_bytes));
+  parser_->body_limit(options_.max_body_bytes);
+  parser_->skip(pending_->call.method == "HEAD");
+  http::async_read_header(socket_, buffer_, *parser_,
+                          [self = shared_from_this(), failed = bool(error)](
+                              error_code read_error, size_t) {
+                            self->OnHeader(read_error, failed);
+                          });
+}
+
+void HttpConnection::OnHeader(error_code error, bool write_failed) {
+  if (error) {
+    return OnReceived(error, write_failed);
+  }
+  // The parser of Boost 1.74 does not compare a response's Content-Length with
+  // the body limit.
+  const auto length = parser_->content_length();
+  if (length && *length > options_.max_body_bytes) {
+    return OnReceived(http::error::body_limit, write_failed);
+  }
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this(), write_failed](error_code read_error, size_t) {
+        self->OnReceived(read_error, write_failed);
+      });
+}
+
+void HttpConnection::OnReceived(error_code error, bool write_failed) {
+  if (error) {
+    return End(FailedCall(CallStatus::kUnreachable, error.message()), false);
+  }
+  const bool reusable =
+      parser_->keep_alive() && !write_failed && buffer_.size() == 0;
+  auto message = parser_->release();
+  HttpResult result;
+  result.status = CallStatus::kAnswered;
+  result.http_status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    result.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  result.body = std::make_shared<const std::string>(std::move(message.body()));
+  End(std::move(result), reusable);
+}
+
+void HttpConnection::End(HttpResult result, bool reusable) {
+  parser_.reset();
+  header_.clear();
+  const PendingCall pending = std::move(*pending_);
+  pending_.reset();
+  reusable = reusable && !shut_;
+  if (timed_out_ && result.status != CallStatus::kAnswered) {
+    result.error = "timeout";
+  }
+  if (!reusable) {
+    Shut();
+  }
+  owner_->Release(shared_from_this(), reusable);
+  owner_->Finish(pending, std::move(result));
+}
+
+// The timer is left running between calls and moved when it fires.
+void HttpConnection::ArmTimer() {
+  if (timer_armed_ && timer_.expiry() <= pending_->deadline) {
+    return;
+  }
+  timer_armed_ = true;
+  timer_.expires_at(pending_->deadline);
+  timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error) {
+      self->OnTimer();
+    }
+  });
+}
+
+void HttpConnection::OnTimer() {
+  timer_armed_ = false;
+  if (!pending_ || shut_) {
+    return;
+  }
+  if (SteadyClock::now() < pending_->deadline) {
+    return ArmTimer();
+  }
+  timed_out_ = true;
+  Shut();
+}
+
+// Operations under way end with an error.
+void HttpConnection::Shut() {
+  shut_ = true;
+  timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/store_client.cc
@@ -0,0 +1,123 @@
+// Every answer outside the protocol counts as "unavailable": the caller then
+// reads back, which is right whether or not a write took effect.
+#include "chivedale/store_client.h"
+
+#include "chivedale/platform_codec.h"
+#include "chivedale/platform_protocol.h"
+
+namespace chivedale {
+namespace {
+
+std::string KeyTarget(const std::string& key) {
+  return std::string(protocol::kKeysPath) + "/" + PercentEncode(key);
+}
+
+std::string Query(const char* name, const std::string& value) {
+  return std::string(name) + "=" + PercentEncode(value);
+}
+
+StoreResult ParseRead(const HttpResult& http) {
+  if (http.http_status == 404) {
+    return {StoreStatus::kNotFound, {}, 0};
+  }
+  if (http.http_status != 200) {
+    return {};
+  }
+  StoreEntry entry = protocol::DecodeEntry(*http.body);
+  const uint64_t revision = entry.revision;
+  return {StoreStatus::kOk, {std::move(entry)}, revision};
+}
+
+StoreResult ParseWrite(const HttpResult& http) {
+  if (http.http_status == 404) {
+    return {StoreStatus::kNotFound, {}, 0};
+  }
+  if (http.http_status != 200 && http.http_status != 409) {
+    return {};
+  }
+  return {http.http_status == 200 ? StoreStatus::kOk : StoreStatus::kConflict,
+          {},
+          protocol::DecodeRevision(*http.body)};
+}
+
+StoreResult ParseEntries(const HttpResult& http) {
+  if (http.http_status != 200) {
+    return {};
+  }
+  return protocol::DecodeEntries(*http.body);
+}
+
+}  // namespace
+
+StoreClient::StoreClient(HttpClient& http, Options options, PostFunction post)
+    : http_(http), options_(std::move(options)), post_(std::move(post)) {}
+
+void StoreClient::Call(HttpCall call,
+                       std::function<StoreResult(const HttpResult&)> parse,
+                       Done done) {
+  call.address = options_.address;
+  if (!call.head.empty()) {
+    call.headers.push_back({"Content-Type", protocol::kJsonType});
+  }
+  http_.Call(std::move(call),
+             DeliverTo<StoreResult>(post_, std::move(parse), StoreResult(),
+                                    std::move(done)));
+}
+
+void StoreClient::Get(const std::string& key, Done done) {
+  HttpCall call;
+  call.method = "GET";
+  call.target = KeyTarget(key);
+  call.timeout = options_.timeout;
+  Call(std::move(call), ParseRead, std::move(done));
+}
+
+void StoreClient::Put(const std::string& key,
+                      const std::string& value,
+                      uint64_t expected,
+                      Done done) {
+  HttpCall call;
+  call.method = "PUT";
+  call.target = KeyTarget(key);
+  try {
+    call.head = protocol::EncodePut({value, expected, ""});
+  } catch (const std::exception&) {
+    return post_([done = std::move(done)] { done(StoreResult()); });
+  }
+  call.timeout = options_.timeout;
+  Call(std::move(call), ParseWrite, std::move(done));
+}
+
+void StoreClient::Delete(const std::string& key, uint64_t expected, Done done) {
+  HttpCall call;
+  call.method = "DELETE";
+  call.target = KeyTarget(key) + "?" +
+                Query(protocol::kExpected, std::to_string(expected));
+  call.timeout = options_.timeout;
+  Call(std::move(call), ParseWrite, std::move(done));
+}
+
+void StoreClient::List(const std::string& prefix, Done done) {
+  HttpCall call;
+  call.method = "GET";
+  call.target =
+      std::string(protocol::kKeysPath) + "?" + Query(protocol::kPrefix, prefix);
+  call.timeout = options_.timeout;
+  Call(std::move(call), ParseEntries, std::move(done));
+}
+
+void StoreClient::Watch(const std::string& prefix,
+                        uint64_t after,
+                        Millis wait,
+                        Done done) {
+  HttpCall call;
+  call.method = "GET";
+  call.target = std::string(protocol::kWatchPath) + "?" +
+                Query(protocol::kPrefix, prefix) + "&" +
+                Query(protocol::kAfter, std::to_string(after)) + "&" +
+                Query(protocol::kWaitMs, std::to_string(wait.count()));
+  call.timeout = wait + options_.watch_margin;
+  Call(std::move(call), ParseEntries, std::move(done));
+}
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/testing/http_client_test.cc
@@ -0,0 +1,306 @@
+// Guards against a client that reports "not sent" for a call that may have
+// been executed, mixes up answers, or opens more connections than allowed.
+#include "chivedale/http_client.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "chivedale/http_server.h"
+#include "chivedale/testing/http_bench.h"
+#include "chivedale/testing/io_threads.h"
+
+namespace chivedale::testing {
+namespace {
+
+std::string AddressOf(const HttpServer& server) {
+  return "127.0.0.1:" + std::to_string(server.port());
+}
+
+struct Bench {
+  IoThreads threads{3};
+  HttpServer server;
+  HttpClient client;
+
+  explicit Bench(HttpHandler handler,
+                 const HttpServer::Options& server_options = {},
+                 HttpClient::Options options = {})
+      : server(threads.io(), server_options, std::move(handler)),
+        client(threads.io(), options) {}
+  ~Bench() { threads.Stop(); }
+
+  HttpResult Get(const std::string& target, Millis timeout = Millis(5'000)) {
+    HttpCall call = MakeCall(AddressOf(server), "GET", target);
+    call.timeout = timeout;
+    return CallAndWait(client, std::move(call));
+  }
+};
+
+void Echo(const HttpRequest& request, const HttpRespond& respond) {
+  HttpResponse response;
+  response.body = request.body;
+  response.headers = {{"Echo-Target", request.target}};
+  respond(std::move(response));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpClientAnswers)
+
+RC_BOOST_PROP(EachCallGetsItsOwnWholeAnswer, ()) {
+  static Bench bench(Echo);
+  const auto sizes = *rc::gen::container<std::vector<int>>(
+      rc::gen::oneOf(rc::gen::inRange(0, 200), rc::gen::inRange(0, 300'000)));
+  std::vector<std::future<HttpResult>> answers;
+  std::vector<std::string> bodies;
+  for (size_t i = 0; i < sizes.size(); ++i) {
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    answers.push_back(promise->get_future());
+    HttpCall call =
+        MakeCall(AddressOf(bench.server) + "/w/" + std::to_string(i % 3),
+                 "POST", "/x?n=" + std::to_string(i), "head\n");
+    call.body = MakeBody(std::string(static_cast<size_t>(sizes[i]),
+                                     static_cast<char>('a' + i % 26)));
+    bodies.push_back("head\n" + *call.body);
+    bench.client.Call(std::move(call), [promise](HttpResult result) {
+      promise->set_value(std::move(result));
+    });
+  }
+  for (size_t i = 0; i < answers.size(); ++i) {
+    const HttpResult result = answers[i].get();
+    RC_ASSERT(result.status == CallStatus::kAnswered);
+    RC_ASSERT(*result.body == bodies[i]);
+    RC_ASSERT(FindHeader(result.headers, "echo-target") ==
+              "/w/" + std::to_string(i % 3) + "/x?n=" + std::to_string(i));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsAreKeptAndBounded) {
+  std::atomic<int> now{0};
+  std::atomic<int> most{0};
+  HttpClient::Options options;
+  options.connections_per_address = 4;
+  Bench bench(
+      [&](const HttpRequest&, const HttpRespond& respond) {
+        const int current = ++now;
+        int seen = most;
+        while (seen < current && !most.compare_exchange_weak(seen, current)) {
+        }
+        std::this_thread::sleep_for(Millis(1));
+        --now;
+        respond(HttpResponse::Json(200, "{}"));
+      },
+      {}, options);
+  std::atomic<int> answered{0};
+  for (int i = 0; i < 100; ++i) {
+    bench.client.Call(MakeCall(AddressOf(bench.server), "GET", "/"),
+                      [&](const HttpResult& result) {
+                        answered += result.status == CallStatus::kAnswered;
+                      });
+  }
+  BOOST_TEST(WaitFor([&] { return answered == 100; }));
+  BOOST_TEST(most <= 4);
+  BOOST_TEST(bench.client.counts().opened <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionThatTheServerClosedMeanwhileIsReplaced) {
+  HttpServer::Options options;
+  options.idle_timeout = Millis(30);
+  Bench bench(Echo, options);
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST((bench.Get("/").status == CallStatus::kAnswered));
+    BOOST_TEST(WaitFor([&] { return bench.server.counts().connections == 0; }));
+  }
+  BOOST_TEST(bench.client.counts().opened == 3);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionsAreClosed) {
+  HttpClient::Options options;
+  options.idle_timeout = Millis(10);
+  Bench bench(Echo, {}, options);
+  bench.Get("/");
+  BOOST_TEST(WaitFor([&] { return bench.client.counts().connections == 0; }));
+  BOOST_TEST(WaitFor([&] { return bench.server.counts().connections == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(HttpClientFailures)
+
+BOOST_AUTO_TEST_CASE(WithoutAConnectionNothingWasSent) {
+  IoThreads threads(1);
+  HttpClient client(threads.io(), {});
+  uint16_t port = 0;
+  {
+    IoThreads other(1);
+    HttpServer server(other.io(), {}, Echo);
+    port = server.port();
+    other.Stop();
+  }
+  const std::string addresses[] = {"127.0.0.1:" + std::to_string(port), "",
+                                   "nonsense", "host:80", "127.0.0.1:99999"};
+  for (const std::string& address : addresses) {
+    const HttpResult result =
+        CallAndWait(client, MakeCall(address, "POST", "/", "x"));
+    BOOST_TEST((result.status == CallStatus::kNotSent), address);
+  }
+  threads.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(ADroppedConnectionLeavesTheOutcomeOpen) {
+  std::atomic<int> handled{0};
+  Bench bench([&](const HttpRequest& request, const HttpRespond& respond) {
+    if (++handled > 1) {
+      return request.caller->Drop();
+    }
+    respond(HttpResponse::Json(200, "{}"));
+  });
+  // The second call uses the first one's connection, the third a new one.
+  BOOST_TEST((bench.Get("/").status == CallStatus::kAnswered));
+  BOOST_TEST((bench.Get("/").status == CallStatus::kUnreachable));
+  BOOST_TEST((bench.Get("/").status == CallStatus::kUnreachable));
+  BOOST_TEST(handled == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ACallWithoutAnAnswerTimesOutAsUnreachable) {
+  std::mutex mutex;
+  std::vector<HttpRespond> held;
+  HttpClient::Options options;
+  options.connections_per_address = 1;
+  Bench bench(
+      [&](const HttpRequest&, const HttpRespond& respond) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        held.push_back(respond);
+      },
+      {}, options);
+  std::atomic<int> first{-1};
+  HttpCall call = MakeCall(AddressOf(bench.server), "GET", "/");
+  call.timeout = Millis(300);
+  bench.client.Call(call, [&](const HttpResult& result) {
+    first = static_cast<int>(result.status);
+  });
+  // The only connection is taken, so this one times out unsent.
+  BOOST_TEST((bench.Get("/", Millis(100)).status == CallStatus::kNotSent));
+  BOOST_TEST(WaitFor([&] { return first >= 0; }));
+  BOOST_TEST(first == static_cast<int>(CallStatus::kUnreachable));
+  const std::lock_guard<std::mutex> lock(mutex);
+  BOOST_TEST(held.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CloseEndsEveryCall) {
+  std::mutex mutex;
+  std::vector<HttpRespond> held;
+  HttpClient::Options options;
+  options.connections_per_address = 1;
+  Bench bench(
+      [&](const HttpRequest&, const HttpRespond& respond) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        held.push_back(respond);
+      },
+      {}, options);
+  std::mutex result_mutex;
+  std::multiset<CallStatus> results;
+  for (int i = 0; i < 2; ++i) {
+    bench.client.Call(MakeCall(AddressOf(bench.server), "GET", "/"),
+                      [&](const HttpResult& result) {
+                        const std::lock_guard<std::mutex> lock(result_mutex);
+                        results.insert(result.status);
+                      });
+  }
+  BOOST_TEST(WaitFor([&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return held.size() == 1;
+  }));
+  bench.client.Close();
+  BOOST_TEST(WaitFor([&] {
+    const std::lock_guard<std::mutex> lock(result_mutex);
+    return results.size() == 2;
+  }));
+  BOOST_TEST(results.count(CallStatus::kUnreachable) == 1U);
+  BOOST_TEST(results.count(CallStatus::kNotSent) == 1U);
+  BOOST_TEST((bench.Get("/").status == CallStatus::kNotSent));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsOversizedMalformedOrCutOffIsNotAWholeOne) {
+  const std::string answers[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" +
+          std::string(1'001, 'x'),
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+          std::string(1'001, 'x') + "\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + std::string(1'001, 'x'),
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+      "HTTP/1.1 200 OK\r\nA: " + std::string(100'000, 'x') + "\r\n\r\n",
+      "nonsense\r\n\r\n",
+      "",
+  };
+  HttpClient::Options options;
+  options.max_body_bytes = 1'000;
+  IoThreads threads(1);
+  HttpClient client(threads.io(), options);
+  for (const std::string& answer : answers) {
+    namespace asio = boost::asio;
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    std::thread server([&] {
+      asio::ip::tcp::socket socket = acceptor.accept();
+      char request[4096];
+      boost::system::error_code error;
+      socket.read_some(asio::buffer(request), error);
+      asio::write(socket, asio::buffer(answer), error);
+    });
+    const std::string address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const HttpResult result =
+        CallAndWait(client, MakeCall(address, "GET", "/"));
+    server.join();
+    BOOST_TEST((result.status == CallStatus::kUnreachable),
+               answer.substr(0, 60));
+  }
+  threads.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalDuringALargeUploadIsRead) {
+  HttpServer::Options options;
+  options.max_body_bytes = 1'000;
+  Bench bench(Echo, options);
+  HttpCall call = MakeCall(AddressOf(bench.server), "POST", "/");
+  call.body = MakeBody(std::string(size_t{8} << 20, 'x'));
+  const HttpResult result = CallAndWait(bench.client, std::move(call));
+  BOOST_TEST(result.http_status == 413);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(HttpText)
+
+RC_BOOST_PROP(TargetsAreDecodedAsTheyWereEncoded,
+              (const std::string& key, const std::string& value)) {
+  const HttpTarget target = ParseHttpTarget("/v1/" + PercentEncode(key) +
+                                            "?q=" + PercentEncode(value));
+  RC_ASSERT(target.path.at(0) == "v1");
+  RC_ASSERT((key.empty() ? target.path.size() == 1 : target.path.at(1) == key));
+  RC_ASSERT(target.Query("q") == value);
+}
+
+BOOST_AUTO_TEST_CASE(AddressesMayHaveAPrefix) {
+  const HttpAddress plain = ParseHttpAddress("10.0.0.7:80");
+  BOOST_TEST((plain.ip == "10.0.0.7" && plain.port == 80));
+  BOOST_TEST(ParseHttpAddress("10.0.0.7:80/w/1/").prefix == "/w/1");
+  BOOST_TEST(ParseHttpAddress("[::1]:80").ip == "::1");
+}
+
+BOOST_AUTO_TEST_CASE(AHeaderValueCannotStartAnotherHeader) {
+  std::string out;
+  AppendHeader(out, "A", "x\r\nB: y");
+  BOOST_TEST(out == "A: xB: y\r\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivedale::testing
--- /dev/null
+++ b/chivedale/testing/io_threads.cc
@@ -0,0 +1,39 @@
+#include "chivedale/testing/io_threads.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+namespace chivedale::testing {
+
+struct IoThreads::Impl {
+  boost::asio::io_context io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard{io.get_executor()};
+  std::vector<std::thread> threads;
+};
+
+IoThreads::IoThreads(int threads) : impl_(std::make_unique<Impl>()) {
+  for (int i = 0; i < threads; ++i) {
+    impl_->threads.emplace_back([this] { impl_->io.run(); });
+  }
+}
+
+IoThreads::~IoThreads() {
+  Stop();
+}
+
+boost::asio::io_context& IoThreads::io() {
+  return impl_->io;
+}
+
+void IoThreads::Stop() {
+  impl_->io.stop();
+  for (std::thread& thread : impl_->threads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+}  // namespace chivedale::testing
--- /dev/null
+++ b/chivedale/vm_list_client.h
@@ -0,0 +1,35 @@
+// VmListPort over HTTP. Callbacks run through `post`.
+#ifndef CHIVEDALE_VM_LIST_CLIENT_H_
+#define CHIVEDALE_VM_LIST_CLIENT_H_
+
+#include <string>
+
+#include "chivedale/platform_call.h"
+#include "chivedale/ports.h"
+
+namespace chivedale {
+
+class VmListClient final : public VmListPort {
+ public:
+  struct Options {
+    std::string address;
+    // On top of the call's own wait.
+    Millis margin{2'000};
+  };
+
+  // `http` outlives this.
+  VmListClient(HttpClient& http, Options options, PostFunction post);
+
+  void Fetch(uint64_t after,
+             Millis wait,
+             std::function<void(VmListResult)> done) override;
+
+ private:
+  HttpClient& http_;
+  const Options options_;
+  const PostFunction post_;
+};
+
+}  // namespace chivedale
+
+#endif  // CHIVEDALE_VM_LIST_CLIENT_H_
--- /dev/null
+++ b/chivedale/worker_client.cc
@@ -0,0 +1,185 @@
+// An answer that is not one of the protocol's proves nothing about the start,
+// so it counts as unreachable; the owner then reads the worker's list.
+#include "chivedale/worker_client.h"
+
+#include "chivedale/platform_codec.h"
+#include "chivedale/platform_protocol.h"
+
+namespace chivedale {
+namespace {
+
+PortStatus StatusOf(const HttpResult& http) {
+  if (http.status == CallStatus::kNotSent) {
+    return PortStatus::kNotSent;
+  }
+  if (http.status == CallStatus::kUnreachable) {
+    return PortStatus::kUnreachable;
+  }
+  switch (http.http_status) {
+    case 200:
+    case 202:
+    case 204:
+      return PortStatus::kOk;
+    case 404:
+    case 409:
+      return PortStatus::kRefused;
+    default:
+      return PortStatus::kUnreachable;
+  }
+}
+
+bool Answered(PortStatus status) {
+  return status == PortStatus::kOk || status == PortStatus::kRefused;
+}
+
+LeaseResult ParseLease(const HttpResult& http) {
+  const PortStatus status = StatusOf(http);
+  if (Answered(status)) {
+    return protocol::DecodeLeaseResult(*http.body, status);
+  }
+  LeaseResult result;
+  result.status = status;
+  return result;
+}
+
+TaskList ParseTasks(const HttpResult& http) {
+  TaskList list{StatusOf(http), {}};
+  if (list.status == PortStatus::kOk) {
+    list.tasks = protocol::DecodeTasks(*http.body);
+  }
+  return list;
+}
+
+StartOutcome ParseStart(const HttpResult& http) {
+  if (http.status == CallStatus::kNotSent) {
+    return StartOutcome::kNotSent;
+  }
+  if (http.status != CallStatus::kAnswered) {
+    return StartOutcome::kUnknown;
+  }
+  return protocol::DecodeOutcome(*http.body);
+}
+
+CompletionsResult ParseCompletions(const HttpResult& http) {
+  CompletionsResult result{StatusOf(http), {}};
+  if (result.status == PortStatus::kOk) {
+    result.completions = protocol::DecodeCompletions(*http.body);
+  }
+  return result;
+}
+
+const char* NameOf(TaskControl control) {
+  static constexpr const char* kNames[] = {
+      protocol::kStop, protocol::kCheckpoint, protocol::kThrottle};
+  return kNames[static_cast<size_t>(control)];
+}
+
+}  // namespace
+
+WorkerClient::WorkerClient(HttpClient& http, Options options, PostFunction post)
+    : http_(http), options_(options), post_(std::move(post)) {}
+
+void WorkerClient::SetAddress(const WorkerId& worker,
+                              const std::string& address) {
+  if (address.empty()) {
+    addresses_.erase(worker);
+  } else {
+    addresses_[worker] = address;
+  }
+}
+
+HttpCall WorkerClient::MakeCall(const WorkerId& worker,
+                                const char* method,
+                                std::string target,
+                                std::string head,
+                                Millis timeout) const {
+  HttpCall call;
+  const auto it = addresses_.find(worker);
+  if (it != addresses_.end()) {
+    call.address = it->second;
+  }
+  call.method = method;
+  call.target = std::move(target);
+  if (!head.empty()) {
+    call.headers = {{"Content-Type", protocol::kJsonType}};
+  }
+  call.head = std::move(head);
+  call.timeout = timeout;
+  return call;
+}
+
+void WorkerClient::Lease(const WorkerId& worker,
+                         const MemberId& owner,
+                         const LeaseToken& token,
+                         Millis ttl,
+                         std::function<void(LeaseResult)> done) {
+  http_.Call(MakeCall(worker, "POST", protocol::kLeasePath,
+                      protocol::EncodeLeaseCall({owner, token, ttl}),
+                      options_.lease_timeout),
+             DeliverTo<LeaseResult>(post_, ParseLease, LeaseResult(),
+                                    std::move(done)));
+}
+
+void WorkerClient::Release(const WorkerId& worker,
+                           const MemberId& owner,
+                           const LeaseToken& token,
+                           std::function<void(PortStatus)> done) {
+  http_.Call(MakeCall(worker, "DELETE", protocol::kLeasePath,
+                      protocol::EncodeLeaseCall({owner, token, Millis(0)}),
+                      options_.lease_timeout),
+             DeliverTo<PortStatus>(post_, StatusOf, PortStatus::kUnreachable,
+                                   std::move(done)));
+}
+
+void WorkerClient::List(const WorkerId& worker,
+                        std::function<void(TaskList)> done) {
+  http_.Call(
+      MakeCall(worker, "GET", protocol::kTasksPath, "", options_.list_timeout),
+      DeliverTo<TaskList>(post_, ParseTasks, TaskList(), std::move(done)));
+}
+
+void WorkerClient::Start(const WorkerId& worker,
+                         const StartRequest& request,
+                         std::function<void(StartOutcome)> done) {
+  std::string head;
+  try {
+    head = protocol::EncodeStart(request);
+  } catch (const std::exception&) {
+    // An id or kind that is not UTF-8 has no JSON form.
+    return post_([done = std::move(done)] { done(StartOutcome::kNotSent); });
+  }
+  HttpCall call = MakeCall(worker, "POST", protocol::kTasksPath,
+                           std::move(head), options_.start_timeout);
+  call.headers = {{"Content-Type", protocol::kPayloadType}};
+  call.body = request.payload;
+  http_.Call(std::move(call),
+             DeliverTo<StartOutcome>(post_, ParseStart, StartOutcome::kUnknown,
+                                     std::move(done)));
+}
+
+void WorkerClient::Completions(const WorkerId& worker,
+                               const CompletionsRequest& request,
+                               std::function<void(CompletionsResult)> done) {
+  http_.Call(
+      MakeCall(worker, "POST", protocol::kCompletionsPath,
+               protocol::EncodePoll(request),
+               request.wait + options_.completions_margin),
+      DeliverTo<CompletionsResult>(post_, ParseCompletions, CompletionsResult(),
+                                   std::move(done)));
+}
+
+void WorkerClient::Control(const WorkerId& worker,
+                           const LeaseToken& token,
+                           const TaskKey& key,
+                           TaskControl control,
+                           std::function<void(PortStatus)> done) {
+  std::string target = protocol::kTasksPath;
+  target += "/" + PercentEncode(key.task.str()) + "/" + NameOf(control);
+  http_.Call(MakeCall(worker, "POST", std::move(target),
+                      protocol::EncodeControl({token, key.attempt}),
+                      options_.control_timeout),
+             DeliverTo<PortStatus>(post_, StatusOf, PortStatus::kUnreachable,
+                                   std::move(done)));
+}
+
+}  // namespace chivedale
