--- /dev/null
+++ b/chivedale/testing/store_standin.h
@@ -0,0 +1,58 @@
+// The platform's key-value store over HTTP, in memory.
+//
+//   StoreStandin store({});
+//   store.SetFaults({false, Millis(50), 1});
+//   StoreClient client(http, {store.address()}, post);
+#ifndef CHIVEDALE_TESTING_STORE_STANDIN_H_
+#define CHIVEDALE_TESTING_STORE_STANDIN_H_
+
+#include <memory>
+#include <string>
+
+#include "chivedale/work.h"
+
+namespace chivedale::testing {
+
+class StoreStandin {
+ public:
+  struct Options {
+    std::string ip = "127.0.0.1";
+    uint16_t port = 0;
+  };
+  struct Faults {
+    // Connections are dropped without an answer.
+    bool down = false;
+    // Before each call takes effect.
+    Millis slow{0};
+    // Next writes that take effect and lose their answer.
+    int lose_writes = 0;
+    // Calls above the rate are refused with 429; 0 is no limit.
+    int64_t max_reads_per_s = 0;
+    int64_t max_writes_per_s = 0;
+  };
+  // Calls that arrived while the store was not down.
+  struct Counts {
+    int64_t reads = 0;
+    int64_t writes = 0;
+    int64_t watches = 0;
+    int64_t refused = 0;  // by a rate limit, not in the others
+    int64_t entries = 0;
+    uint64_t revision = 0;
+  };
+
+  explicit StoreStandin(const Options& options);
+  ~StoreStandin();
+
+  void SetFaults(const Faults& faults);
+  Faults faults() const;
+  Counts counts() const;
+  std::string address() const;  // IP:PORT
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace chivedale::testing
+
+#endif  // CHIVEDALE_TESTING_STORE_STANDIN_H_
