--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,14 +1,14 @@
 # Functions that start and end a small cell on loopback; sourced by demo.sh,
 # bench.sh and soak.sh. Needs `dir` (scratch folder) and `build`.
-# Ports: 21000 store, 21001 VM list, 21002 control, 21100.. workers,
+# Ports: 21000 store, 21001 VM list, 21002 control,
 # 22000+n callers, 23000+n peers.
 
 cell_pids=()
 
 cell_start_standin() {  # workers, GPU workers
   "$build/standin" --store 127.0.0.1:21000 --vm-list 127.0.0.1:21001 \
-    --control 127.0.0.1:21002 --base-port 21100 --workers "$1" \
-    --gpu-workers "$2" --data-centres fukuoka-1,fukuoka-2,kumamoto-1 \
+    --control 127.0.0.1:21002 --workers "$1" \
+    --gpu-workers "$2" --data-centres fukuoka:fukuoka-1,fukuoka:fukuoka-2,kumamoto:kumamoto-1 \
     --seed "${seed:-1}" >"$dir/standin.log" 2>&1 &
   standin_pid=$!
   cell_pids+=("$standin_pid")
