--- a/chivedale/chivedale_load_main.cc
+++ b/chivedale/chivedale_load_main.cc
@@ -142,7 +142,8 @@
 
 WorkerBook FetchBook(const std::string& address) {
   WorkerBook book;
-  for (const auto& [task, runs] : Fetch(address, "/book")["tasks"].items()) {
+  const nlohmann::json book_json = Fetch(address, "/book?all=1");
+  for (const auto& [task, runs] : book_json["runs"].items()) {
     const RequestId id = RequestOfTask(TaskId(task));
     WorkerBookEntry& entry = book[id.str()];
     for (const nlohmann::json& run : runs) {
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -96,9 +96,6 @@
     bool best_may_hold = false;
     uint64_t best_weight = 0;
     for (const auto& [id, member] : members) {
-      if (repeatable && member.region != self.region) {
-        continue;
-      }
       const bool may_hold = MayHold(member.state);
       const uint64_t weight = util::RendezvousWeight(key, id.str());
       const bool better =
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,7 +24,7 @@
 "$build/chivedalectl" --server 127.0.0.1:22001 status
 
 echo "sending requests; daemon 3 is killed after 8 seconds"
-(sleep 8; kill -KILL "${daemon_pid[3]}") &
+if [ -z "${NO_KILL:-}" ]; then (sleep 8; kill -KILL "${daemon_pid[3]}") & fi
 cell_pids+=("$!")
 "$build/chivedale_load" --entries "$(cell_entries 7)" \
   --profile examples/load_demo.json --table examples/table.json \
