Histories of faults against the owner role, and what they found

Cause: the promises of the owner role were only tested step by step.

Found and fixed: - A repeated WorkerTaken listed a start without an outcome as running, so that the entry took the later refusal for stale. Only running work is listed. - A start whose answer was lost and whose completion was late looked as if it had never started. It is now sent again under the new token: the worker says kAlreadyThere, or starts it. - A refusal of that second send for room or leaving was retried for ever. kAlreadyThere comes before those refusals, so they are certain. - An owner that lost a worker to a member that died at once, and got the worker back, never told its entries of the attempts in between. It does now. - A decision that was kept anew was dropped with its first copy.

--- a/chivedale/lease_keeper.cc
+++ b/chivedale/lease_keeper.cc
@@ -341,12 +341,13 @@
     worker.lease.Granted(result.token, result.report.fencing, now);
     return;
   }
-  worker.lease.ClaimFailed();
   worker.taken_over = true;
   if (result.status != PortStatus::kRefused) {
+    worker.lease.ClaimFailed();
     BackOff(worker);
     return;
   }
+  worker.lease.ClaimRefused();
   worker.next_try = now + std::clamp(result.remaining, Millis(20), kClaimRetry);
   if (!result.holder.empty() && result.holder != self_) {
     events_.OnTaken(worker);
--- a/chivedale/owner_agent.cc
+++ b/chivedale/owner_agent.cc
@@ -13,6 +13,8 @@
 constexpr int kEntryGoneSends = 3;
 // Holders free the ids of a gone entry on their own long before this.
 constexpr Millis kEntryGoneLongest{30'000};
+// A worker's completion that comes later than this is given up.
+constexpr Millis kLatestCompletion{10'000};
 // Walking over 21,000 workers for a summary takes up to a millisecond.
 constexpr Millis kSummaryAge{20};
 
@@ -151,6 +153,9 @@
     }
     ++it;
   }
+  for (auto it = moved_.begin(); it != moved_.end();) {
+    it = keeper_.Find(it->first) == nullptr ? moved_.erase(it) : std::next(it);
+  }
   SendAnswers();
   TickAdopted();
 }
@@ -255,6 +260,7 @@
     return;
   }
   next_adoption_check_ = now + kAdoptionCheck;
+  EndUnlisted();
   FindMissingEntries();
   AdoptedTasks::Due adopted = adopted_.TakeDue();
   for (Register& ask : adopted.registers) {
@@ -270,6 +276,19 @@
   }
 }
 
+void OwnerAgent::Impl::EndUnlisted() {
+  std::vector<TaskKey> lost;
+  for (const auto& [key, attempt] : tracker_.attempts()) {
+    if (attempt.unlisted != util::TimePoint() &&
+        clock_.Now() - attempt.unlisted >= kLatestCompletion) {
+      lost.push_back(key);
+    }
+  }
+  for (const TaskKey& key : lost) {
+    EndUnknown(key);
+  }
+}
+
 // An entry may have died before this member knew of it.
 void OwnerAgent::Impl::FindMissingEntries() {
   std::set<MemberId> seen;
--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -63,6 +63,7 @@
   void SendEntryGone(const MemberId& gone);
   void TickAdopted();
   void FindMissingEntries();
+  void EndUnlisted();
   void KeepAnswer(const TaskKey& key);
   std::vector<TaskKey> KeysOf(const MemberId& entry) const;
   void SendAnswers();
@@ -84,12 +85,16 @@
   void OnStarted(const TaskKey& key,
                  const LeaseToken& token,
                  StartOutcome outcome);
+  void SendStart(const Attempt& attempt);
+  // Sends the start of an unresolved attempt again under the present token.
+  void StartAgain(Attempt& attempt, const LeaseToken& token);
   void OnStartUnknown(Attempt& attempt);
   void SetRunning(Attempt& attempt, util::TimePoint started);
   // The attempt certainly did not start.
   void EndNotRun(const TaskKey& key, DispatchOutcome outcome);
   // The attempt has ended, and nothing more is known of it.
   void EndUnknown(const TaskKey& key);
+  void AnswerUnknown(const Attempt& attempt);
   void Reply(const Attempt& attempt, DispatchOutcome outcome);
   void Refuse(const Dispatch& dispatch, DispatchOutcome outcome);
   void ReplyWith(const Dispatch& dispatch, const Decision& decision);
@@ -124,6 +129,7 @@
                  const Completion& completion);
   void Announce(WorkerRecord& worker, bool reboot);
   void Forget(WorkerRecord& worker);
+  void SettleMoved(WorkerRecord& worker);
 
   struct HeldWorkers {
     MemberId from;
@@ -163,6 +169,9 @@
   std::map<uint64_t, HeldWorkers> holds_;
   std::unordered_map<WorkerId, Announcement> announcements_;
   std::map<MemberId, GoneEntry> gone_;
+  // Attempts on workers that went to another owner. Their entries may still
+  // take this member for the owner, and are told when it owns the worker again.
+  std::unordered_map<WorkerId, std::vector<Attempt>> moved_;
   std::set<std::pair<util::TimePoint, WorkerId>> probes_;
   // The running attempt that was stopped to make room for an urgent task.
   std::map<TaskId, TaskKey> preempted_for_;
--- a/chivedale/owner_starts.cc
+++ b/chivedale/owner_starts.cc
@@ -2,7 +2,10 @@
 
 // Dispatches and their outcomes. A refusal is certain: whatever may have
 // reached the worker is first resolved by claiming the own lease again, which
-// fences the start, and by reading what the worker has.
+// fences the start, and by reading what the worker has. When neither list nor
+// completions show the attempt, its start is sent again: it may have ended with
+// a completion that is late, and the worker tells by kAlreadyThere; else it
+// starts now, which is what the entry waits for.
 namespace chivedale {
 namespace {
 
@@ -80,7 +83,7 @@
     decision.outcome = DispatchOutcome::kRefused;
   }
   // Kept anew: it must outlive the sender's repetitions.
-  tracker_.Decide(dispatch.key, *found);
+  tracker_.Decide(dispatch.key, Decision(*found));
   ReplyWith(dispatch, decision);
   return true;
 }
@@ -190,21 +193,25 @@
   attempt.longest_run = dispatch.longest_run;
   attempt.started = now;
 
-  StartRequest request;
-  request.key = dispatch.key;
-  request.token = attempt.token;
-  request.kind = dispatch.kind;
-  request.size = size;
-  request.entry = dispatch.entry;
-  request.repeatable = dispatch.repeatable;
-  request.longest_run = dispatch.longest_run;
-  request.payload = dispatch.payload;
-
+  attempt.payload = dispatch.payload;
   tracker_.Add(std::move(attempt));
   worker.books.Add(dispatch.key, {size, AttemptState::kStarting, now});
   health_.OnStart(worker.id);
   Update(worker);
-  port_.Start(worker.id, request,
+  SendStart(*tracker_.Find(dispatch.key));
+}
+
+void OwnerAgent::Impl::SendStart(const Attempt& attempt) {
+  StartRequest request;
+  request.key = attempt.key;
+  request.token = attempt.token;
+  request.kind = attempt.kind;
+  request.size = attempt.size;
+  request.entry = attempt.entry;
+  request.repeatable = attempt.repeatable;
+  request.longest_run = attempt.longest_run;
+  request.payload = attempt.payload;
+  port_.Start(attempt.worker, request,
               [this, alive = std::weak_ptr<bool>(alive_), key = request.key,
                token = request.token](StartOutcome outcome) {
                 if (!alive.expired()) {
@@ -214,6 +221,15 @@
               });
 }
 
+void OwnerAgent::Impl::StartAgain(Attempt& attempt, const LeaseToken& token) {
+  attempt.unsure = true;
+  attempt.state = AttemptState::kStarting;
+  attempt.token = token;
+  keeper_.Find(attempt.worker)
+      ->books.SetState(attempt.key, AttemptState::kStarting);
+  SendStart(attempt);
+}
+
 void OwnerAgent::Impl::OnStarted(const TaskKey& key,
                                  const LeaseToken& token,
                                  StartOutcome outcome) {
@@ -225,40 +241,30 @@
   }
   WorkerRecord* worker = keeper_.Find(attempt->worker);
   const util::TimePoint now = clock_.Now();
-  switch (outcome) {
-    case StartOutcome::kAccepted:
-    case StartOutcome::kAlreadyThere:
-      SetRunning(*attempt, now);
-      break;
-    case StartOutcome::kUnknown:
-      OnStartUnknown(*attempt);
-      break;
-    case StartOutcome::kNoRoom:
-      EndNotRun(key, DispatchOutcome::kNoRoom);
-      if (worker != nullptr) {
-        // The books are wrong, or the capacity has changed: read it again.
-        worker->closed_until = now + kClosedAfterRefusal;
-        worker->resolve = true;
-      }
-      break;
-    case StartOutcome::kStaleToken:
-      EndNotRun(key, DispatchOutcome::kRefused);
-      if (worker != nullptr) {
-        keeper_.OnTokenDenied(*worker, token);
-      }
-      break;
-    case StartOutcome::kLeaving:
-      EndNotRun(key, DispatchOutcome::kRefused);
-      if (worker != nullptr) {
-        worker->refused_leaving = true;
-      }
-      break;
-    case StartOutcome::kNotSent:
-      EndNotRun(key, DispatchOutcome::kRefused);
-      if (worker != nullptr) {
-        worker->closed_until = now + kClosedAfterRefusal;
-      }
-      break;
+  if (outcome == StartOutcome::kStaleToken && worker != nullptr) {
+    keeper_.OnTokenDenied(*worker, token);
+  }
+  if (outcome == StartOutcome::kLeaving && worker != nullptr) {
+    worker->refused_leaving = true;
+  }
+  const bool no_room = outcome == StartOutcome::kNoRoom;
+  // The worker found that it does not know the attempt.
+  const bool looked_up = no_room || outcome == StartOutcome::kLeaving;
+  if ((no_room || outcome == StartOutcome::kNotSent) && worker != nullptr) {
+    worker->closed_until = now + kClosedAfterRefusal;
+    // The books are wrong, or the capacity has changed: read it again.
+    worker->resolve = worker->resolve || no_room;
+  }
+  if (outcome == StartOutcome::kAccepted ||
+      outcome == StartOutcome::kAlreadyThere) {
+    SetRunning(*attempt, now);
+  } else if (outcome == StartOutcome::kUnknown ||
+             (attempt->unsure && !looked_up)) {
+    // This send did nothing; an earlier one is still in doubt.
+    OnStartUnknown(*attempt);
+  } else {
+    EndNotRun(key,
+              no_room ? DispatchOutcome::kNoRoom : DispatchOutcome::kRefused);
   }
   if (worker != nullptr) {
     Update(*worker);
@@ -267,10 +273,6 @@
 }
 
 void OwnerAgent::Impl::OnStartUnknown(Attempt& attempt) {
-  if (attempt.fenced) {
-    EndNotRun(attempt.key, DispatchOutcome::kRefused);
-    return;
-  }
   Log(Event::kStartUnknown,
       {{"task", attempt.key.task.str()}, {"worker", attempt.worker.str()}});
   attempt.state = AttemptState::kUnknown;
@@ -321,6 +323,10 @@
     worker->books.Remove(attempt.key);
     health_.OnNotStarted(attempt.worker);
   }
+  AnswerUnknown(attempt);
+}
+
+void OwnerAgent::Impl::AnswerUnknown(const Attempt& attempt) {
   Decision decision{attempt.entry, attempt.sequence, DispatchOutcome::kAccepted,
                     attempt.worker, attempt.token};
   tracker_.Decide(attempt.key, decision);
--- a/chivedale/owner_workers.cc
+++ b/chivedale/owner_workers.cc
@@ -3,8 +3,8 @@
 #include "chivedale/owner_agent_impl.h"
 
 // What the workers tell. The worker's own account decides: what it lists runs,
-// what it completed has ended, and what it knows nothing of never started,
-// unless it was restarted in between.
+// and what it completed has ended. What it shows nothing of may have ended with
+// a completion that is still to come.
 namespace chivedale {
 namespace {
 
@@ -29,6 +29,7 @@
     OnListedTask(worker, task);
   }
   SettleUnlisted(worker, tasks, reboot);
+  SettleMoved(worker);
   if (worker.taken_over || reboot) {
     announcements_[worker.id] = {
         kAnnouncements, reboot, worker.lease.token().token, {}};
@@ -49,6 +50,10 @@
           {{"task", task.key.task.str()}, {"ran", "yes"}});
       SetRunning(*attempt, started);
     }
+    attempt = tracker_.Find(task.key);
+    if (attempt != nullptr) {
+      attempt->unlisted = util::TimePoint();
+    }
     return;
   }
   Attempt attempt;
@@ -78,6 +83,7 @@
   for (const RunningTask& task : tasks) {
     listed.insert(task.key);
   }
+  const util::TimePoint now = clock_.Now();
   std::vector<TaskKey> unlisted;
   for (const auto& [key, item] : worker.books.items()) {
     if (listed.count(key) == 0) {
@@ -88,15 +94,20 @@
     Attempt* attempt = tracker_.Find(key);
     if (attempt == nullptr) {
       worker.books.Remove(key);
-    } else if (reboot || attempt->state == AttemptState::kRunning) {
+    } else if (reboot) {
       EndUnknown(key);
+    } else if (attempt->state == AttemptState::kRunning) {
+      attempt->unlisted =
+          attempt->unlisted == util::TimePoint() ? now : attempt->unlisted;
     } else if (attempt->state == AttemptState::kUnknown) {
-      Log(Event::kStartResolved, {{"task", key.task.str()}, {"ran", "no"}});
-      EndNotRun(key, DispatchOutcome::kRefused);
-    } else {
-      // Its call has not ended, but can no longer have an effect.
-      attempt->fenced = true;
+      // After a gap in the lease the entry may have started it elsewhere.
+      if (worker.taken_over || attempt->stop != StopReason::kNone) {
+        EndUnknown(key);
+      } else {
+        StartAgain(*attempt, worker.lease.token());
+      }
     }
+    // A start whose call has not ended is settled when it does.
   }
 }
 
@@ -199,8 +210,10 @@
   taken.reboot = reboot;
   std::set<MemberId> entries;
   for (const auto& [key, item] : worker.books.items()) {
-    taken.running.push_back(key);
-    if (const Attempt* attempt = tracker_.Find(key)) {
+    const Attempt* attempt = tracker_.Find(key);
+    // An own start without an outcome must not be taken for running.
+    if (attempt != nullptr && attempt->state == AttemptState::kRunning) {
+      taken.running.push_back(key);
       entries.insert(attempt->entry);
     }
   }
@@ -249,6 +262,7 @@
     const auto outcome = attempt->state == AttemptState::kRunning
                              ? DispatchOutcome::kAccepted
                              : DispatchOutcome::kUnknown;
+    moved_[worker.id].push_back(*attempt);
     tracker_.Decide(key, {attempt->entry, attempt->sequence, outcome, worker.id,
                           attempt->token, false});
   }
@@ -261,6 +275,22 @@
   Update(worker);
 }
 
+// The owner in between may have died before it told the entries.
+void OwnerAgent::Impl::SettleMoved(WorkerRecord& worker) {
+  auto it = moved_.find(worker.id);
+  if (it == moved_.end()) {
+    return;
+  }
+  const std::vector<Attempt> moved = std::move(it->second);
+  moved_.erase(it);
+  for (const Attempt& attempt : moved) {
+    if (tracker_.Find(attempt.key) == nullptr &&
+        relay_.Find(attempt.key) == nullptr) {
+      AnswerUnknown(attempt);
+    }
+  }
+}
+
 void OwnerAgent::Impl::OnAllEnded(WorkerRecord& worker) {
   Turn turn(*this);
   Log(Event::kWorkerLost, {{"worker", worker.id.str()}});
--- a/chivedale/ownership.cc
+++ b/chivedale/ownership.cc
@@ -89,6 +89,7 @@
 struct GrantEvent {};
 struct GrantUnfencedEvent {};
 struct FailEvent {};
+struct RefuseEvent {};
 struct WaitedEvent {};
 struct ReadEvent {};
 struct LoseEvent {};
@@ -96,8 +97,8 @@
 struct ReleasedEvent {};
 
 struct LeaseDef : msm::front::state_machine_def<LeaseDef> {
-  // In the order of LeaseState; MSM numbers states by their first mention in
-  // the table, so that the names are mapped by entry actions instead.
+  // MSM numbers states by their first mention in the table; the entry action
+  // keeps the public name instead.
   template <LeaseState kState>
   struct Named : msm::front::state<> {
     template <typename Event, typename Fsm>
@@ -115,6 +116,8 @@
   using initial_state = Unowned;
 
   // clang-format off
+  // The name is what MSM looks for.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table : boost::mpl::vector<
       Row<Unowned,     ClaimEvent,         Claiming>,
       Row<Lost,        ClaimEvent,         Claiming>,
@@ -123,6 +126,7 @@
       Row<Claiming,    GrantEvent,         Reading>,
       Row<Claiming,    GrantUnfencedEvent, WaitingOut>,
       Row<Claiming,    FailEvent,          Lost>,
+      Row<Claiming,    RefuseEvent,        Unowned>,
       Row<WaitingOut,  WaitedEvent,        Reading>,
       Row<WaitingOut,  LoseEvent,          Lost>,
       Row<Reading,     ReadEvent,          Owned>,
@@ -193,6 +197,10 @@
   data_.valid_until = std::max(data_.valid_until, ValidFrom(sent));
 }
 
+bool WorkerLease::ClaimRefused() {
+  return machine_->Process(RefuseEvent());
+}
+
 bool WorkerLease::WaitedOut(util::TimePoint now) {
   return now >= data_.waits_until && machine_->Process(WaitedEvent());
 }
--- a/chivedale/ownership.h
+++ b/chivedale/ownership.h
@@ -74,6 +74,8 @@
   // `fencing` false: the worker is waited out before it is read.
   bool Granted(const LeaseToken& token, bool fencing, util::TimePoint now);
   bool ClaimFailed();
+  // The worker has another owner.
+  bool ClaimRefused();
   // A renewal that was sent at `sent` under the present token succeeded.
   void Renewed(util::TimePoint sent);
   // Moves on from kWaitingOut when its time is over.
--- a/chivedale/ports.h
+++ b/chivedale/ports.h
@@ -83,12 +83,14 @@
 
 enum class StartOutcome {
   kAccepted,
-  kStaleToken,    // not run
-  kNoRoom,        // not run
-  kLeaving,       // not run
-  kNotSent,       // not run
-  kAlreadyThere,  // this attempt runs there or has ended there
-  kUnknown,       // sent, no answer
+  kStaleToken,  // not run
+  kNoRoom,      // not run
+  kLeaving,     // not run
+  kNotSent,     // not run
+  // This attempt runs there or has ended there. A worker that knows the attempt
+  // says so even when it has no room or is leaving.
+  kAlreadyThere,
+  kUnknown,  // sent, no answer
 };
 
 struct Completion {
--- a/chivedale/room_index.h
+++ b/chivedale/room_index.h
@@ -154,9 +154,10 @@
                              : 63 - __builtin_clzll(columns);
       columns &= ~(uint64_t{1} << column);
       const bool edge = row == low_cpu || column == low_memory;
-      if (!VisitBucket(
-              table.buckets[static_cast<size_t>(row * kClasses + column)], size,
-              edge ? &budget->edge : &budget->inner, visit)) {
+      const auto bucket =
+          static_cast<size_t>(row) * kClasses + static_cast<size_t>(column);
+      if (!VisitBucket(table.buckets[bucket], size,
+                       edge ? &budget->edge : &budget->inner, visit)) {
         return false;
       }
     }
--- a/chivedale/start_tracker.cc
+++ b/chivedale/start_tracker.cc
@@ -34,6 +34,7 @@
 void StartTracker::SetRunning(Attempt& attempt, util::TimePoint started) {
   attempt.state = AttemptState::kRunning;
   attempt.started = started;
+  attempt.payload = nullptr;
   if (attempt.longest_run > Millis(0)) {
     timers_.emplace(started + attempt.longest_run, attempt.key);
   }
@@ -74,11 +75,11 @@
   attempts_.erase(it);
 }
 
-void StartTracker::Decide(const TaskKey& key, const Decision& decision) {
-  const TaskKey kept = key;  // `key` may live in the attempt
-  Remove(kept);
-  decisions_[kept] = decision;
-  decided_.emplace_back(clock_.Now(), kept);
+// By value: the caller's key may live in the attempt.
+void StartTracker::Decide(TaskKey key, const Decision& decision) {
+  Remove(key);
+  decisions_[key] = {decision, clock_.Now()};
+  decided_.emplace_back(clock_.Now(), std::move(key));
   Expire();
 }
 
@@ -86,7 +87,10 @@
   const util::TimePoint old = clock_.Now() - options_.decision_retention;
   while (!decided_.empty() && (decided_.front().first < old ||
                                decided_.size() > options_.max_decisions)) {
-    decisions_.erase(decided_.front().second);
+    auto it = decisions_.find(decided_.front().second);
+    if (it != decisions_.end() && it->second.at == decided_.front().first) {
+      decisions_.erase(it);
+    }
     decided_.pop_front();
   }
 }
@@ -113,7 +117,7 @@
 
 const Decision* StartTracker::FindDecision(const TaskKey& key) const {
   auto it = decisions_.find(key);
-  return it == decisions_.end() ? nullptr : &it->second;
+  return it == decisions_.end() ? nullptr : &it->second.decision;
 }
 
 bool StartTracker::HasOtherAttempt(const TaskKey& key) const {
--- a/chivedale/start_tracker.h
+++ b/chivedale/start_tracker.h
@@ -39,9 +39,11 @@
   WorkerId worker;
   LeaseToken token;
   AttemptState state = AttemptState::kStarting;
-  // The start can no longer take effect: a later token was granted and the
-  // list that was read under it does not show the attempt.
-  bool fenced = false;
+  // An earlier send of the start may have had an effect.
+  bool unsure = false;
+  // Running, but missing in the worker's list since then: its completion is
+  // late. Zero while listed.
+  util::TimePoint unlisted{};
   // Read from the worker's list: what the dispatch said is not known.
   bool inherited = false;
   Urgency urgency = Urgency::kNormal;
@@ -49,6 +51,8 @@
   bool repeatable = true;
   Millis longest_run{0};
   util::TimePoint started{};
+  // For a second send of the start; dropped once the attempt runs.
+  Body payload;
   StopReason stop = StopReason::kNone;
   bool stop_by_checkpoint = false;
 };
@@ -85,7 +89,7 @@
   // From now on due for a stop call, again each second until it ends.
   void RequestStop(Attempt& attempt, StopReason reason, bool checkpoint);
   // Removes the attempt and keeps the decision. Also for one never added.
-  void Decide(const TaskKey& key, const Decision& decision);
+  void Decide(TaskKey key, const Decision& decision);
   // Attempts whose stop call is due, or whose longest run time is over; for
   // the latter the stop is requested.
   std::vector<TaskKey> TakeDue();
@@ -108,7 +112,11 @@
   const Options options_;
   std::unordered_map<TaskKey, Attempt> attempts_;
   std::unordered_multimap<TaskId, uint32_t> by_task_;
-  std::unordered_map<TaskKey, Decision> decisions_;
+  struct Decided {
+    Decision decision;
+    util::TimePoint at{};
+  };
+  std::unordered_map<TaskKey, Decided> decisions_;
   std::deque<std::pair<util::TimePoint, TaskKey>> decided_;
   std::multimap<util::TimePoint, TaskKey> timers_;
   std::set<PreemptionRank> preemptible_;
--- a/chivedale/testing/owner_world.cc
+++ b/chivedale/testing/owner_world.cc
@@ -12,6 +12,7 @@
 // From a member's death to the others knowing of it.
 constexpr Millis kDetection{2'000};
 constexpr Millis kResend{1'000};
+constexpr Millis kRetryPause{100};
 // The lease, then the tasks' own time, and a tenth for drift.
 constexpr Millis kOrphanWait{8'800};
 constexpr uint64_t kLongestDelayMs = 4;
@@ -60,7 +61,9 @@
                      const StartRequest& request,
                      std::function<void(StartOutcome)> done) {
   const Millis hold = std::exchange(hold_, Millis(0));
-  held_starts_ += hold > Millis(0) ? 1 : 0;
+  if (hold > Millis(0)) {
+    queue_.Post(std::exchange(pause_, nullptr));
+  }
   queue_.Post(
       [this, worker, request, gated = Gate(std::move(done))] {
         workers_.Start(worker, request, gated);
@@ -246,7 +249,7 @@
 }
 
 TaskId OwnerWorld::AddTask(Dispatch dispatch, const std::string& script) {
-  const TaskId id("r/" + std::to_string(next_task_++));
+  TaskId id("r/" + std::to_string(next_task_++));
   dispatch.key = {id, 0};
   dispatch.entry = entry_id();
   dispatch.payload = std::make_shared<const std::string>(script);
@@ -364,6 +367,7 @@
     case DispatchOutcome::kRefused:
       not_run_.insert(reply.key);
       task->phase = TaskState::Phase::kIdle;
+      task->not_before = clock_.Now() + kRetryPause;
       return;
   }
 }
@@ -423,6 +427,9 @@
   const util::TimePoint now = clock_.Now();
   for (auto& [id, task] : tasks_) {
     if (task.phase == TaskState::Phase::kIdle) {
+      if (now < task.not_before) {
+        continue;
+      }
       const auto& node = nodes_[random_.Below(nodes_.size())];
       if (dead_.count(node->info.id) != 0 || node->agent == nullptr) {
         continue;
--- a/chivedale/testing/owner_world.h
+++ b/chivedale/testing/owner_world.h
@@ -27,12 +27,14 @@
   NodePort(FakeQueue& queue, FakeWorker& workers)
       : queue_(queue), workers_(workers) {}
 
-  // The next start is held back for this long after the call: its sender
-  // paused between its check and the send.
-  void HoldNextStart(Millis time) { hold_ = time; }
+  // The process pauses for this long between the check of its next start and
+  // the send; `pause` pauses the rest of the process.
+  void PauseInNextStart(Millis time, std::function<void()> pause) {
+    hold_ = time;
+    pause_ = std::move(pause);
+  }
   void Pause() { paused_ = true; }
   void Resume();
-  int64_t held_starts() const { return held_starts_; }
 
   void Lease(const WorkerId& worker,
              const MemberId& owner,
@@ -67,7 +69,7 @@
   FakeWorker& workers_;
   bool paused_ = false;
   Millis hold_{0};
-  int64_t held_starts_ = 0;
+  std::function<void()> pause_;
   std::vector<std::function<void()>> waiting_;
 };
 
@@ -91,6 +93,7 @@
     std::string boot_id;
     util::TimePoint sent{};
     util::TimePoint owner_lost{};
+    util::TimePoint not_before{};
     Answer answer;
   };
 
