Property tests of the entry policy, gangs and jobs; faults they found

Cause: the modules of the entry role and the job manager had no tests.

Faults of the job manager that the histories found, each now covered by them: - WorkerTaken of one job was applied to tasks of the same index of another (two places, found after 3 histories). - A takeover that waited for the store took the age of its claim for the silence of the owners and started running tasks again (ATakeoverDuringAnOutageKeepsRunningTasks). - Answers of attempts whose worker was taken over went to a dead manager; the new owner is now told where to send them. - An attempt whose owner's only word was lost stayed open for ever; attempts are now confirmed with their owners every 30 s. - A manager that was thought dead for a time kept a stale claim as long as it had nothing to write (APausedManagerDropsItsClaim). - A task that fits no worker but was in the queue hid that the job can never run.

--- a/chivedale/active_job.cc
+++ b/chivedale/active_job.cc
@@ -80,6 +80,10 @@
 }
 
 void ActiveJob::OnClaimed() {
+  // The claim may have waited for the store; owners are asked from now on.
+  for (int64_t i : lost_) {
+    LiveOf(i).lost_since = clock_.Now();
+  }
   if (record_.phase == JobPhase::kCancelling) {
     StopAll();
     return;
@@ -102,7 +106,8 @@
 
 std::optional<int64_t> ActiveJob::FindActive(const TaskKey& key) const {
   const std::optional<JobTaskName> name = ParseJobTaskId(key.task);
-  if (!name || name->index >= static_cast<int64_t>(record_.tasks.size()) ||
+  if (!name || name->job != record_.spec.id ||
+      name->index >= static_cast<int64_t>(record_.tasks.size()) ||
       !IsActive(name->index) ||
       record_.tasks[size_t(name->index)].attempt != key.attempt) {
     return std::nullopt;
@@ -175,6 +180,7 @@
     AskOwners();
     EndLost();
   }
+  ConfirmRunning();
   ResendStops();
   if (record_.phase == JobPhase::kActive) {
     if (Shape() == WorkShape::kGang) {
--- a/chivedale/active_job.h
+++ b/chivedale/active_job.h
@@ -77,6 +77,7 @@
     bool sent = false;
     bool end_recorded = true;
     bool stopping = false;
+    bool confirming = false;  // asked its owner, no answer yet
     MemberId owner;
     // The lease under which it was started, if known.
     uint64_t token = 0;
@@ -119,7 +120,10 @@
   void Found(int64_t i, const MemberId& owner);
   void OnMissing(int64_t i, const WorkerTaken& taken);
   void SetToken(int64_t i, uint64_t token, const std::string& boot_id);
+  JobQuery MakeQuery(uint64_t round) const;
   void AskOwners();
+  void AskOwner(const MemberId& owner, const std::vector<int64_t>& indices);
+  void ConfirmRunning();
   void EndLost();
   void EndGone();
   void EndAttempt(int64_t i, bool ok, Ran ran, const std::string& why);
@@ -157,6 +161,7 @@
   // The present round of JobQuery.
   uint64_t round_ = 0;
   util::TimePoint round_at_{};
+  util::TimePoint confirmed_at_{};
   std::set<MemberId> round_replies_;
   // The gang's round is being stopped, to start again or to fail.
   bool gang_broken_ = false;
--- a/chivedale/active_job_attempts.cc
+++ b/chivedale/active_job_attempts.cc
@@ -17,6 +17,10 @@
 // A service task that ran this long starts again without a longer backoff.
 constexpr Millis kStableRun{60'000};
 constexpr Millis kQueryInterval{1'000};
+// Attempts at an owner are confirmed with their owners this often, since any
+// single message may be lost; 40 bytes each, 0.2 MB/s for 160,000 tasks.
+constexpr Millis kConfirmInterval{30'000};
+constexpr uint64_t kConfirmRound = 0;
 constexpr Millis kStopResend{1'000};
 // An answer is sent again each second; two sends must have had time to arrive
 // before an attempt without one is given up.
@@ -123,8 +127,10 @@
 
 void ActiveJob::OnWorkerTaken(const WorkerTaken& taken) {
   const std::set<TaskKey> running(taken.running.begin(), taken.running.end());
+  std::vector<int64_t> found;
   for (const TaskKey& key : running) {
     if (const std::optional<int64_t> i = FindActive(key)) {
+      found.push_back(*i);
       Found(*i, taken.owner);
       if (Task(*i).worker != taken.worker) {
         SetPlace(*i, taken.worker, "", "");
@@ -132,6 +138,8 @@
       SetToken(*i, taken.token, taken.boot_id);
     }
   }
+  // The worker's label may still name an earlier manager.
+  AskOwner(taken.owner, found);
   if (in_worker_.count(taken.worker.str()) == 0) {
     return;
   }
@@ -184,6 +192,16 @@
       }
     }
   }
+  if (reply.round == kConfirmRound) {
+    // An attempt that its owner no longer has was taken over by an owner whose
+    // word was lost.
+    for (int64_t i : std::set<int64_t>(active_)) {
+      if (LiveOf(i).owner == owner && LiveOf(i).confirming) {
+        MarkLost(i);
+      }
+    }
+    return;
+  }
   if (reply.round != round_) {
     return;
   }
@@ -199,6 +217,7 @@
 void ActiveJob::Found(int64_t i, const MemberId& owner) {
   Live& live = LiveOf(i);
   live.owner = owner;
+  live.confirming = false;
   live.lost_since.reset();
   live.gone_at.reset();
   lost_.erase(i);
@@ -234,8 +253,11 @@
   }
   const WorkRow* row = listener_.FindRow(record_.spec.kind);
   std::string why;
-  if (!active_.empty()) {
-    // It can run.
+  const bool runs = std::any_of(
+      active_.begin(), active_.end(),
+      [this](int64_t i) { return Task(i).phase == TaskPhase::kRunning; });
+  if (runs) {
+    // It fits, or did when it started.
   } else if (row == nullptr) {
     why = "kind '" + record_.spec.kind + "' is not in the table";
   } else if (complete && std::none_of(summaries.begin(), summaries.end(),
@@ -307,19 +329,23 @@
   }
 }
 
+JobQuery ActiveJob::MakeQuery(uint64_t round) const {
+  JobQuery query;
+  query.job = record_.spec.id;
+  query.manager = self_;
+  query.epoch = record_.epoch;
+  query.round = round;
+  return query;
+}
+
 void ActiveJob::AskOwners() {
   const util::TimePoint now = clock_.Now();
   if (now - round_at_ < kQueryInterval) {
     return;
   }
   round_at_ = now;
-  ++round_;
   round_replies_.clear();
-  JobQuery query;
-  query.job = record_.spec.id;
-  query.manager = self_;
-  query.epoch = record_.epoch;
-  query.round = round_;
+  JobQuery query = MakeQuery(++round_);
   for (int64_t i : lost_) {
     query.attempts.push_back({KeyOf(i), Task(i).worker});
   }
@@ -328,6 +354,39 @@
   }
 }
 
+// Has the owner send answers of these attempts here and say whether it still
+// has them.
+void ActiveJob::AskOwner(const MemberId& owner,
+                         const std::vector<int64_t>& indices) {
+  if (indices.empty()) {
+    return;
+  }
+  JobQuery query = MakeQuery(kConfirmRound);
+  for (int64_t i : indices) {
+    LiveOf(i).confirming = true;
+    query.attempts.push_back({KeyOf(i), Task(i).worker});
+  }
+  listener_.SendToMember(owner, query);
+}
+
+void ActiveJob::ConfirmRunning() {
+  const util::TimePoint now = clock_.Now();
+  if (now - confirmed_at_ < kConfirmInterval) {
+    return;
+  }
+  confirmed_at_ = now;
+  std::map<MemberId, std::vector<int64_t>> by_owner;
+  for (int64_t i : active_) {
+    const Live& live = LiveOf(i);
+    if (!live.owner.empty() && !live.lost_since && !live.gone_at) {
+      by_owner[live.owner].push_back(i);
+    }
+  }
+  for (const auto& [owner, indices] : by_owner) {
+    AskOwner(owner, indices);
+  }
+}
+
 void ActiveJob::EndLost() {
   const util::TimePoint now = clock_.Now();
   const bool all_replied =
--- a/chivedale/job_manager.cc
+++ b/chivedale/job_manager.cc
@@ -24,6 +24,13 @@
 // An index key without a record is removed after this long; the submit that
 // created it has ended by then.
 constexpr Millis kIndexWithoutRecord{60'000};
+// A manager with nothing to write would not notice that another member claimed
+// its job while it was thought dead, so it reads the record now and then: soon
+// after a member change or a pause of this process, else at this interval.
+constexpr Millis kVerifyInterval{60'000};
+constexpr Millis kPause{1'000};
+// After a pause this process learns the present members within this time.
+constexpr Millis kReclaimDelay{3'000};
 constexpr Millis kFitCheckInterval{1'000};
 // Records read at once after a member change.
 constexpr size_t kMaxLoads = 32;
@@ -46,6 +53,8 @@
   std::optional<PendingWrite> write;
   bool in_flight = false;
   util::TimePoint next_write{};
+  // When the record was last seen to be this member's own.
+  util::TimePoint verified{};
 };
 
 struct EndedJob {
@@ -218,9 +227,34 @@
       return;
     }
     managed.revision = result.entries.front().revision;
+    managed.verified = clock.Now();
     managed.job->MergeEdit(*stored);
   }
 
+  void VerifyClaims() {
+    const util::TimePoint now = clock.Now();
+    if (now - last_tick >= kPause) {
+      VerifySoon();
+    }
+    last_tick = now;
+    size_t reads = 0;
+    for (const auto& [id, managed] : jobs) {
+      if (managed.claimed && !managed.in_flight && !managed.write &&
+          now - managed.verified >= kVerifyInterval) {
+        refresh.insert(id);
+        if (++reads >= kMaxLoads) {
+          return;
+        }
+      }
+    }
+  }
+
+  void VerifySoon() {
+    for (auto& [id, managed] : jobs) {
+      managed.verified = util::TimePoint{};
+    }
+  }
+
   static std::optional<JobRecord> Parse(const StoreResult& result) {
     if (result.status != StoreStatus::kOk || result.entries.empty()) {
       return std::nullopt;
@@ -361,6 +395,7 @@
     managed.revision = revision;
     const bool first = !managed.claimed;
     managed.claimed = true;
+    managed.verified = clock.Now();
     managed.job->OnWritten(write.notes);
     if (first) {
       managed.job->OnClaimed();
@@ -387,16 +422,25 @@
   // time has passed.
   void DropLost(const JobId& id) {
     Drop(id);
-    reclaim_at[id] = clock.Now() + options.scan_interval;
+    reclaim_at[id] = clock.Now() + kReclaimDelay;
   }
 
-  bool MayClaim(const JobId& id) {
+  bool MayClaim(const JobId& id) const {
     auto it = reclaim_at.find(id);
-    if (it != reclaim_at.end() && clock.Now() >= it->second) {
-      reclaim_at.erase(it);
-      it = reclaim_at.end();
+    return (it == reclaim_at.end() || clock.Now() >= it->second) && IsMine(id);
+  }
+
+  void Reclaim() {
+    const util::TimePoint now = clock.Now();
+    for (auto it = reclaim_at.begin(); it != reclaim_at.end();) {
+      if (now < it->second) {
+        ++it;
+        continue;
+      }
+      const JobId id = it->first;
+      it = reclaim_at.erase(it);
+      Load(id);
     }
-    return it == reclaim_at.end() && IsMine(id);
   }
 
   void Scan() {
@@ -556,6 +600,7 @@
   std::set<JobId> loading;
   std::set<JobId> to_load;
   std::set<JobId> refresh;
+  util::TimePoint last_tick{};
   bool scanning = false;
   util::TimePoint next_scan{};
   util::TimePoint next_fit_check{};
@@ -594,6 +639,7 @@
 
 void JobManager::SetMembers(const std::vector<MemberInfo>& members) {
   impl_->members = members;
+  impl_->VerifySoon();
   std::vector<JobId> lost;
   for (auto& [id, managed] : impl_->jobs) {
     if (impl_->IsMine(id)) {
@@ -659,6 +705,8 @@
 void JobManager::Tick() {
   const util::TimePoint now = impl_->clock.Now();
   impl_->operations.Tick();
+  impl_->VerifyClaims();
+  impl_->Reclaim();
   impl_->LoadWaiting();
   if (now >= impl_->next_scan) {
     impl_->next_scan = now + impl_->options.scan_interval;
--- /dev/null
+++ b/chivedale/testing/gang_planner_test.cc
@@ -0,0 +1,325 @@
+// Guards against gangs that get part of their room, wait for each other for
+// ever, keep room that they do not use, or block the rest of the cell.
+#include "chivedale/gang_planner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+
+#include "chivedale/testing/fake_clock.h"
+#include "chivedale/testing/policy_support.h"
+#include "rapidcheck/boost_test.h"
+
+namespace chivedale {
+namespace {
+
+using testing::Chance;
+using testing::FakeClock;
+using testing::FaultCounts;
+using testing::HistoryRandom;
+
+constexpr Resources kSize{1000, 0, 0, 1};
+
+// Owners with slots, holds that expire, other work, and slow or lost messages.
+class GangCell {
+ public:
+  struct HoldState {
+    JobId job;
+    int64_t count = 0;
+    util::TimePoint expires{};
+  };
+  struct Owner {
+    int64_t slots = 0;
+    int64_t used = 0;
+    std::map<uint64_t, HoldState> holds;
+
+    int64_t Free() const {
+      int64_t free = slots - used;
+      for (const auto& [id, hold] : holds) {
+        free -= hold.count;
+      }
+      return free;
+    }
+  };
+  struct Gang {
+    JobId job;
+    int64_t tasks = 0;
+    std::unique_ptr<GangPlanner> planner;
+    std::vector<GangSlot> running;
+    util::TimePoint ends{};
+    int runs = 0;
+    std::string never;
+  };
+
+  GangCell(util::Random& random, FaultCounts& counts, int loss_percent)
+      : random_(random), counts_(counts), loss_percent_(loss_percent) {}
+
+  void AddOwner(int64_t slots) {
+    owners[MemberId("o" + std::to_string(owners.size()))].slots = slots;
+  }
+
+  void AddGang(int64_t tasks) {
+    const size_t i = gangs.size();
+    gangs.push_back(std::make_unique<Gang>());
+    Gang& gang = *gangs.back();
+    gang.job = JobId("g" + std::to_string(i));
+    gang.tasks = tasks;
+    GangPlanner::Hooks hooks;
+    hooks.send = [this, &gang](const MemberId& to, const Message& message) {
+      Post([this, &gang, to, message] { Receive(gang, to, message); });
+    };
+    hooks.summaries = [this] { return Summaries(); };
+    hooks.complete = [] { return true; };
+    hooks.held = [this, &gang](const JobId&, const std::vector<GangSlot>& s) {
+      OnHeld(gang, s);
+    };
+    hooks.never_fits = [&gang](const JobId&, const std::string& reason) {
+      gang.never = reason;
+    };
+    gang.planner = std::make_unique<GangPlanner>(clock, random_, hooks,
+                                                 GangPlanner::Options());
+    gang.planner->Start(gang.job, kSize, tasks);
+  }
+
+  void Step() {
+    clock.Advance(std::chrono::milliseconds(10));
+    while (!events_.empty() && events_.begin()->first <= clock.Now()) {
+      const auto run = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      run();
+    }
+    for (auto& [id, owner] : owners) {
+      for (auto it = owner.holds.begin(); it != owner.holds.end();) {
+        it = it->second.expires <= clock.Now() ? owner.holds.erase(it)
+                                               : std::next(it);
+      }
+      RC_ASSERT(owner.Free() >= 0);
+    }
+    for (auto& gang : gangs) {
+      if (!gang->running.empty() && clock.Now() >= gang->ends) {
+        for (const GangSlot& slot : gang->running) {
+          --owners[slot.owner].used;
+        }
+        gang->running.clear();
+      }
+      gang->planner->Tick();
+    }
+  }
+
+  int64_t Holds() const {
+    int64_t held = 0;
+    for (const auto& [id, owner] : owners) {
+      held += owner.slots - owner.used - owner.Free();
+    }
+    return held;
+  }
+
+  FakeClock clock;
+  std::map<MemberId, Owner> owners;
+  std::vector<std::unique_ptr<Gang>> gangs;
+
+ private:
+  void Post(std::function<void()> run) {
+    if (Chance(random_, loss_percent_)) {
+      counts_.Add("lost_messages");
+      return;
+    }
+    const auto delay = std::chrono::milliseconds(1 + random_.Below(20));
+    events_.emplace(clock.Now() + delay, std::move(run));
+  }
+
+  std::vector<Summary> Summaries() const {
+    std::vector<Summary> summaries;
+    for (const auto& [id, owner] : owners) {
+      Summary summary;
+      summary.owner = id;
+      summary.plain.workers = 1;
+      summary.plain.capacity = {owner.slots * 1000, 1, 0, owner.slots};
+      summary.plain.largest_worker = summary.plain.capacity;
+      const int64_t free = owner.Free();
+      summary.plain.free = {free * 1000, 1, 0, free};
+      summary.plain.largest = summary.plain.free;
+      summaries.push_back(summary);
+    }
+    return summaries;
+  }
+
+  void Receive(Gang& gang, const MemberId& to, const Message& message) {
+    Owner& owner = owners[to];
+    if (const auto* release = std::get_if<HoldRelease>(&message)) {
+      owner.holds.erase(release->hold);
+      return;
+    }
+    const Hold& hold = std::get<Hold>(message);
+    HoldState& state = owner.holds[hold.hold];
+    const int64_t have = state.count;
+    state.count +=
+        std::max<int64_t>(0, std::min(hold.count - have, owner.Free()));
+    state.job = hold.job;
+    state.expires = clock.Now() + hold.ttl;
+    HoldReply reply;
+    reply.hold = hold.hold;
+    reply.job = hold.job;
+    reply.workers.assign(size_t(state.count), WorkerId("w-" + to.str()));
+    counts_.Add(state.count < hold.count ? "partial_holds" : "full_holds");
+    if (state.count == 0) {
+      owner.holds.erase(hold.hold);
+    }
+    Post([&gang, to, reply] { gang.planner->OnHoldReply(to, reply); });
+  }
+
+  void OnHeld(Gang& gang, const std::vector<GangSlot>& slots) {
+    RC_ASSERT(int64_t(slots.size()) == gang.tasks);  // all or none
+    for (const GangSlot& slot : slots) {
+      Owner& owner = owners[slot.owner];
+      RC_ASSERT(owner.holds.count(slot.hold) == 1U);  // still held there
+      RC_ASSERT(owner.holds[slot.hold].job == gang.job);
+      RC_ASSERT(--owner.holds[slot.hold].count >= 0);
+      ++owner.used;
+    }
+    gang.running = slots;
+    gang.ends = clock.Now() + std::chrono::milliseconds(random_.Below(500));
+    ++gang.runs;
+    counts_.Add("gangs_started");
+  }
+
+  util::Random& random_;
+  FaultCounts& counts_;
+  const int loss_percent_;
+  std::multimap<util::TimePoint, std::function<void()>> events_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(GangPlannerTest)
+
+// Guards against deadlock and livelock of two to five gangs that want the same
+// owners, partial starts, and holds that are left behind.
+RC_BOOST_PROP(CompetingGangsAllRunWhole, ()) {
+  static FaultCounts counts("gangs, competing");
+  util::Random random = HistoryRandom();
+  GangCell cell(random, counts, int(random.Below(10)));
+  int64_t capacity = 0;
+  for (uint64_t i = 2 + random.Below(4); i > 0; --i) {
+    const auto slots = int64_t(2 + random.Below(8));
+    cell.AddOwner(slots);
+    capacity += slots;
+  }
+  const uint64_t gangs = 2 + random.Below(4);
+  for (uint64_t i = 0; i < gangs; ++i) {
+    cell.AddGang(1 + int64_t(random.Below(uint64_t(capacity))));
+  }
+  const auto all_ran = [&] {
+    return std::all_of(cell.gangs.begin(), cell.gangs.end(),
+                       [](const auto& gang) { return gang->runs > 0; });
+  };
+  // 5 gangs of at most 0.5 s each, with backoffs of at most 2 s.
+  for (int step = 0; step < 6'000 && !all_ran(); ++step) {
+    cell.Step();
+    if (Chance(random, 1)) {
+      counts.Add("stopped_and_restarted");
+      auto& gang = *cell.gangs[random.Below(gangs)];
+      if (gang.runs == 0) {
+        gang.planner->Stop(gang.job);
+        gang.planner->Start(gang.job, kSize, gang.tasks);
+      }
+    }
+  }
+  RC_ASSERT(all_ran());
+  for (int step = 0; step < 300; ++step) {  // longer than a hold
+    cell.Step();
+  }
+  RC_ASSERT(cell.Holds() == 0);
+  for (const auto& gang : cell.gangs) {
+    RC_ASSERT(gang->runs == 1);
+    RC_ASSERT(!gang->planner->IsPlanning(gang->job));
+  }
+}
+
+// Guards against a gang that waits for ever for room that does not exist, and
+// against holds that it keeps meanwhile.
+BOOST_AUTO_TEST_CASE(AGangThatNeverFitsIsToldWhy) {
+  FaultCounts counts("gangs, too large");
+  util::Random random(3);
+  GangCell cell(random, counts, 0);
+  cell.AddOwner(4);
+  cell.AddOwner(4);
+  cell.AddGang(9);
+  for (int step = 0; step < 2900; ++step) {
+    cell.Step();
+  }
+  BOOST_TEST(cell.gangs[0]->never.empty());  // workers may come back
+  for (int step = 0; step < 400; ++step) {
+    cell.Step();
+  }
+  BOOST_TEST(cell.gangs[0]->never ==
+             "the gang needs room for 9 tasks at once; the whole cell holds at "
+             "most 8");
+  BOOST_TEST(cell.Holds() == 0);
+}
+
+// Guards against a gang that needs the whole cell and keeps it idle.
+BOOST_AUTO_TEST_CASE(AGangForTheWholeCellDoesNotBlockTheRest) {
+  FaultCounts counts("gangs, whole cell");
+  util::Random random(5);
+  GangCell cell(random, counts, 0);
+  cell.AddOwner(10);
+  cell.AddOwner(10);
+  cell.AddGang(20);
+  std::deque<std::pair<util::TimePoint, MemberId>> ends;
+  int64_t busy = 0;
+  constexpr int kSteps = 3000;
+  for (int step = 0; step < kSteps; ++step) {
+    cell.Step();
+    while (!ends.empty() && ends.front().first <= cell.clock.Now()) {
+      --cell.owners[ends.front().second].used;
+      ends.pop_front();
+    }
+    for (auto& [id, owner] : cell.owners) {  // endless short work
+      while (owner.Free() > 0) {
+        ++owner.used;
+        ends.emplace_back(cell.clock.Now() + std::chrono::milliseconds(100),
+                          id);
+      }
+      busy += owner.used;
+    }
+  }
+  BOOST_TEST(cell.gangs[0]->runs == 0);
+  BOOST_TEST(double(busy) / (kSteps * 20) > 0.95);
+}
+
+// Guards against a gang of half the cell that never collects its room although
+// room keeps coming free.
+BOOST_AUTO_TEST_CASE(AGangOfHalfTheCellRunsUnderLoad) {
+  FaultCounts counts("gangs, under load");
+  util::Random random(5);
+  GangCell cell(random, counts, 0);
+  cell.AddOwner(10);
+  cell.AddOwner(10);
+  cell.AddGang(10);
+  std::deque<std::pair<util::TimePoint, MemberId>> ends;
+  int step = 0;
+  for (; step < 3000 && cell.gangs[0]->runs == 0; ++step) {
+    cell.Step();
+    while (!ends.empty() && ends.front().first <= cell.clock.Now()) {
+      --cell.owners[ends.front().second].used;
+      ends.pop_front();
+    }
+    if (step % 20 != 0) {
+      continue;  // other work sees new room only with the next summary
+    }
+    for (auto& [id, owner] : cell.owners) {
+      while (owner.Free() > 0) {
+        ++owner.used;
+        ends.emplace_back(cell.clock.Now() + std::chrono::milliseconds(300),
+                          id);
+      }
+    }
+  }
+  BOOST_TEST(cell.gangs[0]->runs == 1);
+  BOOST_TEST(step < 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivedale
--- /dev/null
+++ b/chivedale/testing/policy_support.h
@@ -0,0 +1,68 @@
+// Generators and counters that the tests of the entry role's policy share.
+#ifndef CHIVEDALE_TESTING_POLICY_SUPPORT_H_
+#define CHIVEDALE_TESTING_POLICY_SUPPORT_H_
+
+#include <rapidcheck.h>
+
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "chivedale/work.h"
+#include "util/random.h"
+
+namespace chivedale::testing {
+
+// Counts what happened in all histories of one property and prints it at the
+// end, so that a property that never met a fault is seen.
+class FaultCounts {
+ public:
+  explicit FaultCounts(std::string property) : property_(std::move(property)) {}
+  ~FaultCounts() {
+    std::cout << property_ << ":";
+    for (const auto& [name, count] : counts_) {
+      std::cout << ' ' << name << '=' << count;
+    }
+    std::cout << std::endl;
+  }
+  FaultCounts(const FaultCounts&) = delete;
+  FaultCounts& operator=(const FaultCounts&) = delete;
+
+  void Add(const std::string& name, int64_t by = 1) { counts_[name] += by; }
+
+ private:
+  const std::string property_;
+  std::map<std::string, int64_t> counts_;
+};
+
+// One random source per history; its seed is what RapidCheck shrinks.
+inline util::Random HistoryRandom() {
+  return util::Random(*rc::gen::arbitrary<uint32_t>());
+}
+
+inline bool Chance(util::Random& random, int percent) {
+  return random.Below(100) < static_cast<uint64_t>(percent);
+}
+
+inline WorkRow MakeRow(const std::string& kind,
+                       Urgency urgency = Urgency::kNormal,
+                       double weight = 1) {
+  WorkRow row;
+  row.kind = kind;
+  row.urgency = urgency;
+  row.weight = weight;
+  return row;
+}
+
+inline Table MakeTable(const std::vector<WorkRow>& rows) {
+  Table table;
+  table.revision = 1;
+  for (const WorkRow& row : rows) {
+    table.rows[row.kind] = row;
+  }
+  return table;
+}
+
+}  // namespace chivedale::testing
+
+#endif  // CHIVEDALE_TESTING_POLICY_SUPPORT_H_
