--- a/chivedale/membership.cc
+++ b/chivedale/membership.cc
@@ -1,9 +1,3 @@
-// Beyond the full mesh each member pings two others of its region per interval:
-// its successor in a ring ordered by hash, and the next of a shuffled list. The
-// successor makes the time to detect a death bounded (each member is pinged in
-// each interval by its predecessor), the shuffled list spreads news and finds
-// deaths when the predecessor has died too. Both cost the same at any size.
-//
 // Time to detect: ping interval 500 ms + direct and indirect timeout of 300 ms
 // each + suspicion 1,500 ms = 2,600 ms, below the 3 s of the promise.
 //
@@ -20,6 +14,7 @@
 #include <utility>
 
 #include "chivedale/member_list.h"
+#include "chivedale/ping_targets.h"
 
 namespace chivedale {
 namespace {
@@ -33,7 +28,6 @@
 // Own isolation is only recognised with at least this many others.
 constexpr size_t kLeastOthersForIsolation = 3;
 constexpr Millis kCleanupInterval{1'000};
-constexpr int kBridgesPerRegion = 2;
 // News of a suspicion or death is passed on at once to this many members, at
 // most once per interval. Waiting for the next ping round cost 1.1 to 1.6 s
 // from the first to the last member at 30 to 300 members.
@@ -67,6 +61,7 @@
         peers(peers),
         options(options),
         hooks(std::move(hooks)),
+        targets(random),
         list(clock, random, std::move(self), [this](const MemberInfo& info) {
           if (!info.address.empty() && info.id != list.self().id) {
             this->peers.SetAddress(info.id, info.address);
@@ -328,79 +323,14 @@
   }
 
   void PingSome(const std::vector<MemberId>& near) {
-    if (near.empty()) {
-      return;
-    }
-    std::set<MemberId> targets;
-    AddSuccessors(near, targets);
-    targets.insert(NextShuffled(near));
-    for (const MemberId& id : targets) {
-      SendPing(id);
-    }
-  }
-
-  // The first member after this one in the ring that is not suspect, and the
-  // suspects before it: their predecessor may be this member alone.
-  void AddSuccessors(const std::vector<MemberId>& near,
-                     std::set<MemberId>& targets) {
-    std::vector<std::pair<uint64_t, MemberId>> ring;
-    ring.reserve(near.size());
-    const uint64_t own = util::Hash64(list.self().id.str());
-    for (const MemberId& id : near) {
-      // The distance to walk around the ring of 2^64 positions.
-      ring.emplace_back(util::Hash64(id.str()) - own, id);
-    }
-    std::sort(ring.begin(), ring.end());
-    constexpr size_t kMostSuccessors = 4;
-    for (size_t i = 0; i < ring.size() && i < kMostSuccessors; ++i) {
-      targets.insert(ring[i].second);
-      if (list.Find(ring[i].second)->info.state != MemberState::kSuspect) {
-        return;
-      }
+    if (!near.empty()) {
+      PingAll(targets.Near(list, near));
     }
   }
 
-  MemberId NextShuffled(const std::vector<MemberId>& near) {
-    while (!shuffled.empty()) {
-      const MemberId id = shuffled.back();
-      shuffled.pop_back();
-      const MemberList::Member* member = list.Find(id);
-      if (member != nullptr && IsPresent(member->info.state)) {
-        return id;
-      }
-    }
-    shuffled = near;
-    for (size_t i = shuffled.size(); i > 1; --i) {
-      std::swap(shuffled[i - 1], shuffled[random.Below(i)]);
-    }
-    const MemberId id = shuffled.back();
-    shuffled.pop_back();
-    return id;
-  }
-
-  // Beyond the full mesh two members of each region keep contact with two of
-  // each other region.
   void PingBridges(const std::vector<MemberId>& near,
                    const std::vector<MemberId>& far) {
-    const auto lower =
-        std::count_if(near.begin(), near.end(), [this](const MemberId& id) {
-          return id < list.self().id &&
-                 list.Find(id)->info.state != MemberState::kSuspect;
-        });
-    if (lower >= kBridgesPerRegion) {
-      return;
-    }
-    std::map<RegionId, int> pinged;
-    for (const MemberId& id : far) {
-      const MemberInfo& info = list.Find(id)->info;
-      int& count = pinged[info.region];
-      if (count >= kBridgesPerRegion) {
-        continue;
-      }
-      SendPing(id);
-      // A silent region still costs a bounded number of pings.
-      count += info.state == MemberState::kSuspect ? 0 : 1;
-    }
+    PingAll(targets.Bridges(list, near, far));
   }
 
   void PushNews(util::TimePoint now) {
@@ -489,11 +419,11 @@
   PeerPort& peers;
   const Options options;
   const Hooks hooks;
+  PingTargets targets;
   MemberList list;
   std::set<std::string> seeds;
   std::map<uint64_t, Sent> sent;
   std::map<uint64_t, Relay> relays;
-  std::vector<MemberId> shuffled;
   uint64_t last_sequence = 0;
   util::TimePoint last_call{};
   util::TimePoint next_ping{};
--- a/chivedale/record_log.cc
+++ b/chivedale/record_log.cc
@@ -31,17 +31,16 @@
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
+#include "chivedale/record_segment.h"
+
 namespace chivedale {
 namespace {
 
-using nlohmann::json;
-
 constexpr Millis kFirstRetry{100};
 constexpr Millis kLongestRetry{1'000};
 // Old segments are looked for this often.
@@ -51,70 +50,6 @@
 // Longer than a store call; with the delay of the news of the new holder it
 // stays below the takeover wait.
 constexpr Millis kResignGrace{200};
-// Room for the segment's other fields and separators.
-constexpr size_t kSegmentOverheadBytes = 256;
-
-// The 64-bit hash stands for the id to bound memory. A collision refuses a new
-// id as already recorded, which is safe; at 4 million retained ids its chance
-// is below one in a million.
-uint64_t KeyOf(const std::string& id) {
-  return util::Hash64(id, 0x7265636f7264ULL);
-}
-
-// Ids are arbitrary bytes, JSON strings are not.
-std::string Escape(const std::string& text) {
-  static constexpr char kDigits[] = "0123456789abcdef";
-  std::string out;
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (byte > 0x20 && byte < 0x7f && c != '%' && c != '"' && c != '\\') {
-      out.push_back(c);
-      continue;
-    }
-    out.push_back('%');
-    out.push_back(kDigits[byte >> 4]);
-    out.push_back(kDigits[byte & 15]);
-  }
-  return out;
-}
-
-struct Segment {
-  uint64_t sequence = 0;
-  uint64_t revision = 0;
-  std::string nonce;
-  util::WallTime written{};
-  std::vector<uint64_t> keys;
-};
-
-std::string Unescape(const std::string& text) {
-  std::string out;
-  for (size_t i = 0; i < text.size(); ++i) {
-    if (text[i] != '%') {
-      out.push_back(text[i]);
-      continue;
-    }
-    out.push_back(
-        static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)));
-    i += 2;
-  }
-  return out;
-}
-
-// Throws on a malformed entry.
-Segment ParseSegment(const StoreEntry& entry) {
-  Segment segment;
-  const size_t slash = entry.key.rfind('/');
-  segment.sequence = std::stoull(entry.key.substr(slash + 1));
-  segment.revision = entry.revision;
-  const json value = json::parse(entry.value);
-  segment.nonce = value.at("nonce").get<std::string>();
-  segment.written =
-      util::WallTime(Millis(value.at("written_ms").get<int64_t>()));
-  for (const json& id : value.at("ids")) {
-    segment.keys.push_back(KeyOf(Unescape(id.get<std::string>())));
-  }
-  return segment;
-}
 
 }  // namespace
 
@@ -156,7 +91,7 @@
     Millis retry = kFirstRetry;
     std::deque<Waiting> waiting;
     std::optional<Write> write;
-    std::map<uint64_t, Segment> segments;
+    std::map<uint64_t, RecordSegment> segments;
     std::unordered_set<uint64_t> known;
   };
 
@@ -174,13 +109,10 @@
   }
 
   std::string Prefix(const Group& group) const {
-    return "records/" + std::to_string(group.number) + "/";
+    return SegmentPrefix(group.number);
   }
-  // Padded, so that the store lists segments in order.
   std::string Key(const Group& group, uint64_t sequence) const {
-    std::string digits = std::to_string(sequence);
-    digits.insert(0, 16 - std::min<size_t>(16, digits.size()), '0');
-    return Prefix(group) + digits;
+    return SegmentName(group.number, sequence);
   }
 
   // Detects a pause of this process before anything else is decided. The wall
@@ -359,10 +291,10 @@
 
   // False when a segment is unreadable: then nothing is changed.
   bool TakeSegments(Group& group, const StoreResult& result) {
-    std::map<uint64_t, Segment> segments;
+    std::map<uint64_t, RecordSegment> segments;
     try {
       for (const StoreEntry& entry : result.entries) {
-        Segment segment = ParseSegment(entry);
+        RecordSegment segment = ParseSegment(entry);
         const uint64_t sequence = segment.sequence;
         segments.emplace(sequence, std::move(segment));
       }
@@ -387,7 +319,7 @@
   void SettleKnown(Group& group) {
     std::vector<Waiting> settled;
     for (auto it = group.waiting.begin(); it != group.waiting.end();) {
-      if (group.known.count(KeyOf(it->id.str())) == 0) {
+      if (group.known.count(RecordKey(it->id.str())) == 0) {
         ++it;
         continue;
       }
@@ -405,23 +337,20 @@
     write.nonce = random.Hex(kNonceDigits);
     write.written = clock.WallNow();
     write.holds = group.holds;
-    json ids = json::array();
+    std::vector<RequestId> ids;
     size_t bytes = kSegmentOverheadBytes;
     while (!group.waiting.empty()) {
-      std::string text = Escape(group.waiting.front().id.str());
-      bytes += text.size() + 3;
+      const RequestId& id = group.waiting.front().id;
+      bytes += SegmentBytes(id);
       if (bytes > options.max_segment_bytes && !ids.empty()) {
         break;
       }
-      ids.push_back(std::move(text));
-      write.keys.push_back(KeyOf(group.waiting.front().id.str()));
+      ids.push_back(id);
+      write.keys.push_back(RecordKey(id.str()));
       write.items.push_back(std::move(group.waiting.front()));
       group.waiting.pop_front();
     }
-    write.value = json{{"nonce", write.nonce},
-                       {"written_ms", write.written.time_since_epoch().count()},
-                       {"ids", std::move(ids)}}
-                      .dump();
+    write.value = SegmentText(write.nonce, write.written, ids);
     // From here on the ids may be in the store.
     group.known.insert(write.keys.begin(), write.keys.end());
     group.write = std::move(write);
@@ -505,7 +434,7 @@
     group.write.reset();
     group.retry = kFirstRetry;
     records += write.items.size();
-    Segment segment;
+    RecordSegment segment;
     segment.sequence = write.sequence;
     segment.revision = revision;
     segment.nonce = write.nonce;
@@ -542,7 +471,7 @@
         refused.push_back(std::move(*it));
         continue;
       }
-      group.known.erase(KeyOf(it->id.str()));
+      group.known.erase(RecordKey(it->id.str()));
       group.waiting.push_front(std::move(*it));
     }
     if (!group.held) {
@@ -559,7 +488,7 @@
     if (group.segments.size() < 2) {
       return;
     }
-    const Segment& oldest = group.segments.begin()->second;
+    const RecordSegment& oldest = group.segments.begin()->second;
     if (clock.WallNow() - oldest.written <= options.retention) {
       return;
     }
@@ -600,7 +529,7 @@
       done(RecordOutcome::kNotHolder);
       return;
     }
-    const uint64_t key = KeyOf(id.str());
+    const uint64_t key = RecordKey(id.str());
     const bool waits =
         std::any_of(group.waiting.begin(), group.waiting.end(),
                     [&](const Waiting& item) { return item.id == id; });
@@ -625,7 +554,7 @@
     if (group.write) {
       for (Waiting& item : group.write->items) {
         if (item.done && now >= item.until) {
-          late.push_back(std::move(item));
+          late.push_back(item);
           item.done = nullptr;
         }
       }
@@ -699,7 +628,7 @@
 std::optional<bool> RecordLog::IsRecorded(int group,
                                           const RequestId& request) const {
   const Impl::Group& state = impl_->groups.at(static_cast<size_t>(group));
-  if (state.held && state.known.count(KeyOf(request.str())) != 0) {
+  if (state.held && state.known.count(RecordKey(request.str())) != 0) {
     return true;
   }
   if (!state.held || !state.read) {
--- a/chivedale/record_log.h
+++ b/chivedale/record_log.h
@@ -32,7 +32,7 @@
     Millis retention{3'600'000};
     // A record that could not be written in this time is refused.
     Millis write_timeout{2'000};
-    size_t max_segment_bytes = 512 * 1024;
+    size_t max_segment_bytes = 524'288;
     // A new holder grants nothing for this long, so that an earlier holder
     // that is alive has heard of the change before an id is granted here.
     Millis takeover_wait{1'000};
--- a/chivedale/request_ledger.cc
+++ b/chivedale/request_ledger.cc
@@ -108,7 +108,7 @@
 
 bool RequestLedger::Finish(const RequestId& request, RequestResult result) {
   // A copy, since `request` may refer into the entry that a callback drops.
-  const RequestId id = request;
+  const RequestId id(request.str());
   auto it = requests_.find(id);
   if (it == requests_.end() ||
       it->second.state.phase == RequestPhase::kFinished) {
