--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -210,6 +210,9 @@
   RegisterOutcome outcome = RegisterOutcome::kNew;
   MemberId entry;
   Millis retry_after{0};
+  // That of the Register, so that the entry role and the owner role of one
+  // member tell their replies apart.
+  uint64_t registration = 0;
 };
 
 enum class AttachMode {
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -16,15 +16,13 @@
 #include "chivedale/request_directory.h"
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
+#include "chivedale/id_book.h"
 #include "util/random.h"
 
 namespace chivedale {
@@ -44,19 +42,6 @@
 struct RequestDirectory::Impl {
   using Reply = std::function<void(const RegisterReply&)>;
 
-  struct Entry {
-    MemberId entry;
-    uint64_t digest = 0;
-    uint64_t registration = 0;
-    uint64_t order = 0;
-    bool repeatable = true;
-    // The record is being written; `entry` may start it only after that.
-    bool recording = false;
-    // The entry is gone and no member has adopted the id.
-    bool orphaned = false;
-    // What the first registration got, for a repeated send of it.
-    std::optional<RegisterReply> first_reply;
-  };
   struct Departure {
     util::TimePoint at{};
     std::set<MemberId> awaited;
@@ -66,11 +51,6 @@
     bool held = false;
     util::TimePoint taken{};
   };
-  struct Aged {
-    RequestId id;
-    uint64_t order = 0;
-    util::TimePoint at{};
-  };
 
   Impl(const util::Clock& clock,
        MemberInfo self,
@@ -80,6 +60,7 @@
         self(std::move(self)),
         records(records),
         options(options),
+        ids(clock, options.max_ids),
         once_groups(static_cast<size_t>(options.record_groups)),
         repeatable_groups(static_cast<size_t>(options.record_groups)) {}
 
@@ -183,62 +164,14 @@
 
   void DropGroup(int number, bool repeatable) {
     std::vector<RequestId> dropped;
-    for (const auto& [id, entry] : ids) {
+    for (const auto& [id, entry] : ids.entries()) {
       if (entry.repeatable == repeatable && GroupOf(id) == number) {
         dropped.push_back(id);
       }
     }
     for (const RequestId& id : dropped) {
-      Erase(id);
-    }
-  }
-
-  void Insert(const RequestId& id, Entry entry) {
-    entry.order = ++last_order;
-    by_entry[entry.entry].insert(id);
-    ages.push_back({id, entry.order, clock.Now()});
-    ids[id] = std::move(entry);
-    while (static_cast<int64_t>(ids.size()) > options.max_ids) {
-      DropOldest();
-    }
-  }
-
-  void DropOldest() {
-    const Aged oldest = ages.front();
-    ages.pop_front();
-    auto it = ids.find(oldest.id);
-    if (it != ids.end() && it->second.order == oldest.order) {
-      Erase(oldest.id);
-    }
-  }
-
-  void Erase(const RequestId& id) {
-    auto it = ids.find(id);
-    if (it == ids.end()) {
-      return;
+      ids.Erase(id);
     }
-    Unlink(id, it->second.entry);
-    ids.erase(it);
-  }
-
-  void Unlink(const RequestId& id, const MemberId& entry) {
-    auto of_entry = by_entry.find(entry);
-    if (of_entry == by_entry.end()) {
-      return;
-    }
-    of_entry->second.erase(id);
-    if (of_entry->second.empty()) {
-      by_entry.erase(of_entry);
-    }
-  }
-
-  void Assign(const RequestId& id, Entry& entry, const MemberId& member) {
-    if (entry.entry != member) {
-      Unlink(id, entry.entry);
-      by_entry[member].insert(id);
-    }
-    entry.entry = member;
-    entry.orphaned = false;
   }
 
   RegisterReply MakeReply(const RequestId& id,
@@ -262,14 +195,14 @@
       reply(MakeReply(id, RegisterOutcome::kNotHolder, MemberId()));
       return;
     }
-    auto it = ids.find(id);
-    if (it != ids.end()) {
-      ReplyKnown(request, it->second, reply);
+    IdBook::Entry* known = ids.Find(id);
+    if (known != nullptr) {
+      ReplyKnown(request, *known, reply);
       return;
     }
     if (request.running) {
-      Entry entry = NewEntry(request);
-      Insert(id, std::move(entry));
+      IdBook::Entry entry = NewEntry(request);
+      ids.Insert(id, std::move(entry));
       reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
       return;
     }
@@ -284,8 +217,8 @@
     RecordOnce(request, reply);
   }
 
-  Entry NewEntry(const Register& request) const {
-    Entry entry;
+  IdBook::Entry NewEntry(const Register& request) const {
+    IdBook::Entry entry;
     entry.entry = request.entry;
     entry.digest = request.digest;
     entry.registration = request.registration;
@@ -293,7 +226,9 @@
     return entry;
   }
 
-  void ReplyKnown(const Register& request, Entry& entry, const Reply& reply) {
+  void ReplyKnown(const Register& request,
+                  IdBook::Entry& entry,
+                  const Reply& reply) {
     const RequestId& id = request.request;
     const bool digest_differs = entry.digest != 0 && request.digest != 0 &&
                                 entry.digest != request.digest;
@@ -302,7 +237,7 @@
       return;
     }
     if (request.running && (entry.orphaned || entry.entry == request.entry)) {
-      Assign(id, entry, request.entry);
+      ids.Assign(id, request.entry);
       reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
       return;
     }
@@ -328,7 +263,8 @@
     reply(MakeReply(id, RegisterOutcome::kKnown, entry.entry));
   }
 
-  RegisterReply ReplyOrphan(const RequestId& id, const Entry& entry) const {
+  RegisterReply ReplyOrphan(const RequestId& id,
+                            const IdBook::Entry& entry) const {
     auto departure = departures.find(entry.entry);
     const bool over = departure == departures.end() || departure->second.over;
     const RegisterOutcome outcome =
@@ -345,7 +281,7 @@
       return;
     }
     if (!request.probe) {
-      Insert(id, NewEntry(request));
+      ids.Insert(id, NewEntry(request));
     }
     reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
   }
@@ -366,10 +302,9 @@
 
   void RecordOnce(const Register& request, const Reply& reply) {
     const RequestId id = request.request;
-    Entry entry = NewEntry(request);
+    IdBook::Entry entry = NewEntry(request);
     entry.recording = true;
-    Insert(id, std::move(entry));
-    const uint64_t order = last_order;
+    const uint64_t order = ids.Insert(id, std::move(entry));
     records.Record(GroupOf(id), id,
                    [this, guard = std::weak_ptr<int>(alive), id, order,
                     from = request.entry, reply](RecordOutcome outcome) {
@@ -383,21 +318,21 @@
                          uint64_t order,
                          const MemberId& from,
                          RecordOutcome outcome) {
-    auto it = ids.find(id);
+    IdBook::Entry* known = ids.Find(id);
     // Another registration has replaced it, or the group was given up.
-    const bool mine = it != ids.end() && it->second.order == order;
-    if (mine && it->second.recording) {
-      it->second.recording = false;
+    const bool mine = known != nullptr && known->order == order;
+    if (mine && known->recording) {
+      known->recording = false;
     }
     if (outcome == RecordOutcome::kRecorded) {
-      const RegisterReply reply = MakeReply(id, RegisterOutcome::kNew, from);
+      RegisterReply reply = MakeReply(id, RegisterOutcome::kNew, from);
       if (mine) {
-        it->second.first_reply = reply;
+        known->first_reply = reply;
       }
       return reply;
     }
-    if (mine && it->second.entry == from) {
-      Erase(id);
+    if (mine && known->entry == from) {
+      ids.Erase(id);
     }
     if (outcome == RecordOutcome::kStoreDown) {
       return MakeReply(id, RegisterOutcome::kStoreDown, MemberId());
@@ -414,11 +349,11 @@
   }
 
   void OnUnregister(const Unregister& message) {
-    auto it = ids.find(message.request);
+    IdBook::Entry* known = ids.Find(message.request);
     // A recorded id stays: its record cannot be withdrawn.
-    if (it != ids.end() && it->second.repeatable &&
-        it->second.entry == message.entry) {
-      Erase(message.request);
+    if (known != nullptr && known->repeatable &&
+        known->entry == message.entry) {
+      ids.Erase(message.request);
     }
   }
 
@@ -438,11 +373,8 @@
       departure.awaited.erase(reporter);
     }
     departures[member] = std::move(departure);
-    auto owned = by_entry.find(member);
-    if (owned != by_entry.end()) {
-      for (const RequestId& id : owned->second) {
-        ids.at(id).orphaned = true;
-      }
+    for (const RequestId& id : ids.OfEntry(member)) {
+      ids.Find(id)->orphaned = true;
     }
     for (auto& [gone, other] : departures) {
       other.awaited.erase(member);
@@ -453,13 +385,13 @@
   void OnEntryGone(const EntryGone& message) {
     const bool alive_here = members.count(message.gone) != 0;
     for (const RequestId& id : message.running) {
-      auto it = ids.find(id);
-      if (it == ids.end()) {
+      IdBook::Entry* known = ids.Find(id);
+      if (known == nullptr) {
         continue;  // The adopter registers it, with its digest.
       }
-      if (it->second.entry == message.gone && !alive_here) {
-        Assign(id, it->second, message.sender);
-      } else if (it->second.entry == message.gone) {
+      if (known->entry == message.gone && !alive_here) {
+        ids.Assign(id, message.sender);
+      } else if (known->entry == message.gone) {
         early_adoptions[message.gone][id] = message.sender;
       }
     }
@@ -497,25 +429,19 @@
       return;
     }
     for (const auto& [id, sender] : early->second) {
-      auto it = ids.find(id);
-      if (it != ids.end() && it->second.entry == gone) {
-        Assign(id, it->second, sender);
+      IdBook::Entry* known = ids.Find(id);
+      if (known != nullptr && known->entry == gone) {
+        ids.Assign(id, sender);
       }
     }
     early_adoptions.erase(early);
   }
 
   void FreeOrphans(const MemberId& member) {
-    auto owned = by_entry.find(member);
-    if (owned == by_entry.end()) {
-      return;
-    }
-    const std::vector<RequestId> orphans(owned->second.begin(),
-                                         owned->second.end());
-    for (const RequestId& id : orphans) {
+    for (const RequestId& id : ids.OfEntry(member)) {
       // An unrepeatable id stays, as recorded before.
-      if (ids.at(id).repeatable) {
-        Erase(id);
+      if (ids.Find(id)->repeatable) {
+        ids.Erase(id);
       }
     }
   }
@@ -524,7 +450,7 @@
   void FindMissing() {
     const util::TimePoint now = clock.Now();
     std::vector<MemberId> dead;
-    for (const auto& [member, owned] : by_entry) {
+    for (const MemberId& member : ids.Entries()) {
       if (members.count(member) != 0 || departures.count(member) != 0) {
         continue;
       }
@@ -540,9 +466,7 @@
 
   void Expire() {
     const util::TimePoint now = clock.Now();
-    while (!ages.empty() && now - ages.front().at >= options.retention) {
-      DropOldest();
-    }
+    ids.Expire(options.retention);
     for (auto it = departures.begin(); it != departures.end();) {
       if (now - it->second.at >= options.retention) {
         reported.erase(it->first);
@@ -569,13 +493,10 @@
   const MemberInfo self;
   RecordLog& records;
   const Options options;
+  IdBook ids;
   std::map<MemberId, MemberInfo> members;
   std::vector<Group> once_groups;
   std::vector<Group> repeatable_groups;
-  std::unordered_map<RequestId, Entry> ids;
-  std::unordered_map<MemberId, std::unordered_set<RequestId>> by_entry;
-  std::deque<Aged> ages;
-  uint64_t last_order = 0;
   std::map<MemberId, Departure> departures;
   std::map<MemberId, util::TimePoint> missing;
   // Reports about a member that is still alive here.
@@ -600,7 +521,11 @@
 void RequestDirectory::OnRegister(
     const Register& request,
     std::function<void(const RegisterReply&)> reply) {
-  impl_->OnRegister(request, reply);
+  impl_->OnRegister(request, [registration = request.registration,
+                              reply = std::move(reply)](RegisterReply answer) {
+    answer.registration = registration;
+    reply(answer);
+  });
 }
 
 void RequestDirectory::OnUnregister(const Unregister& message) {
@@ -629,7 +554,7 @@
 }
 
 int64_t RequestDirectory::known_ids() const {
-  return static_cast<int64_t>(impl_->ids.size());
+  return impl_->ids.size();
 }
 
 }  // namespace chivedale
--- a/chivedale/table_codec.cc
+++ b/chivedale/table_codec.cc
@@ -1,20 +1,14 @@
 // Rows and teams are arrays of objects, so that two rows of one kind are seen
 // and named; as keys of an object the parser would keep the last one silently.
-// Each column is one entry of a list that serves reading, writing, checking and
-// comparing, so that none of the four can miss a column.
 #include "chivedale/table_codec.h"
 
 #include <algorithm>
-#include <cmath>
-#include <functional>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
-#include <sstream>
-#include <type_traits>
 #include <utility>
 
 #include "chivedale/error.h"
+#include "chivedale/table_columns.h"
 
 namespace chivedale {
 namespace {
@@ -24,280 +18,15 @@
 
 // The store holds values up to 1 MB; the rest is room for its own envelope.
 constexpr size_t kMaxTableBytes = 900'000;
-constexpr size_t kMaxNameSize = 64;
 constexpr size_t kMaxChangeIdSize = 128;
 constexpr size_t kMaxAuthorSize = 128;
 constexpr size_t kMaxRows = 5'000;
 constexpr size_t kMaxTeams = 5'000;
-// Larger integers are not exact in programs that read JSON numbers as double.
-constexpr int64_t kMaxInteger = int64_t{1} << 53;
 // Sum of shares given as decimal fractions.
 constexpr double kShareRounding = 1e-9;
-constexpr int64_t kLongestMillis = int64_t{366} * 24 * 3600 * 1000;
 // Faults of one table beyond this many are only counted.
 constexpr size_t kMaxFaults = 200;
 
-constexpr const char* kShapes[] = {"request", "task", "gang", "service"};
-constexpr const char* kUrgencies[] = {"urgent", "normal", "batch"};
-constexpr const char* kRegionRules[] = {"home", "prefer_home", "any"};
-
-std::string Text(double value) {
-  std::ostringstream out;
-  out.precision(std::numeric_limits<double>::max_digits10);
-  out << value;
-  return out.str();
-}
-
-std::string Short(const json& value) {
-  constexpr size_t kShown = 60;
-  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
-  if (text.size() > kShown) {
-    text = text.substr(0, kShown) + "...";
-  }
-  return text;
-}
-
-// One column of a row or team. `set` and `check` return a fault or "".
-template <typename T>
-struct Column {
-  std::string name;
-  std::function<json(const T&)> get;
-  std::function<std::string(T&, const json&)> set;
-  std::function<std::string(const T&)> check;
-};
-
-std::string OutOfBounds(const std::string& value,
-                        const std::string& low,
-                        const std::string& high) {
-  return "value " + value + " is outside " + low + " to " + high;
-}
-
-template <typename T, typename Field>
-Column<T> IntegerColumn(const char* name,
-                        Field field,
-                        int64_t low,
-                        int64_t high) {
-  Column<T> column;
-  column.name = name;
-  column.get = [field](const T& row) { return json(int64_t{field(row)}); };
-  column.check = [field, low, high](const T& row) {
-    const int64_t value = field(row);
-    return value < low || value > high
-               ? OutOfBounds(std::to_string(value), std::to_string(low),
-                             std::to_string(high))
-               : std::string();
-  };
-  column.set = [field, low, high](T& row, const json& value) {
-    const bool huge =
-        value.is_number_unsigned() &&
-        value.get<uint64_t>() > static_cast<uint64_t>(kMaxInteger);
-    if (!value.is_number_integer()) {
-      return "value " + Short(value) + " is not an integer";
-    }
-    if (huge || value.get<int64_t>() < low || value.get<int64_t>() > high) {
-      return OutOfBounds(Short(value), std::to_string(low),
-                         std::to_string(high));
-    }
-    using Value = std::remove_reference_t<decltype(field(row))>;
-    field(row) = static_cast<Value>(value.get<int64_t>());
-    return std::string();
-  };
-  return column;
-}
-
-template <typename Field>
-Column<WorkRow> MillisColumn(const char* name,
-                             Field field,
-                             int64_t low,
-                             int64_t high) {
-  Column<WorkRow> column;
-  column.name = name;
-  column.get = [field](const WorkRow& row) { return json(field(row).count()); };
-  column.check = [field, low, high](const WorkRow& row) {
-    const int64_t value = field(row).count();
-    return value < low || value > high
-               ? OutOfBounds(std::to_string(value) + " ms", std::to_string(low),
-                             std::to_string(high) + " ms")
-               : std::string();
-  };
-  column.set = [field, low, high](WorkRow& row, const json& value) {
-    struct Number {
-      int64_t value = 0;
-    } number;
-    const auto integer = IntegerColumn<Number>(
-        "", [](auto& n) -> auto& { return n.value; }, low, high);
-    std::string fault = integer.set(number, value);
-    if (fault.empty()) {
-      field(row) = Millis(number.value);
-    }
-    return fault;
-  };
-  return column;
-}
-
-template <typename Field>
-Column<WorkRow> RealColumn(const char* name,
-                           Field field,
-                           double low,
-                           double high) {
-  Column<WorkRow> column;
-  column.name = name;
-  column.get = [field](const WorkRow& row) { return json(field(row)); };
-  column.check = [field, low, high](const WorkRow& row) {
-    const double value = field(row);
-    // Written so that NaN is outside.
-    return value >= low && value <= high
-               ? std::string()
-               : OutOfBounds(Text(value), Text(low), Text(high));
-  };
-  column.set = [field, check = column.check](WorkRow& row, const json& value) {
-    if (!value.is_number()) {
-      return "value " + Short(value) + " is not a number";
-    }
-    field(row) = value.get<double>();
-    return check(row);
-  };
-  return column;
-}
-
-template <typename Field>
-Column<WorkRow> BooleanColumn(const char* name, Field field) {
-  Column<WorkRow> column;
-  column.name = name;
-  column.get = [field](const WorkRow& row) { return json(field(row)); };
-  column.check = [](const WorkRow&) { return std::string(); };
-  column.set = [field](WorkRow& row, const json& value) {
-    if (!value.is_boolean()) {
-      return "value " + Short(value) + " is neither true nor false";
-    }
-    field(row) = value.get<bool>();
-    return std::string();
-  };
-  return column;
-}
-
-template <typename Field, size_t N>
-Column<WorkRow> EnumColumn(const char* name,
-                           Field field,
-                           const char* const (&names)[N]) {
-  std::string list;
-  for (const char* each : names) {
-    list += (list.empty() ? "" : ", ") + std::string(each);
-  }
-  Column<WorkRow> column;
-  column.name = name;
-  column.get = [field, &names](const WorkRow& row) {
-    const auto i = static_cast<size_t>(field(row));
-    return json(i < N ? names[i] : "?");
-  };
-  column.check = [field, list](const WorkRow& row) {
-    return static_cast<size_t>(field(row)) < N ? std::string()
-                                               : "value is not one of " + list;
-  };
-  column.set = [field, &names, list](WorkRow& row, const json& value) {
-    for (size_t i = 0; i < N; ++i) {
-      if (value == names[i]) {
-        field(row) = static_cast<std::decay_t<decltype(field(row))>>(i);
-        return std::string();
-      }
-    }
-    return "value " + Short(value) + " is not one of " + list;
-  };
-  return column;
-}
-
-std::string CheckName(const std::string& name, bool may_be_empty) {
-  const bool good = std::all_of(name.begin(), name.end(), [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_' ||
-           c == '.' || c == '-';
-  });
-  if (good && name.size() <= kMaxNameSize && (may_be_empty || !name.empty())) {
-    return std::string();
-  }
-  return "value " + Short(json(name)) + " is not " +
-         (may_be_empty ? "0" : "1") + " to " + std::to_string(kMaxNameSize) +
-         " characters of a-z 0-9 _ . -";
-}
-
-template <typename T, typename Field>
-Column<T> NameColumn(const char* name, Field field, bool may_be_empty) {
-  Column<T> column;
-  column.name = name;
-  column.get = [field](const T& row) { return json(field(row)); };
-  column.check = [field, may_be_empty](const T& row) {
-    return CheckName(field(row), may_be_empty);
-  };
-  column.set = [field, may_be_empty](T& row, const json& value) {
-    if (!value.is_string()) {
-      return "value " + Short(value) + " is not a string";
-    }
-    field(row) = value.get<std::string>();
-    return CheckName(field(row), may_be_empty);
-  };
-  return column;
-}
-
-// Gives a reference to a field of a const or non-const row.
-#define CHIVEDALE_FIELD(path) \
-  [](auto& row) -> auto& {    \
-    return row.path;          \
-  }
-
-const std::vector<Column<WorkRow>>& RowColumns() {
-  static const std::vector<Column<WorkRow>> columns = {
-      NameColumn<WorkRow>("kind", CHIVEDALE_FIELD(kind), false),
-      EnumColumn("shape", CHIVEDALE_FIELD(shape), kShapes),
-      EnumColumn("urgency", CHIVEDALE_FIELD(urgency), kUrgencies),
-      RealColumn("weight", CHIVEDALE_FIELD(weight), 0.001, 1000),
-      RealColumn("guaranteed_share", CHIVEDALE_FIELD(guaranteed_share), 0, 1),
-      IntegerColumn<WorkRow>("max_running", CHIVEDALE_FIELD(limits.max_running),
-                             0, 10'000'000),
-      IntegerColumn<WorkRow>("max_queued", CHIVEDALE_FIELD(limits.max_queued),
-                             0, 10'000'000),
-      RealColumn("max_rate_per_s", CHIVEDALE_FIELD(limits.max_rate_per_s), 0,
-                 1e6),
-      IntegerColumn<WorkRow>("cpu_milli", CHIVEDALE_FIELD(size.cpu_milli), 0,
-                             1'000'000),
-      IntegerColumn<WorkRow>("memory_mb", CHIVEDALE_FIELD(size.memory_mb), 0,
-                             16'000'000),
-      IntegerColumn<WorkRow>("accelerators", CHIVEDALE_FIELD(size.accelerators),
-                             0, 64),
-      IntegerColumn<WorkRow>("slots", CHIVEDALE_FIELD(size.slots), 0, 1024),
-      MillisColumn("expected_run_ms", CHIVEDALE_FIELD(expected_run), 1,
-                   kLongestMillis),
-      MillisColumn("longest_run_ms", CHIVEDALE_FIELD(longest_run), 1,
-                   kLongestMillis),
-      IntegerColumn<WorkRow>("max_retries", CHIVEDALE_FIELD(max_retries), 0,
-                             20),
-      BooleanColumn("repeatable", CHIVEDALE_FIELD(repeatable)),
-      BooleanColumn("checkpoint", CHIVEDALE_FIELD(checkpoint)),
-      EnumColumn("region", CHIVEDALE_FIELD(region), kRegionRules),
-      NameColumn<WorkRow>("team", CHIVEDALE_FIELD(team), true),
-      MillisColumn("objective_wait_ms", CHIVEDALE_FIELD(objective.wait), 0,
-                   kLongestMillis),
-      RealColumn("objective_share", CHIVEDALE_FIELD(objective.share), 0,
-                 0.99999),
-  };
-  return columns;
-}
-
-const std::vector<Column<Team>>& TeamColumns() {
-  static const std::vector<Column<Team>> columns = {
-      NameColumn<Team>("name", CHIVEDALE_FIELD(name), false),
-      IntegerColumn<Team>("cpu_milli", CHIVEDALE_FIELD(quota.cpu_milli), 0,
-                          kMaxInteger),
-      IntegerColumn<Team>("memory_mb", CHIVEDALE_FIELD(quota.memory_mb), 0,
-                          kMaxInteger),
-      IntegerColumn<Team>("accelerators", CHIVEDALE_FIELD(quota.accelerators),
-                          0, kMaxInteger),
-      IntegerColumn<Team>("slots", CHIVEDALE_FIELD(quota.slots), 0,
-                          kMaxInteger),
-  };
-  return columns;
-}
-
-#undef CHIVEDALE_FIELD
-
 const std::vector<Column<WorkRow>>& ColumnsOf(const WorkRow&) {
   return RowColumns();
 }
@@ -326,11 +55,20 @@
   return object;
 }
 
+std::string ColumnFault(std::string where,
+                        const std::string& column,
+                        const std::string& fault) {
+  where += ", column " + column;
+  where += ": " + fault;
+  return where;
+}
+
 template <typename T>
 T FromObject(const json& object, const std::string& place, Faults& faults) {
   T row;
   if (!object.is_object()) {
-    faults.push_back(place + ": value " + Short(object) + " is not an object");
+    faults.push_back(place + ": value " + Shortened(object) +
+                     " is not an object");
     return row;
   }
   const std::vector<Column<T>>& columns = ColumnsOf(row);
@@ -338,7 +76,7 @@
                          ? object.at(columns.front().name)
                          : json();
   const std::string where =
-      name.is_string() ? place + " " + Short(name) : place;
+      name.is_string() ? place + " " + Shortened(name) : place;
   if (name.is_null()) {
     faults.push_back(where + ", column " + columns.front().name +
                      ": value is missing");
@@ -348,13 +86,13 @@
         std::find_if(columns.begin(), columns.end(),
                      [&key = key](const auto& c) { return c.name == key; });
     if (column == columns.end()) {
-      faults.push_back(where + ", column " + Short(json(key)) +
-                       ": unknown column");
+      faults.push_back(
+          ColumnFault(where, Shortened(json(key)), "unknown column"));
       continue;
     }
     const std::string fault = column->set(row, value);
     if (!fault.empty()) {
-      faults.push_back(where + ", column " + key + ": " + fault);
+      faults.push_back(ColumnFault(where, key, fault));
     }
   }
   return row;
@@ -377,12 +115,14 @@
   int number = 0;
   for (const json& element : object.at(key)) {
     ++number;
-    T row =
-        FromObject<T>(element, place + " " + std::to_string(number), faults);
+    std::string where = place;
+    where += " " + std::to_string(number);
+    T row = FromObject<T>(element, where, faults);
     const std::string name = NameOf(row);
     if (!result.emplace(name, std::move(row)).second) {
-      faults.push_back(place + " " + std::to_string(number) + ": " + place +
-                       " " + Short(json(name)) + " occurs twice");
+      where += ": " + place;
+      where += " " + Shortened(json(name)) + " occurs twice";
+      faults.push_back(where);
     }
   }
   return result;
@@ -417,7 +157,7 @@
   }
   if (!twice.empty()) {
     throw Error(ErrorKind::kBadTable,
-                "table: column " + Short(json(twice)) + " occurs twice");
+                "table: column " + Shortened(json(twice)) + " occurs twice");
   }
   if (!value.is_object()) {
     throw Error(ErrorKind::kBadTable, "table: value is not an object");
@@ -435,7 +175,7 @@
   const json& value = object.at(key);
   if (!value.is_number_unsigned() ||
       value.get<uint64_t>() > static_cast<uint64_t>(kMaxInteger)) {
-    faults.push_back(std::string(key) + ": value " + Short(value) +
+    faults.push_back(std::string(key) + ": value " + Shortened(value) +
                      " is outside 0 to " + std::to_string(kMaxInteger));
     return;
   }
@@ -450,7 +190,7 @@
     return;
   }
   if (!object.at(key).is_string()) {
-    faults.push_back(std::string(key) + ": value " + Short(object.at(key)) +
+    faults.push_back(std::string(key) + ": value " + Shortened(object.at(key)) +
                      " is not a string");
     return;
   }
@@ -473,7 +213,7 @@
                        key == "author" || key == "changed_at_ms" ||
                        others.count(key) != 0;
     if (!known) {
-      faults.push_back("table, column " + Short(json(key)) +
+      faults.push_back("table, column " + Shortened(json(key)) +
                        ": unknown column");
     }
   }
@@ -518,7 +258,7 @@
 void CheckColumns(const std::string& key, const T& row, Faults& faults) {
   if (key != NameOf(row)) {
     faults.push_back(Label(row) + ": is stored under the name " +
-                     Short(json(key)));
+                     Shortened(json(key)));
   }
   for (const Column<T>& column : ColumnsOf(row)) {
     const std::string fault = column.check(row);
@@ -531,7 +271,7 @@
 void CheckRow(const Table& table, const WorkRow& row, Faults& faults) {
   if (!row.team.empty() && table.teams.count(row.team) == 0) {
     faults.push_back(Label(row) + ", column team: value " +
-                     Short(json(row.team)) + " is not a team of the table");
+                     Shortened(json(row.team)) + " is not a team of the table");
   }
   if (row.longest_run < row.expected_run) {
     faults.push_back(Label(row) + ", column longest_run_ms: value " +
@@ -565,14 +305,14 @@
   if (table.change_id.size() > kMaxChangeIdSize ||
       HasControlCharacter(table.change_id)) {
     faults.push_back("table, column change_id: value " +
-                     Short(json(table.change_id)) + " is not at most " +
+                     Shortened(json(table.change_id)) + " is not at most " +
                      std::to_string(kMaxChangeIdSize) +
                      " bytes without control characters");
   }
   if (table.author.size() > kMaxAuthorSize ||
       HasControlCharacter(table.author)) {
     faults.push_back("table, column author: value " +
-                     Short(json(table.author)) + " is not at most " +
+                     Shortened(json(table.author)) + " is not at most " +
                      std::to_string(kMaxAuthorSize) +
                      " bytes without control characters");
   }
@@ -592,7 +332,7 @@
     sum += row.guaranteed_share;
   }
   if (sum > 1 + kShareRounding) {
-    faults.push_back("table, column guaranteed_share: sum " + Text(sum) +
+    faults.push_back("table, column guaranteed_share: sum " + NumberText(sum) +
                      " is above 1");
   }
 }
@@ -707,7 +447,7 @@
   }
   for (const json& name : delta.at(removed)) {
     if (!name.is_string() || rows.erase(name.get<std::string>()) == 0) {
-      faults.push_back(removed + ": value " + Short(name) +
+      faults.push_back(removed + ": value " + Shortened(name) +
                        " is not in the base");
     }
   }
@@ -757,18 +497,6 @@
   return changes;
 }
 
-std::string ShapeName(WorkShape shape) {
-  return kShapes[static_cast<size_t>(shape)];
-}
-
-std::string UrgencyName(Urgency urgency) {
-  return kUrgencies[static_cast<size_t>(urgency)];
-}
-
-std::string RegionRuleName(RegionRule rule) {
-  return kRegionRules[static_cast<size_t>(rule)];
-}
-
 std::string TableDeltaToJson(const Table& base, const Table& table) {
   json delta = HeadToJson(table);
   delta["base_revision"] = base.revision;
