--- a/chivedale/ctl_options.cc
+++ b/chivedale/ctl_options.cc
@@ -126,6 +126,7 @@
 
 std::vector<option> GetoptTable() {
   std::vector<option> table;
+  table.reserve(AllOptions().size() + 1);
   for (const Option& each : AllOptions()) {
     table.push_back({each.name, each.argument ? required_argument : no_argument,
                      nullptr, 0});
--- a/chivedale/peer_codec.h
+++ b/chivedale/peer_codec.h
@@ -23,9 +23,9 @@
 inline constexpr size_t kMaxFrameBytes = 8 << 20;
 inline constexpr size_t kMaxIdBytes = 1'024;
 // Of kinds, addresses and details.
-inline constexpr size_t kMaxTextBytes = 64 * 1024;
+inline constexpr size_t kMaxTextBytes = size_t{64} * 1024;
 // Of bodies and tables; the rest of a frame is for the other fields.
-inline constexpr size_t kMaxBodyBytes = kMaxFrameBytes - 64 * 1024;
+inline constexpr size_t kMaxBodyBytes = kMaxFrameBytes - size_t{64} * 1024;
 inline constexpr size_t kMaxListLength = 200'000;
 
 enum class CodecFault {
--- a/chivedale/peer_connection.cc
+++ b/chivedale/peer_connection.cc
@@ -18,7 +18,7 @@
 
 constexpr size_t kLengthBytes = 4;
 // Small frames are written together up to this size, to save system calls.
-constexpr size_t kBatchBytes = 64 * 1024;
+constexpr size_t kBatchBytes = size_t{64} * 1024;
 // Bounds what lies in the kernel ahead of the next control message: 70 ms on
 // the link between regions (30 Mbit/s).
 constexpr int kSendBufferBytes = 256 * 1024;
--- a/chivedale/testing/caller_api_test.cc
+++ b/chivedale/testing/caller_api_test.cc
@@ -106,7 +106,8 @@
   CallerApi::Options options;
   options.member = "e-2/77";
   CallerApi other(scheduler, scheduler, scheduler.Threads(), log, options);
-  other.Handle(RequestTo("POST", "/v1/requests", body), [](HttpResponse) {});
+  other.Handle(RequestTo("POST", "/v1/requests", body),
+               [](const HttpResponse&) {});
   BOOST_TEST(scheduler.submissions[2].id.str() != a);
 }
 
@@ -188,7 +189,8 @@
         std::string("\xc3\xa9")}) {
     HttpRequest request = RequestTo("POST", "/v1/requests", R"({"kind":"a"})");
     request.headers.Add("Idempotency-Key", key);
-    BOOST_TEST(Call(std::move(request)).status == 400);
+    const HttpResponse response = Call(std::move(request));
+    BOOST_TEST(response.status == 400);
   }
   const std::string large(1 << 20, ' ');
   BOOST_TEST(Call("POST", "/v1/requests", large + "{}").status == 413);
--- a/chivedale/testing/ctl_test.cc
+++ b/chivedale/testing/ctl_test.cc
@@ -41,8 +41,12 @@
   problem.detail = "because";
   return Answered(AnswerFor(kind).http_status, ProblemToJson(problem));
 }
-const CallResult kNotSentResult{CallOutcome::kNotSent, 0, "", "refused"};
-const CallResult kLostResult{CallOutcome::kLost, 0, "", "end of stream"};
+CallResult NotSent() {
+  return {CallOutcome::kNotSent, 0, "", "refused"};
+}
+CallResult Lost() {
+  return {CallOutcome::kLost, 0, "", "end of stream"};
+}
 
 class FakeTransport final : public CtlTransport {
  public:
@@ -51,7 +55,7 @@
                   Millis) override {
     calls.emplace_back(server.port, request);
     if (script.empty()) {
-      return kNotSentResult;
+      return NotSent();
     }
     CallResult result = script.front();
     script.pop_front();
@@ -188,23 +192,22 @@
                          {Failed(ErrorKind::kInternal, Ran::kNo), 1},
                          {Failed(ErrorKind::kTableConflict), 4},
                          {Answered(500, "no json"), 1},
-                         {kNotSentResult, 3},
-                         {kLostResult, 5}}) {
+                         {NotSent(), 3},
+                         {Lost(), 5}}) {
     // The second result answers the repeated send of a lost call.
     BOOST_TEST(Run({"cancel", "r-1"}, {c.result, c.result}) == c.code);
   }
 }
 
 BOOST_AUTO_TEST_CASE(ALostReadLeavesNothingUnknown) {
-  BOOST_TEST(Run({"status"}, {kLostResult}) == 3);
-  BOOST_TEST(Run({"table", "edit", "--add-row", "x"}, {kLostResult}) == 3);
+  BOOST_TEST(Run({"status"}, {Lost()}) == 3);
+  BOOST_TEST(Run({"table", "edit", "--add-row", "x"}, {Lost()}) == 3);
 }
 
 BOOST_AUTO_TEST_CASE(OtherServersAreAskedInOrder) {
   const std::string servers = "--server=127.0.0.1:1,127.0.0.1:2,[::1]:3";
-  BOOST_TEST(
-      Run({"queue", servers}, {kNotSentResult, Failed(ErrorKind::kDraining),
-                               Answered(200, R"({"rows":[]})")}) == 0);
+  BOOST_TEST(Run({"queue", servers}, {NotSent(), Failed(ErrorKind::kDraining),
+                                      Answered(200, R"({"rows":[]})")}) == 0);
   BOOST_TEST(transport.calls.at(2).first == 3);
   BOOST_TEST(Run({"queue", servers}) == 3);
   // A refusal that is not about the process is final.
@@ -219,7 +222,7 @@
 BOOST_AUTO_TEST_CASE(LostSubmitsAreRepeatedOnceWithTheSameId) {
   const std::string servers = "--server=127.0.0.1:1,127.0.0.1:2";
   BOOST_TEST(Run({"submit", "sort", "--payload", R"({"a": 1.0})", servers},
-                 {kLostResult, Answered(200, R"({"answer":1})")}) == 0);
+                 {Lost(), Answered(200, R"({"answer":1})")}) == 0);
   BOOST_REQUIRE_EQUAL(transport.calls.size(), 2u);
   const CtlRequest& first = transport.calls[0].second;
   BOOST_TEST(first.idempotency_key ==
@@ -230,9 +233,9 @@
   BOOST_TEST(out.str() == "{\"answer\":1}\n");
   // A second process that has no room says nothing about the first send.
   for (const CallResult& second :
-       {kLostResult, kNotSentResult, Failed(ErrorKind::kOverloaded),
+       {Lost(), NotSent(), Failed(ErrorKind::kOverloaded),
         Failed(ErrorKind::kRateLimited)}) {
-    BOOST_TEST(Run({"submit", "sort", servers}, {kLostResult, second}) == 5);
+    BOOST_TEST(Run({"submit", "sort", servers}, {Lost(), second}) == 5);
     BOOST_TEST(transport.calls.size() == 2u);
     BOOST_TEST(err.str().find("--id") != std::string::npos);
   }
@@ -246,7 +249,7 @@
   BOOST_TEST(Run({"table", "edit", "page.scan.weight=2.5", "sort.team=a",
                   "team:a.slots=7", "--add-row", "new", "new.shape=task",
                   "--author", "rui"},
-                 {Answered(200, kTable), kLostResult,
+                 {Answered(200, kTable), Lost(),
                   Answered(200, R"({"revision":7})")}) == 0);
   BOOST_REQUIRE_EQUAL(transport.calls.size(), 3u);
   BOOST_TEST(transport.calls[1].second.body == transport.calls[2].second.body);
@@ -267,7 +270,7 @@
                         Failed(ErrorKind::kTableConflict)}) == 4);
   BOOST_TEST(Run(edit, {Answered(200, kTable), Failed(ErrorKind::kBadTable)}) ==
              1);
-  BOOST_TEST(Run(edit, {Answered(200, kTable), kLostResult, kLostResult}) == 5);
+  BOOST_TEST(Run(edit, {Answered(200, kTable), Lost(), Lost()}) == 5);
   BOOST_TEST(err.str().find("--change-id") != std::string::npos);
   BOOST_TEST(Run(edit, {Answered(200, kTable),
                         Failed(ErrorKind::kStoreDown, Ran::kUnknown)}) == 5);
--- a/chivedale/testing/metrics_test.cc
+++ b/chivedale/testing/metrics_test.cc
@@ -19,6 +19,7 @@
 BOOST_AUTO_TEST_CASE(CountsFromAllThreads) {
   Metrics metrics;
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&] {
       for (int i = 0; i < 10'000; ++i) {
