Reserve the argument vector of getopt

Cause: clang-tidy named a vector that grows in a loop. Change: the argument vector is reserved; the option table has its final size from the start. Conclusion: clang-tidy is clean on ctl_options.cc; ctl_test passes.

--- a/chivedale/ctl_options.cc
+++ b/chivedale/ctl_options.cc
@@ -125,13 +125,13 @@
 };
 
 std::vector<option> GetoptTable() {
-  std::vector<option> table;
-  table.reserve(AllOptions().size() + 1);
-  for (const Option& each : AllOptions()) {
-    table.push_back({each.name, each.argument ? required_argument : no_argument,
-                     nullptr, 0});
+  // The last, zeroed one ends the list.
+  std::vector<option> table(AllOptions().size() + 1);
+  for (size_t i = 0; i < AllOptions().size(); ++i) {
+    const Option& each = AllOptions()[i];
+    table[i] = {each.name, each.argument ? required_argument : no_argument,
+                nullptr, 0};
   }
-  table.push_back({});
   return table;
 }
 
@@ -157,6 +157,7 @@
   std::vector<std::string> copies = arguments;
   copies.insert(copies.begin(), "chivedalectl");
   std::vector<char*> argv;
+  argv.reserve(copies.size() + 1);
   for (std::string& copy : copies) {
     argv.push_back(copy.data());
   }
