Repair a use of a freed key in the worker model and bound decoded times

Cause: under AddressSanitizer the orphan test showed that Finish read a key in the entry it had removed. Times from outside could overflow when added to a clock reading.

--- a/chivedale/platform_codec.cc
+++ b/chivedale/platform_codec.cc
@@ -2,6 +2,7 @@
 // ways; the platform's own spelling is in platform_protocol.h.
 #include "chivedale/platform_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -20,8 +21,13 @@
   return time.count();
 }
 
+// Keeps times from outside in a range in which sums with clock readings in
+// nanoseconds cannot overflow.
+constexpr int64_t kMaxMillis = int64_t{365} * 24 * 3'600'000;
+
 Millis Time(const Json& json, const char* field) {
-  return Millis(json.value(field, int64_t{0}));
+  return Millis(
+      std::clamp(json.value(field, int64_t{0}), int64_t{0}, kMaxMillis));
 }
 
 std::string Text(const Json& json, const char* field) {
--- a/chivedale/testing/worker_model.cc
+++ b/chivedale/testing/worker_model.cc
@@ -239,15 +239,15 @@
   }
 }
 
-void WorkerModel::Finish(const TaskKey& key,
+void WorkerModel::Finish(TaskKey key,
                          Completion completion,
                          util::TimePoint at,
                          const std::string& outcome) {
   const auto it = running_.find(key);
   committed_ -= it->second.request.size;
   running_.erase(it);
-  ended_.emplace(key, at);
   book_.OnEnd(options_.id, key, outcome, at);
+  ended_.emplace(std::move(key), at);
   SampleUse(at);
   Millis late = faults_.late;
   if (faults_.reorder && late > Millis(0)) {
--- a/chivedale/testing/worker_model.h
+++ b/chivedale/testing/worker_model.h
@@ -119,7 +119,8 @@
 
   bool LeaseIsValid() const;
   util::TimePoint OrphanDeadline() const;
-  void Finish(const TaskKey& key,
+  // `key` is copied: it may lie in the entry that this removes.
+  void Finish(TaskKey key,
               Completion completion,
               util::TimePoint at,
               const std::string& outcome);
