A new holder waits for every member's report before unknown ids are free

Cause: in the demo with a kill one request ran in two places: its entry and its holder were the same killed process, and the next holder took the id as new after 1 s, before the owner that ran it had reported. Change: a holder that took a group over from a dead member answers kWait for unknown ids until the departure is settled; ids are registered with a new holder before the report for the dead member goes out; ended ids stay registered for 60 s; callers of the fake cell send again after 0.3 to 5 s.

--- a/chivedale/registrar.cc
+++ b/chivedale/registrar.cc
@@ -76,13 +76,33 @@
   if (it == ids_.end()) {
     return;
   }
-  if (!ran && !it->second.probe && !it->second.holder.empty()) {
-    sender_.SendToMember(it->second.holder, Unregister{id, self_});
+  Registration& registration = it->second;
+  if (ran && registration.held) {
+    registration.ended = true;
+    ended_.emplace_back(clock_.Now(), id);
+    ExpireEnded();
+    return;
+  }
+  if (!ran && !registration.probe && !registration.holder.empty()) {
+    sender_.SendToMember(registration.holder, Unregister{id, self_});
   }
   asking_.erase(id);
   ids_.erase(it);
 }
 
+void Registrar::ExpireEnded() {
+  const util::TimePoint oldest = clock_.Now() - options_.ended_retention;
+  while (!ended_.empty() && (ended_.front().first < oldest ||
+                             ended_.size() > options_.max_ended)) {
+    auto it = ids_.find(ended_.front().second);
+    if (it != ids_.end() && it->second.ended) {
+      asking_.erase(it->first);
+      ids_.erase(it);
+    }
+    ended_.pop_front();
+  }
+}
+
 bool Registrar::OnReply(const RegisterReply& reply) {
   if (reply.registration == 0) {
     return false;  // of the owner role
@@ -123,12 +143,13 @@
       continue;
     }
     asking_[id] = true;
-    registration.ask_at = clock_.Now();
+    Ask(id, registration);
   }
 }
 
 void Registrar::Tick() {
   const util::TimePoint now = clock_.Now();
+  ExpireEnded();
   std::vector<RequestId> due;
   for (const auto& [id, asking] : asking_) {
     if (ids_.at(id).ask_at <= now) {
--- a/chivedale/registrar.h
+++ b/chivedale/registrar.h
@@ -7,8 +7,10 @@
 #ifndef CHIVEDALE_REGISTRAR_H_
 #define CHIVEDALE_REGISTRAR_H_
 
+#include <deque>
 #include <functional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "chivedale/ids.h"
@@ -30,6 +32,10 @@
   struct Options {
     // Longer than a round trip between regions, shorter than a heartbeat.
     Millis ask_again{300};
+    // Ended ids are still registered with a new holder for this long, so that
+    // a late second send is attached and not run again.
+    Millis ended_retention{60'000};
+    size_t max_ended = 50'000;
   };
   using Done = std::function<void(const RegisterReply&)>;
 
@@ -63,11 +69,13 @@
     uint64_t number = 0;
     bool probe = false;
     bool held = false;  // granted; kept for a change of holder
+    bool ended = false;
     MemberId holder;
     util::TimePoint ask_at{};
     std::vector<Done> done;
   };
 
+  void ExpireEnded();
   void Ask(const RequestId& id, Registration& registration);
   void Insert(const RequestId& id, Registration registration);
 
@@ -79,6 +87,8 @@
   std::unordered_map<RequestId, Registration> ids_;
   // Ids that wait for a reply; the others need no timer.
   std::unordered_map<RequestId, bool> asking_;
+  // Ended ids in the order of their end.
+  std::deque<std::pair<util::TimePoint, RequestId>> ended_;
   uint64_t last_number_ = 0;
 };
 
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -96,8 +96,17 @@
     return groups[static_cast<size_t>(GroupOf(id))];
   }
 
+  // Whether ids that this holder does not know may still be run by others. A
+  // holder that takes the place of a dead one knows nothing of ids whose entry
+  // died with it, until every member has told what it runs for the dead one.
   bool Settling(const Group& group) const {
-    return clock.Now() - group.taken < options.settle;
+    if (clock.Now() - group.taken < options.settle) {
+      return true;
+    }
+    return std::any_of(
+        departures.begin(), departures.end(), [&](const auto& departure) {
+          return !departure.second.over && departure.second.at <= group.taken;
+        });
   }
 
   void SetMembers(const std::vector<MemberInfo>& list) {
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -218,6 +218,9 @@
   deps_.peers.SetAddress(member.id, member.address);
   if (member.state == MemberState::kDead ||
       member.state == MemberState::kLeft) {
+    // Ids are registered with new holders before the report that completes the
+    // list for the dead member.
+    RefreshMembers();
     parts_->directory.OnMemberDead(member.id);
     parts_->owner.OnMemberDead(member.id);
     parts_->dispatcher.OnMemberDead(member.id);
--- a/chivedale/testing/fake_cell.cc
+++ b/chivedale/testing/fake_cell.cc
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr Millis kTick{20};
-constexpr Millis kCallerTimeout{4'000};
+// Callers wait for an answer between these before they send again.
+constexpr Millis kShortestPatience{300};
+constexpr Millis kLongestPatience{5'000};
 constexpr Millis kVmListPoll{500};
 
 }  // namespace
@@ -351,7 +353,9 @@
 void FakeCell::SendCaller(size_t number) {
   CellCaller& caller = callers_[number];
   const std::vector<int> alive = Alive();
-  caller.send_again = clock_.Now() + kCallerTimeout;
+  caller.send_again = clock_.Now() + kShortestPatience +
+                      Millis(random_.Below(static_cast<uint64_t>(
+                          (kLongestPatience - kShortestPatience).count())));
   const auto left = std::chrono::duration_cast<Millis>(
       caller.first_sent + caller.deadline - clock_.Now());
   if (alive.empty() || left.count() <= 0) {
