--- a/chivedale/lease_keeper.h
+++ b/chivedale/lease_keeper.h
@@ -181,6 +181,21 @@
   std::shared_ptr<bool> alive_;
 };
 
+template <typename Result, typename Run>
+std::function<void(Result)> LeaseKeeper::Guard(WorkerRecord& worker, Run run) {
+  return [this, alive = std::weak_ptr<bool>(alive_), id = worker.id,
+          generation = worker.generation, run](Result result) {
+    if (alive.expired()) {
+      return;
+    }
+    WorkerRecord* record = Find(id);
+    if (record != nullptr && record->generation == generation) {
+      run(*record, result);
+      Service(*record);
+    }
+  };
+}
+
 }  // namespace chivedale
 
 #endif  // CHIVEDALE_LEASE_KEEPER_H_
--- /dev/null
+++ b/chivedale/lease_keeper_reads.cc
@@ -0,0 +1,128 @@
+#include <algorithm>
+
+#include "chivedale/lease_keeper.h"
+
+// Reading a worker after a claim, and polling it for completions. The list is
+// read before the completions, so that a task that ends in between is in both.
+namespace chivedale {
+namespace {
+
+constexpr Millis kReadRetry{100};
+// A poll that ended early without completions is not repeated at once.
+constexpr Millis kPollPause{20};
+// Reading from the start now and then finds a completion that became visible
+// below the highest sequence seen.
+constexpr Millis kFullPollInterval{2'000};
+
+}  // namespace
+
+void LeaseKeeper::Probe(WorkerRecord& worker) {
+  worker.calling = true;
+  port_.List(worker.id, Guard<TaskList>(worker, [this](WorkerRecord& record,
+                                                       const TaskList& list) {
+               record.calling = false;
+               if (list.status == PortStatus::kOk) {
+                 Claim(record);
+               } else {
+                 BackOff(record);
+               }
+             }));
+}
+
+void LeaseKeeper::Read(WorkerRecord& worker) {
+  worker.reading = true;
+  port_.List(worker.id, Guard<TaskList>(worker, [this](WorkerRecord& record,
+                                                       const TaskList& list) {
+               OnListed(record, list);
+             }));
+}
+
+void LeaseKeeper::OnListed(WorkerRecord& worker, const TaskList& list) {
+  if (worker.lease.state() != LeaseState::kReading) {
+    return;
+  }
+  if (list.status != PortStatus::kOk) {
+    worker.reading = false;
+    worker.next_try = clock_.Now() + kReadRetry;
+    return;
+  }
+  const CompletionsRequest request{worker.lease.token(), 0,
+                                   events_.AcksFor(worker), Millis(0)};
+  port_.Completions(
+      worker.id, request,
+      Guard<CompletionsResult>(
+          worker, [this, list, acks = request.acks](
+                      WorkerRecord& record, const CompletionsResult& result) {
+            record.reading = false;
+            if (record.lease.state() != LeaseState::kReading) {
+              return;
+            }
+            if (result.status != PortStatus::kOk) {
+              record.next_try = clock_.Now() + kReadRetry;
+              return;
+            }
+            events_.OnAcksDelivered(record, acks);
+            for (const Completion& completion : result.completions) {
+              record.after = std::max(record.after, completion.sequence);
+            }
+            const std::string& boot = record.lease.token().boot_id;
+            const bool reboot = record.known_boot != boot;
+            if (reboot) {
+              record.refused_leaving = false;
+            }
+            record.known_boot = boot;
+            record.next_poll = clock_.Now();
+            record.next_full_poll = clock_.Now() + kFullPollInterval;
+            record.lease.ListRead();
+            events_.OnRead(record, list.tasks, result.completions, reboot);
+            record.taken_over = false;
+            events_.OnChange(record);
+          }));
+}
+
+void LeaseKeeper::Poll(WorkerRecord& worker) {
+  const util::TimePoint now = clock_.Now();
+  worker.polling = true;
+  worker.poll_sent = now;
+  CompletionsRequest request{worker.lease.token(), worker.after,
+                             events_.AcksFor(worker), options_.completion_wait};
+  if (now >= worker.next_full_poll) {
+    request.after = 0;
+    request.wait = Millis(0);
+    worker.next_full_poll = now + kFullPollInterval;
+  }
+  port_.Completions(
+      worker.id, request,
+      Guard<CompletionsResult>(
+          worker, [this, acks = request.acks](WorkerRecord& record,
+                                              const CompletionsResult& result) {
+            OnPolled(record, result, acks);
+          }));
+}
+
+void LeaseKeeper::OnPolled(WorkerRecord& worker,
+                           const CompletionsResult& result,
+                           const std::vector<uint64_t>& acks) {
+  const util::TimePoint now = clock_.Now();
+  worker.polling = false;
+  if (worker.lease.state() != LeaseState::kOwned) {
+    return;
+  }
+  if (result.status != PortStatus::kOk) {
+    // The next renewal tells whether the token or the worker is the trouble.
+    worker.next_poll = now + kReadRetry;
+    return;
+  }
+  events_.OnAcksDelivered(worker, acks);
+  const uint64_t before = worker.after;
+  for (const Completion& completion : result.completions) {
+    worker.after = std::max(worker.after, completion.sequence);
+  }
+  const bool waited = now - worker.poll_sent >= kPollPause;
+  worker.next_poll = worker.after > before || waited ? now : now + kPollPause;
+  if (!result.completions.empty()) {
+    events_.OnCompletions(worker, result.completions);
+  }
+}
+
+}  // namespace chivedale
--- a/chivedale/placement_bench_main.cc
+++ b/chivedale/placement_bench_main.cc
@@ -141,6 +141,7 @@
 
 Spread Over(const std::vector<Run>& runs, double Run::*value) {
   std::vector<double> values;
+  values.reserve(runs.size());
   for (const Run& run : runs) {
     values.push_back(run.*value);
   }
@@ -176,16 +177,15 @@
 }
 
 int Main(int argc, char** argv) {
-  static const option kFlags[] = {
-      {"runs", required_argument, nullptr, 'r'},
-      {"decisions", required_argument, nullptr, 'd'},
-      {"json", no_argument, nullptr, 'j'},
-      {nullptr, 0, nullptr, 0}};
+  static const option flags[] = {{"runs", required_argument, nullptr, 'r'},
+                                 {"decisions", required_argument, nullptr, 'd'},
+                                 {"json", no_argument, nullptr, 'j'},
+                                 {nullptr, 0, nullptr, 0}};
   int runs = 5;
   int decisions = 100'000;
   bool json = false;
   for (int flag = 0;
-       (flag = getopt_long(argc, argv, "", kFlags, nullptr)) != -1;) {
+       (flag = getopt_long(argc, argv, "", flags, nullptr)) != -1;) {
     switch (flag) {
       case 'r':
         runs = std::max(1, std::atoi(optarg));
@@ -208,6 +208,7 @@
   for (const Policy& policy : kPolicies) {
     for (int workers : kSizes) {
       std::vector<Run> results;
+      results.reserve(static_cast<size_t>(runs));
       for (int i = 0; i < runs; ++i) {
         results.push_back(Measure(policy.kind, workers, decisions, i + 1));
       }
--- a/chivedale/testing/ownership_test.cc
+++ b/chivedale/testing/ownership_test.cc
@@ -37,6 +37,7 @@
 RC_BOOST_PROP(AMembersDeathMovesOnlyItsWorkers, ()) {
   std::vector<MemberInfo> members;
   const int count = *rc::gen::inRange(2, 9);
+  members.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.push_back(Member(i, "north"));
   }
