Settle a denied start before the lease is given up

Cause: a start that came back as stale long after its lease gave the lease up first; that ended all attempts of the worker, this one included, which was then read again.

Change: the attempt is settled first.

--- a/chivedale/owner_starts.cc
+++ b/chivedale/owner_starts.cc
@@ -241,9 +241,6 @@
   }
   WorkerRecord* worker = keeper_.Find(attempt->worker);
   const util::TimePoint now = clock_.Now();
-  if (outcome == StartOutcome::kStaleToken && worker != nullptr) {
-    keeper_.OnTokenDenied(*worker, token);
-  }
   if (outcome == StartOutcome::kLeaving && worker != nullptr) {
     worker->refused_leaving = true;
   }
@@ -266,6 +263,10 @@
     EndNotRun(key,
               no_room ? DispatchOutcome::kNoRoom : DispatchOutcome::kRefused);
   }
+  // Last: losing the lease may end further attempts.
+  if (outcome == StartOutcome::kStaleToken && worker != nullptr) {
+    keeper_.OnTokenDenied(*worker, token);
+  }
   if (worker != nullptr) {
     Update(*worker);
     keeper_.Service(*worker);
