--- a/chivedale/fair_queue.h
+++ b/chivedale/fair_queue.h
@@ -54,8 +54,8 @@
  public:
   struct Options {
     int64_t max_items = 100'000;
-    // Of ten pops while all classes wait, at least this many go to classes
-    // after the first, so that heavy work is not starved.
+    // Of ten parts of served cost while several classes wait, at least this
+    // many go to classes after the first, so that heavy work is not starved.
     int reserve_per_ten = 1;
     QueuePolicyKind policy = QueuePolicyKind::kOurs;
     // An item that was passed over this often for want of room becomes a
--- a/chivedale/queue_policy.cc
+++ b/chivedale/queue_policy.cc
@@ -21,6 +21,10 @@
 constexpr double kMaxLag = 30;
 // Served cost counts towards guaranteed shares for about this long.
 constexpr double kRecentSeconds = 10;
+constexpr double kWhole = 10;
+// More is not saved up while later classes have nothing that fits; one second
+// of a reference worker.
+constexpr double kMaxOwed = 1;
 constexpr int kCreditPerPop = 10;
 // While urgent work waits, guaranteed rows of later classes get at most this
 // many of ten pops.
@@ -50,7 +54,7 @@
 class FairPolicy final : public QueuePolicy {
  public:
   FairPolicy(const util::Clock& clock, int reserve_per_ten)
-      : clock_(clock), reserve_(std::clamp(reserve_per_ten, 0, 10)) {}
+      : clock_(clock), reserve_(std::clamp(reserve_per_ten, 0, 9)) {}
 
   void Add(QueueEntry& entry) override {
     QueueRow& row = *entry.row;
@@ -89,6 +93,7 @@
     QueueRow& row = *entry.row;
     ClassState& state = ClassOf(row);
     CountClasses(row);
+    CountReserve(row, entry.item.cost);
     state.virtual_time = std::max(state.virtual_time, row.virtual_time);
     entry.item.charge = entry.item.cost / row.weight;
     Shift(row, entry.item.charge);
@@ -245,15 +250,13 @@
       }
     }
     if (waiting > 0) {
-      credit_ = std::min(credit_ + reserve_, 2 * kCreditPerPop);
-      if (credit_ >= kCreditPerPop) {
+      if (owed_ > 0) {
         std::sort(later.begin(), later.begin() + waiting,
                   [this](size_t a, size_t b) {
                     return classes_[a].pops_waited > classes_[b].pops_waited;
                   });
         for (size_t i = 0; i < waiting; ++i) {
           if (QueueEntry* entry = TryClass(classes_[later[i]], fits)) {
-            credit_ -= kCreditPerPop;
             return entry;
           }
         }
@@ -267,6 +270,28 @@
     return nullptr;
   }
 
+  // The reserve counts cost, not pops: one heavy item per nine urgent ones
+  // would take most of the cell from urgent work at a demand peak.
+  void CountReserve(const QueueRow& served, double cost) {
+    size_t first = 0;
+    size_t busy = 0;
+    for (size_t c = kClasses; c-- > 0;) {
+      if (!classes_[c].busy.empty()) {
+        first = c;
+        ++busy;
+      }
+    }
+    if (busy < 2) {
+      return;
+    }
+    if (static_cast<size_t>(served.urgency) == first) {
+      const double part = reserve_ / (kWhole - reserve_);
+      owed_ = std::min(owed_ + cost * part, kMaxOwed);
+    } else {
+      owed_ -= cost;
+    }
+  }
+
   void CountClasses(const QueueRow& served) {
     for (ClassState& state : classes_) {
       if (!state.busy.empty()) {
@@ -280,7 +305,8 @@
   const int reserve_;
   std::array<ClassState, kClasses> classes_;
   std::set<QueueRow*, ByOrdinal> guaranteed_;
-  int credit_ = 0;
+  // Cost that later classes are owed while earlier ones were served.
+  double owed_ = 0;
   int guaranteed_credit_ = 0;
   double recent_ = 0;
   util::TimePoint recent_at_{};
