--- a/chivedale/ping_targets.cc
+++ b/chivedale/ping_targets.cc
@@ -57,7 +57,7 @@
 MemberId PingTargets::NextShuffled(const MemberList& list,
                                    const std::vector<MemberId>& near) {
   while (!shuffled_.empty()) {
-    const MemberId id = shuffled_.back();
+    MemberId id = shuffled_.back();
     shuffled_.pop_back();
     const MemberList::Member* member = list.Find(id);
     if (member != nullptr && IsPresent(member->info.state)) {
@@ -68,7 +68,7 @@
   for (size_t i = shuffled_.size(); i > 1; --i) {
     std::swap(shuffled_[i - 1], shuffled_[random_.Below(i)]);
   }
-  const MemberId id = shuffled_.back();
+  MemberId id = shuffled_.back();
   shuffled_.pop_back();
   return id;
 }
--- a/chivedale/table_columns.cc
+++ b/chivedale/table_columns.cc
@@ -189,11 +189,12 @@
 
 // Gives a reference to a field of a const or non-const row.
 // A member name cannot stand in parentheses.
-// NOLINTNEXTLINE(bugprone-macro-parentheses)
+// NOLINTBEGIN(bugprone-macro-parentheses)
 #define CHIVEDALE_FIELD(path) \
   [](auto& row) -> auto& {    \
     return row.path;          \
   }
+// NOLINTEND(bugprone-macro-parentheses)
 
 }  // namespace
 
