One orphan wait for all roles; answers of job tasks acknowledged by the manager

Cause: the worker counts a task's own time from the end of its lease, so 6.6 s after an owner's death a task could still run; an outcome_unknown from an earlier owner ended an attempt that its present owner has; answers of job tasks were acknowledged before their outcome was stored.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -167,12 +167,7 @@
 }
 
 Dispatcher::Attempt* Dispatcher::FindSent(const TaskKey& key) {
-  auto it = attempts_.find(key.task);
-  if (it == attempts_.end() || it->second.phase == Phase::kQueued ||
-      it->second.task.dispatch.key != key) {
-    return nullptr;
-  }
-  return &it->second;
+  return IsSent(key) ? &attempts_.at(key.task) : nullptr;
 }
 
 void Dispatcher::OnDispatchReply(const MemberId& owner,
@@ -221,17 +216,24 @@
 
 void Dispatcher::OnAnswer(const MemberId& owner, const Answer& answer) {
   Attempt* attempt = FindSent(answer.key);
+  bool acknowledge = true;
   if (attempt == nullptr) {
     deps_.metrics.Count(Counter::kLateAnswers);
+  } else if (answer.error == ErrorKind::kOutcomeUnknown && !answer.ok &&
+             attempt->owner != owner) {
+    // An earlier owner lost sight of the worker; the present one has it.
+    deps_.metrics.Count(Counter::kLateAnswers);
   } else {
-    End(owner, answer);
+    acknowledge = End(owner, answer);
   }
   // Acknowledged only after the result was taken over, so that the worker
   // keeps the completion until then.
-  deps_.sender.SendToMember(owner, AnswerAck{answer.key});
+  if (acknowledge) {
+    deps_.sender.SendToMember(owner, AnswerAck{answer.key});
+  }
 }
 
-void Dispatcher::End(const MemberId& owner, const Answer& answer) {
+bool Dispatcher::End(const MemberId& owner, const Answer& answer) {
   auto it = attempts_.find(answer.key.task);
   AttemptListener* listener = it->second.listener;
   const DispatchTask task = std::move(it->second.task);
@@ -252,7 +254,7 @@
       deps_.metrics.Observe(Timer::kRun, task.dispatch.kind, answer.run_time);
     }
   }
-  listener->OnAttemptEnded(owner, answer);
+  return listener->OnAttemptEnded(owner, answer);
 }
 
 void Dispatcher::EndLost(const TaskId& task) {
@@ -366,6 +368,12 @@
   return static_cast<int64_t>(sent_.size());
 }
 
+bool Dispatcher::IsSent(const TaskKey& key) const {
+  auto it = attempts_.find(key.task);
+  return it != attempts_.end() && it->second.phase != Phase::kQueued &&
+         it->second.task.dispatch.key == key;
+}
+
 bool Dispatcher::IsOpen(const TaskId& task) const {
   return attempts_.count(task) > 0;
 }
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "chivedale/fair_queue.h"
 #include "chivedale/ids.h"
+#include "chivedale/lease_times.h"
 #include "chivedale/limit_share.h"
 #include "chivedale/messages.h"
 #include "chivedale/metrics.h"
@@ -32,8 +33,9 @@
   virtual uint32_t NextAttempt(const TaskId& task) = 0;
   virtual void OnAttemptStarted(const MemberId& owner,
                                 const DispatchReply& reply) = 0;
-  // The attempt has ended or is lost; see Answer::ran.
-  virtual void OnAttemptEnded(const MemberId& owner, const Answer& answer) = 0;
+  // The attempt has ended or is lost; see Answer::ran. False: the listener
+  // acknowledges the answer itself, later.
+  virtual bool OnAttemptEnded(const MemberId& owner, const Answer& answer) = 0;
   // The deadline passed in the queue: certainly not run by this attempt.
   virtual void OnExpired(const TaskId& task) = 0;
 };
@@ -54,7 +56,7 @@
     Millis resend{1'000};
     // After an owner's death an attempt is known ended after this, unless its
     // worker's next owner tells more.
-    Millis orphan_wait{6'600};
+    Millis orphan_wait = OrphanWait();
     int max_pops_per_pump = 256;
   };
   struct Deps {
@@ -91,6 +93,8 @@
   // Queries.
   int64_t sent() const;
   bool IsOpen(const TaskId& task) const;
+  // Whether this attempt is followed here.
+  bool IsSent(const TaskKey& key) const;
 
  private:
   enum class Phase { kQueued, kSent, kRunning };
@@ -117,7 +121,7 @@
   void SendTo(const MemberId& owner, Attempt& attempt);
   void Deliver(const MemberId& owner, const Dispatch& dispatch);
   void ReturnToQueue(Attempt& attempt);
-  void End(const MemberId& owner, const Answer& answer);
+  bool End(const MemberId& owner, const Answer& answer);
   void EndLost(const TaskId& task);
   void MarkOwnerLost(Attempt& attempt);
   Attempt* FindSent(const TaskKey& key);
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -495,12 +495,12 @@
   }
 }
 
-void EntryAgent::OnAttemptEnded(const MemberId& owner, const Answer& answer) {
+bool EntryAgent::OnAttemptEnded(const MemberId& owner, const Answer& answer) {
   (void)owner;
   const RequestId id = RequestOfTask(answer.key.task);
   RequestState* state = deps_.ledger.FindMutable(id);
   if (state == nullptr || state->phase == RequestPhase::kFinished) {
-    return;
+    return true;
   }
   if (answer.ok) {
     RequestResult result;
@@ -509,7 +509,7 @@
     result.payload = answer.payload;
     result.attempts = answer.key.attempt;
     Finish(id, std::move(result));
-    return;
+    return true;
   }
   if (answer.ran != Ran::kNo) {
     state->may_have_run = true;
@@ -519,9 +519,10 @@
     Fail(id,
          ran == Ran::kNo ? ErrorKind::kCancelled : ErrorKind::kCancelledRunning,
          ran, "cancelled by the caller");
-    return;
+    return true;
   }
   Retry(id, answer);
+  return true;
 }
 
 void EntryAgent::Retry(const RequestId& id, const Answer& answer) {
--- a/chivedale/job_manager.h
+++ b/chivedale/job_manager.h
@@ -14,6 +14,7 @@
 #include "chivedale/error.h"
 #include "chivedale/ids.h"
 #include "chivedale/job_record.h"
+#include "chivedale/lease_times.h"
 #include "chivedale/messages.h"
 #include "chivedale/ports.h"
 #include "chivedale/work.h"
@@ -57,7 +58,7 @@
  public:
   struct Options {
     Millis write_interval{100};
-    Millis orphan_wait{6'600};
+    Millis orphan_wait = OrphanWait();
     Millis hold_ttl{2'000};
     int64_t max_tasks_per_job = 10'000;
     // The record with payload and tasks must stay below the store's 1 MB.
--- a/chivedale/request_directory.h
+++ b/chivedale/request_directory.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "chivedale/ids.h"
+#include "chivedale/lease_times.h"
 #include "chivedale/messages.h"
 #include "chivedale/record_log.h"
 #include "util/clock.h"
@@ -27,7 +28,7 @@
     // How long an ended or abandoned id is remembered.
     Millis retention{3'600'000};
     // After an entry's death its unreported ids are free after this.
-    Millis orphan_wait{6'600};
+    Millis orphan_wait = OrphanWait();
     int64_t max_ids = 2'000'000;
     // A member that has just become a holder answers kWait for ids that it
     // does not know for this long (two heartbeat intervals), so that entries
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -86,14 +86,23 @@
   scheduler_.parts_->jobs.OnDispatchReply(owner, reply);
 }
 
-void Scheduler::JobEvents::OnAttemptEnded(const MemberId& owner,
+bool Scheduler::JobEvents::OnAttemptEnded(const MemberId& owner,
                                           const Answer& answer) {
   attempts_.erase(answer.key.task);
   scheduler_.parts_->jobs.OnAnswer(owner, answer);
+  return false;  // once the outcome is in the store
 }
 
 void Scheduler::JobEvents::OnExpired(const TaskId&) {}
 
+namespace {
+
+Millis OrphanWaitOf(const Settings& settings) {
+  return OrphanWait(settings.lease_ttl, settings.orphan_ttl);
+}
+
+}  // namespace
+
 Scheduler::Parts::Parts(Scheduler& scheduler_in)
     : scheduler(scheduler_in),
       owner_events(scheduler),
@@ -137,6 +146,7 @@
                 [&] {
                   RequestDirectory::Options options;
                   options.record_groups = scheduler.settings_.record_groups;
+                  options.orphan_wait = OrphanWaitOf(scheduler.settings_);
                   return options;
                 }()),
       registrar(scheduler.deps_.clock,
@@ -161,7 +171,11 @@
       dispatcher({scheduler.deps_.clock, queue, run_times, limits, routing,
                   owner, scheduler, scheduler.deps_.metrics},
                  scheduler.self_.id,
-                 Dispatcher::Options()),
+                 [&] {
+                   Dispatcher::Options options;
+                   options.orphan_wait = OrphanWaitOf(scheduler.settings_);
+                   return options;
+                 }()),
       entry({scheduler.deps_.clock, scheduler.deps_.random, ledger, registrar,
              admission, dispatcher, owner, retries, run_times, limits, routing,
              burn, scheduler, scheduler.deps_.metrics, scheduler.deps_.log},
@@ -176,7 +190,11 @@
            store,
            job_events,
            scheduler.self_.id,
-           JobManager::Options()),
+           [&] {
+             JobManager::Options options;
+             options.orphan_wait = OrphanWaitOf(scheduler.settings_);
+             return options;
+           }()),
       editor(scheduler.deps_.clock, store),
       replica(
           scheduler.deps_.clock,
@@ -231,17 +249,18 @@
   void operator()(const Summary& m) { parts_.routing.OnSummary(m); }
   void operator()(const Dispatch& m) { parts_.owner.OnDispatch(m); }
   void operator()(const DispatchReply& m) {
-    parts_.dispatcher.OnDispatchReply(from_, m);
+    if (IsOthersJobTask(m.key)) {
+      parts_.jobs.OnDispatchReply(from_, m);
+    } else {
+      parts_.dispatcher.OnDispatchReply(from_, m);
+    }
   }
   void operator()(const Answer& m) {
-    if (JobManager::IsJobTask(m.key.task) &&
-        !parts_.dispatcher.IsOpen(m.key.task)) {
-      // The attempt of an earlier manager, which this one has taken over.
+    if (IsOthersJobTask(m.key)) {
       parts_.jobs.OnAnswer(from_, m);
-      parts_.scheduler.SendToMember(from_, AnswerAck{m.key});
-      return;
+    } else {
+      parts_.dispatcher.OnAnswer(from_, m);
     }
-    parts_.dispatcher.OnAnswer(from_, m);
   }
   void operator()(const AnswerAck& m) { parts_.owner.OnAnswerAck(m); }
   void operator()(const chivedale::Cancel& m) { parts_.owner.OnCancel(m); }
@@ -286,6 +305,12 @@
   void operator()(const JobChanged& m) { parts_.jobs.OnJobChanged(m); }
 
  private:
+  // A job's attempt that the dispatcher does not follow: one of a gang, or of
+  // an earlier manager.
+  bool IsOthersJobTask(const TaskKey& key) const {
+    return JobManager::IsJobTask(key.task) && !parts_.dispatcher.IsSent(key);
+  }
+
   Parts& parts_;
   const MemberId& from_;
 };
--- a/chivedale/scheduler_parts.h
+++ b/chivedale/scheduler_parts.h
@@ -42,7 +42,7 @@
   uint32_t NextAttempt(const TaskId& task) override;
   void OnAttemptStarted(const MemberId& owner,
                         const DispatchReply& reply) override;
-  void OnAttemptEnded(const MemberId& owner, const Answer& answer) override;
+  bool OnAttemptEnded(const MemberId& owner, const Answer& answer) override;
   void OnExpired(const TaskId& task) override;
 
  private:
