Cells on other ports can run side by side

Cause: two runs of the demo on one machine took each other's ports. Change: all ports of a cell follow from CELL_BASE.

--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,18 +1,25 @@
 # Functions that start and end a small cell on loopback; sourced by demo.sh,
 # bench.sh and soak.sh. Needs `dir` (scratch folder) and `build`.
-# Ports: 21000 store, 21001 VM list, 21002 control,
-# 22000+n callers, 23000+n peers.
+# Ports from CELL_BASE (default 21000): +0 store, +1 VM list, +2 control,
+# +100+n callers, +200+n peers. Two cells with other bases run side by side.
 
+cell_base=${CELL_BASE:-21000}
+cell_store=127.0.0.1:$cell_base
+cell_vms=127.0.0.1:$((cell_base + 1))
+cell_control=127.0.0.1:$((cell_base + 2))
 cell_pids=()
 
+cell_caller() { echo "127.0.0.1:$((cell_base + 100 + $1))"; }
+cell_peer() { echo "127.0.0.1:$((cell_base + 200 + $1))"; }
+
 cell_start_standin() {  # workers, GPU workers
-  "$build/standin" --store 127.0.0.1:21000 --vm-list 127.0.0.1:21001 \
-    --control 127.0.0.1:21002 --workers "$1" \
+  "$build/standin" --store "$cell_store" --vm-list "$cell_vms" \
+    --control "$cell_control" --workers "$1" \
     --gpu-workers "$2" --data-centres fukuoka:fukuoka-1,fukuoka:fukuoka-2,kumamoto:kumamoto-1 \
     --seed "${seed:-1}" >"$dir/standin.log" 2>&1 &
   standin_pid=$!
   cell_pids+=("$standin_pid")
-  cell_wait_for 127.0.0.1:21002 /book
+  cell_wait_for "$cell_control" /book
 }
 
 cell_wait_for() {  # address, path
@@ -34,10 +41,10 @@
   esac
   cat >"$dir/daemon-$n.json" <<JSON
 {"vm_id": "entry-$n", "data_centre": "$centre", "region": "$region",
- "caller_address": "127.0.0.1:$((22000 + n))",
- "peer_address": "127.0.0.1:$((23000 + n))",
- "store_address": "127.0.0.1:21000", "vm_list_address": "127.0.0.1:21001",
- "seeds": ["127.0.0.1:23001", "127.0.0.1:23002"],
+ "caller_address": "$(cell_caller "$n")",
+ "peer_address": "$(cell_peer "$n")",
+ "store_address": "$cell_store", "vm_list_address": "$cell_vms",
+ "seeds": ["$(cell_peer 1)", "$(cell_peer 2)"],
  "log_file": "$dir/daemon-$n.log"$extra}
 JSON
   "$build/chivedaled" --config "$dir/daemon-$n.json" \
@@ -51,7 +58,7 @@
   for n in $(seq "$1"); do
     for _ in $(seq 200); do
       if curl -sf -o "$dir/wait.out" --max-time 1 \
-        "http://127.0.0.1:$((22000 + n))/readyz"; then continue 2; fi
+        "http://$(cell_caller "$n")/readyz"; then continue 2; fi
       sleep 0.1
     done
     echo "daemon $n did not become ready: $(cat "$dir/wait.out")" >&2
@@ -62,7 +69,7 @@
 
 cell_entries() {  # number of daemons
   local list= n
-  for n in $(seq "$1"); do list+="${list:+,}127.0.0.1:$((22000 + n))"; done
+  for n in $(seq "$1"); do list+="${list:+,}$(cell_caller "$n")"; done
   echo "$list"
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,15 +17,15 @@
 echo "starting the stand-ins (48 workers) and 7 daemons"
 cell_start_standin 35 13
 for n in 1 2 3 4 5 6 7; do cell_start_daemon "$n"; done
-cell_wait_for 127.0.0.1:22001 /healthz
-"$build/chivedalectl" --server 127.0.0.1:22001 table apply examples/table.json
+cell_wait_for "$(cell_caller 1)" /healthz
+"$build/chivedalectl" --server "$(cell_caller 1)" table apply examples/table.json
 cell_wait_ready 7
 sleep 3
-"$build/chivedalectl" --server 127.0.0.1:22001 status
+"$build/chivedalectl" --server "$(cell_caller 1)" status
 
 echo "sending requests; daemon 3 is killed after 8 seconds"
 if [ -z "${NO_KILL:-}" ]; then (sleep 8; kill -KILL "${daemon_pid[3]}") & fi
 cell_pids+=("$!")
 "$build/chivedale_load" --entries "$(cell_entries 7)" \
   --profile examples/load_demo.json --table examples/table.json \
-  --book 127.0.0.1:21002 --seed "$seed" --label demo
+  --book "$cell_control" --seed "$seed" --label demo
