--- a/chivedale/api_server.cc
+++ b/chivedale/api_server.cc
@@ -83,7 +83,7 @@
         operators(commands, queries, metrics, threads),
         server(io,
                ServerOptions(settings),
-               [this](HttpRequest request, HttpRespond respond) {
+               [this](const HttpRequest& request, HttpRespond respond) {
                  Handle(request, std::move(respond));
                }) {}
 
--- a/chivedale/chivedale_load_main.cc
+++ b/chivedale/chivedale_load_main.cc
@@ -73,7 +73,7 @@
 }
 
 bool Parse(int argc, char** argv, Arguments& arguments) {
-  static const option kOptions[] = {
+  static constexpr option kOptions[] = {
       {"entries", required_argument, nullptr, 'e'},
       {"profile", required_argument, nullptr, 'p'},
       {"table", required_argument, nullptr, 't'},
--- a/chivedale/chivedaled_main.cc
+++ b/chivedale/chivedaled_main.cc
@@ -32,11 +32,12 @@
 
 // Returns an exit code when the process is done after parsing, else -1.
 int Parse(int argc, char** argv, Arguments& arguments) {
-  static const option kOptions[] = {{"config", required_argument, nullptr, 'c'},
-                                    {"check-config", no_argument, nullptr, 'k'},
-                                    {"help", no_argument, nullptr, 'h'},
-                                    {"version", no_argument, nullptr, 'v'},
-                                    {nullptr, 0, nullptr, 0}};
+  static constexpr option kOptions[] = {
+      {"config", required_argument, nullptr, 'c'},
+      {"check-config", no_argument, nullptr, 'k'},
+      {"help", no_argument, nullptr, 'h'},
+      {"version", no_argument, nullptr, 'v'},
+      {nullptr, 0, nullptr, 0}};
   int choice = 0;
   while ((choice = getopt_long(argc, argv, "c:", kOptions, nullptr)) != -1) {
     switch (choice) {
--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -215,13 +215,13 @@
 }
 
 void Dispatcher::OnAnswer(const MemberId& owner, const Answer& answer) {
-  Attempt* attempt = FindSent(answer.key);
+  const Attempt* attempt = FindSent(answer.key);
+  // An earlier owner may have lost sight of a worker that the present one has.
+  const bool from_earlier_owner = attempt != nullptr && !answer.ok &&
+                                  answer.error == ErrorKind::kOutcomeUnknown &&
+                                  attempt->owner != owner;
   bool acknowledge = true;
-  if (attempt == nullptr) {
-    deps_.metrics.Count(Counter::kLateAnswers);
-  } else if (answer.error == ErrorKind::kOutcomeUnknown && !answer.ok &&
-             attempt->owner != owner) {
-    // An earlier owner lost sight of the worker; the present one has it.
+  if (attempt == nullptr || from_earlier_owner) {
     deps_.metrics.Count(Counter::kLateAnswers);
   } else {
     acknowledge = End(owner, answer);
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -375,7 +375,7 @@
 }
 
 void EntryAgent::Locate(const RequestId& id,
-                        std::function<void(const MemberId&)> done) {
+                        const std::function<void(const MemberId&)>& done) {
   const MemberId attached = attach_client_.EntryOf(id);
   if (!attached.empty()) {
     done(attached);
@@ -434,7 +434,7 @@
 
 void EntryAgent::FindRequest(
     const RequestId& id,
-    std::function<void(std::optional<RequestView>)> done) {
+    const std::function<void(std::optional<RequestView>)>& done) {
   RequestView view;
   view.id = id;
   const RequestState* state = deps_.ledger.Find(id);
--- a/chivedale/entry_agent.h
+++ b/chivedale/entry_agent.h
@@ -68,7 +68,7 @@
 
   // Queries.
   void FindRequest(const RequestId& id,
-                   std::function<void(std::optional<RequestView>)> done);
+                   const std::function<void(std::optional<RequestView>)>& done);
   bool drained() const;
 
   // AttemptListener:
@@ -97,7 +97,8 @@
   void OnAttached(const RequestId& id,
                   const std::optional<AttachAnswer>& answer);
   // Finds the entry that has a request which this one does not have.
-  void Locate(const RequestId& id, std::function<void(const MemberId&)> done);
+  void Locate(const RequestId& id,
+              const std::function<void(const MemberId&)>& done);
   void Enqueue(const RequestId& id, Millis backoff, bool again);
   void Retry(const RequestId& id, const Answer& answer);
   void Fail(const RequestId& id,
--- a/chivedale/lifecycle.cc
+++ b/chivedale/lifecycle.cc
@@ -42,6 +42,7 @@
   using Row = msm::front::Row<From, EventT, To>;
 
   // clang-format off
+  // NOLINTNEXTLINE: MSM's name
   struct transition_table : boost::mpl::vector<
       Row<Starting,    TableReady,    Serving>,
       Row<Starting,    DrainAsked,    HandingOver>,
@@ -92,9 +93,9 @@
 }
 
 std::string Lifecycle::name() const {
-  static const char* const kNames[] = {"starting", "serving", "draining",
-                                       "handing_over", "stopped"};
-  return kNames[static_cast<int>(state())];
+  static const char* const names[] = {"starting", "serving", "draining",
+                                      "handing_over", "stopped"};
+  return names[static_cast<int>(state())];
 }
 
 }  // namespace chivedale
--- a/chivedale/load_caller.cc
+++ b/chivedale/load_caller.cc
@@ -121,8 +121,8 @@
                 ",\"payload\":" + request.arrival.payload + "}";
     call.timeout = options.send_timeout;
     client.Call(std::move(call),
-                [self = shared_from_this(), id](HttpResult result) {
-                  self->OnResult(id, std::move(result));
+                [self = shared_from_this(), id](const HttpResult& result) {
+                  self->OnResult(id, result);
                 });
   }
 
@@ -141,7 +141,7 @@
         });
   }
 
-  void OnResult(const std::string& id, HttpResult result) {
+  void OnResult(const std::string& id, const HttpResult& result) {
     auto it = open.find(id);
     if (it == open.end()) {
       CheckLate(id, result);
--- a/chivedale/load_plan.cc
+++ b/chivedale/load_plan.cc
@@ -62,7 +62,7 @@
 }
 
 LoadKind ParseKind(const Json& json) {
-  static const std::vector<LoadField<LoadKind>> kFields = {
+  static const std::vector<LoadField<LoadKind>> columns = {
       Number("share", &LoadKind::share),
       Number("run_mean_ms", &LoadKind::run_mean),
       Number("straggler_share", &LoadKind::straggler_share),
@@ -73,7 +73,7 @@
       Number("cancel_share", &LoadKind::cancel_share),
       Number("repeat_share", &LoadKind::repeat_share)};
   LoadKind kind;
-  SetFields(kind, json, kFields, "kind");
+  SetFields(kind, json, columns, "kind");
   if (!json.contains("kind") || !json["kind"].is_string()) {
     Reject("kind", "must be the name of a row");
   }
@@ -84,7 +84,7 @@
 }  // namespace
 
 LoadProfile ParseLoadProfile(const std::string& text) {
-  static const std::vector<LoadField<LoadProfile>> kFields = {
+  static const std::vector<LoadField<LoadProfile>> columns = {
       Number("rate_per_s", &LoadProfile::rate_per_s),
       Number("duration_ms", &LoadProfile::duration),
       Number("crest_factor", &LoadProfile::crest_factor),
@@ -99,7 +99,7 @@
     Reject("", std::string("is not JSON: ") + error.what());
   }
   LoadProfile profile;
-  SetFields(profile, json, kFields, "kinds");
+  SetFields(profile, json, columns, "kinds");
   if (!json.contains("kinds") || !json["kinds"].is_array() ||
       json["kinds"].empty()) {
     Reject("kinds", "must be a list with at least one kind of work");
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -133,7 +133,7 @@
 void Scheduler::FindRequest(
     const RequestId& id,
     std::function<void(std::optional<RequestView>)> done) {
-  parts_->entry.FindRequest(id, std::move(done));
+  parts_->entry.FindRequest(id, done);
   Flush();
 }
 
@@ -201,13 +201,13 @@
 }
 
 void Scheduler::OnMemberChanged(const MemberInfo& member) {
-  static const std::map<MemberState, Event> kEvents = {
+  static const std::map<MemberState, Event> events = {
       {MemberState::kLive, Event::kMemberNew},
       {MemberState::kSuspect, Event::kMemberSuspect},
       {MemberState::kDead, Event::kMemberDead},
       {MemberState::kLeft, Event::kMemberLeft}};
-  auto event = kEvents.find(member.state);
-  if (event != kEvents.end()) {
+  auto event = events.find(member.state);
+  if (event != events.end()) {
     deps_.log.Write(event->second,
                     {{"member", member.id.str()}, {"address", member.address}});
   }
@@ -233,6 +233,7 @@
   Parts& parts = *parts_;
   const std::vector<MemberInfo> members = parts.membership.Members();
   std::vector<MemberId> ids;
+  ids.reserve(members.size());
   for (const MemberInfo& member : members) {
     ids.push_back(member.id);
   }
@@ -284,7 +285,7 @@
 }
 
 void Scheduler::FetchVms() {
-  deps_.vms.Fetch(vm_version_, kVmListWait, [this](VmListResult result) {
+  deps_.vms.Fetch(vm_version_, kVmListWait, [this](const VmListResult& result) {
     if (result.ok) {
       vm_version_ = result.version;
       parts_->vm_list.OnList(result);
