--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -115,6 +115,7 @@
             [&] {
               FairQueue::Options options;
               options.max_items = scheduler.settings_.max_queued;
+              options.policy = scheduler.settings_.queue_policy;
               return options;
             }()),
       limits(scheduler.deps_.clock, scheduler.self_.id),
--- a/chivedale/settings.cc
+++ b/chivedale/settings.cc
@@ -59,7 +59,8 @@
                           Seed,
                           Choice<std::string>,
                           Choice<RoutingPolicyKind>,
-                          Choice<PlacementPolicyKind>>;
+                          Choice<PlacementPolicyKind>,
+                          Choice<QueuePolicyKind>>;
 
 struct Key {
   std::string_view name;
@@ -110,6 +111,10 @@
                                      {"spread", Placing::kSpread},
                                      {"random", Placing::kRandom},
                                      {"round_robin", Placing::kRoundRobin}}}},
+      {"queue_policy",
+       Choice<QueuePolicyKind>{&Settings::queue_policy,
+                               {{"ours", QueuePolicyKind::kOurs},
+                                {"fifo", QueuePolicyKind::kFifo}}}},
       {"log_file", Text{&Settings::log_file, TextRule::kAny}},
       {"log_level", Choice<std::string>{&Settings::log_level,
                                         {{"debug", "debug"},
--- a/chivedale/settings.h
+++ b/chivedale/settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "chivedale/fair_queue.h"
 #include "chivedale/owner_agent.h"
 #include "chivedale/placement.h"
 #include "chivedale/routing.h"
@@ -38,6 +39,8 @@
   Millis max_deadline{1'800'000};
   RoutingPolicyKind routing = RoutingPolicyKind::kTwoChoices;
   PlacementPolicyKind placement = PlacementPolicyKind::kPack;
+  // kFifo is the baseline of measurements.
+  QueuePolicyKind queue_policy = QueuePolicyKind::kOurs;
   std::string log_file;  // empty: standard error
   std::string log_level = "info";
   uint64_t seed = 0;  // 0: from the system
--- a/chivedale/testing/settings_test.cc
+++ b/chivedale/testing/settings_test.cc
@@ -42,6 +42,7 @@
   json["seeds"] = {"127.0.0.1:1", "[::1]:65535"};
   json["routing"] = "least_loaded";
   json["placement"] = "spread";
+  json["queue_policy"] = "fifo";
   json["seed"] = 18446744073709551615u;
   const Settings settings = ParseSettings(json.dump());
   BOOST_TEST(settings.vm_id == "e-1");
@@ -49,6 +50,7 @@
   BOOST_TEST(settings.seeds.size() == 2u);
   BOOST_TEST((settings.routing == RoutingPolicyKind::kLeastLoaded));
   BOOST_TEST((settings.placement == PlacementPolicyKind::kSpread));
+  BOOST_TEST((settings.queue_policy == QueuePolicyKind::kFifo));
   BOOST_TEST(settings.seed == 18446744073709551615u);
   BOOST_TEST(settings.record_groups == 8);
 }
@@ -84,6 +86,7 @@
       {"seeds", {"127.0.0.1:1", 4}, "seeds: 4 is not IP:port"},
       {"routing", "best",
        "one of two_choices, random, least_loaded, round_robin"},
+      {"queue_policy", "lifo", "one of ours, fifo"},
       {"log_level", "loud", "one of debug, info, warning, error"},
       {"seed", -1, "seed: -1 is not an integer"},
       {"orphan_ttl_ms", 2'000, "orphan_ttl_ms: 2000 is not above lease_ttl_ms"},
