Advertise room that appeared after a cached summary at once

The summary sent on OnRoom could be up to 20 ms old and show no room; the next one followed only after 200 ms. The scheduler also renumbered the summaries, so that those in refusals, numbered by the owner role, could make receivers drop later ones as older.

--- a/chivedale/owner_agent.cc
+++ b/chivedale/owner_agent.cc
@@ -92,6 +92,7 @@
       listener_.SendToHolder(ask);
     }
     if (std::exchange(room_, false)) {
+      room_since_summary_ = true;
       listener_.OnRoom();
     }
   }
@@ -345,18 +346,29 @@
 }
 
 Summary OwnerAgent::Impl::CurrentSummary() const {
-  const util::TimePoint now = clock_.Now();
-  if (summary_sequence_ == 0 || now - summarised_ >= kSummaryAge) {
-    summarised_ = now;
-    summary_.owner = self_.id;
-    summary_.sequence = ++summary_sequence_;
-    summary_.plain = placement_.Summarise(false);
-    summary_.accelerated = placement_.Summarise(true);
+  if (summary_sequence_ == 0 || clock_.Now() - summarised_ >= kSummaryAge) {
+    Summarise();
   }
   summary_.draining = draining_;
   return summary_;
 }
 
+Summary OwnerAgent::Impl::LatestSummary() const {
+  if (room_since_summary_) {
+    Summarise();
+  }
+  return CurrentSummary();
+}
+
+void OwnerAgent::Impl::Summarise() const {
+  room_since_summary_ = false;
+  summarised_ = clock_.Now();
+  summary_.owner = self_.id;
+  summary_.sequence = ++summary_sequence_;
+  summary_.plain = placement_.Summarise(false);
+  summary_.accelerated = placement_.Summarise(true);
+}
+
 std::vector<WorkerStatus> OwnerAgent::Impl::Workers() const {
   std::vector<WorkerStatus> all;
   for (const auto& [id, worker] : keeper_.workers()) {
@@ -476,6 +488,10 @@
   return impl_->CurrentSummary();
 }
 
+Summary OwnerAgent::LatestSummary() const {
+  return impl_->LatestSummary();
+}
+
 bool OwnerAgent::HasRoom(const Resources& size) const {
   return !impl_->draining_ && impl_->placement_.HasRoom(size);
 }
--- a/chivedale/owner_agent.h
+++ b/chivedale/owner_agent.h
@@ -107,7 +107,11 @@
 
   // Queries.
   bool drained() const;
+  // May be up to 20 ms old.
   Summary CurrentSummary() const;
+  // Shows all room that OnRoom told of. Summaries of one owner are in the order
+  // of their sequence numbers, whichever of the two queries made them.
+  Summary LatestSummary() const;
   // Whether an own worker has room for this size now.
   bool HasRoom(const Resources& size) const;
   // Whether OnAttach can answer for this request.
--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -70,6 +70,8 @@
   bool IsMember(const MemberId& id) const;
   bool drained() const;
   Summary CurrentSummary() const;
+  Summary LatestSummary() const;
+  void Summarise() const;
   std::vector<WorkerStatus> Workers() const;
 
   // owner_starts.cc
@@ -207,6 +209,7 @@
   std::unordered_map<WorkerId, Resources> indexed_;
   mutable Summary summary_;
   mutable util::TimePoint summarised_{};
+  mutable bool room_since_summary_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -341,9 +341,7 @@
   if (far) {
     next_far_summary_ = now + kFarSummaryInterval;
   }
-  Summary summary = parts_->owner.CurrentSummary();
-  summary.owner = self_.id;
-  summary.sequence = ++summary_sequence_;
+  const Summary summary = parts_->owner.LatestSummary();
   parts_->routing.OnSummary(summary);
   for (const MemberInfo& member : parts_->membership.Members()) {
     if (member.id == self_.id || (member.region != self_.region && !far)) {
--- a/chivedale/scheduler.h
+++ b/chivedale/scheduler.h
@@ -117,7 +117,6 @@
   bool flushing_ = false;
   bool members_changed_ = false;
   bool room_changed_ = false;
-  uint64_t summary_sequence_ = 0;
   uint64_t vm_version_ = 0;
   util::TimePoint next_summary_{};
   util::TimePoint next_far_summary_{};
--- a/chivedale/testing/owner_agent_test.cc
+++ b/chivedale/testing/owner_agent_test.cc
@@ -66,6 +66,29 @@
   BOOST_TEST(world.Broken() == "");
 }
 
+// Guards against entries that wait 200 ms for room that is there: the summary
+// sent on OnRoom was a cached one from before, or had a lower sequence number
+// than the one in an earlier refusal.
+BOOST_FIXTURE_TEST_CASE(TheLatestSummaryShowsRoomAtOnce, OneNode) {
+  for (int i = 0; i < 12; ++i) {
+    world.AddTask(Work(), Takes(30 + 7 * i));
+  }
+  const Resources size = Work().size;
+  uint64_t sequence = 0;
+  int full = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    world.Run(Millis(1));
+    const bool room = world.agent(0).HasRoom(size);
+    full += world.agent(0).owned_workers() == 1 && !room ? 1 : 0;
+    const Summary latest = world.agent(0).LatestSummary();
+    BOOST_REQUIRE((!room || size.FitsIn(latest.plain.largest)));
+    BOOST_REQUIRE(latest.sequence >= sequence);
+    sequence = latest.sequence;
+    BOOST_REQUIRE(world.agent(0).CurrentSummary().sequence == sequence);
+  }
+  BOOST_TEST(full > 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(ResolvesAStartWhoseAnswerWasLost, OneNode) {
   world.Run(Millis(100));
   world.worker(0).faults().lose_starts = 1;
