Renew a gang's hold when it is sent again

Cause: the owner answered a repeated Hold with its first reply and left the expiry as it was. The planner counts the hold's time from the last send, so it believed room that the owner had given away, and a gang that collects its room in rounds never got what came free after the first round.

Change: a repeated Hold prolongs the room that is left, gives up room on workers that take no start now, and grows up to the count asked for. A draining owner ends its holds, since it refuses their starts.

Conclusion: gangs that accumulate over several owners depended on this; the planner itself was not at fault.

--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -102,6 +102,7 @@
   void OnCancel(const Cancel& cancel);
   void TickStops();
   void OnHold(const MemberId& from, const Hold& hold);
+  std::vector<WorkerId> RenewHold(uint64_t hold, util::TimePoint expires);
   void OnHoldRelease(uint64_t hold);
   void Update(WorkerRecord& worker);
 
--- a/chivedale/owner_starts.cc
+++ b/chivedale/owner_starts.cc
@@ -404,19 +404,23 @@
   }
 }
 
+// A hold that is sent again is renewed and may grow: the planner counts its
+// time from the last send. Room on a worker that takes no start now is given up
+// and looked for elsewhere.
 void OwnerAgent::Impl::OnHold(const MemberId& from, const Hold& hold) {
-  auto it = holds_.find(hold.hold);
-  if (it != holds_.end()) {
-    Send(from, it->second.reply);
-    return;
-  }
   HoldReply reply;
   reply.hold = hold.hold;
   reply.job = hold.job;
+  if (draining_) {
+    OnHoldRelease(hold.hold);
+    Send(from, std::move(reply));
+    return;
+  }
   const util::TimePoint expires = clock_.Now() + hold.ttl;
+  reply.workers = RenewHold(hold.hold, expires);
   Dispatch dispatch;
   Resources size = hold.size;
-  for (int64_t i = 0; i < hold.count && !draining_; ++i) {
+  while (static_cast<int64_t>(reply.workers.size()) < hold.count) {
     WorkerRecord* worker = Place(dispatch, &size);
     if (worker == nullptr) {
       break;
@@ -425,12 +429,40 @@
     reply.workers.push_back(worker->id);
     Update(*worker);
   }
-  if (!reply.workers.empty()) {
+  if (reply.workers.empty()) {
+    holds_.erase(hold.hold);
+  } else {
     holds_[hold.hold] = {from, reply, expires};
   }
   Send(from, std::move(reply));
 }
 
+// The workers that still hold room, each as often as it holds a task's.
+std::vector<WorkerId> OwnerAgent::Impl::RenewHold(uint64_t hold,
+                                                  util::TimePoint expires) {
+  std::vector<WorkerId> held;
+  auto it = holds_.find(hold);
+  if (it == holds_.end()) {
+    return held;
+  }
+  const std::set<WorkerId> workers(it->second.reply.workers.begin(),
+                                   it->second.reply.workers.end());
+  for (const WorkerId& id : workers) {
+    WorkerRecord* worker = keeper_.Find(id);
+    if (worker == nullptr) {
+      continue;
+    }
+    if (!CanStart(*worker)) {
+      worker->books.ReleaseHold(hold);
+      Update(*worker);
+      continue;
+    }
+    const int64_t count = worker->books.RenewHold(hold, expires);
+    held.insert(held.end(), static_cast<size_t>(count), id);
+  }
+  return held;
+}
+
 void OwnerAgent::Impl::OnHoldRelease(uint64_t hold) {
   auto it = holds_.find(hold);
   if (it == holds_.end()) {
--- a/chivedale/testing/owner_world.cc
+++ b/chivedale/testing/owner_world.cc
@@ -291,10 +291,15 @@
     const Millis delay(random_.Below(kLongestDelayMs + 1));
     queue_.Post(
         [this, from, to, message] {
+          const bool is_node = std::any_of(
+              nodes_.begin(), nodes_.end(),
+              [&](const auto& node) { return node->info.id == to; });
           if (to == entry_id()) {
             ToEntry(from, message);
-          } else {
+          } else if (is_node) {
             ToNode(to, message);
+          } else {
+            other_messages_.emplace_back(to, message);
           }
         },
         delay);
--- a/chivedale/worker_books.cc
+++ b/chivedale/worker_books.cc
@@ -80,6 +80,15 @@
   return true;
 }
 
+int64_t WorkerBooks::RenewHold(uint64_t hold, util::TimePoint expires) {
+  auto it = holds_.find(hold);
+  if (it == holds_.end()) {
+    return 0;
+  }
+  it->second.expires = expires;
+  return it->second.count;
+}
+
 void WorkerBooks::ReleaseHold(uint64_t hold) {
   auto it = holds_.find(hold);
   if (it == holds_.end()) {
--- a/chivedale/worker_books.h
+++ b/chivedale/worker_books.h
@@ -45,6 +45,8 @@
                util::TimePoint expires);
   // Gives back one task's part of a hold. False when it has none left here.
   bool TakeFromHold(uint64_t hold);
+  // Prolongs a hold and returns how many tasks' room it has left here.
+  int64_t RenewHold(uint64_t hold, util::TimePoint expires);
   void ReleaseHold(uint64_t hold);
   // True when some hold ended.
   bool ExpireHolds(util::TimePoint now);
