Forget a lost job's running attempts; test the manager step by step

Cause: a manager that lost its job took only the attempts without a reply out of its dispatcher. The accepted ones stayed there: their answers go to the next manager, so they counted against the kind's running limit at this entry for ever.

Change: all active attempts are forgotten. job_steps_test plays the owners by hand and checks single steps: epoch and fence of a claim, its age after a store outage, the nonce, stale claims, writes before acknowledgements and starts, shared writes, the confirm round, members that leave, missing attempts, and a gang that fails for good.

--- a/chivedale/active_job.cc
+++ b/chivedale/active_job.cc
@@ -372,8 +372,10 @@
   }
 }
 
+// Running attempts too: their answers go to the next manager, so the listener
+// would count them as running here for ever.
 void ActiveJob::Abandon() {
-  for (int64_t i : unaccepted_) {
+  for (int64_t i : active_) {
     listener_.Forget(KeyOf(i));
   }
 }
--- /dev/null
+++ b/chivedale/testing/job_steps_test.cc
@@ -0,0 +1,454 @@
+// Guards single steps of a job's manager, with its owners played by hand: what
+// it may send before its record is in the store, whom it asks, and what it
+// takes a silence or a missing attempt for.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <variant>
+
+#include "chivedale/job_manager.h"
+#include "chivedale/testing/fake_store.h"
+#include "chivedale/testing/policy_support.h"
+
+namespace chivedale::testing {
+namespace {
+
+const MemberId kSelf("m0");
+const MemberId kFirst("o1");
+const MemberId kSecond("o2");
+const WorkerId kWorker("w1");
+const JobId kJob("a");
+
+TaskKey KeyOf(int64_t index, uint32_t attempt) {
+  return {JobTaskId(kJob, index), attempt};
+}
+
+WorkRow RowOf(const std::string& kind, WorkShape shape) {
+  WorkRow row = MakeRow(kind);
+  row.shape = shape;
+  row.size = {1'000, 512, 0, 1};
+  row.max_retries = 2;
+  return row;
+}
+
+// A record as an earlier manager left it: epoch 3, all tasks of attempt 1.
+JobRecord RecordOf(const std::string& kind, int64_t tasks, TaskPhase phase) {
+  JobRecord record;
+  record.spec.id = kJob;
+  record.spec.kind = kind;
+  record.spec.tasks = tasks;
+  record.submitted_tasks = tasks;
+  record.epoch = 3;
+  record.manager = MemberId("old");
+  record.nonce = "n";
+  record.tasks.resize(size_t(tasks));
+  for (JobTaskRecord& task : record.tasks) {
+    task.phase = phase;
+    task.attempt = phase == TaskPhase::kWaiting ? 0 : 1;
+    task.worker = phase == TaskPhase::kWaiting ? WorkerId() : kWorker;
+  }
+  return record;
+}
+
+class Listener final : public JobListener {
+ public:
+  void Enqueue(const Dispatch& dispatch, util::TimePoint) override {
+    enqueued.push_back(dispatch);
+  }
+  void Withdraw(const TaskKey& key, const MemberId&) override {
+    withdrawn.push_back(key);
+  }
+  void SendToMember(const MemberId& to, const Message& message) override {
+    sent.emplace_back(to, message);
+  }
+  void Forget(const TaskKey& key) override { forgotten.push_back(key); }
+  const WorkRow* FindRow(const std::string& kind) const override {
+    return table.FindRow(kind);
+  }
+  std::vector<Summary> Summaries() const override { return {}; }
+
+  Table table = MakeTable({RowOf("batch", WorkShape::kTask),
+                           RowOf("gang", WorkShape::kGang),
+                           RowOf("service", WorkShape::kService)});
+  std::vector<Dispatch> enqueued;
+  std::vector<TaskKey> withdrawn;
+  std::vector<TaskKey> forgotten;
+  std::vector<std::pair<MemberId, Message>> sent;
+};
+
+// Draining members own workers and manage no jobs, so all jobs fall to kSelf.
+struct OneManager {
+  OneManager() { SetOwners({kFirst, kSecond}); }
+
+  void SetOwners(const std::vector<MemberId>& owners) {
+    std::vector<MemberInfo> members(1);
+    members[0].id = kSelf;
+    members[0].state = MemberState::kLive;
+    for (const MemberId& owner : owners) {
+      MemberInfo info;
+      info.id = owner;
+      info.state = MemberState::kDraining;
+      members.push_back(info);
+    }
+    manager.SetMembers(members);
+  }
+
+  void Store(const JobRecord& record, uint64_t expected = 0) {
+    store.model().Put(JobKey(kJob), ToJson(record), expected);
+    if (expected == 0) {
+      store.model().Put(JobIndexKey(kJob), "{}", 0);
+    }
+  }
+  uint64_t Revision() {
+    return store.model().Get(JobKey(kJob)).entries.front().revision;
+  }
+  JobRecord Stored() {
+    return ParseJobRecord(
+        store.model().Get(JobKey(kJob)).entries.front().value);
+  }
+
+  void Run(Millis time) {
+    for (Millis passed{0}; passed < time; passed += Millis(10)) {
+      queue.Advance(Millis(10));
+      manager.Tick();
+    }
+  }
+
+  // The present round's questions get an answer from each owner, and so does
+  // this member's own.
+  void Reply(const MemberId& owner, const std::vector<JobAttempt>& present) {
+    const JobQuery query = LastQuery(owner);
+    JobQueryReply reply;
+    reply.job = kJob;
+    reply.epoch = query.epoch;
+    reply.round = query.round;
+    reply.present = present;
+    manager.OnJobQueryReply(owner, reply);
+  }
+  void RunRepliesEmpty(Millis time) {
+    for (Millis passed{0}; passed < time; passed += Millis(100)) {
+      Run(Millis(100));
+      for (const MemberId& owner : {kSelf, kFirst, kSecond}) {
+        if (Number<JobQuery>(owner) > 0) {
+          Reply(owner, {});
+        }
+      }
+    }
+  }
+
+  JobQuery LastQuery(const MemberId& to) const {
+    JobQuery last;
+    for (const auto& [receiver, message] : listener.sent) {
+      const auto* query = std::get_if<JobQuery>(&message);
+      last = receiver == to && query != nullptr ? *query : last;
+    }
+    return last;
+  }
+  template <typename T>
+  int64_t Number(const MemberId& to) const {
+    return std::count_if(
+        listener.sent.begin(), listener.sent.end(), [&](const auto& each) {
+          return each.first == to && std::holds_alternative<T>(each.second);
+        });
+  }
+
+  // A job of this kind whose tasks all run at kFirst.
+  void RunAtFirst(const std::string& kind, int64_t tasks) {
+    Store(RecordOf(kind, tasks, TaskPhase::kRunning));
+    Run(Millis(200));
+    std::vector<JobAttempt> present;
+    for (int64_t i = 0; i < tasks; ++i) {
+      present.push_back({KeyOf(i, 1), kWorker});
+    }
+    Reply(kFirst, present);
+    Run(Millis(200));
+    listener.sent.clear();
+  }
+  void AnswerFrom(const MemberId& owner, int64_t i, bool ok, Ran ran) {
+    Answer answer;
+    answer.key = KeyOf(i, 1);
+    answer.ok = ok;
+    answer.ran = ran;
+    manager.OnAnswer(owner, answer);
+  }
+  std::vector<JobTaskStatus> Tasks() const {
+    const std::vector<JobStatus> managed = manager.Managed();
+    return managed.empty() ? std::vector<JobTaskStatus>()
+                           : managed.front().tasks;
+  }
+
+  FakeClock clock;
+  FakeQueue queue{clock, 1};
+  FakeStore store{queue};
+  util::Random random{1};
+  Listener listener;
+  JobManager manager{clock, random, store, listener, kSelf, {}};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(JobSteps)
+
+BOOST_AUTO_TEST_SUITE(Claims)
+
+// Guards against a manager whose earlier self, or another one, cannot be told
+// from it: owners refuse starts by epoch.
+BOOST_FIXTURE_TEST_CASE(RaiseTheEpochAndFenceAtAllOwners, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kStarting));
+  Run(Millis(300));
+  BOOST_TEST(Stored().epoch == 4U);
+  BOOST_TEST(Stored().manager == kSelf);
+  for (const MemberId& owner : {kSelf, kFirst, kSecond}) {
+    BOOST_REQUIRE(Number<JobQuery>(owner) > 0);
+    BOOST_TEST(LastQuery(owner).epoch == 4U);
+    BOOST_REQUIRE(LastQuery(owner).attempts.size() == 1U);
+    BOOST_TEST((LastQuery(owner).attempts[0].key == KeyOf(0, 1)));
+  }
+  BOOST_TEST(listener.enqueued.empty());
+}
+
+// Guards against messages of a manager whose claim is not in the store.
+BOOST_FIXTURE_TEST_CASE(SendNothingBeforeTheyAreInTheStore, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kRunning));
+  store.faults().delay = Millis(100);
+  while (store.counts().writes == 0) {
+    Run(Millis(10));
+  }
+  store.faults().down = true;
+  Run(Millis(50));
+  BOOST_TEST(listener.sent.empty());
+}
+
+// Guards against a takeover that waited for the store and takes its own age
+// for the silence of the owners: running tasks would be started again.
+BOOST_FIXTURE_TEST_CASE(ThatWaitedForTheStoreAreNoSilence, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kRunning));
+  store.faults().delay = Millis(100);
+  while (store.counts().writes == 0) {
+    Run(Millis(10));
+    store.faults().down = store.counts().writes > 0;
+  }
+  store.model().Put("other", "{}", 0);
+  store.faults().lose_writes = 1;
+  Run(Millis(60'000));
+  store.faults().down = false;
+  store.faults().lose_writes = 0;
+  store.faults().delay = Millis(1);
+  RunRepliesEmpty(Millis(4'000));
+  BOOST_TEST(Tasks().size() == 1U);
+  BOOST_TEST(Tasks()[0].attempt == 1U);
+  BOOST_TEST(listener.enqueued.empty());
+  Reply(kFirst, {{KeyOf(0, 1), kWorker}});
+  Run(Millis(10'000));
+  BOOST_TEST((Tasks()[0].phase == TaskPhase::kRunning));
+  BOOST_TEST(listener.enqueued.empty());
+}
+
+// Guards against two managers after a conflict: the record that is read back
+// is another member's.
+BOOST_FIXTURE_TEST_CASE(OfAnotherMemberAreToldByTheNonce, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kStarting));
+  store.faults().delay = Millis(100);
+  while (store.counts().writes == 0) {
+    Run(Millis(10));
+  }
+  JobRecord other = RecordOf("batch", 1, TaskPhase::kStarting);
+  other.epoch = 4;
+  other.manager = MemberId("other");
+  other.nonce = "x";
+  Store(other, Revision());
+  Run(Millis(1'000));
+  BOOST_TEST(manager.Managed().empty());
+  BOOST_TEST(listener.sent.empty());
+  BOOST_TEST(Stored().manager == MemberId("other"));
+}
+
+// Guards against a claim that is made twice because its answer was lost.
+BOOST_FIXTURE_TEST_CASE(WithALostAnswerAreFoundByTheNonce, OneManager) {
+  store.faults().lose_writes = 1;
+  Store(RecordOf("batch", 1, TaskPhase::kStarting));
+  Run(Millis(1'000));
+  BOOST_TEST(manager.Managed().size() == 1U);
+  BOOST_TEST(Stored().epoch == 4U);
+}
+
+// Guards against a manager with nothing to write that keeps a job which
+// another member has claimed.
+BOOST_FIXTURE_TEST_CASE(ThatAreStaleAreNoticedWithoutAWrite, OneManager) {
+  RunAtFirst("batch", 1);
+  JobRecord other = Stored();
+  other.epoch = 9;
+  other.manager = MemberId("other");
+  other.nonce = "x";
+  Store(other, Revision());
+  Run(Millis(1'000));
+  BOOST_TEST(manager.Managed().size() == 1U);  // nothing tells it yet
+  queue.Advance(Millis(1'500));                // the process was paused
+  Run(Millis(500));
+  BOOST_TEST(manager.Managed().empty());
+  BOOST_TEST(Stored().epoch == 9U);
+  // What this member still follows would count as running here for ever.
+  BOOST_REQUIRE(listener.forgotten.size() == 1U);
+  BOOST_TEST((listener.forgotten[0] == KeyOf(0, 1)));
+}
+
+BOOST_FIXTURE_TEST_CASE(AreCheckedEachMinute, OneManager) {
+  RunAtFirst("batch", 1);
+  JobRecord other = Stored();
+  other.epoch = 9;
+  other.manager = MemberId("other");
+  other.nonce = "x";
+  Store(other, Revision());
+  Run(Millis(61'000));
+  BOOST_TEST(manager.Managed().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Writes)
+
+// Guards against a completion that the worker forgets although the outcome is
+// not in the store: after a takeover the task would run again.
+BOOST_FIXTURE_TEST_CASE(ComeBeforeAcknowledgements, OneManager) {
+  RunAtFirst("batch", 2);
+  store.faults().down = true;
+  AnswerFrom(kFirst, 0, true, Ran::kYes);
+  Run(Millis(2'000));
+  AnswerFrom(kFirst, 0, true, Ran::kYes);  // sent again
+  Run(Millis(2'000));
+  BOOST_TEST(Number<AnswerAck>(kFirst) == 0);
+  store.faults().down = false;
+  Run(Millis(500));
+  BOOST_TEST((Stored().tasks[0].phase == TaskPhase::kSucceeded));
+  BOOST_TEST(Number<AnswerAck>(kFirst) >= 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(ComeBeforeStarts, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kWaiting));
+  store.faults().delay = Millis(100);
+  while (listener.enqueued.empty() && store.counts().writes < 3) {
+    Run(Millis(10));
+  }
+  BOOST_REQUIRE(listener.enqueued.size() == 1U);
+  BOOST_TEST(Stored().tasks[0].attempt == 1U);
+  BOOST_TEST((Stored().tasks[0].phase == TaskPhase::kStarting));
+}
+
+// Guards against a write per task: the store serves several hundred a second
+// for the whole cell. One write per 100 ms and job is the limit.
+BOOST_FIXTURE_TEST_CASE(AreSharedByManyTasks, OneManager) {
+  RunAtFirst("batch", 100);
+  const int64_t before = store.counts().writes;
+  for (int64_t i = 0; i < 100; ++i) {
+    AnswerFrom(kFirst, i, true, Ran::kYes);
+    Run(Millis(10));
+  }
+  Run(Millis(200));
+  BOOST_TEST(store.counts().writes - before <= 12);
+  BOOST_TEST((Stored().phase == JobPhase::kSucceeded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Attempts)
+
+// Guards against an attempt that is believed to run for ever, because the
+// message that told of its end was lost.
+BOOST_FIXTURE_TEST_CASE(AreConfirmedWithTheirOwner, OneManager) {
+  RunAtFirst("batch", 1);
+  Run(Millis(31'000));
+  BOOST_REQUIRE(Number<JobQuery>(kFirst) == 1);
+  BOOST_TEST(Number<JobQuery>(kSecond) == 0);
+  BOOST_TEST(LastQuery(kFirst).attempts.size() == 1U);
+  Reply(kFirst, {});
+  Run(Millis(200));
+  BOOST_TEST(Number<JobQuery>(kSecond) == 1);
+}
+
+// Guards against tasks that are left with an owner which is gone.
+BOOST_FIXTURE_TEST_CASE(OfAMemberThatLeftAreLookedFor, OneManager) {
+  RunAtFirst("batch", 1);
+  SetOwners({kSecond});
+  Run(Millis(200));
+  BOOST_TEST(Number<JobQuery>(kSecond) == 1);
+  Reply(kSecond, {{KeyOf(0, 1), kWorker}});
+  Run(Millis(20'000));
+  BOOST_TEST((Tasks()[0].phase == TaskPhase::kRunning));
+  BOOST_TEST(Tasks()[0].owner == kSecond);
+}
+
+// Guards against a second start while the first runs: a member that left may
+// have held the worker and so kept the task alive until then.
+BOOST_FIXTURE_TEST_CASE(LiveOnAfterAnotherMemberLeft, OneManager) {
+  RunAtFirst("batch", 1);
+  SetOwners({kSecond});
+  RunRepliesEmpty(Millis(6'000));
+  SetOwners({});
+  RunRepliesEmpty(Millis(6'000));
+  BOOST_TEST(Tasks()[0].attempt == 1U);
+  RunRepliesEmpty(Millis(5'000));
+  BOOST_TEST(Tasks()[0].attempt == 2U);
+}
+
+// Guards against an unrepeatable task that runs twice: an attempt that was
+// accepted did start, so its absence does not mean that it never ran.
+BOOST_FIXTURE_TEST_CASE(ThatWereAcceptedAndAreMissingMayHaveRun, OneManager) {
+  listener.table.rows["batch"].repeatable = false;
+  Store(RecordOf("batch", 1, TaskPhase::kWaiting));
+  Run(Millis(500));
+  BOOST_REQUIRE(listener.enqueued.size() == 1U);
+  DispatchReply reply;
+  reply.key = KeyOf(0, 1);
+  reply.outcome = DispatchOutcome::kAccepted;
+  reply.worker = kWorker;
+  reply.token = 5;
+  reply.boot_id = "b";
+  manager.OnDispatchReply(kFirst, reply);
+  Run(Millis(200));
+  WorkerTaken taken;
+  taken.worker = kWorker;
+  taken.owner = kSecond;
+  taken.token = 6;
+  taken.boot_id = "b";
+  manager.OnWorkerTaken(taken);
+  Run(Millis(5'000));
+  BOOST_TEST(listener.enqueued.size() == 1U);
+  BOOST_TEST((Stored().phase == JobPhase::kFailed));
+}
+
+BOOST_FIXTURE_TEST_CASE(ThatNoOwnerHasMayHaveRun, OneManager) {
+  listener.table.rows["batch"].repeatable = false;
+  RunAtFirst("batch", 1);
+  SetOwners({kSecond});
+  RunRepliesEmpty(OrphanWait() + Millis(2'000));
+  Run(Millis(500));
+  BOOST_TEST(listener.enqueued.empty());
+  BOOST_TEST((Stored().phase == JobPhase::kFailed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Gangs)
+
+// Guards against tasks of a gang that run on, and keep their room, when
+// another one has failed for good.
+BOOST_FIXTURE_TEST_CASE(EndAsAWholeWhenOneTaskFailsForGood, OneManager) {
+  listener.table.rows["gang"].max_retries = 0;
+  RunAtFirst("gang", 3);
+  AnswerFrom(kFirst, 0, false, Ran::kYes);
+  Run(Millis(200));
+  BOOST_TEST(std::count(listener.withdrawn.begin(), listener.withdrawn.end(),
+                        KeyOf(1, 1)) == 1);
+  BOOST_TEST(std::count(listener.withdrawn.begin(), listener.withdrawn.end(),
+                        KeyOf(2, 1)) == 1);
+  AnswerFrom(kFirst, 1, false, Ran::kYes);
+  AnswerFrom(kFirst, 2, false, Ran::kYes);
+  Run(Millis(500));
+  BOOST_TEST((Stored().phase == JobPhase::kFailed));
+  BOOST_TEST(Stored().reason ==
+             "task 0 of the gang: The endpoint reported a failure");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivedale::testing
