--- a/chivedale/testing/gang_planner_test.cc
+++ b/chivedale/testing/gang_planner_test.cc
@@ -2,6 +2,7 @@
 // ever, keep room that they do not use, or block the rest of the cell.
 #include "chivedale/gang_planner.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
@@ -323,6 +324,133 @@
   BOOST_TEST(step < 1000);
 }
 
+BOOST_AUTO_TEST_SUITE(OneGangStepByStep)
+
+// Two owners with room for `room` tasks each; replies are given by hand.
+struct OneGang {
+  explicit OneGang(GangPlanner::Options options = GangPlanner::Options(),
+                   int64_t room = 2) {
+    GangPlanner::Hooks hooks;
+    hooks.send = [this](const MemberId& to, const Message& message) {
+      sent.emplace_back(to, message);
+    };
+    hooks.summaries = [room] {
+      std::vector<Summary> summaries(2);
+      for (size_t i = 0; i < summaries.size(); ++i) {
+        summaries[i].owner = MemberId("o" + std::to_string(i));
+        RoomSummary& plain = summaries[i].plain;
+        plain.workers = 1;
+        plain.capacity = {room * 1000, 1, 0, room};
+        plain.largest_worker = plain.largest = plain.free = plain.capacity;
+      }
+      return summaries;
+    };
+    hooks.complete = [] { return true; };
+    hooks.held = [this](const JobId&, const std::vector<GangSlot>& slots) {
+      held = slots;
+    };
+    hooks.never_fits = [](const JobId&, const std::string&) {};
+    planner = std::make_unique<GangPlanner>(clock, random, hooks, options);
+  }
+
+  void Advance(int ms) {
+    clock.Advance(std::chrono::milliseconds(ms));
+    planner->Tick();
+  }
+  const Hold* LastHold() const {
+    const auto* hold =
+        sent.empty() ? nullptr : std::get_if<Hold>(&sent.back().second);
+    return hold;
+  }
+  void Reply(const std::string& owner, uint64_t hold, size_t count) {
+    HoldReply reply;
+    reply.hold = hold;
+    reply.job = job;
+    reply.workers.assign(count, WorkerId("w-" + owner));
+    planner->OnHoldReply(MemberId(owner), reply);
+  }
+  int64_t Releases(const std::string& owner, uint64_t hold) const {
+    return std::count_if(sent.begin(), sent.end(), [&](const auto& each) {
+      const auto* release = std::get_if<HoldRelease>(&each.second);
+      return release != nullptr && release->hold == hold &&
+             each.first == MemberId(owner);
+    });
+  }
+
+  FakeClock clock;
+  util::Random random{1};
+  const JobId job{"g"};
+  std::vector<std::pair<MemberId, Message>> sent;
+  std::vector<GangSlot> held;
+  std::unique_ptr<GangPlanner> planner;
+};
+
+// Guards against room that a gang keeps at one owner after it has given up the
+// round: two such gangs would wait for each other.
+BOOST_AUTO_TEST_CASE(ReleasesItsRoomAtBackoff) {
+  OneGang gang;
+  gang.planner->Start(gang.job, kSize, 4);  // the whole cell
+  gang.Advance(50);
+  BOOST_REQUIRE(gang.LastHold() != nullptr);
+  const uint64_t first = gang.LastHold()->hold;
+  gang.Reply("o0", first, 2);
+  BOOST_REQUIRE(gang.LastHold() != nullptr);
+  gang.Reply("o1", gang.LastHold()->hold, 0);
+  BOOST_TEST(gang.Releases("o0", first) == 1);
+  BOOST_TEST(gang.planner->held() == 0);
+  BOOST_TEST(gang.held.empty());
+}
+
+// Guards against a gang that starts on room whose hold ends at the owner before
+// the starts arrive: a hold counts from when it was asked for.
+BOOST_AUTO_TEST_CASE(RenewsAHoldThatEndsSoonAndThenStarts) {
+  GangPlanner::Options options;
+  options.hold_ttl = Millis(1'000);
+  OneGang gang(options);
+  gang.planner->Start(gang.job, kSize, 4);
+  gang.Advance(50);
+  const uint64_t first = gang.LastHold()->hold;
+  gang.Advance(400);
+  gang.Reply("o0", first, 2);
+  const uint64_t second = gang.LastHold()->hold;
+  gang.Advance(400);
+  gang.Reply("o1", second, 2);
+  // The first has 200 ms left, less than a start may take.
+  BOOST_TEST(gang.held.empty());
+  BOOST_REQUIRE(gang.LastHold() != nullptr);
+  BOOST_TEST(gang.LastHold()->hold == first);
+  gang.Reply("o0", first, 2);
+  BOOST_TEST(gang.held.size() == 4U);
+}
+
+// Guards against room that stays held at the owner, or counts for the gang,
+// because its reply came after the gang had given it up.
+BOOST_AUTO_TEST_CASE(ReleasesALateReply) {
+  OneGang gang;
+  gang.planner->Start(gang.job, kSize, 2);
+  gang.Advance(50);
+  const uint64_t first = gang.LastHold()->hold;
+  gang.Advance(600);
+  BOOST_TEST(gang.Releases("o0", first) == 1);
+  gang.Reply("o0", first, 2);
+  BOOST_TEST(gang.Releases("o0", first) == 2);
+  BOOST_TEST(gang.planner->held() == 0);
+  BOOST_TEST(gang.held.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReleasesAReplyAfterItWasStopped) {
+  OneGang gang;
+  gang.planner->Start(gang.job, kSize, 2);
+  gang.Advance(50);
+  const uint64_t first = gang.LastHold()->hold;
+  gang.planner->Stop(gang.job);
+  gang.Reply("o0", first, 2);
+  BOOST_TEST(gang.Releases("o0", first) == 2);
+  BOOST_TEST(gang.planner->held() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivedale
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,16 +1,20 @@
 # Functions that start and end a small cell on loopback; sourced by demo.sh,
 # bench.sh and soak.sh. Needs `dir` (scratch folder) and `build`.
 # Ports from CELL_BASE (default 21000): +0 store, +1 VM list, +2 control,
-# +100+n callers, +200+n peers. Two cells with other bases run side by side.
+# +100+n callers, +200+n peers. Two cells with other bases run side by side. With
+# a base in the range of outgoing ports (ip_local_port_range) another process's
+# connection may have a port; CELL_IP=127.0.0.2 avoids that, since such
+# connections come from 127.0.0.1.
 
 cell_base=${CELL_BASE:-21000}
-cell_store=127.0.0.1:$cell_base
-cell_vms=127.0.0.1:$((cell_base + 1))
-cell_control=127.0.0.1:$((cell_base + 2))
+cell_ip=${CELL_IP:-127.0.0.1}
+cell_store=$cell_ip:$cell_base
+cell_vms=$cell_ip:$((cell_base + 1))
+cell_control=$cell_ip:$((cell_base + 2))
 cell_pids=()
 
-cell_caller() { echo "127.0.0.1:$((cell_base + 100 + $1))"; }
-cell_peer() { echo "127.0.0.1:$((cell_base + 200 + $1))"; }
+cell_caller() { echo "$cell_ip:$((cell_base + 100 + $1))"; }
+cell_peer() { echo "$cell_ip:$((cell_base + 200 + $1))"; }
 
 cell_start_standin() {  # workers, GPU workers
   "$build/standin" --store "$cell_store" --vm-list "$cell_vms" \
