Scale only services

Cause: 'job scale' changed the number of tasks of any job. A running gang got tasks that wait until all tasks wait, so the job never ended; the help text and the guide speak of services only.

Change: the count of another kind is refused as bad_request.

Figures: OnlyServicesAreScaled fails without the check and passes with it.

Conclusion: a batch job that needs more tasks is submitted as a further job.

--- a/chivedale/job_manager.cc
+++ b/chivedale/job_manager.cc
@@ -634,7 +634,12 @@
 }
 
 void JobManager::SetCount(const JobId& id, int64_t count, JobCallback done) {
-  impl_->operations.SetCount(id, count, std::move(done));
+  JobListener& listener = impl_->listener;
+  const auto is_service = [&listener](const std::string& kind) {
+    const WorkRow* row = listener.FindRow(kind);
+    return row != nullptr && row->shape == WorkShape::kService;
+  };
+  impl_->operations.SetCount(id, count, is_service, std::move(done));
 }
 
 void JobManager::SetMembers(const std::vector<MemberInfo>& members) {
--- a/chivedale/job_operations.cc
+++ b/chivedale/job_operations.cc
@@ -275,17 +275,26 @@
       std::move(done));
 }
 
-void JobOperations::SetCount(const JobId& id, int64_t count, JobCallback done) {
+void JobOperations::SetCount(const JobId& id,
+                             int64_t count,
+                             std::function<bool(const std::string&)> is_service,
+                             JobCallback done) {
   if (count < 0 || count > impl_->options.max_tasks_per_job) {
     done(Refuse(ErrorKind::kBadRequest, "the count is out of range").result);
     return;
   }
   impl_->Begin(
       id, Impl::Kind::kEdit,
-      [id, count](const std::optional<JobRecord>& current) {
+      [id, count, is_service = std::move(is_service)](
+          const std::optional<JobRecord>& current) {
         if (!current) {
           return NotFound(id);
         }
+        if (!is_service(current->spec.kind)) {
+          return Refuse(ErrorKind::kBadRequest,
+                        "job '" + id.str() +
+                            "' is no service; its number of tasks is fixed");
+        }
         if (HasEnded(*current) || current->phase == JobPhase::kCancelling) {
           return Refuse(ErrorKind::kBadRequest,
                         "job '" + id.str() + "' has ended");
--- a/chivedale/job_operations.h
+++ b/chivedale/job_operations.h
@@ -24,7 +24,11 @@
   // Commands.
   void Submit(const JobSpec& spec, const WorkRow* row, JobCallback done);
   void Cancel(const JobId& id, JobCallback done);
-  void SetCount(const JobId& id, int64_t count, JobCallback done);
+  // `is_service` tells whether a kind's count may change.
+  void SetCount(const JobId& id,
+                int64_t count,
+                std::function<bool(const std::string&)> is_service,
+                JobCallback done);
   void Get(const JobId& id, JobCallback done);
   // Retries and ends operations.
   void Tick();
--- a/chivedale/testing/job_manager_test.cc
+++ b/chivedale/testing/job_manager_test.cc
@@ -304,6 +304,26 @@
   BOOST_TEST((ready.PhaseOf("s") == JobPhase::kCancelled));
 }
 
+// Guards against a gang or batch job whose count is changed while it runs: the
+// added tasks of a gang would wait for ever, and the job would not end.
+BOOST_AUTO_TEST_CASE(OnlyServicesAreScaled) {
+  FaultCounts counts("jobs, scale of others");
+  util::Random random(3);
+  Ready ready(random, counts);
+  JobCell& cell = ready.cell;
+  ready.Submit(MakeSpec("g", "gang", 3));
+  ready.Submit(MakeSpec("b", "batch", 3));
+  for (const char* id : {"g", "b"}) {
+    JobResult result;
+    cell.manager(cell.live().back())
+        .SetCount(JobId(id), 5, [&](const JobResult& r) { result = r; });
+    BOOST_TEST(ready.WaitForEnd(id, Millis(30'000)));
+    BOOST_TEST((result.error == ErrorKind::kBadRequest));
+    BOOST_TEST((ready.PhaseOf(id) == JobPhase::kSucceeded));
+    BOOST_TEST(cell.Stored(JobId(id))->tasks.size() == 3U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(StoreOutages)
