Tell owners that join of a job's epoch

Cause: a new manager tells the owners of its epoch in its first round. An owner that joins later does not know it, and would take a start of an earlier manager that was paused with the start in its queue.

Change: members that join after the claim are sent the epoch at once.

One message per active job and joining member.

Conclusion: a window remains between the join and the message; the earlier manager reads its record after a pause and gives the job up, which closes it in turn.

--- a/chivedale/active_job.cc
+++ b/chivedale/active_job.cc
@@ -80,6 +80,7 @@
 }
 
 void ActiveJob::OnClaimed() {
+  claimed_ = true;
   // The claim may have waited for the store; owners are asked from now on.
   for (int64_t i : lost_) {
     LiveOf(i).lost_since = clock_.Now();
--- a/chivedale/active_job.h
+++ b/chivedale/active_job.h
@@ -121,6 +121,7 @@
   void OnMissing(int64_t i, const WorkerTaken& taken);
   void SetToken(int64_t i, uint64_t token, const std::string& boot_id);
   JobQuery MakeQuery(uint64_t round) const;
+  void Fence(const std::set<MemberId>& joined);
   void AskOwners();
   void AskOwner(const MemberId& owner, const std::vector<int64_t>& indices);
   void ConfirmRunning();
@@ -157,6 +158,7 @@
   std::map<std::string, int64_t> in_rack_;
   std::map<std::string, int64_t> in_data_centre_;
   std::set<MemberId> members_;
+  bool claimed_ = false;
   std::set<std::string> data_centres_;
   // The present round of JobQuery.
   uint64_t round_ = 0;
--- a/chivedale/active_job_attempts.cc
+++ b/chivedale/active_job_attempts.cc
@@ -5,6 +5,7 @@
 // one more round of questions goes to all live owners, since one of them may
 // have taken the worker over in time. Only when none has it, it has ended.
 #include <algorithm>
+#include <iterator>
 
 #include "chivedale/active_job.h"
 
@@ -52,7 +53,11 @@
   const bool someone_left =
       std::any_of(members_.begin(), members_.end(),
                   [&](const MemberId& id) { return now_live.count(id) == 0; });
+  std::set<MemberId> joined;
+  std::set_difference(now_live.begin(), now_live.end(), members_.begin(),
+                      members_.end(), std::inserter(joined, joined.end()));
   members_ = std::move(now_live);
+  Fence(joined);
   // A member that left may have had the worker of a lost attempt for a while,
   // which prolonged the attempt's life.
   if (someone_left) {
@@ -338,6 +343,17 @@
   return query;
 }
 
+// A member that joined after the last round does not know the epoch, and would
+// take a start of an earlier manager that was paused meanwhile.
+void ActiveJob::Fence(const std::set<MemberId>& joined) {
+  if (!claimed_) {
+    return;  // nothing may be sent yet; the first round asks all members
+  }
+  for (const MemberId& member : joined) {
+    listener_.SendToMember(member, MakeQuery(kConfirmRound));
+  }
+}
+
 void ActiveJob::AskOwners() {
   const util::TimePoint now = clock_.Now();
   if (now - round_at_ < kQueryInterval) {
--- a/chivedale/testing/gang_planner_test.cc
+++ b/chivedale/testing/gang_planner_test.cc
@@ -438,6 +438,22 @@
   BOOST_TEST(gang.held.empty());
 }
 
+// Guards against a repeated reply that is taken for that of the owner asked
+// next, and prolongs what the gang believes to hold.
+BOOST_AUTO_TEST_CASE(IgnoresARepeatedReply) {
+  OneGang gang;
+  gang.planner->Start(gang.job, kSize, 4);
+  gang.Advance(50);
+  const uint64_t first = gang.LastHold()->hold;
+  gang.Reply("o0", first, 2);
+  const uint64_t second = gang.LastHold()->hold;
+  gang.Reply("o0", first, 2);
+  BOOST_TEST(gang.Releases("o0", first) == 0);
+  BOOST_TEST(gang.planner->held() == 2);
+  gang.Reply("o1", second, 2);
+  BOOST_TEST(gang.held.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(ReleasesAReplyAfterItWasStopped) {
   OneGang gang;
   gang.planner->Start(gang.job, kSize, 2);
--- a/chivedale/testing/job_steps_test.cc
+++ b/chivedale/testing/job_steps_test.cc
@@ -206,6 +206,18 @@
   BOOST_TEST(listener.enqueued.empty());
 }
 
+// Guards against a start of a paused manager at an owner that joined after the
+// takeover: it was not there to be asked.
+BOOST_FIXTURE_TEST_CASE(FenceAtOwnersThatJoinLater, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kStarting));
+  const MemberId third("o3");
+  Run(Millis(300));
+  Reply(kFirst, {{KeyOf(0, 1), kWorker}});
+  SetOwners({kFirst, kSecond, third});
+  BOOST_REQUIRE(Number<JobQuery>(third) == 1);
+  BOOST_TEST(LastQuery(third).epoch == 4U);
+}
+
 // Guards against messages of a manager whose claim is not in the store.
 BOOST_FIXTURE_TEST_CASE(SendNothingBeforeTheyAreInTheStore, OneManager) {
   Store(RecordOf("batch", 1, TaskPhase::kRunning));
