--- a/chivedale/load_results.cc
+++ b/chivedale/load_results.cc
@@ -11,6 +11,8 @@
 constexpr size_t kMaxDetails = 10;
 // A wait within this counts as served in time in the crest columns.
 constexpr Millis kUrgentBound{2'000};
+// Within this time after a crest service has to be back to normal.
+constexpr Millis kRecovery{5'000};
 
 std::string Cell(double value, int width, int digits) {
   char text[48];
@@ -46,8 +48,12 @@
                         request.at >= profile_.crest_at &&
                         request.at < profile_.crest_at + profile_.crest_rise +
                                          profile_.crest_length;
-  if (in_crest && request.outcome != LoadOutcome::kCancelled) {
-    ++kind.crest_total;
+  const bool after = profile_.crest_length.count() > 0 &&
+                     request.at >= profile_.crest_at + profile_.crest_rise +
+                                       profile_.crest_length + kRecovery;
+  if (request.outcome != LoadOutcome::kCancelled) {
+    kind.crest_total += in_crest ? 1 : 0;
+    kind.after_total += after ? 1 : 0;
   }
   if (request.outcome == LoadOutcome::kOk) {
     const util::Duration wait = request.latency - request.run;
@@ -56,6 +62,9 @@
     if (in_crest) {
       kind.crest_wait.Add(wait);
     }
+    if (after) {
+      kind.after_wait.Add(wait);
+    }
   }
   requests_.push_back(std::move(request));
 }
@@ -151,7 +160,9 @@
         {"wait_max_ms", kind.wait.MaxMs()},
         {"latency_p99_ms", kind.latency.QuantileMs(0.99)},
         {"crest_total", kind.crest_total},
-        {"crest_wait_p99_ms", kind.crest_wait.QuantileMs(0.99)}};
+        {"crest_wait_p99_ms", kind.crest_wait.QuantileMs(0.99)},
+        {"after_total", kind.after_total},
+        {"after_wait_p99_ms", kind.after_wait.QuantileMs(0.99)}};
     if (kind.crest_total > 0) {
       line["crest_service_level"] =
           kind.crest_wait.ShareWithin(kUrgentBound) *
--- a/chivedale/load_results.h
+++ b/chivedale/load_results.h
@@ -50,6 +50,9 @@
   // The same of the work that was due within the crest.
   util::LatencyHistogram crest_wait;
   int64_t crest_total = 0;
+  // The same of the work that was due 5 s or more after the crest.
+  util::LatencyHistogram after_wait;
+  int64_t after_total = 0;
 };
 
 // How often the workers ran each request, from their own books.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -39,22 +39,13 @@
 
 # Prints a line per label, kind and field: median, minimum and maximum.
 bench_table() {  # fields
-  local field
-  printf '%-24s %-22s %-22s %10s %10s %10s\n' variant kind field median min max
-  for field in "$@"; do
-    sed -n 's/.*"'"$field"'":\([-0-9.e]*\).*/\1 &/p' "$lines" |
-      sed -n 's/^\([^ ]*\) .*"kind":"\([^"]*\)".*"label":"\([^"]*\)".*/\3 \2 \1/p' |
-      sort -k1,1 -k2,2 -k3,3g |
-      awk -v field="$field" '
-        function flush() {
-          if (n) printf "%-24s %-22s %-22s %10.3f %10.3f %10.3f\n", label, kind,
-            field, v[int((n + 1) / 2)], v[1], v[n]
-          n = 0
-        }
-        $1 != label || $2 != kind { flush(); label = $1; kind = $2 }
-        { v[++n] = $3 }
-        END { flush() }'
-  done
+  printf '%-22s %-22s %-20s %12s %12s %12s\n' variant kind field median min max
+  jq -rs --args '. as $all | $ARGS.positional[] as $f | $all |
+    group_by([.label, .kind])[] | (map(.[$f] // empty) | sort) as $v |
+    select($v | length > 0) | [.[0].label, .[0].kind, $f,
+      $v[($v | length - 1) / 2 | floor], $v[0], $v[-1]] | @tsv' "$@" <"$lines" |
+    awk -F '\t' '{ printf "%-22s %-22s %-20s %12.3f %12.3f %12.3f\n",
+      $1, $2, $3, $4, $5, $6 }'
   cat "$lines"
 }
 
@@ -89,8 +80,161 @@
   bench_table wait_p50_ms wait_p99_ms wait_max_ms
 }
 
+# Sends one load to cells that differ only in their settings.
+bench_compare() {  # workers, GPU workers, table, profile, LABEL=SETTINGS...
+  local workers=$1 gpu=$2 table=$3 profile=$4 run variant
+  shift 4
+  for run in $(seq "$runs"); do
+    seed=$((first_seed + run - 1))
+    for variant in "$@"; do
+      bench_start "$workers" "$gpu" "$table" "${variant#*=}"
+      bench_load "${variant%%=*}" "$profile" "$table"
+      cell_stop
+    done
+  done
+}
+
+fifo=', "queue_policy": "fifo", "routing": "round_robin", "placement": "round_robin"'
+
+# Demand rises tenfold within 2 s, beyond the capacity of 12 and 5 workers, and
+# stays for 8 s.
+measure_crest() {
+  bench_compare 12 5 examples/table.json examples/bench/crest.json \
+    ours= "fifo=$fifo"
+  bench_table crest_wait_p99_ms crest_service_level after_wait_p99_ms
+}
+
+# Waits of short work beside long work, with and without stragglers.
+measure_stragglers() {
+  local with
+  for with in without with; do
+    bench_compare 12 0 examples/table.json \
+      "examples/bench/stragglers_$with.json" "ours_$with=" "fifo_$with=$fifo"
+  done
+  bench_table wait_p50_ms wait_p99_ms
+}
+
+# Answered repeatable requests with the store down and up, in one cell. Latency
+# shows what a throughput ratio of an open-loop load would hide.
+measure_store_down() {
+  local run
+  for run in $(seq "$runs"); do
+    seed=$((first_seed + 10 * run))
+    bench_start 12 5 examples/table.json
+    bench_load store_up examples/bench/repeatable.json examples/table.json
+    curl -s -o "$dir/fault.out" -d '{"store": {"down": true}}' \
+      "http://$cell_control/fault"
+    sleep 1
+    seed=$((seed + 1))
+    bench_load store_down examples/bench/repeatable.json examples/table.json
+    cell_stop
+  done
+  bench_table ok wait_p50_ms wait_p99_ms
+}
+
+# The longest time between two starts on each worker of the ended owner, and,
+# as the baseline, on the workers of all others.
+measure_failover() {
+  local run signal ended owned
+  printf '%-24s %-22s %10s\n' variant workers longest_gap_ms
+  for run in $(seq "$runs"); do
+    for signal in KILL TERM; do
+      seed=$((first_seed + run - 1))
+      bench_start 12 5 examples/table.json ', "placement": "spread"'
+      ended=1
+      owned=$(curl -s "http://$(cell_caller "$ended")/v1/workers" |
+        jq -c '[.workers[] | select(.lease == "owned") | .id]')
+      (sleep 5; kill "-$signal" "${daemon_pid[ended]}") &
+      cell_pids+=("$!")
+      bench_load "$signal" examples/bench/repeatable.json examples/table.json
+      curl -s "http://$cell_control/book?all=1" >"$dir/book.json"
+      cell_stop
+      jq -c --argjson owned "$owned" --arg label "$signal" '
+        [.runs[][] | {worker, start_ms}] | group_by(.worker) |
+        map((map(.start_ms) | sort) as $s | {worker: .[0].worker,
+          gap: ([range(1; $s | length) | $s[.] - $s[. - 1]] | max // 0)}) |
+        {label: $label, workers: ($owned | length),
+         ended_owner_gap_ms: ([.[] | select(.worker as $w | $owned | index($w))
+           | .gap] | max),
+         others_gap_ms: ([.[] | select(.worker as $w | $owned | index($w) | not)
+           | .gap] | max)}' "$dir/book.json" | tee -a "$lines"
+    done
+  done
+}
+
+# Processor time, memory and traffic of idle daemons and of daemons under load.
+# Bytes are those sent to peers, divided by 6 links of each daemon.
+measure_control() {
+  local n load ticks before bytes reads seconds=10
+  ticks=$(getconf CLK_TCK)
+  seed=$first_seed
+  bench_start 35 13 examples/table.json
+  for load in idle busy; do
+    if [ "$load" = busy ]; then
+      bench_load busy examples/bench/repeatable.json examples/table.json &
+      sleep 2 && seconds=6
+    fi
+    for n in 1 2 3 4 5 6 7; do
+      before[n]=$(awk '{print $14 + $15}' "/proc/${daemon_pid[n]}/stat")
+      bytes[n]=$(bench_counter "$n" chivedale_peer_bytes_sent_total)
+      reads[n]=$(($(bench_counter "$n" chivedale_store_reads_total) + \
+        $(bench_counter "$n" chivedale_store_writes_total)))
+    done
+    sleep "$seconds"
+    for n in 1 2 3 4 5 6 7; do
+      awk -v load="$load" -v n="$n" -v hz="$ticks" -v s="$seconds" \
+        -v before="${before[n]}" \
+        -v after="$(awk '{print $14 + $15}' "/proc/${daemon_pid[n]}/stat")" \
+        -v rss="$(awk '/^VmRSS/ {print $2}' "/proc/${daemon_pid[n]}/status")" \
+        -v bytes="$(($(bench_counter "$n" chivedale_peer_bytes_sent_total) - bytes[n]))" \
+        -v calls="$(($(bench_counter "$n" chivedale_store_reads_total) + \
+          $(bench_counter "$n" chivedale_store_writes_total) - reads[n]))" '
+        BEGIN {
+          printf "{\"label\":\"%s\",\"kind\":\"daemon\",\"core_percent\":%.2f,",
+            load, 100 * (after - before) / hz / s
+          printf "\"resident_mb\":%.1f,\"link_bytes_per_s\":%.0f,", rss / 1024,
+            bytes / s / 6
+          printf "\"store_calls_per_s\":%.2f,\"daemon\":%d}\n", calls / s, n
+        }' >>"$lines"
+    done
+  done
+  wait "$!" || true
+  cell_stop
+  bench_table core_percent resident_mb link_bytes_per_s store_calls_per_s
+}
+
+# Time from the command that changes the table until every daemon reports the
+# new revision, seen by polling.
+measure_table() {
+  local edit begin end n revision edits=${EDITS:-300}
+  bench_start 3 0 examples/table.json
+  for edit in $(seq "$edits"); do
+    sed "s/\"weight\": 4/\"weight\": $((5 + edit % 7))/" examples/table.json \
+      >"$dir/table.json"
+    n=$((1 + edit % 7))
+    begin=$(date +%s%N)
+    "$build/chivedalectl" --server "$(cell_caller "$n")" table apply \
+      "$dir/table.json" >"$dir/apply.out"
+    revision=$((edit + 1))
+    for n in 1 2 3 4 5 6 7; do
+      until [ "$(bench_counter "$n" chivedale_table_revision)" -ge "$revision" ]
+      do :; done
+    done
+    end=$(date +%s%N)
+    echo "{\"in_force_ms\":$(((end - begin) / 1000000)),\"kind\":\"edit\",\"label\":\"table\"}" >>"$lines"
+  done
+  cell_stop
+  jq -s '[.[].in_force_ms] | sort | {edits: length, p50: .[length / 2 | floor],
+    p99: .[length * 99 / 100 | floor], worst: .[-1]}' "$lines"
+}
+
 name=${1:-}
 case "$name" in
-  path) measure_path ;;
-  *) echo "usage: scripts/bench.sh path" >&2; exit 2 ;;
+  path | crest | stragglers | failover | control | table) "measure_$name" ;;
+  store-down) measure_store_down ;;
+  *)
+    echo "usage: scripts/bench.sh" \
+      "path|crest|stragglers|failover|store-down|control|table" >&2
+    exit 2
+    ;;
 esac
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -2,7 +2,7 @@
 # Installs the build tools and libraries on a Debian machine. Does nothing when
 # all of them are present, so that a build without network still works.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache clang-format clang-tidy git curl
+packages=(g++ cmake ninja-build ccache clang-format clang-tidy git curl jq
   libboost-dev libboost-test-dev liblog4cxx-dev libmsgpack-cxx-dev
   nlohmann-json3-dev librapidcheck-dev libssl-dev libxxhash-dev)
 missing=()
