--- a/chivedale/testing/load_plan_test.cc
+++ b/chivedale/testing/load_plan_test.cc
@@ -73,6 +73,36 @@
 
 BOOST_AUTO_TEST_SUITE(LoadResultsAgainstTheWorkersBook)
 
+// Guards against a recovery figure that contains the crest or leaves out work
+// that was lost.
+BOOST_AUTO_TEST_CASE(SeparateTheCrestFromTheTimeAfterIt) {
+  LoadProfile profile = ParseLoadProfile(kProfile);
+  profile.crest_at = Millis(1'000);
+  profile.crest_rise = Millis(500);
+  profile.crest_length = Millis(1'500);
+  LoadResults results(profile);
+  const auto add = [&results](int64_t at_ms, LoadOutcome outcome) {
+    LoadRequest request;
+    request.at = Millis(at_ms);
+    request.latency = Millis(at_ms);
+    request.outcome = outcome;
+    results.Add(request);
+  };
+  add(999, LoadOutcome::kOk);
+  add(1'000, LoadOutcome::kOk);
+  add(2'999, LoadOutcome::kLost);
+  add(3'000, LoadOutcome::kOk);
+  add(7'999, LoadOutcome::kOk);
+  add(8'000, LoadOutcome::kOk);
+  add(9'000, LoadOutcome::kRefused);
+  add(9'000, LoadOutcome::kCancelled);
+  const LoadKindResult& kind = results.kinds()[0];
+  BOOST_TEST(kind.crest_total == 2);
+  BOOST_TEST(kind.crest_wait.count() == 1);
+  BOOST_TEST(kind.after_total == 2);
+  BOOST_TEST(kind.after_wait.count() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(NameEachContradiction) {
   const LoadProfile profile = ParseLoadProfile(kProfile);
   LoadResults results(profile);
