Compare the path with a cell whose entries have own workers

A cell of 28 workers serves each entry from its own workers; the difference to the cell of 4 workers is the second daemon. SETTINGS adds daemon settings.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -63,19 +63,23 @@
   echo "$total"
 }
 
-# Added latency: more daemons than workers, so that most requests pass through
-# two daemons. The baseline sends to daemons whose own workers have room.
+# Added latency: with fewer workers than daemons most requests pass through two
+# daemons. The baseline is a cell in which each entry has own workers, so that
+# the difference is the cost of the second daemon.
 measure_path() {
-  local run
+  local run workers
   for run in $(seq "$runs"); do
     seed=$((first_seed + run - 1))
-    bench_start 4 0 examples/bench/path_table.json
-    bench_load two_daemons examples/bench/path.json \
-      examples/bench/path_table.json
-    echo "run $run: attempts $(bench_counter_sum chivedale_attempts_total)," \
-      "to another owner $(bench_counter_sum chivedale_dispatches_remote_total)," \
-      "refused $(bench_counter_sum chivedale_dispatches_refused_total)"
-    cell_stop
+    for workers in 4 28; do
+      bench_start "$workers" 0 examples/bench/path_table.json "${SETTINGS:-}"
+      bench_load "workers_$workers" examples/bench/path.json \
+        examples/bench/path_table.json
+      echo "run $run, $workers workers:" \
+        "attempts $(bench_counter_sum chivedale_attempts_total)," \
+        "to another owner $(bench_counter_sum chivedale_dispatches_remote_total)," \
+        "refused $(bench_counter_sum chivedale_dispatches_refused_total)"
+      cell_stop
+    done
   done
   bench_table wait_p50_ms wait_p99_ms wait_max_ms
 }
