--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -140,7 +140,6 @@
 # as the baseline, on the workers of all others.
 measure_failover() {
   local run signal ended owned
-  printf '%-24s %-22s %10s\n' variant workers longest_gap_ms
   for run in $(seq "$runs"); do
     for signal in KILL TERM; do
       seed=$((first_seed + run - 1))
@@ -153,17 +152,18 @@
       bench_load "$signal" examples/bench/repeatable.json examples/table.json
       curl -s "http://$cell_control/book?all=1" >"$dir/book.json"
       cell_stop
-      jq -c --argjson owned "$owned" --arg label "$signal" '
+      jq -c --argjson owned "$owned" --arg signal "$signal" '
         [.runs[][] | {worker, start_ms}] | group_by(.worker) |
         map((map(.start_ms) | sort) as $s | {worker: .[0].worker,
           gap: ([range(1; $s | length) | $s[.] - $s[. - 1]] | max // 0)}) |
-        {label: $label, workers: ($owned | length),
+        {label: $signal, workers: ($owned | length),
          ended_owner_gap_ms: ([.[] | select(.worker as $w | $owned | index($w))
            | .gap] | max),
          others_gap_ms: ([.[] | select(.worker as $w | $owned | index($w) | not)
-           | .gap] | max)}' "$dir/book.json" | tee -a "$lines"
+           | .gap] | max)} | .kind = "gap"' "$dir/book.json" >>"$lines"
     done
   done
+  bench_table ended_owner_gap_ms others_gap_ms
 }
 
 # Processor time, memory and traffic of idle daemons and of daemons under load.
