Keep a hash in place of each id in the request directory

Cause: a holder kept 522 B per id: the text of the id three times, that of its entry, and four containers. The bound of 2,000,000 ids was 1,049 MB resident, eight times the budget of 128 MB. An id that was withdrawn also kept its place in the queue of ages, which had no bound.

Change: IdBook keeps one 48 B record per registration in their order, with a 128-bit hash of the id and the number of its member, and an index of order numbers in 256 shards. The bound counts erased records too. A member's death marks its ids in one step. An adopter of an unrepeatable id no longer gets the first registration's kNew again when its own registration happens to have the same number.

A map from hash to record was ruled out: its nodes alone take as much as the record. Dropping ids after their end was not done, since holders are not told of it.

--- a/chivedale/id_book.cc
+++ b/chivedale/id_book.cc
@@ -1,89 +1,292 @@
-// `ages_` keeps an element per insertion. One whose order number is no longer
-// that of its id is stale and is skipped; it leaves with its age.
+// At the size to design for, a holder knows millions of ids, so a record keeps
+// a 128-bit hash in place of the id's text, and the number of its member in
+// place of the member's id. Two ids with one hash would be taken for one
+// request; the digest and the entry's own ledger still tell them apart, so the
+// second is refused and never gets the first one's answer.
+//
+// Records stay in the order of registration; an erased one keeps its place
+// until all before it have gone. The index holds order numbers only. It is
+// split into shards so that a shard's growth moves a 256th of the ids at once:
+// it happens on the control thread.
 #include "chivedale/id_book.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "util/random.h"
+
 namespace chivedale {
+namespace {
+
+constexpr uint64_t kSecondSeed = 0x9e3779b97f4a7c15;
+constexpr size_t kFirstSlots = 16;
+// Marks a free slot; no record has this order number.
+constexpr uint32_t kNone = 0;
+
+}  // namespace
+
+IdBook::IdBook(const util::Clock& clock, int64_t max_ids)
+    : clock_(clock), max_ids_(max_ids) {}
 
-uint64_t IdBook::Insert(const RequestId& id, Entry entry) {
+uint64_t IdBook::Insert(const RequestId& id, const Entry& entry) {
   Erase(id);
-  entry.order = ++last_order_;
-  by_entry_[entry.entry].insert(id);
-  ages_.push_back({id, entry.order, clock_.Now()});
-  ids_.emplace(id, std::move(entry));
-  while (size() > max_ids_) {
+  Record record{};
+  record.key = KeyOf(id);
+  record.digest = entry.digest;
+  record.registration = entry.registration;
+  record.at = clock_.Now();
+  record.repeatable = entry.repeatable;
+  record.recording = entry.recording;
+  record.granted = entry.granted;
+  record.owner = OwnerOf(entry.entry);
+  uint64_t order = first_order_ + records_.size();
+  if (static_cast<uint32_t>(order) == kNone) {
+    Record unused{};
+    unused.at = record.at;
+    unused.erased = true;
+    records_.push_back(unused);
+    ++order;
+  }
+  records_.push_back(record);
+  AddToIndex(record.key, static_cast<uint32_t>(order));
+  ++owners_[record.owner].ids;
+  ++live_;
+  while (static_cast<int64_t>(records_.size()) > max_ids_) {
     DropOldest();
   }
-  return last_order_;
+  return order;
 }
 
 void IdBook::Erase(const RequestId& id) {
-  auto it = ids_.find(id);
-  if (it == ids_.end()) {
-    return;
+  if (Record* record = Lookup(id)) {
+    EraseRecord(*record);
   }
-  Unlink(id, it->second.entry);
-  ids_.erase(it);
 }
 
 void IdBook::Assign(const RequestId& id, const MemberId& member) {
-  Entry& entry = ids_.at(id);
-  if (entry.entry != member) {
-    Unlink(id, entry.entry);
-    by_entry_[member].insert(id);
-    entry.entry = member;
+  Record* record = Lookup(id);
+  if (record == nullptr) {
+    return;
   }
-  entry.orphaned = false;
+  const uint32_t owner = OwnerOf(member);
+  if (owner == record->owner) {
+    return;
+  }
+  if (owners_[record->owner].member != member) {
+    record->granted = false;
+  }
+  ++owners_[owner].ids;
+  ReleaseOwner(std::exchange(record->owner, owner));
 }
 
-void IdBook::Expire(Millis age) {
-  const util::TimePoint now = clock_.Now();
-  while (!ages_.empty() && now - ages_.front().at >= age) {
-    DropOldest();
+void IdBook::SetRecorded(const RequestId& id, bool granted) {
+  if (Record* record = Lookup(id)) {
+    record->recording = false;
+    record->granted = granted;
   }
 }
 
-IdBook::Entry* IdBook::Find(const RequestId& id) {
-  auto it = ids_.find(id);
-  return it == ids_.end() ? nullptr : &it->second;
+void IdBook::Orphan(const MemberId& member) {
+  auto it = owner_by_member_.find(member);
+  if (it != owner_by_member_.end()) {
+    owners_[it->second].orphaned = true;
+    owner_by_member_.erase(it);
+  }
 }
 
-std::vector<RequestId> IdBook::OfEntry(const MemberId& member) const {
-  auto it = by_entry_.find(member);
-  if (it == by_entry_.end()) {
-    return {};
+void IdBook::EraseRepeatableOf(const MemberId& member) {
+  const bool any = std::any_of(owners_.begin(), owners_.end(),
+                               [&member](const Owner& owner) {
+                                 return owner.ids > 0 && owner.member == member;
+                               });
+  if (!any) {
+    return;
+  }
+  for (Record& record : records_) {
+    if (!record.erased && record.repeatable &&
+        owners_[record.owner].member == member) {
+      EraseRecord(record);
+    }
   }
-  return std::vector<RequestId>(it->second.begin(), it->second.end());
+}
+
+void IdBook::EraseIf(
+    const std::function<bool(uint64_t hash, bool repeatable)>& drop) {
+  for (Record& record : records_) {
+    if (!record.erased && drop(record.key.low, record.repeatable)) {
+      EraseRecord(record);
+    }
+  }
+}
+
+void IdBook::Expire(std::chrono::milliseconds age) {
+  const util::TimePoint now = clock_.Now();
+  while (!records_.empty() &&
+         (records_.front().erased || now - records_.front().at >= age)) {
+    DropOldest();
+  }
+}
+
+std::optional<IdBook::Entry> IdBook::Find(const RequestId& id) const {
+  const uint32_t order = OrderOf(KeyOf(id));
+  if (order == kNone) {
+    return std::nullopt;
+  }
+  const Record& record = At(order);
+  const Owner& owner = owners_[record.owner];
+  Entry entry;
+  entry.entry = owner.member;
+  entry.digest = record.digest;
+  entry.registration = record.registration;
+  entry.order = first_order_ + (order - static_cast<uint32_t>(first_order_));
+  entry.repeatable = record.repeatable;
+  entry.recording = record.recording;
+  entry.orphaned = owner.orphaned;
+  entry.granted = record.granted;
+  return entry;
 }
 
 std::vector<MemberId> IdBook::Entries() const {
   std::vector<MemberId> members;
-  members.reserve(by_entry_.size());
-  for (const auto& [member, ids] : by_entry_) {
-    members.push_back(member);
+  for (const Owner& owner : owners_) {
+    if (owner.ids > 0) {
+      members.push_back(owner.member);
+    }
   }
+  std::sort(members.begin(), members.end());
+  members.erase(std::unique(members.begin(), members.end()), members.end());
   return members;
 }
 
+IdBook::Key IdBook::KeyOf(const RequestId& id) {
+  return {util::Hash64(id.str()), util::Hash64(id.str(), kSecondSeed)};
+}
+
+// Differences of 32-bit order numbers are right across their wrap, since far
+// fewer than 2^32 records are kept.
+IdBook::Record& IdBook::At(uint32_t order) {
+  return records_[order - static_cast<uint32_t>(first_order_)];
+}
+
+const IdBook::Record& IdBook::At(uint32_t order) const {
+  return records_[order - static_cast<uint32_t>(first_order_)];
+}
+
+uint32_t IdBook::OrderOf(const Key& key) const {
+  const Shard& shard = shards_[ShardOf(key)];
+  if (shard.slots.empty()) {
+    return kNone;
+  }
+  const size_t mask = shard.slots.size() - 1;
+  size_t i = HomeOf(shard, key);
+  while (shard.slots[i] != kNone && !(At(shard.slots[i]).key == key)) {
+    i = (i + 1) & mask;
+  }
+  return shard.slots[i];
+}
+
+IdBook::Record* IdBook::Lookup(const RequestId& id) {
+  const uint32_t order = OrderOf(KeyOf(id));
+  return order == kNone ? nullptr : &At(order);
+}
+
+size_t IdBook::HomeOf(const Shard& shard, const Key& key) {
+  return (key.high / kShards) & (shard.slots.size() - 1);
+}
+
+void IdBook::AddToIndex(const Key& key, uint32_t order) {
+  Shard& shard = shards_[ShardOf(key)];
+  if ((shard.used + 1) * 4 > shard.slots.size() * 3) {
+    Grow(shard);
+  }
+  const size_t mask = shard.slots.size() - 1;
+  size_t i = HomeOf(shard, key);
+  while (shard.slots[i] != kNone) {
+    i = (i + 1) & mask;
+  }
+  shard.slots[i] = order;
+  ++shard.used;
+}
+
+void IdBook::Grow(Shard& shard) {
+  const std::vector<uint32_t> old = std::move(shard.slots);
+  shard.slots.assign(std::max(kFirstSlots, old.size() * 2), kNone);
+  const size_t mask = shard.slots.size() - 1;
+  for (const uint32_t order : old) {
+    if (order == kNone) {
+      continue;
+    }
+    size_t i = HomeOf(shard, At(order).key);
+    while (shard.slots[i] != kNone) {
+      i = (i + 1) & mask;
+    }
+    shard.slots[i] = order;
+  }
+}
+
+// Moves later entries of the probe sequence back, so that no search ends at
+// the freed slot too early.
+void IdBook::RemoveFromIndex(const Key& key) {
+  Shard& shard = shards_[ShardOf(key)];
+  const size_t mask = shard.slots.size() - 1;
+  size_t hole = HomeOf(shard, key);
+  while (!(At(shard.slots[hole]).key == key)) {
+    hole = (hole + 1) & mask;
+  }
+  for (size_t i = (hole + 1) & mask; shard.slots[i] != kNone;
+       i = (i + 1) & mask) {
+    const size_t home = HomeOf(shard, At(shard.slots[i]).key);
+    if (((i - home) & mask) >= ((i - hole) & mask)) {
+      shard.slots[hole] = shard.slots[i];
+      hole = i;
+    }
+  }
+  shard.slots[hole] = kNone;
+  --shard.used;
+}
+
+void IdBook::EraseRecord(Record& record) {
+  RemoveFromIndex(record.key);
+  ReleaseOwner(record.owner);
+  record.erased = true;
+  --live_;
+}
+
 void IdBook::DropOldest() {
-  const Aged oldest = ages_.front();
-  ages_.pop_front();
-  const Entry* entry = Find(oldest.id);
-  if (entry != nullptr && entry->order == oldest.order) {
-    Erase(oldest.id);
+  Record& oldest = records_.front();
+  if (!oldest.erased) {
+    EraseRecord(oldest);
+  }
+  records_.pop_front();
+  ++first_order_;
+}
+
+uint32_t IdBook::OwnerOf(const MemberId& member) {
+  const auto known = owner_by_member_.find(member);
+  if (known != owner_by_member_.end()) {
+    return known->second;
+  }
+  auto index = static_cast<uint32_t>(owners_.size());
+  if (free_owners_.empty()) {
+    owners_.emplace_back();
+  } else {
+    index = free_owners_.back();
+    free_owners_.pop_back();
   }
+  owners_[index] = {member, 0, false};
+  owner_by_member_[member] = index;
+  return index;
 }
 
-void IdBook::Unlink(const RequestId& id, const MemberId& member) {
-  auto it = by_entry_.find(member);
-  if (it == by_entry_.end()) {
+void IdBook::ReleaseOwner(uint32_t index) {
+  Owner& owner = owners_[index];
+  if (--owner.ids > 0) {
     return;
   }
-  it->second.erase(id);
-  if (it->second.empty()) {
-    by_entry_.erase(it);
+  if (!owner.orphaned) {
+    owner_by_member_.erase(owner.member);
   }
+  free_owners_.push_back(index);
 }
 
 }  // namespace chivedale
--- a/chivedale/id_book.h
+++ b/chivedale/id_book.h
@@ -1,16 +1,21 @@
-// The ids that a holder knows, by id, by entry and by age. Bounded.
+// The ids that a holder knows, by id, by entry and by age. Bounded: it
+// remembers the last `max_ids` registrations, about 60 bytes each.
+//
+//   IdBook book(clock, 2'000'000);
+//   uint64_t order = book.Insert(id, entry);
+//   if (std::optional<IdBook::Entry> known = book.Find(id)) ...
 #ifndef CHIVEDALE_ID_BOOK_H_
 #define CHIVEDALE_ID_BOOK_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "chivedale/ids.h"
-#include "chivedale/messages.h"
 #include "util/clock.h"
 
 namespace chivedale {
@@ -27,46 +32,96 @@
     bool recording = false;
     // The entry is gone and no member has adopted the id.
     bool orphaned = false;
-    // What the first registration got, for a repeated send of it.
-    std::optional<RegisterReply> first_reply;
+    // `registration` was answered kNew after its record was written.
+    bool granted = false;
   };
 
-  IdBook(const util::Clock& clock, int64_t max_ids)
-      : clock_(clock), max_ids_(max_ids) {}
+  IdBook(const util::Clock& clock, int64_t max_ids);
 
   // Commands.
   // Returns the entry's order number. Drops the oldest ids over the bound.
-  uint64_t Insert(const RequestId& id, Entry entry);
+  uint64_t Insert(const RequestId& id, const Entry& entry);
   void Erase(const RequestId& id);
-  // Makes `member` responsible for a known id.
+  // Makes `member` responsible for a known id. Another member than before gets
+  // no repeat of the first answer.
   void Assign(const RequestId& id, const MemberId& member);
-  void Expire(Millis age);
+  // Ends the recording of a known id.
+  void SetRecorded(const RequestId& id, bool granted);
+  // All present ids of `member` become orphans.
+  void Orphan(const MemberId& member);
+  // Visits all ids, as EraseIf.
+  void EraseRepeatableOf(const MemberId& member);
+  // `hash` is util::Hash64 of the id.
+  void EraseIf(const std::function<bool(uint64_t hash, bool repeatable)>& drop);
+  void Expire(std::chrono::milliseconds age);
 
   // Queries.
-  // Null when unknown.
-  Entry* Find(const RequestId& id);
-  std::vector<RequestId> OfEntry(const MemberId& member) const;
+  std::optional<Entry> Find(const RequestId& id) const;
   // Members with at least one id.
   std::vector<MemberId> Entries() const;
-  const std::unordered_map<RequestId, Entry>& entries() const { return ids_; }
-  int64_t size() const { return static_cast<int64_t>(ids_.size()); }
+  int64_t size() const { return live_; }
 
  private:
-  struct Aged {
-    RequestId id;
-    uint64_t order = 0;
+  static constexpr size_t kShards = 256;
+
+  struct Key {
+    uint64_t low = 0;
+    uint64_t high = 0;
+
+    friend bool operator==(const Key& a, const Key& b) {
+      return a.low == b.low && a.high == b.high;
+    }
+  };
+  struct Record {
+    Key key;
+    uint64_t digest = 0;
+    uint64_t registration = 0;
     util::TimePoint at{};
+    uint32_t owner = 0;  // index into owners_
+    bool erased : 1;
+    bool repeatable : 1;
+    bool recording : 1;
+    bool granted : 1;
+  };
+  // The ids that one member registered before or after its death.
+  struct Owner {
+    MemberId member;
+    int64_t ids = 0;
+    bool orphaned = false;
+  };
+  // Open addressing with linear probing over the low 32 bits of order numbers.
+  struct Shard {
+    std::vector<uint32_t> slots;
+    size_t used = 0;
   };
 
+  static Key KeyOf(const RequestId& id);
+  Record& At(uint32_t order);
+  const Record& At(uint32_t order) const;
+  // The low 32 bits of the order number, or 0 when unknown.
+  uint32_t OrderOf(const Key& key) const;
+  Record* Lookup(const RequestId& id);
+  void AddToIndex(const Key& key, uint32_t order);
+  void RemoveFromIndex(const Key& key);
+  void Grow(Shard& shard);
+  static size_t HomeOf(const Shard& shard, const Key& key);
+  static size_t ShardOf(const Key& key) { return key.high % kShards; }
+  void EraseRecord(Record& record);
   void DropOldest();
-  void Unlink(const RequestId& id, const MemberId& member);
+  uint32_t OwnerOf(const MemberId& member);
+  void ReleaseOwner(uint32_t owner);
 
   const util::Clock& clock_;
   const int64_t max_ids_;
-  std::unordered_map<RequestId, Entry> ids_;
-  std::unordered_map<MemberId, std::unordered_set<RequestId>> by_entry_;
-  std::deque<Aged> ages_;
-  uint64_t last_order_ = 0;
+  // In the order of registration; the first has order number `first_order_`.
+  std::deque<Record> records_;
+  uint64_t first_order_ = 1;
+  int64_t live_ = 0;
+  std::array<Shard, kShards> shards_;
+  std::vector<Owner> owners_;
+  std::vector<uint32_t> free_owners_;
+  // Where new ids of a member are counted.
+  std::unordered_map<MemberId, uint32_t> owner_by_member_;
 };
 
 }  // namespace chivedale
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -64,10 +64,13 @@
         once_groups(static_cast<size_t>(options.record_groups)),
         repeatable_groups(static_cast<size_t>(options.record_groups)) {}
 
-  int GroupOf(const RequestId& id) const {
-    return static_cast<int>(util::Hash64(id.str()) %
+  int GroupOfHash(uint64_t hash) const {
+    return static_cast<int>(hash %
                             static_cast<uint64_t>(options.record_groups));
   }
+  int GroupOf(const RequestId& id) const {
+    return GroupOfHash(util::Hash64(id.str()));
+  }
 
   // Draining and starting members hold groups only when nobody else can.
   MemberId Holder(int group, bool repeatable) const {
@@ -169,15 +172,9 @@
   }
 
   void DropGroup(int number, bool repeatable) {
-    std::vector<RequestId> dropped;
-    for (const auto& [id, entry] : ids.entries()) {
-      if (entry.repeatable == repeatable && GroupOf(id) == number) {
-        dropped.push_back(id);
-      }
-    }
-    for (const RequestId& id : dropped) {
-      ids.Erase(id);
-    }
+    ids.EraseIf([&](uint64_t hash, bool is_repeatable) {
+      return is_repeatable == repeatable && GroupOfHash(hash) == number;
+    });
   }
 
   RegisterReply MakeReply(const RequestId& id,
@@ -201,14 +198,13 @@
       reply(MakeReply(id, RegisterOutcome::kNotHolder, MemberId()));
       return;
     }
-    IdBook::Entry* known = ids.Find(id);
-    if (known != nullptr) {
+    const std::optional<IdBook::Entry> known = ids.Find(id);
+    if (known) {
       ReplyKnown(request, *known, reply);
       return;
     }
     if (request.running) {
-      IdBook::Entry entry = NewEntry(request);
-      ids.Insert(id, std::move(entry));
+      ids.Insert(id, NewEntry(request));
       reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
       return;
     }
@@ -233,7 +229,7 @@
   }
 
   void ReplyKnown(const Register& request,
-                  IdBook::Entry& entry,
+                  const IdBook::Entry& entry,
                   const Reply& reply) {
     const RequestId& id = request.request;
     const bool digest_differs = entry.digest != 0 && request.digest != 0 &&
@@ -261,9 +257,9 @@
       reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
       return;
     }
-    if (same && request.registration != 0 && entry.first_reply &&
+    if (same && request.registration != 0 && entry.granted &&
         entry.registration == request.registration) {
-      reply(*entry.first_reply);
+      reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
       return;
     }
     reply(MakeReply(id, RegisterOutcome::kKnown, entry.entry));
@@ -310,7 +306,7 @@
     const RequestId id = request.request;
     IdBook::Entry entry = NewEntry(request);
     entry.recording = true;
-    const uint64_t order = ids.Insert(id, std::move(entry));
+    const uint64_t order = ids.Insert(id, entry);
     records.Record(GroupOf(id), id,
                    [this, guard = std::weak_ptr<int>(alive), id, order,
                     from = request.entry, reply](RecordOutcome outcome) {
@@ -324,18 +320,16 @@
                          uint64_t order,
                          const MemberId& from,
                          RecordOutcome outcome) {
-    IdBook::Entry* known = ids.Find(id);
+    const std::optional<IdBook::Entry> known = ids.Find(id);
     // Another registration has replaced it, or the group was given up.
-    const bool mine = known != nullptr && known->order == order;
-    if (mine && known->recording) {
-      known->recording = false;
-    }
-    if (outcome == RecordOutcome::kRecorded) {
-      RegisterReply reply = MakeReply(id, RegisterOutcome::kNew, from);
-      if (mine) {
-        known->first_reply = reply;
-      }
-      return reply;
+    const bool mine = known && known->order == order;
+    const bool granted = outcome == RecordOutcome::kRecorded;
+    if (mine) {
+      // A member that adopted the id meanwhile was granted nothing.
+      ids.SetRecorded(id, granted && known->entry == from);
+    }
+    if (granted) {
+      return MakeReply(id, RegisterOutcome::kNew, from);
     }
     if (mine && known->entry == from) {
       ids.Erase(id);
@@ -355,10 +349,9 @@
   }
 
   void OnUnregister(const Unregister& message) {
-    IdBook::Entry* known = ids.Find(message.request);
+    const std::optional<IdBook::Entry> known = ids.Find(message.request);
     // A recorded id stays: its record cannot be withdrawn.
-    if (known != nullptr && known->repeatable &&
-        known->entry == message.entry) {
+    if (known && known->repeatable && known->entry == message.entry) {
       ids.Erase(message.request);
     }
   }
@@ -379,9 +372,7 @@
       departure.awaited.erase(reporter);
     }
     departures[member] = std::move(departure);
-    for (const RequestId& id : ids.OfEntry(member)) {
-      ids.Find(id)->orphaned = true;
-    }
+    ids.Orphan(member);
     for (auto& [gone, other] : departures) {
       other.awaited.erase(member);
     }
@@ -391,8 +382,8 @@
   void OnEntryGone(const EntryGone& message) {
     const bool alive_here = members.count(message.gone) != 0;
     for (const RequestId& id : message.running) {
-      IdBook::Entry* known = ids.Find(id);
-      if (known == nullptr) {
+      const std::optional<IdBook::Entry> known = ids.Find(id);
+      if (!known) {
         continue;  // The adopter registers it, with its digest.
       }
       if (known->entry == message.gone && !alive_here) {
@@ -424,7 +415,8 @@
         continue;
       }
       departure.over = true;
-      FreeOrphans(member);
+      // An unrepeatable id stays, as recorded before.
+      ids.EraseRepeatableOf(member);
     }
   }
 
@@ -435,23 +427,14 @@
       return;
     }
     for (const auto& [id, sender] : early->second) {
-      IdBook::Entry* known = ids.Find(id);
-      if (known != nullptr && known->entry == gone) {
+      const std::optional<IdBook::Entry> known = ids.Find(id);
+      if (known && known->entry == gone) {
         ids.Assign(id, sender);
       }
     }
     early_adoptions.erase(early);
   }
 
-  void FreeOrphans(const MemberId& member) {
-    for (const RequestId& id : ids.OfEntry(member)) {
-      // An unrepeatable id stays, as recorded before.
-      if (ids.Find(id)->repeatable) {
-        ids.Erase(id);
-      }
-    }
-  }
-
   // An entry that is no member has died before its news came, or never joined.
   void FindMissing() {
     const util::TimePoint now = clock.Now();
