Look for a task that an owner reports as lost

Cause: an owner that was paused for longer than the wait for orphans takes its work for ended when it resumes, and sends outcome_unknown for each task, although the next owner has the worker and the tasks run. The dispatcher had a guard, but not all of a job's attempts pass through it.

Change: outcome_unknown does not end a job's attempt. The answer is acknowledged and all owners are asked; the attempt ends when the worker's owner does not have it, or after the wait for orphans. JobCell reports losses after such pauses as OwnerAgent does, so the property test covers the case. jobs_demo.sh pauses for 11 s, longer than that wait, and prints the book when it fails.

Conclusion: ruled out were the takeover itself and lost messages; the paused owner was right by its own clock, and only the workers' present owners know better.

--- a/chivedale/active_job_attempts.cc
+++ b/chivedale/active_job_attempts.cc
@@ -118,6 +118,14 @@
     return;  // not from this job's history
   }
   const std::optional<int64_t> active = FindActive(answer.key);
+  // An owner that was paused for longer than the wait for orphans takes its
+  // work for ended, while the worker's present owner has it. All owners are
+  // asked; the word of this one is done with.
+  if (active && !answer.ok && answer.error == ErrorKind::kOutcomeUnknown) {
+    listener_.SendToMember(owner, AnswerAck{answer.key});
+    MarkLost(i);
+    return;
+  }
   if (active) {
     const std::string why(AnswerFor(answer.error).title);
     EndAttempt(i, answer.ok, answer.ok ? Ran::kYes : answer.ran, why);
--- a/chivedale/testing/job_cell.cc
+++ b/chivedale/testing/job_cell.cc
@@ -118,6 +118,9 @@
   MemberInfo info;
   util::TimePoint paused_until{};
   bool was_paused = false;
+  // What it owned when a pause began that outlasts the wait for orphans; it
+  // reports this as lost when it resumes, whoever has it then.
+  std::vector<std::pair<TaskKey, MemberId>> taken_for_ended;
   std::vector<std::function<void()>> inbox;  // while paused
   std::set<MemberId> view;
   std::map<MemberId, util::TimePoint> missing_since;
@@ -234,6 +237,17 @@
   counts_.Add("member_pauses");
   members_[id]->paused_until = clock.Now() + time;
   members_[id]->was_paused = true;
+  if (time < kOrphanWait) {
+    return;
+  }
+  for (const auto& [worker_id, worker] : workers) {
+    if (worker.owner != id) {
+      continue;
+    }
+    for (const auto& [key, running] : worker.running) {
+      members_[id]->taken_for_ended.emplace_back(key, running.entry);
+    }
+  }
 }
 
 void JobCell::FailRack(const std::string& rack) {
@@ -538,6 +552,7 @@
         counts_.Add("dispatches_lost_with_owner");
         chivedale::Answer answer;
         answer.key = it->first;
+        answer.error = ErrorKind::kOutcomeUnknown;
         answer.ran = Ran::kUnknown;
         lost.push_back(answer);
       }
@@ -730,6 +745,15 @@
       for (const auto& run : std::exchange(member.inbox, {})) {
         run();
       }
+      for (const auto& [key, entry] :
+           std::exchange(member.taken_for_ended, {})) {
+        counts_.Add("reported_lost_by_a_paused_owner");
+        chivedale::Answer answer;
+        answer.key = key;
+        answer.error = ErrorKind::kOutcomeUnknown;
+        answer.ran = Ran::kUnknown;
+        Send(id, entry, answer);
+      }
       TickEntry(member);
       if (Chance(random_, 20)) {
         member.jobs->Tick();
--- a/chivedale/testing/job_steps_test.cc
+++ b/chivedale/testing/job_steps_test.cc
@@ -12,14 +12,14 @@
 namespace chivedale::testing {
 namespace {
 
-const MemberId kSelf("m0");
-const MemberId kFirst("o1");
-const MemberId kSecond("o2");
-const WorkerId kWorker("w1");
-const JobId kJob("a");
+const MemberId self_id("m0");
+const MemberId first_owner("o1");
+const MemberId second_owner("o2");
+const WorkerId worker_id("w1");
+const JobId job_id("a");
 
 TaskKey KeyOf(int64_t index, uint32_t attempt) {
-  return {JobTaskId(kJob, index), attempt};
+  return {JobTaskId(job_id, index), attempt};
 }
 
 WorkRow RowOf(const std::string& kind, WorkShape shape) {
@@ -33,7 +33,7 @@
 // A record as an earlier manager left it: epoch 3, all tasks of attempt 1.
 JobRecord RecordOf(const std::string& kind, int64_t tasks, TaskPhase phase) {
   JobRecord record;
-  record.spec.id = kJob;
+  record.spec.id = job_id;
   record.spec.kind = kind;
   record.spec.tasks = tasks;
   record.submitted_tasks = tasks;
@@ -44,7 +44,7 @@
   for (JobTaskRecord& task : record.tasks) {
     task.phase = phase;
     task.attempt = phase == TaskPhase::kWaiting ? 0 : 1;
-    task.worker = phase == TaskPhase::kWaiting ? WorkerId() : kWorker;
+    task.worker = phase == TaskPhase::kWaiting ? WorkerId() : worker_id;
   }
   return record;
 }
@@ -75,13 +75,13 @@
   std::vector<std::pair<MemberId, Message>> sent;
 };
 
-// Draining members own workers and manage no jobs, so all jobs fall to kSelf.
+// Draining members own workers and manage no jobs, so all jobs fall to self_id.
 struct OneManager {
-  OneManager() { SetOwners({kFirst, kSecond}); }
+  OneManager() { SetOwners({first_owner, second_owner}); }
 
   void SetOwners(const std::vector<MemberId>& owners) {
     std::vector<MemberInfo> members(1);
-    members[0].id = kSelf;
+    members[0].id = self_id;
     members[0].state = MemberState::kLive;
     for (const MemberId& owner : owners) {
       MemberInfo info;
@@ -93,17 +93,17 @@
   }
 
   void Store(const JobRecord& record, uint64_t expected = 0) {
-    store.model().Put(JobKey(kJob), ToJson(record), expected);
+    store.model().Put(JobKey(job_id), ToJson(record), expected);
     if (expected == 0) {
-      store.model().Put(JobIndexKey(kJob), "{}", 0);
+      store.model().Put(JobIndexKey(job_id), "{}", 0);
     }
   }
   uint64_t Revision() {
-    return store.model().Get(JobKey(kJob)).entries.front().revision;
+    return store.model().Get(JobKey(job_id)).entries.front().revision;
   }
   JobRecord Stored() {
     return ParseJobRecord(
-        store.model().Get(JobKey(kJob)).entries.front().value);
+        store.model().Get(JobKey(job_id)).entries.front().value);
   }
 
   void Run(Millis time) {
@@ -118,7 +118,7 @@
   void Reply(const MemberId& owner, const std::vector<JobAttempt>& present) {
     const JobQuery query = LastQuery(owner);
     JobQueryReply reply;
-    reply.job = kJob;
+    reply.job = job_id;
     reply.epoch = query.epoch;
     reply.round = query.round;
     reply.present = present;
@@ -127,7 +127,7 @@
   void RunRepliesEmpty(Millis time) {
     for (Millis passed{0}; passed < time; passed += Millis(100)) {
       Run(Millis(100));
-      for (const MemberId& owner : {kSelf, kFirst, kSecond}) {
+      for (const MemberId& owner : {self_id, first_owner, second_owner}) {
         if (Number<JobQuery>(owner) > 0) {
           Reply(owner, {});
         }
@@ -151,15 +151,15 @@
         });
   }
 
-  // A job of this kind whose tasks all run at kFirst.
+  // A job of this kind whose tasks all run at first_owner.
   void RunAtFirst(const std::string& kind, int64_t tasks) {
     Store(RecordOf(kind, tasks, TaskPhase::kRunning));
     Run(Millis(200));
     std::vector<JobAttempt> present;
     for (int64_t i = 0; i < tasks; ++i) {
-      present.push_back({KeyOf(i, 1), kWorker});
+      present.push_back({KeyOf(i, 1), worker_id});
     }
-    Reply(kFirst, present);
+    Reply(first_owner, present);
     Run(Millis(200));
     listener.sent.clear();
   }
@@ -170,6 +170,13 @@
     answer.ran = ran;
     manager.OnAnswer(owner, answer);
   }
+  void AnswerLost(const MemberId& owner) {
+    Answer answer;
+    answer.key = KeyOf(0, 1);
+    answer.error = ErrorKind::kOutcomeUnknown;
+    answer.ran = Ran::kUnknown;
+    manager.OnAnswer(owner, answer);
+  }
   std::vector<JobTaskStatus> Tasks() const {
     const std::vector<JobStatus> managed = manager.Managed();
     return managed.empty() ? std::vector<JobTaskStatus>()
@@ -181,7 +188,7 @@
   FakeStore store{queue};
   util::Random random{1};
   Listener listener;
-  JobManager manager{clock, random, store, listener, kSelf, {}};
+  JobManager manager{clock, random, store, listener, self_id, {}};
 };
 
 }  // namespace
@@ -196,8 +203,8 @@
   Store(RecordOf("batch", 1, TaskPhase::kStarting));
   Run(Millis(300));
   BOOST_TEST(Stored().epoch == 4U);
-  BOOST_TEST(Stored().manager == kSelf);
-  for (const MemberId& owner : {kSelf, kFirst, kSecond}) {
+  BOOST_TEST(Stored().manager == self_id);
+  for (const MemberId& owner : {self_id, first_owner, second_owner}) {
     BOOST_REQUIRE(Number<JobQuery>(owner) > 0);
     BOOST_TEST(LastQuery(owner).epoch == 4U);
     BOOST_REQUIRE(LastQuery(owner).attempts.size() == 1U);
@@ -212,8 +219,8 @@
   Store(RecordOf("batch", 1, TaskPhase::kStarting));
   const MemberId third("o3");
   Run(Millis(300));
-  Reply(kFirst, {{KeyOf(0, 1), kWorker}});
-  SetOwners({kFirst, kSecond, third});
+  Reply(first_owner, {{KeyOf(0, 1), worker_id}});
+  SetOwners({first_owner, second_owner, third});
   BOOST_REQUIRE(Number<JobQuery>(third) == 1);
   BOOST_TEST(LastQuery(third).epoch == 4U);
 }
@@ -249,7 +256,7 @@
   BOOST_TEST(Tasks().size() == 1U);
   BOOST_TEST(Tasks()[0].attempt == 1U);
   BOOST_TEST(listener.enqueued.empty());
-  Reply(kFirst, {{KeyOf(0, 1), kWorker}});
+  Reply(first_owner, {{KeyOf(0, 1), worker_id}});
   Run(Millis(10'000));
   BOOST_TEST((Tasks()[0].phase == TaskPhase::kRunning));
   BOOST_TEST(listener.enqueued.empty());
@@ -323,15 +330,15 @@
 BOOST_FIXTURE_TEST_CASE(ComeBeforeAcknowledgements, OneManager) {
   RunAtFirst("batch", 2);
   store.faults().down = true;
-  AnswerFrom(kFirst, 0, true, Ran::kYes);
+  AnswerFrom(first_owner, 0, true, Ran::kYes);
   Run(Millis(2'000));
-  AnswerFrom(kFirst, 0, true, Ran::kYes);  // sent again
+  AnswerFrom(first_owner, 0, true, Ran::kYes);  // sent again
   Run(Millis(2'000));
-  BOOST_TEST(Number<AnswerAck>(kFirst) == 0);
+  BOOST_TEST(Number<AnswerAck>(first_owner) == 0);
   store.faults().down = false;
   Run(Millis(500));
   BOOST_TEST((Stored().tasks[0].phase == TaskPhase::kSucceeded));
-  BOOST_TEST(Number<AnswerAck>(kFirst) >= 1);
+  BOOST_TEST(Number<AnswerAck>(first_owner) >= 1);
 }
 
 BOOST_FIXTURE_TEST_CASE(ComeBeforeStarts, OneManager) {
@@ -351,7 +358,7 @@
   RunAtFirst("batch", 100);
   const int64_t before = store.counts().writes;
   for (int64_t i = 0; i < 100; ++i) {
-    AnswerFrom(kFirst, i, true, Ran::kYes);
+    AnswerFrom(first_owner, i, true, Ran::kYes);
     Run(Millis(10));
   }
   Run(Millis(200));
@@ -368,31 +375,31 @@
 BOOST_FIXTURE_TEST_CASE(AreConfirmedWithTheirOwner, OneManager) {
   RunAtFirst("batch", 1);
   Run(Millis(31'000));
-  BOOST_REQUIRE(Number<JobQuery>(kFirst) == 1);
-  BOOST_TEST(Number<JobQuery>(kSecond) == 0);
-  BOOST_TEST(LastQuery(kFirst).attempts.size() == 1U);
-  Reply(kFirst, {});
+  BOOST_REQUIRE(Number<JobQuery>(first_owner) == 1);
+  BOOST_TEST(Number<JobQuery>(second_owner) == 0);
+  BOOST_TEST(LastQuery(first_owner).attempts.size() == 1U);
+  Reply(first_owner, {});
   Run(Millis(200));
-  BOOST_TEST(Number<JobQuery>(kSecond) == 1);
+  BOOST_TEST(Number<JobQuery>(second_owner) == 1);
 }
 
 // Guards against tasks that are left with an owner which is gone.
 BOOST_FIXTURE_TEST_CASE(OfAMemberThatLeftAreLookedFor, OneManager) {
   RunAtFirst("batch", 1);
-  SetOwners({kSecond});
+  SetOwners({second_owner});
   Run(Millis(200));
-  BOOST_TEST(Number<JobQuery>(kSecond) == 1);
-  Reply(kSecond, {{KeyOf(0, 1), kWorker}});
+  BOOST_TEST(Number<JobQuery>(second_owner) == 1);
+  Reply(second_owner, {{KeyOf(0, 1), worker_id}});
   Run(Millis(20'000));
   BOOST_TEST((Tasks()[0].phase == TaskPhase::kRunning));
-  BOOST_TEST(Tasks()[0].owner == kSecond);
+  BOOST_TEST(Tasks()[0].owner == second_owner);
 }
 
 // Guards against a second start while the first runs: a member that left may
 // have held the worker and so kept the task alive until then.
 BOOST_FIXTURE_TEST_CASE(LiveOnAfterAnotherMemberLeft, OneManager) {
   RunAtFirst("batch", 1);
-  SetOwners({kSecond});
+  SetOwners({second_owner});
   RunRepliesEmpty(Millis(6'000));
   SetOwners({});
   RunRepliesEmpty(Millis(6'000));
@@ -411,14 +418,14 @@
   DispatchReply reply;
   reply.key = KeyOf(0, 1);
   reply.outcome = DispatchOutcome::kAccepted;
-  reply.worker = kWorker;
+  reply.worker = worker_id;
   reply.token = 5;
   reply.boot_id = "b";
-  manager.OnDispatchReply(kFirst, reply);
+  manager.OnDispatchReply(first_owner, reply);
   Run(Millis(200));
   WorkerTaken taken;
-  taken.worker = kWorker;
-  taken.owner = kSecond;
+  taken.worker = worker_id;
+  taken.owner = second_owner;
   taken.token = 6;
   taken.boot_id = "b";
   manager.OnWorkerTaken(taken);
@@ -427,10 +434,66 @@
   BOOST_TEST((Stored().phase == JobPhase::kFailed));
 }
 
+// Guards against a second start while the first runs: an owner that was paused
+// for longer than the wait for orphans reports its work as lost, while the
+// worker's present owner has it.
+BOOST_FIXTURE_TEST_CASE(ReportedLostByAPausedOwnerRunOn, OneManager) {
+  RunAtFirst("batch", 1);
+  WorkerTaken taken;
+  taken.worker = worker_id;
+  taken.owner = second_owner;
+  taken.running = {KeyOf(0, 1)};
+  taken.token = 6;
+  taken.boot_id = "b";
+  manager.OnWorkerTaken(taken);
+  Run(Millis(200));
+  listener.sent.clear();
+  AnswerLost(first_owner);
+  Run(Millis(1'500));
+  BOOST_TEST(Number<AnswerAck>(first_owner) == 1);
+  BOOST_REQUIRE(Number<JobQuery>(second_owner) >= 1);
+  Reply(first_owner, {});
+  Reply(second_owner, {{KeyOf(0, 1), worker_id}});
+  Run(Millis(15'000));
+  BOOST_TEST((Tasks()[0].phase == TaskPhase::kRunning));
+  BOOST_TEST(Tasks()[0].owner == second_owner);
+  BOOST_TEST(Tasks()[0].attempt == 1U);
+  BOOST_TEST(listener.enqueued.empty());
+}
+
+// The same before any owner has answered the new manager.
+BOOST_FIXTURE_TEST_CASE(ReportedLostAfterATakeoverRunOn, OneManager) {
+  Store(RecordOf("batch", 1, TaskPhase::kRunning));
+  Run(Millis(300));
+  AnswerLost(first_owner);
+  Run(Millis(1'500));
+  Reply(second_owner, {{KeyOf(0, 1), worker_id}});
+  Run(Millis(15'000));
+  BOOST_TEST(Tasks()[0].owner == second_owner);
+  BOOST_TEST(listener.enqueued.empty());
+}
+
+// Guards against a long wait for a task that its worker did stop: the present
+// owner has read the worker and does not have it.
+BOOST_FIXTURE_TEST_CASE(ReportedLostAndMissingStartAgain, OneManager) {
+  RunAtFirst("batch", 1);
+  AnswerLost(first_owner);
+  Run(Millis(200));
+  JobQueryReply reply;
+  reply.job = job_id;
+  reply.epoch = LastQuery(first_owner).epoch;
+  reply.round = LastQuery(first_owner).round;
+  reply.absent = {KeyOf(0, 1)};
+  manager.OnJobQueryReply(first_owner, reply);
+  Run(Millis(1'000));
+  BOOST_REQUIRE(listener.enqueued.size() == 1U);
+  BOOST_TEST((listener.enqueued[0].key == KeyOf(0, 2)));
+}
+
 BOOST_FIXTURE_TEST_CASE(ThatNoOwnerHasMayHaveRun, OneManager) {
   listener.table.rows["batch"].repeatable = false;
   RunAtFirst("batch", 1);
-  SetOwners({kSecond});
+  SetOwners({second_owner});
   RunRepliesEmpty(OrphanWait() + Millis(2'000));
   Run(Millis(500));
   BOOST_TEST(listener.enqueued.empty());
@@ -446,14 +509,14 @@
 BOOST_FIXTURE_TEST_CASE(EndAsAWholeWhenOneTaskFailsForGood, OneManager) {
   listener.table.rows["gang"].max_retries = 0;
   RunAtFirst("gang", 3);
-  AnswerFrom(kFirst, 0, false, Ran::kYes);
+  AnswerFrom(first_owner, 0, false, Ran::kYes);
   Run(Millis(200));
   BOOST_TEST(std::count(listener.withdrawn.begin(), listener.withdrawn.end(),
                         KeyOf(1, 1)) == 1);
   BOOST_TEST(std::count(listener.withdrawn.begin(), listener.withdrawn.end(),
                         KeyOf(2, 1)) == 1);
-  AnswerFrom(kFirst, 1, false, Ran::kYes);
-  AnswerFrom(kFirst, 2, false, Ran::kYes);
+  AnswerFrom(first_owner, 1, false, Ran::kYes);
+  AnswerFrom(first_owner, 2, false, Ran::kYes);
   Run(Millis(500));
   BOOST_TEST((Stored().phase == JobPhase::kFailed));
   BOOST_TEST(Stored().reason ==
--- a/chivedale/testing/owner_jobs_test.cc
+++ b/chivedale/testing/owner_jobs_test.cc
@@ -11,7 +11,7 @@
 namespace chivedale::testing {
 namespace {
 
-const Resources kTask{1'000, 512, 0, 1};
+constexpr Resources kTask{1'000, 512, 0, 1};
 
 struct OneOwner {
   static OwnerWorld::Options Options() {
--- a/scripts/jobs_demo.sh
+++ b/scripts/jobs_demo.sh
@@ -20,7 +20,13 @@
 book() { curl -sf "http://$cell_control/book?all=1"; }
 fail() {
   echo "FAILED: $*" >&2
-  ctl job show service >&2 || true
+  ctl --json job show service >&2 || true
+  echo "running by the book:" >&2
+  running service >&2
+  if [ -n "${KEEP_DIR:-}" ]; then  # logs and book for a closer look
+    book >"$dir/book.json"
+    cp -r "$dir" "$KEEP_DIR"
+  fi
   exit 1
 }
 
@@ -125,7 +131,7 @@
 gang_ran_whole gang-a 14
 gang_ran_whole gang-b 14
 gang_ran_whole whole-cell 32
-echo "both daemons start again; two jobs run while their managers are paused for 10 s"
+echo "both daemons start again; two jobs run while their managers are paused for 11 s"
 cell_start_daemon "$n"
 cell_start_daemon "$other"
 ctl job submit gang-c map-erosion --tasks 12 --payload '{"run_ms":9000}' >"$dir/submit.out"
@@ -134,7 +140,7 @@
 first=$(number_of "$(manager_of gang-c)")
 second=$(number_of "$(manager_of batch-c)")
 kill -STOP "${daemon_pid[first]}" "${daemon_pid[second]}"
-sleep 10
+sleep 11  # longer than the wait for orphans
 kill -CONT "${daemon_pid[first]}" "${daemon_pid[second]}"
 wait_for 40 "gang-c succeeded" has_phase gang-c succeeded
 wait_for 40 "batch-c succeeded" has_phase batch-c succeeded
