--- a/chivedale/attach_client.cc
+++ b/chivedale/attach_client.cc
@@ -1,11 +1,24 @@
 // A question is repeated rather than acknowledged: the answer may take as long
 // as the work does, and the other side keeps no state for a lost question.
+//
+// The news of a death reaches members one after the other. A holder that has
+// not heard it yet names the dead entry once more; a question to it would stay
+// open until its deadline. It is therefore given up after one interval, and the
+// holder is asked again. A member that was called dead wrongly is served by the
+// same repetition.
 #include "chivedale/attach_client.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
 namespace chivedale {
+namespace {
+
+// By then every holder has heard of a death, or is called dead itself.
+constexpr Millis kNewsSpread{60'000};
+
+}  // namespace
 
 AttachClient::AttachClient(const util::Clock& clock,
                            MemberSender& sender,
@@ -26,6 +39,9 @@
   question.mode = mode;
   question.give_up_at = give_up_at;
   question.done = std::move(done);
+  if (dead_.count(entry) > 0) {
+    question.give_up_at = std::min(give_up_at, clock_.Now() + ask_again_);
+  }
   Send(id, question);
   questions_[id].push_back(std::move(question));
 }
@@ -74,6 +90,7 @@
 }
 
 void AttachClient::OnMemberDead(const MemberId& member) {
+  dead_[member] = clock_.Now();
   const std::vector<Question> ended =
       TakeIf([&](const RequestId&, Question& question) {
         return question.entry == member;
@@ -85,6 +102,9 @@
 
 void AttachClient::Tick() {
   const util::TimePoint now = clock_.Now();
+  for (auto it = dead_.begin(); it != dead_.end();) {
+    it = now - it->second < kNewsSpread ? std::next(it) : dead_.erase(it);
+  }
   const std::vector<Question> ended =
       TakeIf([&](const RequestId& id, Question& question) {
         if (now >= question.give_up_at) {
--- a/chivedale/attach_client.h
+++ b/chivedale/attach_client.h
@@ -4,6 +4,7 @@
 #define CHIVEDALE_ATTACH_CLIENT_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +57,8 @@
   const MemberId self_;
   const Millis ask_again_;
   std::unordered_map<RequestId, std::vector<Question>> questions_;
+  // Members called dead, and when.
+  std::map<MemberId, util::TimePoint> dead_;
 };
 
 }  // namespace chivedale
--- a/chivedale/chivedale_load_main.cc
+++ b/chivedale/chivedale_load_main.cc
@@ -31,7 +31,7 @@
 constexpr char kUsage[] =
     "usage: chivedale_load --entries IP:PORT[,...] --profile FILE\n"
     "                      [--table FILE] [--book IP:PORT] [--seed N]\n"
-    "                      [--label TEXT] [--json FILE]\n"
+    "                      [--label TEXT] [--json FILE] [--unanswered FILE]\n"
     "\n"
     "  --entries   entries to send to, as the balancer would\n"
     "  --profile   load profile in JSON (examples/load_demo.json)\n"
@@ -39,6 +39,8 @@
     "  --book      control address of the stand-ins, for the workers' book\n"
     "  --seed      seed of the plan (default 1)\n"
     "  --json      append one JSON line per kind to this file\n"
+    "  --unanswered  write a line for each send without an answer: time in\n"
+    "              ms since 1970, entry, not_sent or cut_off, reason\n"
     "\n"
     "Exit codes: 0 nothing lost, doubled or mixed up; 1 something was;\n"
     "2 bad usage.\n";
@@ -50,6 +52,7 @@
   std::string book;
   std::string label = "load";
   std::string json;
+  std::string unanswered;
   uint64_t seed = 1;
 };
 
@@ -81,6 +84,7 @@
       {"seed", required_argument, nullptr, 's'},
       {"label", required_argument, nullptr, 'l'},
       {"json", required_argument, nullptr, 'j'},
+      {"unanswered", required_argument, nullptr, 'u'},
       {nullptr, 0, nullptr, 0}};
   int choice = 0;
   while ((choice = getopt_long(argc, argv, "", kOptions, nullptr)) != -1) {
@@ -106,6 +110,9 @@
       case 'j':
         arguments.json = optarg;
         break;
+      case 'u':
+        arguments.unanswered = optarg;
+        break;
       default:
         return false;
     }
@@ -200,6 +207,12 @@
   return right ? kExitOk : kExitViolation;
 }
 
+int64_t EpochMillis() {
+  return std::chrono::duration_cast<Millis>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 int Run(const Arguments& arguments) {
   LoadPlan plan(ParseLoadProfile(ReadFile(arguments.profile)), arguments.seed);
   const util::SteadyClock clock;
@@ -210,6 +223,14 @@
   HttpClient client(io, http);
   LoadCaller::Options options;
   options.entries = arguments.entries;
+  std::ofstream unanswered(arguments.unanswered);
+  options.unanswered = [&unanswered](const std::string& entry,
+                                     const HttpResult& result) {
+    unanswered << EpochMillis() << " " << entry
+               << (result.status == CallStatus::kNotSent ? " not_sent "
+                                                         : " cut_off ")
+               << result.error << "\n";
+  };
   LoadCaller caller(io, client, clock, plan, arguments.seed, options,
                     SameAnswer);
   caller.Start([&io] { io.stop(); });
--- a/chivedale/chivedaled_main.cc
+++ b/chivedale/chivedaled_main.cc
@@ -7,6 +7,7 @@
 #include "chivedale/daemon.h"
 #include "chivedale/error.h"
 #include "chivedale/settings.h"
+#include "chivedale/stop_signals.h"
 
 namespace {
 
@@ -80,6 +81,7 @@
       return kExitOk;
     }
     chivedale::Daemon daemon(settings);
+    const chivedale::StopSignals signals([&daemon] { daemon.Stop(); });
     return daemon.Run();
   } catch (const chivedale::Error& error) {
     std::fprintf(stderr, "chivedaled: %s\n", error.what());
--- a/chivedale/daemon.cc
+++ b/chivedale/daemon.cc
@@ -7,9 +7,7 @@
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <csignal>
 #include <memory>
 #include <random>
 #include <string>
@@ -77,7 +75,6 @@
                   settings,
                   self),
         api(io, settings, loop, scheduler, scheduler, metrics, log),
-        signals(io, SIGTERM, SIGINT),
         deadline(io) {
     peers.Listen(settings.peer_address);
   }
@@ -86,16 +83,13 @@
     return [this](std::function<void()> run) { loop.Post(std::move(run)); };
   }
 
-  void WaitForSignal() {
-    signals.async_wait([this](const boost::system::error_code& error, int) {
-      if (error) {
-        return;
-      }
-      if (stopping.exchange(true)) {
-        loop.Stop();
-        return;
-      }
-      loop.Post([this] { scheduler.Drain(); });
+  void Stop() {
+    if (stopping.exchange(true)) {
+      loop.Stop();
+      return;
+    }
+    loop.Post([this] {
+      scheduler.Drain();
       deadline.expires_after(settings.stop_deadline);
       deadline.async_wait([this](const boost::system::error_code& aborted) {
         if (!aborted) {
@@ -103,7 +97,6 @@
           loop.Stop();
         }
       });
-      WaitForSignal();
     });
   }
 
@@ -117,7 +110,6 @@
   }
 
   int Run() {
-    WaitForSignal();
     for (int i = 0; i < std::max(1, settings.traffic_threads); ++i) {
       threads.emplace_back([this] { io.run(); });
     }
@@ -161,7 +153,6 @@
   PeerLink peers;
   Scheduler scheduler;
   ApiServer api;
-  boost::asio::signal_set signals;
   boost::asio::steady_timer deadline;
   std::vector<std::thread> threads;
   std::atomic<bool> stopping{false};
@@ -178,4 +169,8 @@
   return impl_->Run();
 }
 
+void Daemon::Stop() {
+  impl_->Stop();
+}
+
 }  // namespace chivedale
--- a/chivedale/daemon.h
+++ b/chivedale/daemon.h
@@ -1,7 +1,9 @@
 // A daemon: settings in, sockets and threads up, runs until it is told to stop.
+// Several may run in one process.
 //
 //   Daemon daemon(settings);
-//   return daemon.Run();  // until SIGTERM and the graceful stop
+//   StopSignals signals([&] { daemon.Stop(); });
+//   return daemon.Run();  // until the graceful stop
 #ifndef CHIVEDALE_DAEMON_H_
 #define CHIVEDALE_DAEMON_H_
 
@@ -17,10 +19,12 @@
   explicit Daemon(const Settings& settings);
   ~Daemon();
 
-  // The first SIGTERM or SIGINT starts a graceful stop; a second one or the
-  // stop deadline ends the process at once. Returns the exit code: 0 after a
+  // The calling thread is the control thread. Returns the exit code: 0 after a
   // graceful stop, 1 otherwise.
   int Run();
+  // From any thread. The first call starts a graceful stop; a second one or
+  // the stop deadline ends Run at once.
+  void Stop();
 
  private:
   struct Impl;
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -94,18 +94,23 @@
   const WorkRow* row = table_.FindRow(submission.kind);
   if (known == nullptr &&
       (row == nullptr || row->shape != WorkShape::kRequest || draining_)) {
+    // Before the first table nothing is known about any kind.
+    const bool not_ready = table_.revision == 0;
     const ErrorKind kind = draining_        ? ErrorKind::kDraining
+                           : not_ready      ? ErrorKind::kNotReady
                            : row == nullptr ? ErrorKind::kNoRow
                                             : ErrorKind::kBadRequest;
     const std::string detail =
-        draining_ ? "this process is stopping"
+        draining_   ? "this process is stopping"
+        : not_ready ? "this process has no table yet"
         : row == nullptr
             ? "kind '" + submission.kind + "' is not in the table"
             : "kind '" + submission.kind + "' is not a request; use /v1/jobs";
     // Only this send is refused; the id may be known elsewhere.
-    const Ran ran = draining_ ? Ran::kUnknown : Ran::kNo;
+    const bool passing = draining_ || not_ready;
+    const Ran ran = passing ? Ran::kUnknown : Ran::kNo;
     const RequestResult refusal =
-        ErrorResult(kind, ran, detail, draining_ ? Millis(100) : Millis(0));
+        ErrorResult(kind, ran, detail, passing ? Millis(100) : Millis(0));
     deps_.metrics.Count(Counter::kRequestsRefused);
     Call(accepted, submission.id, refusal);
     Call(finished, submission.id, refusal);
--- a/chivedale/load_caller.cc
+++ b/chivedale/load_caller.cc
@@ -120,10 +120,14 @@
                 "\",\"deadline_ms\":" + std::to_string(deadline_ms) +
                 ",\"payload\":" + request.arrival.payload + "}";
     call.timeout = options.send_timeout;
-    client.Call(std::move(call),
-                [self = shared_from_this(), id](HttpResult result) {
-                  self->OnResult(id, std::move(result));
-                });
+    const std::string entry = call.address;
+    client.Call(std::move(call), [self = shared_from_this(), id,
+                                  entry](HttpResult result) {
+      if (result.status != CallStatus::kAnswered && self->options.unanswered) {
+        self->options.unanswered(entry, result);
+      }
+      self->OnResult(id, std::move(result));
+    });
   }
 
   void SendLater(const std::string& id, Millis pause) {
--- a/chivedale/load_caller.h
+++ b/chivedale/load_caller.h
@@ -23,6 +23,9 @@
 
 class LoadCaller {
  public:
+  // Runs for each send that got no answer.
+  using Unanswered =
+      std::function<void(const std::string& entry, const HttpResult& result)>;
   struct Options {
     std::vector<std::string> entries;  // IP:PORT each
     // One send without an answer is given up after this and sent again.
@@ -30,6 +33,7 @@
     // After its deadline a request is given up as lost after this.
     Millis patience{45'000};
     Millis send_again{100};
+    Unanswered unanswered;
   };
   // Whether `answer` (JSON text) is the answer to this request.
   using Check = std::function<bool(const std::string& id,
--- a/chivedale/load_results.cc
+++ b/chivedale/load_results.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "chivedale/error.h"
+
 namespace chivedale {
 namespace {
 
@@ -87,6 +89,12 @@
       ++found.run_though_not_run;
       note("reported as not run, but was run", request, runs);
     }
+    // `cancelled` says that it was not run, `cancelled_running` does not.
+    if (request.outcome == LoadOutcome::kCancelled &&
+        request.error == AnswerFor(ErrorKind::kCancelled).name && runs > 0) {
+      ++found.run_though_not_run;
+      note("cancelled as not run, but was run", request, runs);
+    }
     if (request.outcome == LoadOutcome::kOk && runs == 0) {
       ++found.ok_without_run;
       note("answered, but never run", request, runs);
--- a/chivedale/owner_agent.cc
+++ b/chivedale/owner_agent.cc
@@ -112,6 +112,32 @@
   self.state = draining_ ? MemberState::kDraining : MemberState::kLive;
   candidates.push_back(self);
   keeper_.SetMembers(candidates);
+  std::vector<MemberId> back;
+  for (const auto& [member, gone] : gone_) {
+    if (members_.count(member) != 0) {
+      back.push_back(member);
+    }
+  }
+  for (const MemberId& member : back) {
+    OnMemberBack(member);
+  }
+}
+
+// A paused entry was called dead and goes on under the same id. It waits for
+// its answers; without this, those of its new requests would be kept as a dead
+// entry's and never sent.
+void OwnerAgent::Impl::OnMemberBack(const MemberId& member) {
+  gone_.erase(member);
+  for (const TaskKey& key : KeysOf(member)) {
+    // The holder has the id under this member once it has confirmed; until then
+    // under the entry, which whoever attaches must then ask.
+    const AdoptedTasks::Adopted* adopted =
+        adopted_.Find(AdoptableRequest(key.task));
+    if (adopted != nullptr && !adopted->confirmed) {
+      adopted_.Forget(key);
+    }
+    relay_.SetEntry(key, member);
+  }
 }
 
 bool OwnerAgent::Impl::IsMember(const MemberId& id) const {
@@ -211,11 +237,15 @@
 // The task of a job waits for the job's next manager, which dispatches the
 // same attempt again.
 void OwnerAgent::Impl::KeepAnswer(const TaskKey& key) {
+  relay_.SetAdopted(key);
+  AnswerAttached(key);
+}
+
+void OwnerAgent::Impl::AnswerAttached(const TaskKey& key) {
   const CompletionRelay::Pending* pending = relay_.Find(key);
   if (pending == nullptr) {
     return;
   }
-  relay_.SetAdopted(key);
   for (const Attach& attach : adopted_.OnAnswer(pending->answer)) {
     Send(attach.sender, MakeAttachAnswer(attach, key, &pending->answer));
   }
--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -60,6 +60,9 @@
   void OnMemberDead(const MemberId& member);
   void OnAttach(const Attach& attach);
   void AdoptAttempt(const TaskKey& key, const MemberId& entry, bool repeatable);
+  void OnMemberBack(const MemberId& member);
+  // Sends the answer to those that attached to the adopted request.
+  void AnswerAttached(const TaskKey& key);
   void SendEntryGone(const MemberId& gone);
   void TickAdopted();
   void FindMissingEntries();
--- a/chivedale/owner_starts.cc
+++ b/chivedale/owner_starts.cc
@@ -340,6 +340,8 @@
   relay_.Add(answer, attempt.entry, {attempt.worker, "", 0});
   if (gone_.count(attempt.entry) != 0) {
     AdoptAttempt(attempt.key, attempt.entry, attempt.repeatable);
+  } else {
+    AnswerAttached(attempt.key);
   }
   SendAnswers();
 }
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -131,7 +131,9 @@
             !MayHold(me->second.state);
     members = std::move(next);
     for (const auto& [id, member] : members) {
-      departures.erase(id);
+      if (departures.erase(id) > 0) {
+        OnMemberBack(id);
+      }
       missing.erase(id);
     }
     for (const MemberId& id : lost) {
@@ -143,6 +145,16 @@
     }
   }
 
+  // Called dead after a pause and alive again: the ids that nobody adopted are
+  // its own, and reports about its absence must not count for its next one.
+  void OnMemberBack(const MemberId& member) {
+    reported.erase(member);
+    early_adoptions.erase(member);
+    for (const RequestId& id : ids.OfEntry(member)) {
+      ids.Find(id)->orphaned = false;
+    }
+  }
+
   void TakeGroups() {
     for (int number = 0; number < options.record_groups; ++number) {
       const auto i = static_cast<size_t>(number);
--- a/chivedale/routing.cc
+++ b/chivedale/routing.cc
@@ -13,6 +13,9 @@
 namespace chivedale {
 namespace {
 
+// Of 21,000 listed workers a few are always dead and not yet off the list.
+constexpr int64_t kOwnedPercent = 99;
+
 constexpr std::array<int64_t Resources::*, 4> kComponents = {
     &Resources::cpu_milli, &Resources::memory_mb, &Resources::accelerators,
     &Resources::slots};
@@ -203,6 +206,7 @@
   const MemberInfo self;
   std::unique_ptr<RoutingPolicy> policy;
   std::map<MemberId, Owner> owners;
+  std::optional<int64_t> listed_workers;
 };
 
 Routing::Routing(const util::Clock& clock,
@@ -225,6 +229,10 @@
   impl_->owners = std::move(owners);
 }
 
+void Routing::SetListedWorkers(size_t workers) {
+  impl_->listed_workers = static_cast<int64_t>(workers);
+}
+
 void Routing::OnSummary(const Summary& summary) {
   auto it = impl_->owners.find(summary.owner);
   if (it == impl_->owners.end()) {
@@ -291,6 +299,7 @@
 CellRoom Routing::Cell() const {
   CellRoom cell;
   cell.complete = !impl_->owners.empty();
+  int64_t workers = 0;
   const auto widen = [&cell](Resources& largest, const RoomSummary& pool) {
     // Without the largest worker nothing can be refused as never fitting.
     cell.complete &= pool.workers == 0 || !pool.largest_worker.IsZero();
@@ -312,7 +321,12 @@
     widen(cell.largest_accelerated, owner.summary.accelerated);
     cell.capacity += owner.summary.plain.capacity;
     cell.capacity += owner.summary.accelerated.capacity;
+    workers += owner.summary.plain.workers + owner.summary.accelerated.workers;
   }
+  // A fresh process knows only itself, and after a failure some workers have
+  // no owner for a while; both must not make work look too large.
+  cell.complete &= impl_->listed_workers.has_value() && workers > 0 &&
+                   workers * 100 >= *impl_->listed_workers * kOwnedPercent;
   return cell;
 }
 
--- a/chivedale/routing.h
+++ b/chivedale/routing.h
@@ -34,6 +34,9 @@
 
   // Commands.
   void SetMembers(const std::vector<MemberInfo>& members);
+  // How many workers the VM list has: while the owners report fewer, there may
+  // be a larger one that nobody owns yet.
+  void SetListedWorkers(size_t workers);
   void OnSummary(const Summary& summary);
   // An own dispatch not yet reflected in the owner's summary.
   void OnDispatched(const MemberId& owner, const Resources& size);
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -321,6 +321,7 @@
     deps_.workers.SetAddress(WorkerId(vm.id), vm.address);
   }
   parts.owner.SetVms(endpoints);
+  parts.routing.SetListedWorkers(endpoints.size());
   for (const Vm& vm : parts.vm_list.Entries()) {
     if (vm.address != settings_.peer_address) {
       parts.membership.AddSeed(vm.address);
--- a/chivedale/testing/entry_policy_test.cc
+++ b/chivedale/testing/entry_policy_test.cc
@@ -349,6 +349,7 @@
                   RoutingPolicyKind::kTwoChoices);
   routing.SetMembers({MakeMember("self", "a"), MakeMember("x", "a")});
   routing.OnSummary(MakeSummary("x", 4, 2));
+  routing.SetListedWorkers(6);
   BOOST_TEST(!routing.Cell().complete);
   routing.OnSummary(MakeSummary("self", 2, 0));
   BOOST_TEST(routing.Cell().complete);
@@ -356,6 +357,28 @@
   BOOST_TEST(routing.Cell().capacity.slots == 48);
 }
 
+// Guards against a replacement that knows only itself and refuses its first
+// requests as larger than every worker.
+BOOST_AUTO_TEST_CASE(CellIsCompleteOnlyWhenTheListedWorkersAreOwned) {
+  FakeClock clock;
+  util::Random random(7);
+  Routing routing(clock, random, MakeMember("self", "a"),
+                  RoutingPolicyKind::kTwoChoices);
+  routing.SetMembers({MakeMember("self", "a")});
+  routing.OnSummary(MakeSummary("self", 0, 0));
+  BOOST_TEST(!routing.Cell().complete);  // no VM list yet
+  routing.SetListedWorkers(48);
+  BOOST_TEST(!routing.Cell().complete);
+  Summary summary = MakeSummary("self", 47, 0);
+  summary.sequence = 2;
+  routing.OnSummary(summary);
+  BOOST_TEST(!routing.Cell().complete);
+  summary = MakeSummary("self", 48, 0);
+  summary.sequence = 3;
+  routing.OnSummary(summary);
+  BOOST_TEST(routing.Cell().complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivedale
--- a/chivedale/testing/owner_agent_test.cc
+++ b/chivedale/testing/owner_agent_test.cc
@@ -196,6 +196,26 @@
   BOOST_TEST(answers == 1);
 }
 
+// Guards against answers that are kept for a dead entry while the entry, which
+// was only paused, goes on under the same id and waits for them.
+BOOST_FIXTURE_TEST_CASE(AnswersAnEntryThatWasCalledDeadAndIsBack, OneNode) {
+  MemberInfo entry;
+  entry.id = world.entry_id();
+  entry.state = MemberState::kLive;
+  const TaskId before = world.AddTask(Work(), Takes(300));
+  world.Run(Millis(100));
+  BOOST_TEST((PhaseOf(before) == Phase::kRunning));
+  world.agent(0).OnMemberDead(entry.id);
+  world.Run(Millis(1'000));
+  BOOST_TEST((PhaseOf(before) == Phase::kRunning));  // ended, not told
+  world.agent(0).SetMembers({entry});
+  const TaskId after = world.AddTask(Work(), Takes(300));
+  world.Run(Millis(2'000));
+  BOOST_TEST((PhaseOf(before) == Phase::kDone));
+  BOOST_TEST((PhaseOf(after) == Phase::kDone));
+  BOOST_TEST(world.worker(0).unacknowledged() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(TwoOwners)
--- /dev/null
+++ b/chivedale/testing/request_directory_test.cc
@@ -0,0 +1,99 @@
+// Guards against a directory that goes on treating an entry as dead when it was
+// only paused and is a member again.
+#include "chivedale/request_directory.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "chivedale/record_log.h"
+#include "chivedale/testing/fake_clock.h"
+#include "chivedale/testing/fake_queue.h"
+#include "chivedale/testing/fake_store.h"
+
+namespace chivedale::testing {
+namespace {
+
+MemberInfo MakeMember(const std::string& id) {
+  MemberInfo member;
+  member.id = MemberId(id);
+  member.state = MemberState::kLive;
+  return member;
+}
+
+// The only holder; the entries are draining, so that they hold no group.
+struct Fixture {
+  Fixture() {
+    entry.state = MemberState::kDraining;
+    other.state = MemberState::kDraining;
+    directory.SetMembers({self, entry, other});
+    Pass(Millis(2'000));
+  }
+  void Pass(Millis time) {
+    for (Millis passed{0}; passed < time; passed += Millis(100)) {
+      clock.Advance(Millis(100));
+      queue.RunDue();
+      directory.Tick();
+    }
+  }
+  RegisterOutcome Ask(const MemberInfo& from, const std::string& id) {
+    Register request;
+    request.request = RequestId(id);
+    request.entry = from.id;
+    request.registration = ++number;
+    std::optional<RegisterOutcome> outcome;
+    directory.OnRegister(
+        request, [&](const RegisterReply& reply) { outcome = reply.outcome; });
+    return outcome.value_or(RegisterOutcome::kWait);
+  }
+  void Report(const MemberInfo& gone, const MemberInfo& sender) {
+    EntryGone report;
+    report.gone = gone.id;
+    report.sender = sender.id;
+    report.complete = true;
+    directory.OnEntryGone(report);
+  }
+
+  FakeClock clock;
+  FakeQueue queue{clock, 1};
+  FakeStore store{queue};
+  util::Random random{1};
+  MemberInfo self = MakeMember("self/1");
+  MemberInfo entry = MakeMember("entry/1");
+  MemberInfo other = MakeMember("other/1");
+  RecordLog records{clock, random, store, RecordLog::Options()};
+  RequestDirectory directory{clock, self, records, RequestDirectory::Options()};
+  uint64_t number = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AnEntryThatComesBack, Fixture)
+
+BOOST_AUTO_TEST_CASE(HasItsIdsAgain) {
+  BOOST_TEST((Ask(entry, "r") == RegisterOutcome::kNew));
+  directory.SetMembers({self, other});
+  BOOST_TEST((Ask(other, "r") == RegisterOutcome::kWait));
+  directory.SetMembers({self, entry, other});
+  // Not kRecordedBefore, which ends idempotent work as unknown.
+  BOOST_TEST((Ask(other, "r") == RegisterOutcome::kKnown));
+  BOOST_TEST((Ask(entry, "r") == RegisterOutcome::kNew));
+}
+
+BOOST_AUTO_TEST_CASE(IsWaitedForAgainWhenItDiesLater) {
+  BOOST_TEST((Ask(entry, "r") == RegisterOutcome::kNew));
+  Report(entry, other);
+  Report(entry, self);
+  directory.SetMembers({self, other});
+  directory.SetMembers({self, entry, other});
+  BOOST_TEST((Ask(entry, "s") == RegisterOutcome::kNew));
+  directory.SetMembers({self, other});
+  // The reports about the pause say nothing about what others run now.
+  BOOST_TEST((Ask(other, "s") == RegisterOutcome::kWait));
+  Report(entry, other);
+  Report(entry, self);
+  BOOST_TEST((Ask(other, "s") == RegisterOutcome::kNew));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivedale::testing
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -8,6 +8,8 @@
 cell_vms=127.0.0.1:$((cell_base + 1))
 cell_control=127.0.0.1:$((cell_base + 2))
 cell_pids=()
+# Set by a run that replaces daemons: how often daemon n was started.
+generation=()
 
 cell_caller() { echo "127.0.0.1:$((cell_base + 100 + $1))"; }
 cell_peer() { echo "127.0.0.1:$((cell_base + 200 + $1))"; }
@@ -40,7 +42,7 @@
     0) centre=kumamoto-1 region=kumamoto ;;
   esac
   cat >"$dir/daemon-$n.json" <<JSON
-{"vm_id": "entry-$n", "data_centre": "$centre", "region": "$region",
+{"vm_id": "entry-$n${generation[n]:+-${generation[n]}}", "data_centre": "$centre", "region": "$region",
  "caller_address": "$(cell_caller "$n")",
  "peer_address": "$(cell_peer "$n")",
  "store_address": "$cell_store", "vm_list_address": "$cell_vms",
@@ -77,5 +79,5 @@
   local pid
   for pid in "${cell_pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
   for pid in "${cell_pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
+  wait "${cell_pids[@]}" 2>/dev/null || true
 }
