Give entries that were taken for dead their answers and ids back

Cause: histories over three processes ended with 'no final answer' and with work reported as not run that had run. The traces showed: - an owner kept an entry in its list of gone ones after the entry had come back from a pause, so the answers were never sent; - such an entry dispatched ids that a holder had freed meanwhile; - a holder that was paused, or that did not wait for a member which joined later, granted ids of an entry that had died; - a request waiting for its holder, or attached to a member that was long gone, had no end; a cancel was answered before the holder was; - a final refusal left the id free for another send; 'never fits' was said while no worker was owned; a drain before the first table did not stop the entry role.

Change: OwnerAgent returns answers when a member is back and refuses the dispatches of a gone one; RequestDirectory settles again after a pause, awaits members that join and tells whether an earlier send may have run; the entry starts an idempotent id only while its present holder confirms it, ends requests without a holder at their deadline as unknown, and keeps final refusals registered.

--- a/chivedale/adopted_tasks.cc
+++ b/chivedale/adopted_tasks.cc
@@ -87,6 +87,13 @@
   }
 }
 
+void AdoptedTasks::ForgetUnconfirmed(const TaskKey& key) {
+  const Adopted* adopted = Find(AdoptableRequest(key.task));
+  if (adopted != nullptr && !adopted->confirmed) {
+    Forget(key);
+  }
+}
+
 AdoptedTasks::Due AdoptedTasks::TakeDue() {
   Due due;
   const util::TimePoint now = clock_.Now();
--- a/chivedale/adopted_tasks.h
+++ b/chivedale/adopted_tasks.h
@@ -56,6 +56,8 @@
   void Wait(const Attach& attach);
   // Another owner has the worker and adopts for itself.
   void Forget(const TaskKey& key);
+  // The entry is back; no holder sends anyone here.
+  void ForgetUnconfirmed(const TaskKey& key);
   Due TakeDue();
 
   // Queries.
--- a/chivedale/attach_client.cc
+++ b/chivedale/attach_client.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace chivedale {
+namespace {
+
+// News of a member that joins may be this late.
+constexpr Millis kUnknownEntryGrace{3'000};
+
+}  // namespace
 
 AttachClient::AttachClient(const util::Clock& clock,
                            MemberSender& sender,
@@ -24,6 +30,7 @@
   Question question;
   question.entry = entry;
   question.mode = mode;
+  question.asked = clock_.Now();
   question.give_up_at = give_up_at;
   question.done = std::move(done);
   Send(id, question);
@@ -73,6 +80,13 @@
   }
 }
 
+void AttachClient::SetMembers(const std::vector<MemberInfo>& members) {
+  members_.clear();
+  for (const MemberInfo& member : members) {
+    members_.insert(member.id);
+  }
+}
+
 void AttachClient::OnMemberDead(const MemberId& member) {
   const std::vector<Question> ended =
       TakeIf([&](const RequestId&, Question& question) {
@@ -87,7 +101,9 @@
   const util::TimePoint now = clock_.Now();
   const std::vector<Question> ended =
       TakeIf([&](const RequestId& id, Question& question) {
-        if (now >= question.give_up_at) {
+        const bool gone = members_.count(question.entry) == 0 &&
+                          now - question.asked >= kUnknownEntryGrace;
+        if (gone || now >= question.give_up_at) {
           return true;
         }
         if (now >= question.ask_at) {
--- a/chivedale/attach_client.h
+++ b/chivedale/attach_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +32,9 @@
            util::TimePoint give_up_at,
            Done done);
   void OnAnswer(const MemberId& from, const AttachAnswer& answer);
+  // All members that are not dead or left. A question to another one is given
+  // up after a while: an old holder may name an entry that is long gone.
+  void SetMembers(const std::vector<MemberInfo>& members);
   void OnMemberDead(const MemberId& member);
   void Tick();
 
@@ -41,6 +45,7 @@
   struct Question {
     MemberId entry;
     AttachMode mode = AttachMode::kWait;
+    util::TimePoint asked{};
     util::TimePoint ask_at{};
     util::TimePoint give_up_at{};
     Done done;
@@ -55,6 +60,7 @@
   MemberSender& sender_;
   const MemberId self_;
   const Millis ask_again_;
+  std::set<MemberId> members_;
   std::unordered_map<RequestId, std::vector<Question>> questions_;
 };
 
--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -115,10 +115,13 @@
   if (!deps_.limits.MayStart(item.kind, item.size)) {
     return std::nullopt;
   }
+  auto it = attempts_.find(item.task);
+  if (it != attempts_.end() && !it->second.listener->MayStart(item.task)) {
+    return std::nullopt;
+  }
   if (deps_.owner.HasRoom(item.size)) {
     return self_;
   }
-  auto it = attempts_.find(item.task);
   const RegionRule region =
       it == attempts_.end() ? RegionRule::kHome : it->second.task.region;
   if (!deps_.routing.HasRoom(item.size, region)) {
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -29,6 +29,8 @@
 class AttemptListener {
  public:
   virtual ~AttemptListener() = default;
+  // Asked before each attempt; false keeps the task in the queue for now.
+  virtual bool MayStart(const TaskId&) const { return true; }
   // The number of the attempt that is about to be sent.
   virtual uint32_t NextAttempt(const TaskId& task) = 0;
   virtual void OnAttemptStarted(const MemberId& owner,
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "util/random.h"
 
@@ -54,8 +55,12 @@
 }
 
 // A refusal is not the request's answer: the caller was told to try again.
-bool MayBeSentAgain(const RequestResult& result) {
-  return !result.ok && result.ran == Ran::kNo && AnswerFor(result.error).retry;
+// Idempotent work that no attempt was made for here is run on a further send,
+// whatever became of an earlier entry's.
+bool MayBeSentAgain(const RequestState& state, const RequestResult& result) {
+  const bool free = result.ran == Ran::kNo ||
+                    (state.submission.repeatable && state.attempt == 0);
+  return !result.ok && free && AnswerFor(result.error).retry;
 }
 
 void Call(const ResultCallback& callback,
@@ -72,7 +77,11 @@
     : deps_(deps),
       self_(std::move(self)),
       options_(options),
-      attach_client_(deps.clock, deps.sender, self_, options.attach_again) {}
+      attach_client_(deps.clock, deps.sender, self_, options.attach_again) {
+  deps_.registrar.OnLost([this](const RequestId& id, const MemberId& entry) {
+    OnIdLost(id, entry);
+  });
+}
 
 void EntryAgent::SetTable(const Table& table) {
   table_ = table;
@@ -91,6 +100,15 @@
       submission.payload ? *submission.payload : std::string();
   request.digest = util::Hash64(body, util::Hash64(submission.kind));
   const RequestState* known = deps_.ledger.Find(submission.id);
+  if (known == nullptr && table_.revision == 0) {
+    const RequestResult refusal =
+        ErrorResult(ErrorKind::kNotReady, Ran::kUnknown,
+                    "this process has no table yet", Millis(500));
+    deps_.metrics.Count(Counter::kRequestsRefused);
+    Call(accepted, submission.id, refusal);
+    Call(finished, submission.id, refusal);
+    return;
+  }
   const WorkRow* row = table_.FindRow(submission.kind);
   if (known == nullptr &&
       (row == nullptr || row->shape != WorkShape::kRequest || draining_)) {
@@ -136,7 +154,7 @@
     return;
   }
   if (begun == RequestLedger::BeginOutcome::kFinished && row != nullptr &&
-      MayBeSentAgain(*known->result) && !draining_) {
+      MayBeSentAgain(*known, *known->result) && !draining_) {
     deps_.ledger.Reopen(request);
     begun = RequestLedger::BeginOutcome::kNew;
   }
@@ -167,12 +185,19 @@
   } catch (const AdmissionError& error) {
     const RequestResult refusal =
         ErrorResult(error.kind(), Ran::kNo, error.what(), error.retry_after());
-    deps_.registrar.Probe(id, submission.repeatable, submission.digest,
-                          [this, id, refusal](const RegisterReply& reply) {
-                            OnRefusedAndProbed(id, refusal, reply);
-                          });
+    const auto done = [this, id, refusal](const RegisterReply& reply) {
+      OnRefusedAndProbed(id, refusal, reply);
+    };
+    WaitForHolder(id);
+    if (AnswerFor(error.kind()).retry) {
+      deps_.registrar.Probe(id, submission.repeatable, submission.digest, done);
+    } else {
+      // A final answer: no other entry may run it afterwards.
+      deps_.registrar.Begin(id, submission.repeatable, submission.digest, done);
+    }
     return;
   }
+  WaitForHolder(id);
   deps_.registrar.Begin(
       id, submission.repeatable, submission.digest,
       [this, id](const RegisterReply& reply) { OnRegistered(id, reply); });
@@ -181,11 +206,38 @@
 void EntryAgent::OnRefusedAndProbed(const RequestId& id,
                                     const RequestResult& refusal,
                                     const RegisterReply& reply) {
-  if (reply.outcome == RegisterOutcome::kNew) {
+  RequestState* state = deps_.ledger.FindMutable(id);
+  if (reply.outcome != RegisterOutcome::kNew) {
+    OnRegistered(id, reply);
+  } else if (state != nullptr && state->phase == RequestPhase::kRegistering) {
+    state->may_have_run = state->may_have_run || reply.may_have_run;
     Finish(id, refusal);
-    return;
   }
-  OnRegistered(id, reply);
+}
+
+void EntryAgent::WaitForHolder(const RequestId& id) {
+  const RequestState& state = *deps_.ledger.Find(id);
+  deps_.ledger.SetPhase(id, RequestPhase::kRegistering);
+  registering_.emplace(state.submission.deadline, id);
+}
+
+// The holder may have granted the id and its answer is still on its way, so
+// another send of this id may run.
+void EntryAgent::EndUnregistered() {
+  std::vector<RequestId> due;
+  while (!registering_.empty() &&
+         registering_.begin()->first <= deps_.clock.Now()) {
+    due.push_back(registering_.begin()->second);
+    registering_.erase(registering_.begin());
+  }
+  for (const RequestId& id : due) {
+    const RequestState* state = deps_.ledger.Find(id);
+    if (state != nullptr && state->phase == RequestPhase::kRegistering &&
+        state->submission.deadline <= deps_.clock.Now()) {
+      Fail(id, ErrorKind::kDeadlinePassed, Ran::kUnknown,
+           "the deadline passed before it was known whether the request runs");
+    }
+  }
 }
 
 void EntryAgent::OnRegistered(const RequestId& id, const RegisterReply& reply) {
@@ -196,12 +248,18 @@
   switch (reply.outcome) {
     case RegisterOutcome::kNew:
       deps_.ledger.FindMutable(id)->granted = true;
+      deps_.ledger.FindMutable(id)->may_have_run =
+          state->may_have_run || reply.may_have_run;
       if (deps_.owner.HasAdopted(id)) {
         // Adopted while the holder was asked; to the holder both are this
         // member.
         AttachTo(id, self_);
         return;
       }
+      if (state->cancel_requested) {
+        FailCancelled(id);
+        return;
+      }
       Admit(id);
       return;
     case RegisterOutcome::kKnown:
@@ -210,7 +268,11 @@
         return;
       }
       if (reply.entry == self_ && state->submission.repeatable) {
-        Admit(id);
+        if (state->cancel_requested) {
+          FailCancelled(id);
+        } else {
+          Admit(id);
+        }
         return;
       }
       if (reply.entry == self_) {
@@ -240,11 +302,18 @@
 }
 
 void EntryAgent::Admit(const RequestId& id) {
+  if (flights_[id].admitted) {
+    // Accepted before and registered once more: never refused.
+    Enqueue(id, Millis(0), /*again=*/true);
+    deps_.dispatcher.Pump();
+    return;
+  }
   Enqueue(id, Millis(0), /*again=*/false);
   auto flight = flights_.find(id);
   if (flight == flights_.end()) {
     return;  // refused by the queue
   }
+  flight->second.admitted = true;
   deps_.metrics.Count(Counter::kRequestsAccepted);
   RequestResult taken;
   taken.ok = true;
@@ -306,6 +375,28 @@
                      [this, id](const std::optional<AttachAnswer>& answer) {
                        OnAttached(id, answer);
                      });
+  if (deps_.ledger.Find(id)->cancel_requested) {
+    attach_client_.Ask(id, entry, AttachMode::kCancel,
+                       deps_.clock.Now() + options_.ask_timeout,
+                       [](const std::optional<AttachAnswer>&) {});
+  }
+}
+
+// The id was free while others took this member for dead. What has not been
+// sent yet must not run beside the other entry's attempt.
+void EntryAgent::OnIdLost(const RequestId& id, const MemberId& entry) {
+  const RequestState* state = deps_.ledger.Find(id);
+  if (state != nullptr && state->phase == RequestPhase::kQueued &&
+      state->submission.repeatable &&
+      deps_.dispatcher.Withdraw(TaskOfRequest(id))) {
+    AttachTo(id, entry);
+  }
+}
+
+void EntryAgent::FailCancelled(const RequestId& id) {
+  const bool may_have_run = deps_.ledger.Find(id)->may_have_run;
+  Fail(id, may_have_run ? ErrorKind::kCancelledRunning : ErrorKind::kCancelled,
+       may_have_run ? Ran::kUnknown : Ran::kNo, "cancelled by the caller");
 }
 
 void EntryAgent::OnAttached(const RequestId& id,
@@ -326,7 +417,7 @@
   }
   // The other entry is gone, or no longer has it: the holder knows when the id
   // is free.
-  deps_.ledger.SetPhase(id, RequestPhase::kRegistering);
+  WaitForHolder(id);
   deps_.registrar.Begin(
       id, submission.repeatable, submission.digest,
       [this, id](const RegisterReply& reply) { OnRegistered(id, reply); });
@@ -420,13 +511,12 @@
     return;
   }
   state->cancel_requested = true;
+  if (state->phase == RequestPhase::kRegistering) {
+    return;  // only the holder knows whether another send of it runs
+  }
   const TaskId task = TaskOfRequest(id);
-  if (state->phase == RequestPhase::kRegistering ||
-      deps_.dispatcher.Withdraw(task)) {
-    const bool may_have_run = state->may_have_run;
-    Fail(id,
-         may_have_run ? ErrorKind::kCancelledRunning : ErrorKind::kCancelled,
-         may_have_run ? Ran::kUnknown : Ran::kNo, "cancelled by the caller");
+  if (deps_.dispatcher.Withdraw(task)) {
+    FailCancelled(id);
     return;
   }
   deps_.dispatcher.Stop(task, /*checkpoint=*/false);
@@ -464,6 +554,15 @@
   });
 }
 
+// The holder of an idempotent id has changed, or this member was taken for
+// dead: until the present holder confirms the id another entry may have it.
+bool EntryAgent::MayStart(const TaskId& task) const {
+  const RequestId id = RequestOfTask(task);
+  const RequestState* state = deps_.ledger.Find(id);
+  return state == nullptr || !state->submission.repeatable ||
+         deps_.registrar.IsConfirmed(id);
+}
+
 uint32_t EntryAgent::NextAttempt(const TaskId& task) {
   const RequestId id = RequestOfTask(task);
   const uint32_t attempt = deps_.ledger.BeginAttempt(id);
@@ -515,10 +614,7 @@
     state->may_have_run = true;
   }
   if (state->cancel_requested) {
-    const Ran ran = state->may_have_run ? Ran::kUnknown : Ran::kNo;
-    Fail(id,
-         ran == Ran::kNo ? ErrorKind::kCancelled : ErrorKind::kCancelledRunning,
-         ran, "cancelled by the caller");
+    FailCancelled(id);
     return true;
   }
   Retry(id, answer);
@@ -582,6 +678,9 @@
   if (state == nullptr || state->phase == RequestPhase::kFinished) {
     return;
   }
+  if (!result.ok && result.ran == Ran::kNo && state->may_have_run) {
+    result.ran = Ran::kUnknown;
+  }
   auto it = flights_.find(id);
   const Flight flight = it == flights_.end() ? Flight() : std::move(it->second);
   flights_.erase(id);
@@ -602,8 +701,9 @@
   }
   deps_.metrics.Observe(Timer::kTotal, state->submission.kind,
                         deps_.clock.Now() - state->accepted);
-  const bool not_run = !result.ok && result.ran == Ran::kNo;
-  deps_.registrar.End(id, !not_run);
+  // The holder remembers a final answer, so that another send of the same id
+  // gets it too.
+  deps_.registrar.End(id, !MayBeSentAgain(*state, result));
   Call(flight.accepted, id, result);
   deps_.ledger.Finish(id, std::move(result));
 }
@@ -643,8 +743,17 @@
   attach_client_.OnMemberDead(member);
 }
 
+void EntryAgent::SetMembers(const std::vector<MemberInfo>& members) {
+  attach_client_.SetMembers(members);
+}
+
+void EntryAgent::OnDeclaredDead() {
+  deps_.registrar.RegisterAgain();
+}
+
 void EntryAgent::Tick() {
   attach_client_.Tick();
+  EndUnregistered();
   deps_.ledger.Expire();
 }
 
--- a/chivedale/entry_agent.h
+++ b/chivedale/entry_agent.h
@@ -5,6 +5,7 @@
 #define CHIVEDALE_ENTRY_AGENT_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -61,7 +62,11 @@
   // False when this entry does not know the request.
   bool OnAttach(const Attach& attach);
   void OnAttachAnswer(const MemberId& from, const AttachAnswer& answer);
+  // All members that are not dead or left.
+  void SetMembers(const std::vector<MemberInfo>& members);
   void OnMemberDead(const MemberId& member);
+  // Holders may have freed the ids of this entry.
+  void OnDeclaredDead();
   void Tick();
   // From now on only known ids are served; others are refused as draining.
   void Drain();
@@ -72,6 +77,7 @@
   bool drained() const;
 
   // AttemptListener:
+  bool MayStart(const TaskId& task) const override;
   uint32_t NextAttempt(const TaskId& task) override;
   void OnAttemptStarted(const MemberId& owner,
                         const DispatchReply& reply) override;
@@ -82,6 +88,7 @@
   // What an open request needs beyond its ledger state.
   struct Flight {
     ResultCallback accepted;
+    bool admitted = false;
     uint32_t starts = 0;  // attempts that were accepted or may have been
     util::TimePoint sent{};
     std::optional<util::TimePoint> started;
@@ -93,6 +100,11 @@
                           const RequestResult& refusal,
                           const RegisterReply& reply);
   void Admit(const RequestId& id);
+  // Until the holder answers or the deadline passes.
+  void WaitForHolder(const RequestId& id);
+  void EndUnregistered();
+  void OnIdLost(const RequestId& id, const MemberId& entry);
+  void FailCancelled(const RequestId& id);
   void AttachTo(const RequestId& id, const MemberId& entry);
   void OnAttached(const RequestId& id,
                   const std::optional<AttachAnswer>& answer);
@@ -116,6 +128,9 @@
   const Options options_;
   Table table_;
   std::unordered_map<RequestId, Flight> flights_;
+  // Requests that wait for a holder, by deadline. One that no longer waits is
+  // skipped when it is due.
+  std::multimap<util::TimePoint, RequestId> registering_;
   AttachClient attach_client_;
   bool draining_ = false;
 };
--- a/chivedale/lease_keeper.cc
+++ b/chivedale/lease_keeper.cc
@@ -38,6 +38,7 @@
 }
 
 void LeaseKeeper::SetVms(const std::vector<Vm>& endpoints) {
+  has_list_ = true;
   for (auto& [id, worker] : workers_) {
     worker->listed = false;
   }
@@ -436,9 +437,11 @@
 }
 
 bool LeaseKeeper::settled() const {
-  return std::all_of(workers_.begin(), workers_.end(), [this](const auto& w) {
-    return !Wanted(*w.second) || w.second->lease.state() == LeaseState::kOwned;
-  });
+  return has_list_ &&
+         std::all_of(workers_.begin(), workers_.end(), [this](const auto& w) {
+           return !Wanted(*w.second) ||
+                  w.second->lease.state() == LeaseState::kOwned;
+         });
 }
 
 bool LeaseKeeper::idle() const {
--- a/chivedale/lease_keeper.h
+++ b/chivedale/lease_keeper.h
@@ -175,6 +175,8 @@
   OwnerChoice choice_;
   std::map<WorkerId, std::unique_ptr<WorkerRecord>> workers_;
   std::set<std::pair<util::TimePoint, WorkerId>> timers_;
+  // Before the first list of VMs it is not known which workers to read.
+  bool has_list_ = false;
   bool draining_ = false;
   double rebalance_credit_ = 0;
   util::TimePoint credit_at_{};
--- a/chivedale/membership.cc
+++ b/chivedale/membership.cc
@@ -174,11 +174,19 @@
   void TakeNews(const MemberInfo& sender,
                 const std::vector<MemberInfo>& updates) {
     const uint64_t incarnation = list.self().incarnation;
+    const bool declared_dead =
+        std::any_of(updates.begin(), updates.end(), [&](const MemberInfo& m) {
+          return m.id == list.self().id && m.state == MemberState::kDead &&
+                 m.incarnation >= incarnation;
+        });
     list.Merge(sender);
     list.Heard(sender.id);
     for (const MemberInfo& update : updates) {
       list.Merge(update);
     }
+    if (declared_dead && hooks.declared_dead) {
+      hooks.declared_dead();
+    }
     // Refuted: the accuser learns at once, others by the push.
     if (list.self().incarnation != incarnation) {
       push_wanted = true;
--- a/chivedale/membership.h
+++ b/chivedale/membership.h
@@ -46,6 +46,8 @@
     std::function<void(const MemberInfo&)> changed;
     // Called for each ping or reply with the sender's extras.
     std::function<void(const MemberId&, const Extras&)> heard;
+    // Others took this member for dead, during a pause or behind a cut link.
+    std::function<void()> declared_dead;
   };
 
   Membership(const util::Clock& clock,
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -219,6 +219,8 @@
   // That of the Register, so that the entry role and the owner role of one
   // member tell their replies apart.
   uint64_t registration = 0;
+  // With kNew: an earlier send may have run for an entry that is gone.
+  bool may_have_run = false;
 };
 
 enum class AttachMode {
--- a/chivedale/owner_agent.cc
+++ b/chivedale/owner_agent.cc
@@ -112,6 +112,25 @@
   self.state = draining_ ? MemberState::kDraining : MemberState::kLive;
   candidates.push_back(self);
   keeper_.SetMembers(candidates);
+  for (auto it = gone_.begin(); it != gone_.end();) {
+    const MemberId entry = it->first;
+    if (members_.count(entry) == 0) {
+      ++it;
+      continue;
+    }
+    it = gone_.erase(it);
+    OnEntryBack(entry);
+  }
+}
+
+// The entry was paused or cut off and still waits for its answers. Who was
+// told meanwhile to attach here gets them as well.
+void OwnerAgent::Impl::OnEntryBack(const MemberId& entry) {
+  for (const TaskKey& key : KeysOf(entry)) {
+    adopted_.ForgetUnconfirmed(key);
+    relay_.SetEntry(key, entry);
+  }
+  SendAnswers();
 }
 
 bool OwnerAgent::Impl::IsMember(const MemberId& id) const {
@@ -211,11 +230,15 @@
 // The task of a job waits for the job's next manager, which dispatches the
 // same attempt again.
 void OwnerAgent::Impl::KeepAnswer(const TaskKey& key) {
+  relay_.SetAdopted(key);
+  TellAttached(key);
+}
+
+void OwnerAgent::Impl::TellAttached(const TaskKey& key) {
   const CompletionRelay::Pending* pending = relay_.Find(key);
   if (pending == nullptr) {
     return;
   }
-  relay_.SetAdopted(key);
   for (const Attach& attach : adopted_.OnAnswer(pending->answer)) {
     Send(attach.sender, MakeAttachAnswer(attach, key, &pending->answer));
   }
--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -65,6 +65,8 @@
   void FindMissingEntries();
   void EndUnlisted();
   void KeepAnswer(const TaskKey& key);
+  void TellAttached(const TaskKey& key);
+  void OnEntryBack(const MemberId& entry);
   std::vector<TaskKey> KeysOf(const MemberId& entry) const;
   void SendAnswers();
   bool IsMember(const MemberId& id) const;
--- a/chivedale/owner_starts.cc
+++ b/chivedale/owner_starts.cc
@@ -23,7 +23,9 @@
   if (AnswerAsFirst(dispatch)) {
     return;
   }
-  if (draining_ || tracker_.HasOtherAttempt(dispatch.key) ||
+  // The ids of an entry that was reported gone may have been freed since.
+  const bool entry_gone = gone_.count(dispatch.entry) != 0;
+  if (draining_ || entry_gone || tracker_.HasOtherAttempt(dispatch.key) ||
       IsOfEarlierManager(dispatch)) {
     Refuse(dispatch, DispatchOutcome::kRefused);
     return;
@@ -340,6 +342,8 @@
   relay_.Add(answer, attempt.entry, {attempt.worker, "", 0});
   if (gone_.count(attempt.entry) != 0) {
     AdoptAttempt(attempt.key, attempt.entry, attempt.repeatable);
+  } else {
+    TellAttached(attempt.key);
   }
   SendAnswers();
 }
--- a/chivedale/owner_workers.cc
+++ b/chivedale/owner_workers.cc
@@ -160,6 +160,8 @@
   relay_.Add(answer, entry, origin);
   if (gone_.count(entry) != 0) {
     AdoptAttempt(completion.key, entry, repeatable);
+  } else {
+    TellAttached(completion.key);
   }
 }
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -122,7 +122,8 @@
                  m.outcome,
                  m.entry,
                  m.retry_after,
-                 m.registration);
+                 m.registration,
+                 m.may_have_run);
 CHIVEDALE_FIELDS(Attach, m.request, m.sender, m.mode);
 CHIVEDALE_FIELDS(AttachAnswer,
                  m.request,
--- a/chivedale/registrar.cc
+++ b/chivedale/registrar.cc
@@ -130,6 +130,12 @@
   } else if (!registration.held) {
     ids_.erase(it);
   }
+  const bool lost = callers.empty() &&
+                    reply.outcome == RegisterOutcome::kKnown &&
+                    reply.entry != self_;
+  if (lost && lost_) {
+    lost_(reply.request, reply.entry);
+  }
   for (const Done& done : callers) {
     done(reply);
   }
@@ -147,6 +153,15 @@
   }
 }
 
+void Registrar::RegisterAgain() {
+  for (auto& [id, registration] : ids_) {
+    if (registration.held) {
+      asking_[id] = true;
+      Ask(id, registration);
+    }
+  }
+}
+
 void Registrar::Tick() {
   const util::TimePoint now = clock_.Now();
   ExpireEnded();
--- a/chivedale/registrar.h
+++ b/chivedale/registrar.h
@@ -46,6 +46,10 @@
             Options options);
 
   // Commands.
+  // Called when a new holder knows a held id as another entry's.
+  void OnLost(std::function<void(const RequestId&, const MemberId&)> lost) {
+    lost_ = std::move(lost);
+  }
   // `done` gets the final reply: never kNotHolder or kWait.
   void Begin(const RequestId& id, bool repeatable, uint64_t digest, Done done);
   // Only asks whether the id is known; the id is not kept here. A digest of 0
@@ -57,9 +61,15 @@
   bool OnReply(const RegisterReply& reply);
   // Registers open ids with new holders.
   void OnMembersChanged();
+  // Others took this member for dead: holders may have freed its ids.
+  void RegisterAgain();
   void Tick();
 
-  // Query.
+  // Queries.
+  // Whether the present holder has granted or confirmed the id.
+  bool IsConfirmed(const RequestId& id) const {
+    return asking_.count(id) == 0;
+  }
   size_t size() const { return ids_.size(); }
 
  private:
@@ -83,6 +93,7 @@
   const RequestDirectory& directory_;
   MemberSender& sender_;
   const MemberId self_;
+  std::function<void(const RequestId&, const MemberId&)> lost_;
   const Options options_;
   std::unordered_map<RequestId, Registration> ids_;
   // Ids that wait for a reply; the others need no timer.
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -32,6 +32,9 @@
 // as dead; membership news may be that late.
 constexpr Millis kUnknownEntryGrace{3'000};
 constexpr Millis kSweepInterval{500};
+// Longer between two calls means that this process was paused. Others may hold
+// its groups by now, so it settles again before it frees or grants an id.
+constexpr Millis kPause{1'000};
 
 bool MayHold(MemberState state) {
   return state == MemberState::kLive || state == MemberState::kSuspect;
@@ -46,6 +49,8 @@
     util::TimePoint at{};
     std::set<MemberId> awaited;
     bool over = false;
+    // It left on its own, after it had answered all its callers.
+    bool left = false;
   };
   struct Group {
     bool held = false;
@@ -98,17 +103,49 @@
 
   // Whether ids that this holder does not know may still be run by others. A
   // holder that takes the place of a dead one knows nothing of ids whose entry
-  // died with it, until every member has told what it runs for the dead one.
+  // died with it, until every member has told what it runs for the dead one. A
+  // second death may come from views that are split: then the entry may have
+  // registered with a member that this one takes for dead.
   bool Settling(const Group& group) const {
     if (clock.Now() - group.taken < options.settle) {
       return true;
     }
+    const auto deaths = std::count_if(
+        departures.begin(), departures.end(),
+        [](const auto& departure) { return !departure.second.left; });
     return std::any_of(
         departures.begin(), departures.end(), [&](const auto& departure) {
-          return !departure.second.over && departure.second.at <= group.taken;
+          return !departure.second.over &&
+                 (deaths > 1 || departure.second.at <= group.taken);
         });
   }
 
+  void Observe() {
+    const util::TimePoint now = clock.Now();
+    const bool paused = now - std::exchange(observed, now) > kPause;
+    if (!paused) {
+      return;
+    }
+    for (auto* groups : {&once_groups, &repeatable_groups}) {
+      for (Group& group : *groups) {
+        group.taken = now;
+      }
+    }
+  }
+
+  // Whether a new idempotent id may have run for an entry that is gone: nobody
+  // remembers the ids of work that had ended by then.
+  bool MayHaveRun() const {
+    return std::any_of(
+        departures.begin(), departures.end(),
+        [](const auto& departure) { return !departure.second.left; });
+  }
+
+  void OnMemberLeft(const MemberId& member) {
+    OnMemberDead(member);
+    departures[member].left = true;
+  }
+
   void SetMembers(const std::vector<MemberInfo>& list) {
     std::map<MemberId, MemberInfo> next;
     bool doubt = false;
@@ -129,10 +166,18 @@
     auto me = next.find(self.id);
     doubt = doubt || !lost.empty() || me == next.end() ||
             !MayHold(me->second.state);
+    // A member that joins or comes back may run work of one that has departed.
+    for (const auto& [id, member] : next) {
+      if (members.count(id) == 0) {
+        AwaitReportOf(id);
+      }
+    }
     members = std::move(next);
     for (const auto& [id, member] : members) {
-      departures.erase(id);
       missing.erase(id);
+      if (departures.erase(id) != 0) {
+        OnMemberBack(id);
+      }
     }
     for (const MemberId& id : lost) {
       OnMemberDead(id);
@@ -143,6 +188,24 @@
     }
   }
 
+  void AwaitReportOf(const MemberId& member) {
+    for (auto& [gone, departure] : departures) {
+      if (!departure.over && gone != member &&
+          reported[gone].count(member) == 0) {
+        departure.awaited.insert(member);
+      }
+    }
+  }
+
+  // It was paused or cut off; what it had then it still has.
+  void OnMemberBack(const MemberId& member) {
+    reported.erase(member);
+    early_adoptions.erase(member);
+    for (const RequestId& id : ids.OfEntry(member)) {
+      ids.Find(id)->orphaned = false;
+    }
+  }
+
   void TakeGroups() {
     for (int number = 0; number < options.record_groups; ++number) {
       const auto i = static_cast<size_t>(number);
@@ -194,7 +257,16 @@
     return reply;
   }
 
+  // Of an idempotent id.
+  RegisterReply MakeGrant(const Register& request) const {
+    RegisterReply grant =
+        MakeReply(request.request, RegisterOutcome::kNew, request.entry);
+    grant.may_have_run = MayHaveRun();
+    return grant;
+  }
+
   void OnRegister(const Register& request, const Reply& reply) {
+    Observe();
     const RequestId& id = request.request;
     Group& group = GroupState(id, request.repeatable);
     if (!group.held) {
@@ -258,7 +330,7 @@
     }
     const bool same = entry.entry == request.entry && !request.probe;
     if (same && entry.repeatable) {
-      reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
+      reply(MakeGrant(request));
       return;
     }
     if (same && request.registration != 0 && entry.first_reply &&
@@ -289,7 +361,7 @@
     if (!request.probe) {
       ids.Insert(id, NewEntry(request));
     }
-    reply(MakeReply(id, RegisterOutcome::kNew, request.entry));
+    reply(MakeGrant(request));
   }
 
   void ProbeOnce(const Register& request,
@@ -485,6 +557,7 @@
   }
 
   void Tick() {
+    Observe();
     const util::TimePoint now = clock.Now();
     EndDepartures();
     if (now < next_sweep) {
@@ -509,6 +582,7 @@
   std::map<MemberId, std::set<MemberId>> reported;
   std::map<MemberId, std::map<RequestId, MemberId>> early_adoptions;
   util::TimePoint next_sweep{};
+  util::TimePoint observed = clock.Now();
   std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
@@ -546,6 +620,10 @@
   impl_->OnMemberDead(member);
 }
 
+void RequestDirectory::OnMemberLeft(const MemberId& member) {
+  impl_->OnMemberLeft(member);
+}
+
 void RequestDirectory::Tick() {
   impl_->Tick();
 }
--- a/chivedale/request_directory.h
+++ b/chivedale/request_directory.h
@@ -53,6 +53,8 @@
   void OnUnregister(const Unregister& message);
   void OnEntryGone(const EntryGone& message);
   void OnMemberDead(const MemberId& member);
+  // It stopped as planned: all its requests were answered.
+  void OnMemberLeft(const MemberId& member);
   void Tick();
 
   // Queries.
--- a/chivedale/request_ledger.cc
+++ b/chivedale/request_ledger.cc
@@ -82,6 +82,7 @@
   state.accepted = clock_.Now();
   state.attempt = ended.attempt;
   state.granted = ended.granted;
+  state.may_have_run = ended.may_have_run;
   ++open_;
 }
 
--- a/chivedale/routing.cc
+++ b/chivedale/routing.cc
@@ -313,6 +313,9 @@
     cell.capacity += owner.summary.plain.capacity;
     cell.capacity += owner.summary.accelerated.capacity;
   }
+  // While no worker is owned, as right after a start, no size
+  // is known to be too large.
+  cell.complete &= !cell.capacity.IsZero();
   return cell;
 }
 
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -221,7 +221,11 @@
     // Ids are registered with new holders before the report that completes the
     // list for the dead member.
     RefreshMembers();
-    parts_->directory.OnMemberDead(member.id);
+    if (member.state == MemberState::kLeft) {
+      parts_->directory.OnMemberLeft(member.id);
+    } else {
+      parts_->directory.OnMemberDead(member.id);
+    }
     parts_->owner.OnMemberDead(member.id);
     parts_->dispatcher.OnMemberDead(member.id);
     parts_->entry.OnMemberDead(member.id);
@@ -242,6 +246,7 @@
   parts.limits.SetMembers(ids);
   parts.replica.SetMembers(members);
   parts.owner.SetMembers(members);
+  parts.entry.SetMembers(members);
   parts.jobs.SetMembers(members);
 }
 
@@ -273,6 +278,8 @@
                       {{"open_requests", std::to_string(parts.ledger.open())}});
       break;
     case LifecycleState::kHandingOver:
+      // A drain before the first table comes here without kDraining.
+      parts.entry.Drain();
       parts.owner.Drain();
       break;
     case LifecycleState::kStopped:
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -229,7 +229,8 @@
               [this](const MemberId& member, const Membership::Extras& extras) {
                 replica.OnRevision(member, extras.table_revision);
                 limits.OnDemand(member, extras.demand);
-              }}),
+              },
+              [this] { entry.OnDeclaredDead(); }}),
       vm_list(scheduler.deps_.clock, VmList::Options()) {}
 
 // One overload per message type.
--- a/chivedale/testing/fake_cell.cc
+++ b/chivedale/testing/fake_cell.cc
@@ -337,6 +337,21 @@
 }
 
 size_t FakeCell::Send(const std::string& kind, int run_ms, bool repeatable) {
+  const size_t number = AddCaller(kind, run_ms, repeatable);
+  SendCaller(number);
+  return number;
+}
+
+size_t FakeCell::SendThrough(int process, const std::string& kind, int run_ms) {
+  const size_t number = AddCaller(kind, run_ms, /*repeatable=*/true);
+  callers_[number].send_again = clock_.Now() + kLongestPatience;
+  SubmitThrough(process, number);
+  return number;
+}
+
+size_t FakeCell::AddCaller(const std::string& kind,
+                           int run_ms,
+                           bool repeatable) {
   CellCaller caller;
   caller.id = RequestId("q-" + std::to_string(callers_.size() + 1));
   caller.kind = kind;
@@ -346,7 +361,6 @@
       ",\"n\":" + std::to_string(callers_.size()) + "}");
   caller.first_sent = clock_.Now();
   callers_.push_back(std::move(caller));
-  SendCaller(callers_.size() - 1);
   return callers_.size() - 1;
 }
 
@@ -356,19 +370,25 @@
   caller.send_again = clock_.Now() + kShortestPatience +
                       Millis(random_.Below(static_cast<uint64_t>(
                           (kLongestPatience - kShortestPatience).count())));
+  if (!alive.empty()) {
+    SubmitThrough(alive[random_.Below(alive.size())], number);
+  }
+}
+
+void FakeCell::SubmitThrough(int process, size_t number) {
+  CellCaller& caller = callers_[number];
   const auto left = std::chrono::duration_cast<Millis>(
       caller.first_sent + caller.deadline - clock_.Now());
-  if (alive.empty() || left.count() <= 0) {
+  if (left.count() <= 0) {
     return;
   }
   ++caller.sends;
-  const int target = alive[random_.Below(alive.size())];
   CallerSubmission submission;
   submission.id = caller.id;
   submission.kind = caller.kind;
   submission.deadline = left;
   submission.payload = caller.payload;
-  Process& p = *processes_[static_cast<size_t>(target)];
+  Process& p = *processes_[static_cast<size_t>(process)];
   p.scheduler->Submit(
       submission, nullptr,
       [this, number, &p](const RequestId&, const RequestResult& result) {
@@ -416,6 +436,10 @@
     for (const auto& process : processes_) {
       if (process->alive && !process->paused) {
         process->scheduler->Tick();
+        // The daemon exits once its scheduler has stopped.
+        if (process->scheduler->stopped()) {
+          Kill(process->number);
+        }
       }
     }
     SendAgain();
--- a/chivedale/testing/fake_cell.h
+++ b/chivedale/testing/fake_cell.h
@@ -64,6 +64,8 @@
   // Commands: work and time.
   // Sends through a random live process; returns the caller's number.
   size_t Send(const std::string& kind, int run_ms, bool repeatable = true);
+  // The first send goes through this process.
+  size_t SendThrough(int process, const std::string& kind, int run_ms);
   void CancelCaller(size_t caller);
   void Run(Millis time);
 
@@ -91,7 +93,9 @@
   class CellVmList;
 
   void Deliver(int from, int to, const Message& message);
+  size_t AddCaller(const std::string& kind, int run_ms, bool repeatable);
   void SendCaller(size_t caller);
+  void SubmitThrough(int process, size_t caller);
   void OnCallerResult(size_t caller, const RequestResult& result);
   void SendAgain();
   void CheckCaller(const CellCaller& caller,
