Confirm idempotent ids again after a pause of their entry

Change: the registrar notices a gap in its ticks and starts nothing before the holders have answered.

--- a/chivedale/registrar.cc
+++ b/chivedale/registrar.cc
@@ -9,6 +9,13 @@
 #include <vector>
 
 namespace chivedale {
+namespace {
+
+// Longer between two ticks means that this process was paused: others may have
+// taken it for dead and freed its ids.
+constexpr Millis kPause{1'000};
+
+}  // namespace
 
 Registrar::Registrar(const util::Clock& clock,
                      const RequestDirectory& directory,
@@ -19,6 +26,7 @@
       directory_(directory),
       sender_(sender),
       self_(std::move(self)),
+      ticked_(clock.Now()),
       options_(options) {}
 
 void Registrar::Begin(const RequestId& id,
@@ -162,8 +170,15 @@
   }
 }
 
+bool Registrar::IsConfirmed(const RequestId& id) const {
+  return asking_.count(id) == 0 && clock_.Now() - ticked_ <= kPause;
+}
+
 void Registrar::Tick() {
   const util::TimePoint now = clock_.Now();
+  if (now - std::exchange(ticked_, now) > kPause) {
+    RegisterAgain();
+  }
   ExpireEnded();
   std::vector<RequestId> due;
   for (const auto& [id, asking] : asking_) {
--- a/chivedale/registrar.h
+++ b/chivedale/registrar.h
@@ -67,9 +67,7 @@
 
   // Queries.
   // Whether the present holder has granted or confirmed the id.
-  bool IsConfirmed(const RequestId& id) const {
-    return asking_.count(id) == 0;
-  }
+  bool IsConfirmed(const RequestId& id) const;
   size_t size() const { return ids_.size(); }
 
  private:
@@ -93,6 +91,7 @@
   const RequestDirectory& directory_;
   MemberSender& sender_;
   const MemberId self_;
+  util::TimePoint ticked_{};
   std::function<void(const RequestId&, const MemberId&)> lost_;
   const Options options_;
   std::unordered_map<RequestId, Registration> ids_;
