--- a/chivedale/attach_client.cc
+++ b/chivedale/attach_client.cc
@@ -17,6 +17,8 @@
 
 // By then every holder has heard of a death, or is called dead itself.
 constexpr Millis kNewsSpread{60'000};
+// News of a member that joins may be this late.
+constexpr Millis kUnknownEntryGrace{3'000};
 
 }  // namespace
 
@@ -37,6 +39,7 @@
   Question question;
   question.entry = entry;
   question.mode = mode;
+  question.asked = clock_.Now();
   question.give_up_at = give_up_at;
   question.done = std::move(done);
   if (dead_.count(entry) > 0) {
@@ -89,6 +92,13 @@
   }
 }
 
+void AttachClient::SetMembers(const std::vector<MemberInfo>& members) {
+  members_.clear();
+  for (const MemberInfo& member : members) {
+    members_.insert(member.id);
+  }
+}
+
 void AttachClient::OnMemberDead(const MemberId& member) {
   dead_[member] = clock_.Now();
   const std::vector<Question> ended =
@@ -107,7 +117,9 @@
   }
   const std::vector<Question> ended =
       TakeIf([&](const RequestId& id, Question& question) {
-        if (now >= question.give_up_at) {
+        const bool gone = members_.count(question.entry) == 0 &&
+                          now - question.asked >= kUnknownEntryGrace;
+        if (gone || now >= question.give_up_at) {
           return true;
         }
         if (now >= question.ask_at) {
--- a/chivedale/id_book.cc
+++ b/chivedale/id_book.cc
@@ -94,6 +94,14 @@
   }
 }
 
+void IdBook::Reclaim(const MemberId& member) {
+  for (Owner& owner : owners_) {
+    if (owner.member == member) {
+      owner.orphaned = false;
+    }
+  }
+}
+
 void IdBook::EraseRepeatableOf(const MemberId& member) {
   const bool any = std::any_of(owners_.begin(), owners_.end(),
                                [&member](const Owner& owner) {
--- a/chivedale/id_book.h
+++ b/chivedale/id_book.h
@@ -49,6 +49,8 @@
   void SetRecorded(const RequestId& id, bool granted);
   // All present ids of `member` become orphans.
   void Orphan(const MemberId& member);
+  // The orphans of `member` that nobody has adopted are its own again.
+  void Reclaim(const MemberId& member);
   // Visits all ids, as EraseIf.
   void EraseRepeatableOf(const MemberId& member);
   // `hash` is util::Hash64 of the id.
--- a/chivedale/owner_agent.cc
+++ b/chivedale/owner_agent.cc
@@ -113,32 +113,25 @@
   self.state = draining_ ? MemberState::kDraining : MemberState::kLive;
   candidates.push_back(self);
   keeper_.SetMembers(candidates);
-  std::vector<MemberId> back;
-  for (const auto& [member, gone] : gone_) {
-    if (members_.count(member) != 0) {
-      back.push_back(member);
+  for (auto it = gone_.begin(); it != gone_.end();) {
+    const MemberId entry = it->first;
+    if (members_.count(entry) == 0) {
+      ++it;
+      continue;
     }
-  }
-  for (const MemberId& member : back) {
-    OnMemberBack(member);
+    it = gone_.erase(it);
+    OnEntryBack(entry);
   }
 }
 
-// A paused entry was called dead and goes on under the same id. It waits for
-// its answers; without this, those of its new requests would be kept as a dead
-// entry's and never sent.
-void OwnerAgent::Impl::OnMemberBack(const MemberId& member) {
-  gone_.erase(member);
-  for (const TaskKey& key : KeysOf(member)) {
-    // The holder has the id under this member once it has confirmed; until then
-    // under the entry, which whoever attaches must then ask.
-    const AdoptedTasks::Adopted* adopted =
-        adopted_.Find(AdoptableRequest(key.task));
-    if (adopted != nullptr && !adopted->confirmed) {
-      adopted_.Forget(key);
-    }
-    relay_.SetEntry(key, member);
+// The entry was paused or cut off and still waits for its answers. Who was
+// told meanwhile to attach here gets them as well.
+void OwnerAgent::Impl::OnEntryBack(const MemberId& entry) {
+  for (const TaskKey& key : KeysOf(entry)) {
+    adopted_.ForgetUnconfirmed(key);
+    relay_.SetEntry(key, entry);
   }
+  SendAnswers();
 }
 
 bool OwnerAgent::Impl::IsMember(const MemberId& id) const {
@@ -239,10 +232,10 @@
 // same attempt again.
 void OwnerAgent::Impl::KeepAnswer(const TaskKey& key) {
   relay_.SetAdopted(key);
-  AnswerAttached(key);
+  TellAttached(key);
 }
 
-void OwnerAgent::Impl::AnswerAttached(const TaskKey& key) {
+void OwnerAgent::Impl::TellAttached(const TaskKey& key) {
   const CompletionRelay::Pending* pending = relay_.Find(key);
   if (pending == nullptr) {
     return;
--- a/chivedale/owner_workers.cc
+++ b/chivedale/owner_workers.cc
@@ -161,7 +161,7 @@
   if (gone_.count(entry) != 0) {
     AdoptAttempt(completion.key, entry, repeatable);
   } else {
-    AnswerAttached(completion.key);
+    TellAttached(completion.key);
   }
 }
 
--- a/chivedale/testing/attach_client_test.cc
+++ b/chivedale/testing/attach_client_test.cc
@@ -21,6 +21,11 @@
 };
 
 struct Fixture {
+  Fixture() {
+    MemberInfo member;
+    member.id = MemberId("a");
+    client.SetMembers({member});
+  }
   void Ask(const std::string& entry) {
     client.Ask(RequestId("r"), MemberId(entry), AttachMode::kWait,
                clock.Now() + Millis(60'000),
--- a/chivedale/testing/capacity_members.cc
+++ b/chivedale/testing/capacity_members.cc
@@ -88,19 +88,20 @@
         : bench(bench_in),
           self(info),
           random(seed),
-          membership(bench.clock_,
-                     random,
-                     *this,
-                     info,
-                     Membership::Options(),
-                     Membership::Hooks{
-                         [this] {
-                           Membership::Extras extras;
-                           extras.demand = bench.demand_;
-                           return extras;
-                         },
-                         [](const MemberInfo&) {},
-                         [](const MemberId&, const Membership::Extras&) {}}) {}
+          membership(
+              bench.clock_,
+              random,
+              *this,
+              info,
+              Membership::Options(),
+              Membership::Hooks{
+                  [this] {
+                    Membership::Extras extras;
+                    extras.demand = bench.demand_;
+                    return extras;
+                  },
+                  [](const MemberInfo&) {},
+                  [](const MemberId&, const Membership::Extras&) {}, [] {}}) {}
 
     bool Send(const MemberId& to, const Message& message) override {
       bench.Deliver(*this, to, message);
