--- a/chivedale/load_results.cc
+++ b/chivedale/load_results.cc
@@ -30,9 +30,9 @@
 }  // namespace
 
 std::string LoadOutcomeName(LoadOutcome outcome) {
-  static const char* const kNames[] = {
+  static const char* const names[] = {
       "ok", "mixed_up", "refused", "failed", "unknown", "cancelled", "lost"};
-  return kNames[static_cast<int>(outcome)];
+  return names[static_cast<int>(outcome)];
 }
 
 LoadResults::LoadResults(const LoadProfile& profile)
