--- a/scripts/jobs_demo.sh
+++ b/scripts/jobs_demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs a batch job, gangs and a service on a cell of six daemons on loopback,
 # while managers, an owner, a worker and the store fail or pause. Exit code 0
-# only when the workers' book shows each task right. Takes about 60 s; needs jq.
+# only when the workers' book shows each task right. Takes 60 to 75 s; needs
+# jq.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -n "${NO_BUILD:-}" ] || scripts/build.sh build
