Ask all members before a lost attempt is given up

Cause: after an owner's death the dispatcher gave its attempts up when the orphan wait was over, although the worker's next owner may run them and be unable to reach the entry. Change: after the wait each member is asked with a JobQuery without a job; only when all have named the attempt absent, or at the deadline as unknown, is it given up. A member that leaves starts the wait anew.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -318,6 +318,65 @@
     Attempt& attempt = attempts_.at(task);
     if (attempt.owner == member) {
       MarkOwnerLost(attempt);
+    } else if (attempt.owner_lost != util::TimePoint()) {
+      // It may have been the next owner of the worker: the wait starts anew.
+      attempt.owner_lost = deps_.clock.Now();
+      attempt.asked = false;
+    }
+  }
+}
+
+void Dispatcher::SetMembers(const std::vector<MemberInfo>& members) {
+  members_.clear();
+  for (const MemberInfo& member : members) {
+    members_.insert(member.id);
+  }
+}
+
+// The worker's next owner may be unable to reach this entry, or its
+// WorkerTaken was lost, so silence for the orphan wait proves nothing. Each
+// member is asked; one that has not read its workers yet does not answer.
+bool Dispatcher::IsSettled(Attempt& attempt) {
+  const util::TimePoint now = deps_.clock.Now();
+  if (now >= attempt.task.deadline) {
+    return true;  // reported as unknown
+  }
+  if (now - attempt.owner_lost < options_.orphan_wait) {
+    return false;
+  }
+  if (!attempt.asked) {
+    attempt.asked = true;
+    attempt.awaited = members_;
+    attempt.ask_at = now;
+  }
+  if (now >= attempt.ask_at) {
+    attempt.ask_at = now + options_.resend;
+    JobQuery query;
+    query.manager = self_;
+    query.attempts.push_back({attempt.task.dispatch.key, attempt.worker});
+    for (const MemberId& member : attempt.awaited) {
+      deps_.sender.SendToMember(member, query);
+    }
+  }
+  return attempt.awaited.empty();
+}
+
+void Dispatcher::OnQueryReply(const MemberId& member,
+                              const JobQueryReply& reply) {
+  for (const JobAttempt& found : reply.present) {
+    Attempt* attempt = FindSent(found.key);
+    if (attempt == nullptr || attempt->owner_lost == util::TimePoint()) {
+      continue;
+    }
+    attempt->owner = member;
+    attempt->worker = found.worker;
+    attempt->phase = Phase::kRunning;
+    attempt->owner_lost = util::TimePoint();
+    attempt->asked = false;
+  }
+  for (const TaskKey& key : reply.absent) {
+    if (Attempt* attempt = FindSent(key)) {
+      attempt->awaited.erase(member);
     }
   }
 }
@@ -325,6 +384,7 @@
 void Dispatcher::MarkOwnerLost(Attempt& attempt) {
   if (attempt.owner_lost == util::TimePoint()) {
     attempt.owner_lost = deps_.clock.Now();
+    attempt.asked = false;
   }
 }
 
@@ -343,7 +403,7 @@
   for (const auto& [task, sent] : sent_) {
     Attempt& attempt = attempts_.at(task);
     if (attempt.owner_lost != util::TimePoint()) {
-      if (now - attempt.owner_lost >= options_.orphan_wait) {
+      if (IsSettled(attempt)) {
         lost.push_back(task);
       }
       continue;
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -8,8 +8,10 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "chivedale/fair_queue.h"
 #include "chivedale/ids.h"
@@ -89,6 +91,10 @@
   void OnDispatchReply(const MemberId& owner, const DispatchReply& reply);
   void OnAnswer(const MemberId& owner, const Answer& answer);
   void OnWorkerTaken(const WorkerTaken& taken);
+  // All members that are not dead or left.
+  void SetMembers(const std::vector<MemberInfo>& members);
+  // A member's answer to the question for lost attempts.
+  void OnQueryReply(const MemberId& member, const JobQueryReply& reply);
   void OnMemberDead(const MemberId& member);
   void Tick();
 
@@ -114,6 +120,10 @@
     util::TimePoint sent_at{};
     // Zero while the owner is believed alive.
     util::TimePoint owner_lost{};
+    // Members that have not told yet whether they have the lost attempt.
+    std::set<MemberId> awaited;
+    util::TimePoint ask_at{};
+    bool asked = false;
     bool cancelled = false;
   };
 
@@ -126,6 +136,8 @@
   bool End(const MemberId& owner, const Answer& answer);
   void EndLost(const TaskId& task);
   void MarkOwnerLost(Attempt& attempt);
+  // Whether the lost attempt has ended for certain, or its time is over.
+  bool IsSettled(Attempt& attempt);
   Attempt* FindSent(const TaskKey& key);
   static QueuedItem ItemOf(const DispatchTask& task);
 
@@ -135,6 +147,7 @@
   std::unordered_map<TaskId, Attempt> attempts_;
   // Sent attempts, so that a tick does not visit the queue.
   std::unordered_map<TaskId, bool> sent_;
+  std::set<MemberId> members_;
   uint64_t sequence_ = 0;
   bool pumping_ = false;
 };
--- a/chivedale/owner_agent_impl.h
+++ b/chivedale/owner_agent_impl.h
@@ -109,6 +109,7 @@
 
   // owner_jobs.cc
   void OnJobQuery(const JobQuery& query);
+  void OnRequestQuery(const JobQuery& query);
   bool IsOfEarlierManager(const Dispatch& dispatch) const;
   bool HasRead(const WorkerId& id);
   void ExpireJobEpochs();
--- a/chivedale/owner_jobs.cc
+++ b/chivedale/owner_jobs.cc
@@ -16,7 +16,30 @@
   return it != job_epochs_.end() && dispatch.job_epoch < it->second.epoch;
 }
 
+// An entry asks for attempts of requests that its owner's death left behind:
+// there is no job and no epoch, and what is not here is absent.
+void OwnerAgent::Impl::OnRequestQuery(const JobQuery& query) {
+  if (!keeper_.settled()) {
+    return;
+  }
+  JobQueryReply reply;
+  for (const JobAttempt& asked : query.attempts) {
+    if (Attempt* attempt = tracker_.Find(asked.key)) {
+      reply.present.push_back({asked.key, attempt->worker});
+    } else if (const auto* pending = relay_.Find(asked.key)) {
+      reply.present.push_back({asked.key, pending->answer.worker});
+    } else {
+      reply.absent.push_back(asked.key);
+    }
+  }
+  Send(query.manager, reply);
+}
+
 void OwnerAgent::Impl::OnJobQuery(const JobQuery& query) {
+  if (query.job.empty()) {
+    OnRequestQuery(query);
+    return;
+  }
   JobEpoch& known = job_epochs_[query.job];
   if (query.epoch < known.epoch) {
     return;
--- a/chivedale/scheduler.cc
+++ b/chivedale/scheduler.cc
@@ -246,6 +246,7 @@
   parts.limits.SetMembers(ids);
   parts.replica.SetMembers(members);
   parts.owner.SetMembers(members);
+  parts.dispatcher.SetMembers(members);
   parts.entry.SetMembers(members);
   parts.jobs.SetMembers(members);
 }
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -301,7 +301,11 @@
   void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
   void operator()(const JobQuery& m) { parts_.owner.OnJobQuery(m); }
   void operator()(const JobQueryReply& m) {
-    parts_.jobs.OnJobQueryReply(from_, m);
+    if (m.job.empty()) {
+      parts_.dispatcher.OnQueryReply(from_, m);
+    } else {
+      parts_.jobs.OnJobQueryReply(from_, m);
+    }
   }
   void operator()(const JobChanged& m) { parts_.jobs.OnJobChanged(m); }
 
