Run three daemons in one process as a test; a stopped daemon drops its events in order

It found a crash when a daemon ends before its control queue is empty (a second SIGTERM or the stop deadline): the queue was destroyed after the io_context whose connections its events hold.

--- a/chivedale/daemon.cc
+++ b/chivedale/daemon.cc
@@ -50,8 +50,8 @@
         random(seed),
         self(settings.vm_id + "/" + random.Hex(kIdDigits)),
         log({settings.log_file, settings.log_level}),
-        loop(metrics, kTick),
         work(boost::asio::make_work_guard(io)),
+        loop(metrics, kTick),
         platform_http(io, HttpClient::Options()),
         worker_http(io, HttpClient::Options()),
         store(platform_http, {settings.store_address}, Posting()),
@@ -142,9 +142,10 @@
   const MemberId self;
   Metrics metrics;
   Log4cxxEventLog log;
-  ControlLoop loop;
   boost::asio::io_context io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  // After `io`: events that still wait hold connections of it, and go first.
+  ControlLoop loop;
   HttpClient platform_http;
   HttpClient worker_http;
   StoreClient store;
--- /dev/null
+++ b/chivedale/testing/daemon_stop_test.cc
@@ -0,0 +1,43 @@
+// Guards the planned stop: a request that it cuts off, loses or leaves unknown,
+// or an answer that belongs to another request.
+#include <boost/test/unit_test.hpp>
+
+#include "chivedale/testing/daemon_cell.h"
+
+namespace chivedale::testing {
+
+BOOST_FIXTURE_TEST_SUITE(ACellOverSockets, Cell)
+
+BOOST_AUTO_TEST_CASE(AnswersEachRequestWhileOneDaemonStops) {
+  constexpr int kRequests = 600;
+  StartAll();
+  Callers each(*this);
+  for (int i = 0; i < kRequests; ++i) {
+    each.Send(i);
+    std::this_thread::sleep_for(Millis(3));
+    if (i == kRequests / 2) {
+      daemons[1]->Stop();
+    }
+  }
+  // Callers that come later go to the others too.
+  BOOST_TEST(daemons[1]->Join() == 0);
+  BOOST_TEST(WaitFor([&] { return each.right + each.wrong == kRequests; }));
+  BOOST_TEST(each.right == kRequests);
+  BOOST_TEST(each.wrong == 0);
+  BOOST_TEST(each.cut_off == 0);
+  BOOST_TEST(workers.violations().total() == 0);
+  int reruns = 0;
+  size_t tasks = 0;
+  workers.ReadBook([&](const TaskBook& book) {
+    tasks = book.runs().size();
+    for (const auto& [task, runs] : book.runs()) {
+      reruns += runs.size() > 1 ? 1 : 0;
+    }
+  });
+  BOOST_TEST(tasks == size_t{kRequests});
+  BOOST_TEST(reruns == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivedale::testing
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 scripts/install_packages.sh
 scripts/build.sh build
-build=$PWD/build
+build=${BUILD:-$PWD/build}
 dir=$(mktemp -d)
 daemon_pid=()
 seed=${SEED:-1}
@@ -24,8 +24,17 @@
 "$build/chivedalectl" --server "$(cell_caller 1)" status
 
 echo "sending requests; daemon 3 is killed after 8 seconds"
-if [ -z "${NO_KILL:-}" ]; then (sleep 8; kill -KILL "${daemon_pid[3]}") & fi
-cell_pids+=("$!")
 "$build/chivedale_load" --entries "$(cell_entries 7)" \
   --profile examples/load_demo.json --table examples/table.json \
-  --book "$cell_control" --seed "$seed" --label demo
+  --book "$cell_control" --seed "$seed" --label demo &
+load_pid=$!
+cell_pids+=("$load_pid")
+if [ -z "${NO_KILL:-}" ]; then
+  sleep 8
+  kill -KILL "${daemon_pid[3]}"
+  # Reaped here, so that the shell prints no note about it.
+  wait "${daemon_pid[3]}" 2>/dev/null || true
+fi
+code=0
+wait "$load_pid" || code=$?
+exit "$code"
