--- a/chivedale/testing/daemon_cell.h
+++ b/chivedale/testing/daemon_cell.h
@@ -183,9 +183,9 @@
         std::string("{\"kind\":\"") + (number % 4 == 0 ? "invoice" : "sort") +
         "\",\"deadline_ms\":20000,\"payload\":" + PayloadOf(number) + "}";
     call.timeout = Millis(20'000);
-    cell_.client.Call(std::move(call), [this, number](HttpResult result) {
-      OnResult(number, result);
-    });
+    cell_.client.Call(
+        std::move(call),
+        [this, number](const HttpResult& result) { OnResult(number, result); });
   }
 
   static std::string PayloadOf(int number) {
--- a/chivedale/testing/failure_plan.cc
+++ b/chivedale/testing/failure_plan.cc
@@ -44,7 +44,7 @@
 };
 
 const std::vector<StandinFault>& StandinFaults() {
-  static const std::vector<StandinFault> kFaults = {
+  static const std::vector<StandinFault> faults = {
       {"store_down",
        "store",
        {{"down", true}},
@@ -124,7 +124,7 @@
        {{"reboot", true}, {"leaving", "staying"}},
        Millis(6'000),
        Millis(15'000)}};
-  return kFaults;
+  return faults;
 }
 
 class Planner {
@@ -294,10 +294,10 @@
 }  // namespace
 
 std::string FailureStep::Line() const {
-  static const char* const kVerbs[] = {"kill",  "term",   "replace",
-                                       "pause", "resume", "fault"};
+  static const char* const verbs[] = {"kill",  "term",   "replace",
+                                      "pause", "resume", "fault"};
   return std::to_string(at.count()) + (begins ? " begin " : " end ") + kind +
-         " " + kVerbs[static_cast<int>(verb)] + " " +
+         " " + verbs[static_cast<int>(verb)] + " " +
          (verb == FailureVerb::kFault ? body : std::to_string(daemon));
 }
 
--- a/chivedale/testing/failure_plan_main.cc
+++ b/chivedale/testing/failure_plan_main.cc
@@ -23,7 +23,7 @@
 }
 
 int Run(int argc, char** argv) {
-  static const option kOptions[] = {
+  static const option long_options[] = {
       {"seed", required_argument, nullptr, 's'},
       {"duration", required_argument, nullptr, 'd'},
       {"daemons", required_argument, nullptr, 'n'},
@@ -31,7 +31,8 @@
       {"gpu-workers", required_argument, nullptr, 'g'},
       {nullptr, 0, nullptr, 0}};
   chivedale::testing::FailurePlanOptions options;
-  for (int c = 0; (c = getopt_long(argc, argv, "", kOptions, nullptr)) != -1;) {
+  for (int c = 0;
+       (c = getopt_long(argc, argv, "", long_options, nullptr)) != -1;) {
     switch (c) {
       case 's':
         options.seed = std::stoull(optarg);
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -22,6 +22,8 @@
   standin_pid=$!
   cell_pids+=("$standin_pid")
   cell_wait_for "$cell_control" /book
+  # Another cell may have these ports; its answers must not be taken for ours.
+  kill -0 "$standin_pid" 2>/dev/null || { cat "$dir/standin.log" >&2; return 1; }
 }
 
 cell_wait_for() {  # address, path
