--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -212,7 +212,7 @@
 echo "jobs lost: $jobs_lost; worker violations after the jobs: $violations"
 verdict=WRONG
 case $violations in
-  *'"total":0}'*)
+  *'"total":0,'*)
     if [ "$load_code" = 0 ] && [ "$stops_wrong" = 0 ] && [ "$cut_off" = 0 ] &&
       [ "$jobs_lost" = 0 ]; then verdict=RIGHT; fi ;;
 esac
