A fenced start is not run; an unconfirmed record is store_down, not a guess

Cause: (1) daemon_stop_test: 1 to 9 of 600 requests ended outcome_unknown though they never ran. Their starts were in doubt when the worker went to its next owner, whose list (running and unacknowledged) did not show them; the dispatcher took that as lost. Ruled out: a lost completion, since such attempts had never been accepted. (2) daemon_outage_test: with the store down a holder that could not confirm itself answered kNotHolder, the entry asked again, and the second question found the id of the unwritten record, 'recorded before'. Change: an attempt that was never accepted and is not listed under a later token of the same boot goes back to the queue. RecordLog answers kUnconfirmed, the directory store_down with may_have_run; the caller gets store_down, ran unknown, and may send again.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -170,6 +170,18 @@
   deps_.queue.PutBack(std::move(attempt.item));
 }
 
+void Dispatcher::EndNotStarted(Attempt& attempt) {
+  if (!attempt.cancelled) {
+    ReturnToQueue(attempt);
+    return;
+  }
+  Answer answer;
+  answer.key = attempt.task.dispatch.key;
+  answer.error = ErrorKind::kCancelled;
+  answer.ran = Ran::kNo;
+  End(attempt.owner, answer);
+}
+
 Dispatcher::Attempt* Dispatcher::FindSent(const TaskKey& key) {
   return IsSent(key) ? &attempts_.at(key.task) : nullptr;
 }
@@ -207,15 +219,7 @@
   }
   deps_.metrics.Count(Counter::kDispatchesRefused);
   deps_.routing.OnNoRoom(owner, attempt->task.dispatch.size);
-  if (!attempt->cancelled) {
-    ReturnToQueue(*attempt);
-    return;
-  }
-  Answer answer;
-  answer.key = reply.key;
-  answer.error = ErrorKind::kCancelled;
-  answer.ran = Ran::kNo;
-  End(owner, answer);
+  EndNotStarted(*attempt);
 }
 
 void Dispatcher::OnAnswer(const MemberId& owner, const Answer& answer) {
@@ -296,6 +300,7 @@
     }
   }
   std::vector<TaskId> ended;
+  std::vector<TaskId> not_started;
   for (const auto& [task, sent] : sent_) {
     Attempt& attempt = attempts_.at(task);
     if (attempt.worker != taken.worker || attempt.owner == taken.owner) {
@@ -306,13 +311,19 @@
       // is given up only if no sign of it comes in time.
       MarkOwnerLost(attempt);
     } else if (attempt.token < taken.token) {
-      // A list that was delayed past a later start says nothing about it.
-      ended.push_back(task);
+      // A list that was delayed past a later start says nothing about it. An
+      // attempt that was never accepted and is not listed is fenced by the new
+      // token: it did not start and cannot start any more.
+      const bool accepted = attempt.phase == Phase::kRunning;
+      (accepted ? ended : not_started).push_back(task);
     }
   }
   for (const TaskId& task : ended) {
     EndLost(task);
   }
+  for (const TaskId& task : not_started) {
+    EndNotStarted(attempts_.at(task));
+  }
 }
 
 void Dispatcher::OnMemberDead(const MemberId& member) {
--- a/chivedale/dispatcher.h
+++ b/chivedale/dispatcher.h
@@ -133,6 +133,8 @@
   void SendTo(const MemberId& owner, Attempt& attempt);
   void Deliver(const MemberId& owner, const Dispatch& dispatch);
   void ReturnToQueue(Attempt& attempt);
+  // The attempt certainly did not start.
+  void EndNotStarted(Attempt& attempt);
   bool End(const MemberId& owner, const Answer& answer);
   void EndLost(const TaskId& task);
   void MarkOwnerLost(Attempt& attempt);
--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -296,7 +296,9 @@
            "an earlier send of this id was recorded and may have run");
       return;
     case RegisterOutcome::kStoreDown:
-      Fail(id, ErrorKind::kStoreDown, Ran::kNo,
+      // This send starts nothing; an earlier one may have.
+      Fail(id, ErrorKind::kStoreDown,
+           reply.may_have_run ? Ran::kUnknown : Ran::kNo,
            "the record that must come before the start could not be written",
            Millis(1'000));
       return;
--- a/chivedale/record_log.cc
+++ b/chivedale/record_log.cc
@@ -25,7 +25,7 @@
 // time. A planned change of holder is known everywhere within the takeover
 // wait: a new holder grants nothing before its end and reads once more after
 // it, and an earlier holder ignores answers that come long after its
-// resignation. In all other cases the answer is kNotHolder.
+// resignation. In all other cases the answer is kUnconfirmed.
 #include "chivedale/record_log.h"
 
 #include <algorithm>
@@ -162,7 +162,7 @@
   // What a request gets whose record did not reach the store in time.
   RecordOutcome Failure(const Group& group) const {
     return Confirmed(group) ? RecordOutcome::kStoreDown
-                            : RecordOutcome::kNotHolder;
+                            : RecordOutcome::kUnconfirmed;
   }
 
   void Hold(Group& group) {
--- a/chivedale/record_log.h
+++ b/chivedale/record_log.h
@@ -22,6 +22,9 @@
   kKnown,      // recorded earlier: never start it again
   kStoreDown,  // not granted by any holder: certainly not run
   kNotHolder,  // not the group's writer, or cannot confirm that it still is
+  // Not granted here, but another holder may have granted it: the store does
+  // not answer, and only it could tell.
+  kUnconfirmed,
 };
 
 class RecordLog {
@@ -54,7 +57,7 @@
   void Hold(int group);
   void Resign(int group);
   // Another holder may exist: a member is suspect or lost. For `doubt_time`
-  // failures are kNotHolder instead of kStoreDown.
+  // failures are kUnconfirmed instead of kStoreDown.
   void Doubt();
   void Record(int group,
               const RequestId& request,
--- a/chivedale/request_directory.cc
+++ b/chivedale/request_directory.cc
@@ -404,8 +404,12 @@
     if (mine && known->entry == from) {
       ids.Erase(id);
     }
-    if (outcome == RecordOutcome::kStoreDown) {
-      return MakeReply(id, RegisterOutcome::kStoreDown, MemberId());
+    if (outcome == RecordOutcome::kStoreDown ||
+        outcome == RecordOutcome::kUnconfirmed) {
+      RegisterReply reply =
+          MakeReply(id, RegisterOutcome::kStoreDown, MemberId());
+      reply.may_have_run = outcome == RecordOutcome::kUnconfirmed;
+      return reply;
     }
     if (outcome == RecordOutcome::kNotHolder) {
       return MakeReply(id, RegisterOutcome::kNotHolder, MemberId());
--- a/chivedale/testing/fake_cell.cc
+++ b/chivedale/testing/fake_cell.cc
@@ -222,7 +222,7 @@
   }
 }
 
-void FakeCell::SetTable(Table table) {
+void FakeCell::SetTable(const Table& table) {
   const StoreEntry* present = nullptr;
   StoreResult read = store_.model().Get("table");
   if (read.status == StoreStatus::kOk) {
--- a/chivedale/testing/fake_cell.h
+++ b/chivedale/testing/fake_cell.h
@@ -49,7 +49,7 @@
   // Commands: set-up.
   void AddWorkers(int count, const Resources& capacity);
   // Writes the table into the store.
-  void SetTable(Table table);
+  void SetTable(const Table& table);
   // Returns the process's number.
   int StartProcess();
 
--- a/chivedale/testing/simulation.cc
+++ b/chivedale/testing/simulation.cc
@@ -16,8 +16,7 @@
 
   void Get(const std::string& key, Done done) override {
     store_.Call(
-        process_, false, [this, key] { return store_.Get(key); },
-        std::move(done));
+        process_, false, [this, key] { return store_.Get(key); }, done);
   }
   void Put(const std::string& key,
            const std::string& value,
@@ -28,24 +27,23 @@
         [this, key, value, expected] {
           return store_.Put(key, value, expected);
         },
-        std::move(done));
+        done);
   }
   void Delete(const std::string& key, uint64_t expected, Done done) override {
     store_.Call(
         process_, true,
-        [this, key, expected] { return store_.Delete(key, expected); },
-        std::move(done));
+        [this, key, expected] { return store_.Delete(key, expected); }, done);
   }
   void List(const std::string& prefix, Done done) override {
     store_.Call(
         process_, false, [this, prefix] { return store_.List(prefix, 0); },
-        std::move(done));
+        done);
   }
   void Watch(const std::string& prefix,
              uint64_t after,
              Millis wait,
              Done done) override {
-    store_.Watch(process_, prefix, after, wait, std::move(done));
+    store_.Watch(process_, prefix, after, wait, done);
   }
 
  private:
@@ -142,8 +140,8 @@
 
 void SimStore::Call(int process,
                     bool write,
-                    std::function<StoreResult()> effect,
-                    StorePort::Done done) {
+                    const std::function<StoreResult()>& effect,
+                    const StorePort::Done& done) {
   ++calls_;
   writes_ += write ? 1 : 0;
   const auto fail = [this, process, done](util::Duration delay) {
@@ -193,7 +191,7 @@
                      const std::string& prefix,
                      uint64_t after,
                      Millis wait,
-                     StorePort::Done done) {
+                     const StorePort::Done& done) {
   ++calls_;
   if (faults_.down || cut_.count(process) != 0) {
     sim_.After(kStoreTimeout, process, [done] { done(StoreResult()); });
--- a/chivedale/testing/simulation.h
+++ b/chivedale/testing/simulation.h
@@ -90,13 +90,13 @@
 
   void Call(int process,
             bool write,
-            std::function<StoreResult()> effect,
-            StorePort::Done done);
+            const std::function<StoreResult()>& effect,
+            const StorePort::Done& done);
   void Watch(int process,
              const std::string& prefix,
              uint64_t after,
              Millis wait,
-             StorePort::Done done);
+             const StorePort::Done& done);
   StoreResult Put(const std::string& key,
                   const std::string& value,
                   uint64_t expected);
