--- a/chivedale/entry_agent.cc
+++ b/chivedale/entry_agent.cc
@@ -685,7 +685,11 @@
   if (state == nullptr || state->phase == RequestPhase::kFinished) {
     return;
   }
-  if (!result.ok && result.ran == Ran::kNo && state->may_have_run) {
+  // While its holder has not confirmed the id, another entry may have it, which
+  // took this one for dead.
+  const bool unconfirmed = state->granted && !deps_.registrar.IsConfirmed(id);
+  if (!result.ok && result.ran == Ran::kNo &&
+      (state->may_have_run || unconfirmed)) {
     result.ran = Ran::kUnknown;
   }
   auto it = flights_.find(id);
