Callers of the fake cell ask on past their deadline; earlier owners end no attempt as not run

(2) By reading: an answer with ran no from an owner that no longer has the attempt was believed. Change: both; a 'no final answer' says how often the caller sent.

--- a/chivedale/dispatcher.cc
+++ b/chivedale/dispatcher.cc
@@ -224,9 +224,10 @@
 
 void Dispatcher::OnAnswer(const MemberId& owner, const Answer& answer) {
   const Attempt* attempt = FindSent(answer.key);
-  // An earlier owner may have lost sight of a worker that the present one has.
+  // An earlier owner does not know what became of an attempt that the present
+  // one has: only that it ended is news from there.
   const bool from_earlier_owner = attempt != nullptr && !answer.ok &&
-                                  answer.error == ErrorKind::kOutcomeUnknown &&
+                                  answer.ran != Ran::kYes &&
                                   attempt->owner != owner;
   bool acknowledge = true;
   if (attempt == nullptr || from_earlier_owner) {
--- a/chivedale/testing/fake_cell.cc
+++ b/chivedale/testing/fake_cell.cc
@@ -377,11 +377,10 @@
 
 void FakeCell::SubmitThrough(int process, size_t number) {
   CellCaller& caller = callers_[number];
-  const auto left = std::chrono::duration_cast<Millis>(
-      caller.first_sent + caller.deadline - clock_.Now());
-  if (left.count() <= 0) {
-    return;
-  }
+  // Past its deadline a caller whose entry died still asks what became of it.
+  const auto left = std::max(
+      Millis(1), std::chrono::duration_cast<Millis>(
+                     caller.first_sent + caller.deadline - clock_.Now()));
   ++caller.sends;
   CallerSubmission submission;
   submission.id = caller.id;
@@ -454,7 +453,9 @@
   const size_t runs = it == all.end() ? 0 : it->second.size();
   if (!caller.result) {
     if (ended) {
-      faults.push_back(caller.id.str() + ": no final answer");
+      faults.push_back(caller.id.str() + ": no final answer, sends " +
+                       std::to_string(caller.sends) + ", answers " +
+                       std::to_string(caller.answers));
     }
     return;
   }
