No pause after a full poll for completions

Cause: every 2 s a worker is polled for all that is not acknowledged, without a wait; the pause that follows an early empty answer then delayed the next completions by up to 20 ms. Change: the pause does not follow a full poll.

--- a/chivedale/lease_keeper.h
+++ b/chivedale/lease_keeper.h
@@ -156,7 +156,8 @@
   void Poll(WorkerRecord& worker);
   void OnPolled(WorkerRecord& worker,
                 const CompletionsResult& result,
-                const std::vector<uint64_t>& acks);
+                const std::vector<uint64_t>& acks,
+                bool full);
   bool ReleaseIfDue(WorkerRecord& worker);
   void Release(WorkerRecord& worker, const MemberId& next);
   void Lose(WorkerRecord& worker);
--- a/chivedale/lease_keeper_reads.cc
+++ b/chivedale/lease_keeper_reads.cc
@@ -86,7 +86,8 @@
   worker.poll_sent = now;
   CompletionsRequest request{worker.lease.token(), worker.after,
                              events_.AcksFor(worker), options_.completion_wait};
-  if (now >= worker.next_full_poll) {
+  const bool full = now >= worker.next_full_poll;
+  if (full) {
     request.after = 0;
     request.wait = Millis(0);
     worker.next_full_poll = now + kFullPollInterval;
@@ -94,15 +95,16 @@
   port_.Completions(
       worker.id, request,
       Guard<CompletionsResult>(
-          worker, [this, acks = request.acks](WorkerRecord& record,
-                                              const CompletionsResult& result) {
-            OnPolled(record, result, acks);
+          worker, [this, full, acks = request.acks](
+                      WorkerRecord& record, const CompletionsResult& result) {
+            OnPolled(record, result, acks, full);
           }));
 }
 
 void LeaseKeeper::OnPolled(WorkerRecord& worker,
                            const CompletionsResult& result,
-                           const std::vector<uint64_t>& acks) {
+                           const std::vector<uint64_t>& acks,
+                           bool full) {
   const util::TimePoint now = clock_.Now();
   worker.polling = false;
   if (worker.lease.state() != LeaseState::kOwned) {
@@ -118,7 +120,9 @@
   for (const Completion& completion : result.completions) {
     worker.after = std::max(worker.after, completion.sequence);
   }
-  const bool waited = now - worker.poll_sent >= kPollPause;
+  // A full poll does not wait by design. A pause after it would delay 1% of the
+  // completions, those of 20 ms in each 2 s.
+  const bool waited = full || now - worker.poll_sent >= kPollPause;
   worker.next_poll = worker.after > before || waited ? now : now + kPollPause;
   if (!result.completions.empty()) {
     events_.OnCompletions(worker, result.completions);
