--- a/chivedale/testing/capacity_bench_test.cc
+++ b/chivedale/testing/capacity_bench_test.cc
@@ -1,6 +1,6 @@
 // The capacity page rests on these figures: a wrong fit, or a role that did
 // not do its work while it was measured, would make it worthless.
-#include "chivedale/testing/capacity_bench.h"
+#include "chivedale/tools/capacity_bench.h"
 
 #include <rapidcheck/boost_test.h>
 
--- a/chivedale/testing/failure_plan_test.cc
+++ b/chivedale/testing/failure_plan_test.cc
@@ -1,6 +1,6 @@
 // Guards the schedule of live failure runs: a run that cannot be repeated, or
 // that takes out too many daemons at once, proves nothing.
-#include "chivedale/testing/failure_plan.h"
+#include "chivedale/tools/failure_plan.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
--- a/chivedale/testing/id_book_test.cc
+++ b/chivedale/testing/id_book_test.cc
@@ -9,8 +9,8 @@
 #include <set>
 #include <string>
 
-#include "chivedale/testing/capacity_bench.h"
 #include "chivedale/testing/fake_clock.h"
+#include "chivedale/tools/capacity_bench.h"
 #include "util/random.h"
 
 namespace chivedale::testing {
--- a/chivedale/testing/capacity_bench.cc
+++ b/chivedale/tools/capacity_bench.cc
@@ -1,4 +1,4 @@
-#include "chivedale/testing/capacity_bench.h"
+#include "chivedale/tools/capacity_bench.h"
 
 #include <malloc.h>
 #include <time.h>
--- a/chivedale/testing/capacity_bench.h
+++ b/chivedale/tools/capacity_bench.h
@@ -4,8 +4,8 @@
 //
 //   CapacityPoint point = MeasureOwner({.size = 500, .load = 100});
 //   std::cout << ToJsonLine(point) << '\n';
-#ifndef CHIVEDALE_TESTING_CAPACITY_BENCH_H_
-#define CHIVEDALE_TESTING_CAPACITY_BENCH_H_
+#ifndef CHIVEDALE_TOOLS_CAPACITY_BENCH_H_
+#define CHIVEDALE_TOOLS_CAPACITY_BENCH_H_
 
 #include <cstdint>
 #include <functional>
@@ -117,4 +117,4 @@
 
 }  // namespace chivedale::testing
 
-#endif  // CHIVEDALE_TESTING_CAPACITY_BENCH_H_
+#endif  // CHIVEDALE_TOOLS_CAPACITY_BENCH_H_
--- a/chivedale/capacity_bench_main.cc
+++ b/chivedale/tools/capacity_bench_main.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "chivedale/testing/capacity_bench.h"
+#include "chivedale/tools/capacity_bench.h"
 
 namespace {
 
--- a/chivedale/testing/capacity_directory.cc
+++ b/chivedale/tools/capacity_directory.cc
@@ -3,9 +3,9 @@
 #include "chivedale/peer_codec.h"
 #include "chivedale/record_log.h"
 #include "chivedale/request_directory.h"
-#include "chivedale/testing/capacity_bench.h"
 #include "chivedale/testing/fake_queue.h"
 #include "chivedale/testing/fake_store.h"
+#include "chivedale/tools/capacity_bench.h"
 
 namespace chivedale::testing {
 namespace {
--- a/chivedale/testing/capacity_entry.cc
+++ b/chivedale/tools/capacity_entry.cc
@@ -4,10 +4,10 @@
 #include <memory>
 
 #include "chivedale/entry_agent.h"
-#include "chivedale/testing/capacity_bench.h"
 #include "chivedale/testing/fake_queue.h"
 #include "chivedale/testing/fake_store.h"
 #include "chivedale/testing/fake_worker.h"
+#include "chivedale/tools/capacity_bench.h"
 
 namespace chivedale::testing {
 namespace {
--- a/chivedale/testing/capacity_jobs.cc
+++ b/chivedale/tools/capacity_jobs.cc
@@ -6,9 +6,9 @@
 
 #include "chivedale/job_manager.h"
 #include "chivedale/platform_codec.h"
-#include "chivedale/testing/capacity_bench.h"
 #include "chivedale/testing/fake_queue.h"
 #include "chivedale/testing/fake_store.h"
+#include "chivedale/tools/capacity_bench.h"
 
 namespace chivedale::testing {
 namespace {
--- a/chivedale/testing/capacity_members.cc
+++ b/chivedale/tools/capacity_members.cc
@@ -6,7 +6,7 @@
 #include "chivedale/owner_agent.h"
 #include "chivedale/peer_codec.h"
 #include "chivedale/routing.h"
-#include "chivedale/testing/capacity_bench.h"
+#include "chivedale/tools/capacity_bench.h"
 
 namespace chivedale::testing {
 namespace {
--- a/chivedale/testing/capacity_owner.cc
+++ b/chivedale/tools/capacity_owner.cc
@@ -6,7 +6,7 @@
 
 #include "chivedale/owner_agent.h"
 #include "chivedale/platform_codec.h"
-#include "chivedale/testing/capacity_bench.h"
+#include "chivedale/tools/capacity_bench.h"
 #include "chivedale/vm_list.h"
 
 namespace chivedale::testing {
--- a/chivedale/testing/capacity_table.cc
+++ b/chivedale/tools/capacity_table.cc
@@ -4,9 +4,9 @@
 
 #include "chivedale/table_codec.h"
 #include "chivedale/table_replica.h"
-#include "chivedale/testing/capacity_bench.h"
 #include "chivedale/testing/fake_queue.h"
 #include "chivedale/testing/fake_store.h"
+#include "chivedale/tools/capacity_bench.h"
 
 namespace chivedale::testing {
 namespace {
--- a/chivedale/testing/failure_plan.cc
+++ b/chivedale/tools/failure_plan.cc
@@ -1,6 +1,6 @@
 // Kinds are dealt from a shuffled deck, so that a run of some minutes contains
 // each of them, and no run only those that a random draw happens to favour.
-#include "chivedale/testing/failure_plan.h"
+#include "chivedale/tools/failure_plan.h"
 
 #include <algorithm>
 #include <map>
--- a/chivedale/testing/failure_plan.h
+++ b/chivedale/tools/failure_plan.h
@@ -1,7 +1,7 @@
 // The schedule of a live failure run: which fault begins and ends when. The
 // same seed gives the same schedule. scripts/failures.sh carries it out.
-#ifndef CHIVEDALE_TESTING_FAILURE_PLAN_H_
-#define CHIVEDALE_TESTING_FAILURE_PLAN_H_
+#ifndef CHIVEDALE_TOOLS_FAILURE_PLAN_H_
+#define CHIVEDALE_TOOLS_FAILURE_PLAN_H_
 
 #include <cstdint>
 #include <string>
@@ -46,4 +46,4 @@
 
 }  // namespace chivedale::testing
 
-#endif  // CHIVEDALE_TESTING_FAILURE_PLAN_H_
+#endif  // CHIVEDALE_TOOLS_FAILURE_PLAN_H_
--- a/chivedale/testing/failure_plan_main.cc
+++ b/chivedale/tools/failure_plan_main.cc
@@ -5,7 +5,7 @@
 #include <exception>
 #include <string>
 
-#include "chivedale/testing/failure_plan.h"
+#include "chivedale/tools/failure_plan.h"
 
 namespace {
 
