Say what kStoreDown means with may_have_run

Cause: the comment still said 'not run', which the reply claims no longer while the holder cannot confirm itself. Conclusion: comments only; formatter clean.

--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -206,9 +206,11 @@
   kKnown,  // `entry` in the reply has it
   kDigestDiffers,
   kRecordedBefore,  // recorded in the store by an entry that is gone
-  kStoreDown,       // unrepeatable and the record could not be written: not run
-  kNotHolder,       // ask again after the next member update
-  kWait,  // the earlier entry is gone; its work may still run; ask again
+  // Unrepeatable, and the record could not be written: this send starts
+  // nothing. With may_have_run an earlier send may have run.
+  kStoreDown,
+  kNotHolder,  // ask again after the next member update
+  kWait,       // the earlier entry is gone; its work may still run; ask again
 };
 
 struct RegisterReply {
@@ -219,7 +221,8 @@
   // That of the Register, so that the entry role and the owner role of one
   // member tell their replies apart.
   uint64_t registration = 0;
-  // With kNew: an earlier send may have run for an entry that is gone.
+  // With kNew: an earlier send may have run for an entry that is gone. With
+  // kStoreDown: another holder may have granted an earlier send.
   bool may_have_run = false;
 };
 
