--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -127,7 +127,11 @@
     }
     const bool draining = entry.draining && !executor->entry.draining;
     const bool moved = entry.address != executor->entry.address;
-    if (entry.born > executor->born || (moved && executor->born != 0)) {
+    // Known only from a predecessor's list: which life it used is not known.
+    const bool life_known = executor->born != 0;
+    if (!life_known && !executor->adopted) {
+      executor->born = entry.born;
+    } else if (entry.born > executor->born || (life_known && moved)) {
       LoseRuns(*executor, "new life of its executor");
       executor->OnNewLife(entry.born);
       unread_.erase(entry.id);
