--- a/cell/election.cc
+++ b/cell/election.cc
@@ -105,18 +105,19 @@
     return;
   }
   if (!leader_) {
-    Suspect("no leader yet");
+    Suspect("no leader yet", true);
   } else if (leader_->node == self_.node && leader_->boot != self_.boot) {
-    Suspect("the leader was an earlier process of this VM");
+    Suspect("the leader was an earlier process of this VM", true);
   } else if (now - last_beat_ > options_.silence) {
-    Suspect("silent");
+    Suspect("silent", false);
   }
   if (suspected_ && now >= next_try_) {
     Contend();
   }
 }
 
-void Election::Suspect(const std::string& reason) {
+void Election::Suspect(const std::string& reason, bool gone) {
+  gone_ = gone_ || gone;
   if (suspected_ || leading() || leaving_) {
     return;
   }
@@ -164,6 +165,7 @@
   revision_ = revision;
   last_beat_ = clock_.Now();
   suspected_ = false;
+  const bool predecessor_gone = std::exchange(gone_, false);
   const bool mine =
       record && record->node == self_.node && record->boot == self_.boot;
   if (mine && !leaving_) {
@@ -173,7 +175,7 @@
       callbacks_.on_not_leading("elected again");
     }
     machine_->role.process_event(Won());
-    callbacks_.on_leading(record->term, revision);
+    callbacks_.on_leading(record->term, revision, predecessor_gone);
     return;
   }
   const bool led = leading();
--- a/cell/election.h
+++ b/cell/election.h
@@ -51,7 +51,9 @@
                        int64_t expected,
                        std::function<void(Outcome, int64_t revision)>)>
         write;
-    std::function<void(int64_t term, int64_t fence)> on_leading;
+    // `predecessor_gone`: the process that led before has certainly ended.
+    std::function<void(int64_t term, int64_t fence, bool predecessor_gone)>
+        on_leading;
     std::function<void(const std::string& reason)> on_not_leading;
     // This process stood still for that long.
     std::function<void(Duration)> on_pause;
@@ -72,7 +74,8 @@
   // A beat of a member that leads.
   void OnBeat(const std::string& node, const std::string& boot, int64_t term);
   // Evidence that the leader is gone or gives up; no need to wait for silence.
-  void Suspect(const std::string& reason);
+  // `gone`: it has certainly ended.
+  void Suspect(const std::string& reason, bool gone);
   // This member must not become the leader; a leader steps down.
   void Leave();
   void StepDown(const std::string& reason);
@@ -104,6 +107,7 @@
   TimePoint last_tick_{};
   TimePoint next_try_{};
   bool suspected_ = false;
+  bool gone_ = false;
   bool leaving_ = false;
 };
 
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -180,9 +180,10 @@
                      [](const Step& step) { return step.Finished(); });
 }
 
-Job::Job(JobId id, JobRecord record)
+Job::Job(JobId id, JobRecord record, int64_t revision)
     : id_(std::move(id)),
       record_(std::move(record)),
+      revision_(revision),
       chain_(LongestChain(record_.spec.steps)) {}
 
 Occurrence& Job::Open(int number, TimePoint now) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -93,7 +93,8 @@
 
 class Job {
  public:
-  Job(JobId id, JobRecord record);
+  // `revision` is that of its acceptance in the store.
+  Job(JobId id, JobRecord record, int64_t revision = 0);
   Job(const Job&) = delete;
   Job& operator=(const Job&) = delete;
 
@@ -119,6 +120,7 @@
   // Queries.
   const JobId& id() const { return id_; }
   const JobRecord& record() const { return record_; }
+  int64_t revision() const { return revision_; }
   const QueuePolicy& queue() const { return record_.queue; }
   JobState state() const { return state_; }
   // What may be shown: an end only once it is stored.
@@ -141,6 +143,7 @@
 
   const JobId id_;
   const JobRecord record_;
+  const int64_t revision_;
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -4,7 +4,7 @@
 //
 // A task may run on an executor that this leader cannot reach. Until each
 // executor of the predecessor has been read, or the leases that it can have
-// given have run out, nothing starts (may_start).
+// given have run out, no task starts that may run there (MayRunUnseen).
 #include "cell/leader.h"
 
 #include <algorithm>
@@ -113,12 +113,28 @@
   if (!loaded_ || !known_loaded_ || !entries_seen_ || suspended_) {
     return false;
   }
-  if (unread_.empty() || leadership_.term <= 1) {
-    return true;
+  return true;
+}
+
+bool CellLeader::MayRunUnseen(const Step& step) const {
+  if (unread_.empty() || leadership_.term <= 1 || step.spec->copies_allowed) {
+    return false;
+  }
+  const Job& job = *step.job;
+  if (leadership_.predecessor_gone && job.revision() > leadership_.fence) {
+    return false;
   }
   const auto lapsed = std::chrono::duration_cast<Duration>(
       options_.lease * kSlowClock + kPredecessorNotice);
-  return context_.clock.Now() - begun_ > lapsed;
+  if (context_.clock.Now() - begun_ > lapsed) {
+    return false;
+  }
+  const std::string& pool = PolicyOf(job).pool;
+  return std::any_of(unread_.begin(), unread_.end(), [&](const ExecutorId& id) {
+    const auto found = executors_.find(id);
+    return found != executors_.end() && (found->second->entry.pool == pool ||
+                                         job.queue().pool != pool);
+  });
 }
 
 // ---- Jobs.
@@ -252,15 +268,17 @@
     return;
   }
   try {
-    AddJob(id, DecodeJobRecord(item.value));
+    AddJob(id, DecodeJobRecord(item.value), item.revision);
   } catch (const std::runtime_error& error) {
     context_.log.Write(Event::kCellBadRecord,
                        {{"job", id}, {"reason", error.what()}});
   }
 }
 
-void CellLeader::AddJob(const JobId& id, const JobRecord& record) {
-  auto job = std::make_unique<Job>(id, record);
+void CellLeader::AddJob(const JobId& id,
+                        const JobRecord& record,
+                        int64_t revision) {
+  auto job = std::make_unique<Job>(id, record, revision);
   if (job->timed()) {
     timed_.insert(id);
   }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -50,6 +50,8 @@
 struct Leadership {
   int64_t term = 1;   // 1 for the first leader of a cell
   int64_t fence = 0;  // revision of the leader's key in the store
+  // The process that led before has certainly ended.
+  bool predecessor_gone = false;
 };
 
 // Keys in the store.
@@ -126,8 +128,7 @@
   const std::map<ExecutorId, std::unique_ptr<Executor>>& executors() const {
     return executors_;
   }
-  // Whether a task may start at all: each executor that an earlier leader may
-  // have used has been read, or its leases have run out.
+  // All is read that a start depends on, except executors out of reach.
   bool may_start() const;
 
  private:
@@ -144,7 +145,7 @@
   void WatchJobs();
   void OnJobEvents(const StoreRead& read);
   void TakeJobItem(const StoreItem& item);
-  void AddJob(const JobId& id, const JobRecord& record);
+  void AddJob(const JobId& id, const JobRecord& record, int64_t revision);
   void CancelJob(Job& job);
   void EndJob(Job& job);
   void StopAll(Job& job);
@@ -190,6 +191,9 @@
   void PassStep(Step& step);
   bool PlaceTasks(Step& step, const std::vector<Executor*>& candidates);
   bool PlaceGang(Step& step, const std::vector<Executor*>& candidates);
+  // Whether an executor that has not been read may run tasks of the step, by
+  // order of a predecessor.
+  bool MayRunUnseen(const Step& step) const;
   std::vector<Executor*> EligibleFor(const Step& step) const;
   // Those of `eligible` that advice lets run the step now.
   std::vector<Executor*> Advised(Step& step,
@@ -214,6 +218,9 @@
   void StopCopies(Step& step, int task);
   // Keeps the executors that the step waits for from less urgent steps.
   void Reserve(const Step& step, const std::vector<Executor*>& candidates);
+  // Whether the candidates could hold the step if nothing else ran there.
+  bool CouldFit(const Step& step,
+                const std::vector<Executor*>& candidates) const;
   // Something of unknown size runs there.
   bool HasUnknownRun(const Executor& executor) const;
   int64_t NextRun(const Task& task) const;
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -172,6 +172,7 @@
     if (forget) {
       unread_.erase(it->first);
       it = executors_.erase(it);
+      unstored = true;
     } else {
       ++it;
     }
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -131,12 +131,13 @@
   if (step.advice.asked || now < step.advice.ask_again) {
     return usable;
   }
-  const bool idle_desk = desk_.waiting() == 0;
+  // What an earlier answer did not name is asked for along with the rest.
   const bool first = !step.advice.answered;
-  if (first || (usable.empty() && expired.empty() && !unknown.empty())) {
-    AskAdvice(step, unknown);
-  } else if (!expired.empty() && (room_expired || idle_desk)) {
-    AskAdvice(step, expired);
+  const bool idle_desk = desk_.waiting() == 0;
+  std::vector<Executor*> named = unknown;
+  named.insert(named.end(), expired.begin(), expired.end());
+  if (first || room_expired || idle_desk) {
+    AskAdvice(step, named);
   }
   return usable;
 }
@@ -212,23 +213,39 @@
 
 void CellLeader::PassStep(Step& step) {
   const TimePoint now = context_.clock.Now();
-  const std::vector<Executor*> eligible = EligibleFor(step);
+  std::vector<Executor*> eligible = EligibleFor(step);
   std::vector<Executor*> candidates = Advised(step, eligible);
-  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                  [&](Executor* executor) {
-                                    return reserved_.count(executor) > 0 ||
-                                           HasUnknownRun(*executor);
-                                  }),
-                   candidates.end());
-  if (step.retry_at > now) {
+  const auto drop_taken = [&](std::vector<Executor*>& executors) {
+    executors.erase(std::remove_if(executors.begin(), executors.end(),
+                                   [&](Executor* executor) {
+                                     return reserved_.count(executor) > 0 ||
+                                            HasUnknownRun(*executor);
+                                   }),
+                    executors.end());
+  };
+  drop_taken(candidates);
+  if (step.retry_at > now || MayRunUnseen(step)) {
     return;
   }
   const bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                       : PlaceTasks(step, candidates);
-  if (!placed && !candidates.empty()) {
+  if (placed) {
+    return;
+  }
+  if (!candidates.empty()) {
     Preempt(step, candidates);
-    Reserve(step, candidates);
   }
+  // Room stays reserved while a new ticket for it is on its way.
+  if (PolicyOf(*step.job).advice) {
+    eligible.erase(std::remove_if(eligible.begin(), eligible.end(),
+                                  [&](Executor* executor) {
+                                    return step.advice.good.count(
+                                               executor->entry.id) == 0;
+                                  }),
+                   eligible.end());
+  }
+  drop_taken(eligible);
+  Reserve(step, eligible);
 }
 
 bool CellLeader::PlaceTasks(Step& step,
@@ -271,10 +288,29 @@
   return true;
 }
 
+bool CellLeader::CouldFit(const Step& step,
+                          const std::vector<Executor*>& candidates) const {
+  const StepSpec& spec = *step.spec;
+  const Resources size = RoomFor(spec);
+  int places = 0;
+  const int wanted = spec.gang ? spec.count : 1;
+  for (const Executor* executor : candidates) {
+    Resources room = executor->entry.capacity;
+    for (int here = 0;
+         places < wanted && size.FitsIn(room) &&
+         (spec.max_per_executor == 0 || here < spec.max_per_executor);
+         ++here) {
+      room -= size;
+      ++places;
+    }
+  }
+  return places >= wanted;
+}
+
 void CellLeader::Reserve(const Step& step,
                          const std::vector<Executor*>& candidates) {
   int& reserving = reserving_[PolicyOf(*step.job).pool];
-  if (reserving >= kMaxReserving) {
+  if (reserving >= kMaxReserving || !CouldFit(step, candidates)) {
     return;
   }
   ++reserving;
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -26,7 +26,7 @@
 // Beyond the time that the advice service takes.
 constexpr Millis kAdviceSlack{1'200};
 // A leader that the store does not answer for so long looks for a successor.
-constexpr Millis kStoreFailing{900};
+constexpr Millis kStoreFailing{350};
 // After a pause orders wait for the store's word, but not for long: the
 // executors refuse what is stale.
 constexpr Millis kVerifyPatience{600};
@@ -54,8 +54,8 @@
                            std::function<void(Election::Outcome, int64_t)> done) {
     WriteLeader(record, expected, std::move(done));
   };
-  callbacks.on_leading = [this](int64_t term, int64_t fence) {
-    OnLeading(term, fence);
+  callbacks.on_leading = [this](int64_t term, int64_t fence, bool gone) {
+    OnLeading(Leadership{term, fence, gone});
   };
   callbacks.on_not_leading = [this](const std::string& reason) {
     OnNotLeading(reason);
@@ -193,10 +193,10 @@
       }));
 }
 
-void CellNode::OnLeading(int64_t term, int64_t fence) {
-  context_.log.Write(
-      Event::kCellLeading,
-      {{"term", std::to_string(term)}, {"fence", std::to_string(fence)}});
+void CellNode::OnLeading(const Leadership& leadership) {
+  context_.log.Write(Event::kCellLeading,
+                     {{"term", std::to_string(leadership.term)},
+                      {"fence", std::to_string(leadership.fence)}});
   LeaderContext context{context_.clock,
                         context_.log,
                         store_,
@@ -213,8 +213,8 @@
                                            election_->StepDown(reason);
                                          }));
                         }};
-  leader_ = std::make_unique<CellLeader>(context, options_.leader,
-                                         Leadership{term, fence});
+  leader_ =
+      std::make_unique<CellLeader>(context, options_.leader, leadership);
   leader_->SetTable(table_);
   UpdateAdvisers();
   leader_->Begin();
@@ -325,7 +325,7 @@
     // The process that led has been replaced by a new one.
     if (leader && leader->node == beat.node && leader->boot != beat.boot &&
         beat.term <= leader->term) {
-      election_->Suspect("its VM runs a new process");
+      election_->Suspect("its VM runs a new process", true);
     }
     return;
   }
@@ -338,7 +338,7 @@
     pending_[queue.queue] = queue.jobs;
   }
   if (beat.leaving) {
-    election_->Suspect("it stops");
+    election_->Suspect("it stops", false);
   } else if (!beat.store_ok) {
     CheckStoreForLeader();
   }
@@ -357,7 +357,7 @@
                 const int64_t before = election_->revision();
                 TakeCellItem(read.items[0]);
                 if (election_->revision() == before) {
-                  election_->Suspect("the store does not answer it");
+                  election_->Suspect("the store does not answer it", false);
                 }
               }));
 }
@@ -368,7 +368,7 @@
     return;
   }
   if (refused) {
-    election_->Suspect("its address refuses connections");
+    election_->Suspect("its address refuses connections", true);
   } else {
     // A new connection tells whether the process is gone.
     next_beat_ = context_.clock.Now();
--- a/cell/node.h
+++ b/cell/node.h
@@ -115,7 +115,7 @@
   void WriteLeader(const LeaderRecord& record,
                    int64_t expected,
                    std::function<void(Election::Outcome, int64_t)> done);
-  void OnLeading(int64_t term, int64_t fence);
+  void OnLeading(const Leadership& leadership);
   void OnNotLeading(const std::string& reason);
   void OnPause(Duration gap);
   void VerifyLeadership(TimePoint since);
