The strongest members lead

Cause: on the grown sites a VM with 0.12 of a core could lead 350 executors; its passes and holds were late by seconds. Ruled out: the store's rate (429 seldom), advice (870 s of calls over 31 VMs).

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -122,9 +122,10 @@
     return;
   }
   suspected_ = true;
-  next_try_ = clock_.Now() +
-              Millis(random_.Below(
-                  static_cast<uint64_t>(options_.stagger.count()) + 1));
+  const Millis gather = leader_ ? Millis(0) : options_.gather;
+  const Millis stagger(
+      random_.Below(static_cast<uint64_t>(options_.stagger.count()) + 1));
+  next_try_ = clock_.Now() + gather + stagger + callbacks_.deference();
   callbacks_.on_suspect(reason);
 }
 
--- a/cell/election.h
+++ b/cell/election.h
@@ -37,6 +37,8 @@
   // Two candidates of one suspicion seldom write in the same few milliseconds.
   Millis stagger{80};
   Millis retry{150};
+  // Before the first election of a cell, so that all members are known.
+  Millis gather{700};
   // A gap between two ticks that says this process itself stood still.
   Millis pause{400};
 };
@@ -58,6 +60,8 @@
     // This process stood still for that long.
     std::function<void(Duration)> on_pause;
     std::function<void(const std::string& reason)> on_suspect;
+    // How long members that are fitter to lead go first.
+    std::function<Millis()> deference;
   };
 
   Election(const Clock& clock,
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -30,10 +30,17 @@
 // After a pause orders wait for the store's word, but not for long: the
 // executors refuse what is stale.
 constexpr Millis kVerifyPatience{600};
+// Weaker members wait up to this long for stronger ones in an election.
+constexpr Millis kMaxDeference{300};
+// A leader with less than this share of a member's strength gives way to it.
+constexpr double kYieldShare = 0.6;
+// Not before the new leader has settled.
+constexpr Millis kYieldAfter{3'000};
 
 std::string MemberValue(const NodeOptions& options) {
   std::string bytes;
-  json::to_msgpack(json::array({options.boot, options.address}), bytes);
+  json::to_msgpack(
+      json::array({options.boot, options.address, options.strength}), bytes);
   return bytes;
 }
 
@@ -61,6 +68,7 @@
     OnNotLeading(reason);
   };
   callbacks.on_pause = [this](Duration gap) { OnPause(gap); };
+  callbacks.deference = [this] { return Deference(); };
   callbacks.on_suspect = [this](const std::string& reason) {
     context_.log.Write(Event::kLeaderSuspected, {{"reason", reason}});
   };
@@ -138,13 +146,14 @@
     return;
   }
   const json value = json::from_msgpack(item.value, true, false);
-  if (!value.is_array() || value.size() < 2 || !value[0].is_string() ||
-      !value[1].is_string()) {
+  if (!value.is_array() || value.size() < 3 || !value[0].is_string() ||
+      !value[1].is_string() || !value[2].is_number()) {
     return;
   }
   Member& member = members_[node];
   member.boot = value[0].get<std::string>();
   member.address = value[1].get<std::string>();
+  member.strength = value[2].get<double>();
 }
 
 void CellNode::RegisterMember() {
@@ -219,6 +228,7 @@
   UpdateAdvisers();
   leader_->Begin();
   next_beat_ = context_.clock.Now();
+  led_since_ = next_beat_;
 }
 
 void CellNode::OnNotLeading(const std::string& reason) {
@@ -275,6 +285,25 @@
   store_.Write(write, kCellTimeout, [](const StoreWriteReply&) {});
 }
 
+Millis CellNode::Deference() const {
+  double strongest = options_.strength;
+  for (const auto& [node, member] : members_) {
+    strongest = std::max(strongest, member.strength);
+  }
+  return std::chrono::duration_cast<Millis>(
+      kMaxDeference * (1 - options_.strength / strongest));
+}
+
+bool CellNode::ShouldYield() const {
+  const TimePoint now = context_.clock.Now();
+  return leader_ != nullptr && now - led_since_ > kYieldAfter &&
+         std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+           const Member& member = entry.second;
+           return now - member.heard < kMemberAlive &&
+                  options_.strength < kYieldShare * member.strength;
+         });
+}
+
 // ---- Beats.
 
 CellBeat CellNode::MakeBeat() const {
@@ -283,7 +312,7 @@
   beat.boot = options_.boot;
   beat.address = options_.address;
   beat.leading = leader_ != nullptr;
-  beat.leaving = stopping_;
+  beat.leaving = stopping_ || ShouldYield();
   beat.store_ok = store_.failing_for() < kStoreFailing;
   beat.term = election_->leader() ? election_->leader()->term : 0;
   if (leader_ != nullptr && leader_->loaded()) {
@@ -338,7 +367,7 @@
     pending_[queue.queue] = queue.jobs;
   }
   if (beat.leaving) {
-    election_->Suspect("it stops", false);
+    election_->Suspect("it gives way", false);
   } else if (!beat.store_ok) {
     CheckStoreForLeader();
   }
--- a/cell/node.h
+++ b/cell/node.h
@@ -38,6 +38,8 @@
   std::string boot;     // differs after each start
   std::string address;  // where other members reach this one
   std::vector<std::string> seeds;
+  // Processor share that leading can use; the strongest members lead.
+  double strength = 1;
   LeaderOptions leader;
   ElectionOptions election;
 };
@@ -105,6 +107,7 @@
   struct Member {
     std::string boot;
     std::string address;
+    double strength = 0;
     TimePoint heard{};
   };
 
@@ -133,6 +136,10 @@
   void UpdateAdvisers();
   void ExpireCalls();
   CellBeat MakeBeat() const;
+  // How long stronger members go first in an election.
+  Millis Deference() const;
+  // A much stronger member lives and should lead.
+  bool ShouldYield() const;
   template <typename F>
   auto Guard(F f) {
     return [alive = std::weak_ptr<bool>(alive_), f](auto&&... args) {
@@ -158,6 +165,7 @@
   bool register_in_flight_ = false;
   bool stopping_ = false;
   bool checking_store_ = false;
+  TimePoint led_since_{};
   TimePoint next_beat_{};
   TimePoint next_expiry_{};
 
--- a/cell/settings.cc
+++ b/cell/settings.cc
@@ -69,6 +69,15 @@
   };
 }
 
+Setter AmountTo(double CellSettings::*member) {
+  return [member](CellSettings& s, const std::string& key, const json& value) {
+    if (!value.is_number() || value.get<double>() <= 0) {
+      Bad(key, "must be a number above 0, is " + value.dump());
+    }
+    s.*member = value.get<double>();
+  };
+}
+
 const std::map<std::string, Setter>& Setters() {
   static const auto& setters = *new std::map<std::string, Setter>{
       {"vm_id", TextTo(&CellSettings::vm_id)},
@@ -88,6 +97,8 @@
       {"restore_ms", TimeTo(&CellSettings::restore)},
       {"status_retention_ms", TimeTo(&CellSettings::status_retention)},
       {"stop_grace_ms", TimeTo(&CellSettings::stop_grace)},
+      {"cpu_share", AmountTo(&CellSettings::cpu_share)},
+      {"link_mbps", AmountTo(&CellSettings::link_mbps)},
       {"far_factor",
        [](CellSettings& s, const std::string& key, const json& value) {
          if (!value.is_number() || value.get<double>() < 1) {
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -26,6 +26,8 @@
   std::string vm_address;      // of the service that lists the executors' VMs
   std::vector<std::string> seeds;
   std::string log_level = "info";
+  double cpu_share = 1;     // of a core that this process may use
+  double link_mbps = 1'000;  // of this VM's link
   // The executors' contract.
   Millis longest_lease{6'000};  // they shorten longer ones
   Millis stop_time{900};        // the longest a stop takes
