--- a/cell/advice_desk.cc
+++ b/cell/advice_desk.cc
@@ -42,8 +42,8 @@
   for (auto it = members_.begin(); it != members_.end(); ++it) {
     const Member& member = it->second;
     const bool free =
-        member.calls == 0 ||
-        (member.calls < kCallsPerMember && member.busy_until - now < kSendAhead);
+        member.calls == 0 || (member.calls < kCallsPerMember &&
+                              member.busy_until - now < kSendAhead);
     if (free && (best == members_.end() ||
                  std::tie(member.calls, member.busy_until) <
                      std::tie(best->second.calls, best->second.busy_until))) {
--- a/cell/election.cc
+++ b/cell/election.cc
@@ -25,12 +25,12 @@
   struct Contending : msm::front::state<> {};
   struct Leading : msm::front::state<> {};
   using initial_state = Following;
-  struct transition_table
-      : boost::mpl::vector<Row<Following, Try, Contending>,
-                           Row<Following, Won, Leading>,
-                           Row<Contending, Won, Leading>,
-                           Row<Contending, Lost, Following>,
-                           Row<Leading, Lost, Following>> {};
+  struct transition_table : boost::mpl::vector<Row<Following, Try, Contending>,
+                                               Row<Following, Won, Leading>,
+                                               Row<Contending, Won, Leading>,
+                                               Row<Contending, Lost, Following>,
+                                               Row<Leading, Lost, Following>> {
+  };
   // An event that changes nothing in the present state.
   template <typename Fsm, typename Event>
   void no_transition(const Event&, Fsm&, int) {}
@@ -58,8 +58,7 @@
 }
 
 std::optional<LeaderRecord> DecodeLeaderRecord(const std::string& bytes) {
-  const nlohmann::json value =
-      nlohmann::json::from_msgpack(bytes, true, false);
+  const nlohmann::json value = nlohmann::json::from_msgpack(bytes, true, false);
   if (!value.is_array() || value.size() < 4 || !value[0].is_string() ||
       !value[1].is_string() || !value[2].is_string() ||
       !value[3].is_number_integer()) {
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -62,10 +62,7 @@
   explicit Executor(ExecutorEntry entry);
 
   // Commands.
-  Run& AddRun(const TaskName& name,
-              int64_t number,
-              Step* step,
-              TimePoint now);
+  Run& AddRun(const TaskName& name, int64_t number, Step* step, TimePoint now);
   // Frees its room and takes it off its step's counts.
   void RemoveRun(const std::string& task);
   void OnClock(Millis clock, TimePoint now);
@@ -91,14 +88,14 @@
   ExecutorEntry entry;
   ExecutorHealth health;
   int64_t born = 0;
-  bool listed = true;     // in the store
+  bool listed = true;  // in the store
   TimePoint unlisted_since{};
   bool adopted = false;   // has answered a hold of this leader
   bool stored = false;    // a successor would find it in the store
   int64_t ends_read = 0;  // highest end taken in
   int64_t ends_stored = 0;
   int64_t ends_confirmed = 0;  // highest that the executor was told of
-  int misses = 0;  // holds in a row without an answer
+  int misses = 0;              // holds in a row without an answer
   bool hold_in_flight = false;
   TimePoint hold_sent{};
   TimePoint next_hold{};
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -59,9 +59,9 @@
 json QueueJson(const QueuePolicy& queue) {
   json advice = nullptr;
   if (queue.advice) {
-    advice = json::array({queue.advice->decision.count(),
-                          queue.advice->each.count(),
-                          queue.advice->validity.count()});
+    advice =
+        json::array({queue.advice->decision.count(), queue.advice->each.count(),
+                     queue.advice->validity.count()});
   }
   return json::array({queue.name, queue.pool, queue.priority,
                       queue.max_attempts, queue.stretch, queue.target.count(),
@@ -124,12 +124,11 @@
   for (const StepSpec& step : record.spec.steps) {
     steps.push_back(StepJson(step));
   }
-  return Pack(json::array(
-      {QueueJson(record.queue), record.spec.payload, std::move(steps),
-       record.spec.occurrences,
-       record.spec.first_due.time_since_epoch().count(),
-       record.spec.interval.count(),
-       record.accepted.time_since_epoch().count()}));
+  return Pack(json::array({QueueJson(record.queue), record.spec.payload,
+                           std::move(steps), record.spec.occurrences,
+                           record.spec.first_due.time_since_epoch().count(),
+                           record.spec.interval.count(),
+                           record.accepted.time_since_epoch().count()}));
 }
 
 JobRecord DecodeJobRecord(const std::string& bytes) {
@@ -159,9 +158,8 @@
     return std::nullopt;
   }
   const auto state = ParseJobState(value[0].get<std::string>());
-  return state == JobState::kQueued && value[1].get<bool>()
-             ? JobState::kRunning
-             : state;
+  return state == JobState::kQueued && value[1].get<bool>() ? JobState::kRunning
+                                                            : state;
 }
 
 TaskName Step::NameOf(int task) const {
@@ -169,10 +167,9 @@
 }
 
 int Step::Waiting() const {
-  return static_cast<int>(
-      std::count_if(tasks.begin(), tasks.end(), [](const Task& task) {
-        return !task.done && task.live == 0;
-      }));
+  return static_cast<int>(std::count_if(
+      tasks.begin(), tasks.end(),
+      [](const Task& task) { return !task.done && task.live == 0; }));
 }
 
 bool Occurrence::Finished() const {
@@ -208,9 +205,9 @@
   if (over() || next_occurrence_ >= total) {
     return WallTime::max();
   }
-  return timed() ? record_.spec.first_due +
-                       next_occurrence_ * record_.spec.interval
-                 : WallTime::min();
+  return timed()
+             ? record_.spec.first_due + next_occurrence_ * record_.spec.interval
+             : WallTime::min();
 }
 
 bool Job::OpenDue(WallTime wall_now, TimePoint now) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -44,8 +44,8 @@
   int64_t last_run = 0;
   std::string checkpoint;
   std::set<ExecutorId> failed_on;
-  TimePoint retry_at{};       // no start before
-  TimePoint started{};        // of the latest run
+  TimePoint retry_at{};  // no start before
+  TimePoint started{};   // of the latest run
 };
 
 class Job;
@@ -57,11 +57,11 @@
 
 // What is known of the executors that may run a step.
 struct StepAdvice {
-  bool asked = false;      // a call is under way
+  bool asked = false;  // a call is under way
   bool answered = false;
   std::map<ExecutorId, Ticket> good;
   std::set<ExecutorId> bad;
-  TimePoint ask_again{};   // after a failed call
+  TimePoint ask_again{};  // after a failed call
 };
 
 struct Step {
@@ -76,7 +76,7 @@
   StepAdvice advice;
   TimePoint ready_since{};  // when its turn came
   bool ready = false;
-  TimePoint retry_at{};     // of a gang
+  TimePoint retry_at{};  // of a gang
 
   TaskName NameOf(int task) const;
   bool Finished() const { return done == static_cast<int>(tasks.size()); }
@@ -110,7 +110,8 @@
   void Cancel();
   // Takes the progress of an earlier leader. Throws std::runtime_error when
   // the bytes cannot be read.
-  void DecodeProgress(const std::string& bytes, WallTime wall_now,
+  void DecodeProgress(const std::string& bytes,
+                      WallTime wall_now,
                       TimePoint now);
   // The stored state has caught up with the present one.
   void MarkStored(JobState state) { stored_state_ = state; }
--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -36,36 +36,37 @@
 }
 
 void JobIntake::Cancel(const JobId& id, TimePoint deadline, OnCancel done) {
-  store_.Read(
-      JobKey(id), kWriteTimeout,
-      Guard([this, id, deadline, done = std::move(done)](const StoreRead& read) {
-        if (read.status == StoreStatus::kNotFound) {
-          last_answer_ = clock_.Now();
-          done(CancelResult::kNoSuchJob);
-          return;
-        }
-        if (read.status != StoreStatus::kOk) {
-          if (clock_.Now() + kRetryDelay >= deadline) {
-            done(CancelResult::kUnavailable);
-            return;
-          }
-          defer_(kRetryDelay, Guard([this, id, deadline, done] {
-                   Cancel(id, deadline, done);
-                 }));
-          return;
-        }
-        last_answer_ = clock_.Now();
-        Entry entry;
-        entry.key = CancelKey(id);
-        entry.value = "1";
-        entry.conditional = false;
-        entry.deadline = deadline;
-        entry.done = [done](SubmitResult result) {
-          done(result == SubmitResult::kAccepted ? CancelResult::kCancelled
-                                                 : CancelResult::kUnavailable);
-        };
-        Enqueue(std::move(entry));
-      }));
+  store_.Read(JobKey(id), kWriteTimeout,
+              Guard([this, id, deadline,
+                     done = std::move(done)](const StoreRead& read) {
+                if (read.status == StoreStatus::kNotFound) {
+                  last_answer_ = clock_.Now();
+                  done(CancelResult::kNoSuchJob);
+                  return;
+                }
+                if (read.status != StoreStatus::kOk) {
+                  if (clock_.Now() + kRetryDelay >= deadline) {
+                    done(CancelResult::kUnavailable);
+                    return;
+                  }
+                  defer_(kRetryDelay, Guard([this, id, deadline, done] {
+                           Cancel(id, deadline, done);
+                         }));
+                  return;
+                }
+                last_answer_ = clock_.Now();
+                Entry entry;
+                entry.key = CancelKey(id);
+                entry.value = "1";
+                entry.conditional = false;
+                entry.deadline = deadline;
+                entry.done = [done](SubmitResult result) {
+                  done(result == SubmitResult::kAccepted
+                           ? CancelResult::kCancelled
+                           : CancelResult::kUnavailable);
+                };
+                Enqueue(std::move(entry));
+              }));
 }
 
 void JobIntake::Enqueue(Entry entry) {
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -132,8 +132,8 @@
   const std::string& pool = PolicyOf(job).pool;
   return std::any_of(unread_.begin(), unread_.end(), [&](const ExecutorId& id) {
     const auto found = executors_.find(id);
-    return found != executors_.end() && (found->second->entry.pool == pool ||
-                                         job.queue().pool != pool);
+    return found != executors_.end() &&
+           (found->second->entry.pool == pool || job.queue().pool != pool);
   });
 }
 
@@ -146,15 +146,31 @@
           context_.defer(kReadRetry, Guard([this] { LoadJobs(); }));
           return;
         }
-        context_.store.List(
-            kProgressPrefix, kReadTimeout,
-            Guard([this, jobs](const StoreRead& progress) {
-              if (progress.status != StoreStatus::kOk) {
-                context_.defer(kReadRetry, Guard([this] { LoadJobs(); }));
-                return;
-              }
-              OnJobsListed(jobs, progress);
-            }));
+        LoadProgress(jobs);
+      }));
+}
+
+void CellLeader::LoadProgress(const StoreRead& jobs) {
+  context_.store.Read(
+      kProgressSequenceKey, kReadTimeout,
+      Guard([this, jobs](const StoreRead& sequence) {
+        if (sequence.status != StoreStatus::kOk &&
+            sequence.status != StoreStatus::kNotFound) {
+          context_.defer(kReadRetry, Guard([this] { LoadJobs(); }));
+          return;
+        }
+        if (!sequence.items.empty() && !loaded_) {
+          sequence_revision_ = sequence.items[0].revision;
+        }
+        context_.store.List(kProgressPrefix, kReadTimeout,
+                            Guard([this, jobs](const StoreRead& progress) {
+                              if (progress.status != StoreStatus::kOk) {
+                                context_.defer(kReadRetry,
+                                               Guard([this] { LoadJobs(); }));
+                                return;
+                              }
+                              OnJobsListed(jobs, progress);
+                            }));
       }));
 }
 
@@ -364,15 +380,15 @@
     return;
   }
   write.conditions.emplace_back(kLeaderKey, leadership_.fence);
-  context_.store.Write(
-      write, kReadTimeout, Guard([this, removed](const StoreWriteReply& reply) {
-        if (reply.status != StoreStatus::kOk) {
-          return;  // the next sweep tries again
-        }
-        for (const JobId& id : removed) {
-          jobs_.erase(id);
-        }
-      }));
+  context_.store.Write(write, kReadTimeout,
+                       Guard([this, removed](const StoreWriteReply& reply) {
+                         if (reply.status != StoreStatus::kOk) {
+                           return;  // the next sweep tries again
+                         }
+                         for (const JobId& id : removed) {
+                           jobs_.erase(id);
+                         }
+                       }));
 }
 
 const QueuePolicy& CellLeader::PolicyOf(const Job& job) const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -37,11 +37,11 @@
 // Times in the executors' contract come from the settings; the others are
 // choices of this project, with their reasons in leader.cc.
 struct LeaderOptions {
-  Millis lease{3'500};       // of everything on an executor, from each hold
-  Millis hold_wait{1'000};   // how long a hold waits for an end
-  Millis stop_time{900};     // longest time a stop takes
+  Millis lease{3'500};      // of everything on an executor, from each hold
+  Millis hold_wait{1'000};  // how long a hold waits for an end
+  Millis stop_time{900};    // longest time a stop takes
   Millis gang_timeout{3'000};
-  Millis restore{600};       // to resume from a checkpoint
+  Millis restore{600};  // to resume from a checkpoint
   Millis status_retention{120'000};
   PlacerOptions placer;
 };
@@ -55,12 +55,15 @@
 };
 
 // Keys in the store.
-inline constexpr char kJobPrefix[] = "j/";       // j/ID, and j/ID/x: cancelled
+inline constexpr char kJobPrefix[] = "j/";  // j/ID, and j/ID/x: cancelled
 inline constexpr char kCancelSuffix[] = "/x";
 inline constexpr char kProgressPrefix[] = "p/";  // p/ID
 inline constexpr char kCellPrefix[] = "c/";
 inline constexpr char kLeaderKey[] = "c/leader";
 inline constexpr char kExecutorsKey[] = "c/executors";
+// Written with all progress. A write that is done late finds another revision
+// of it and changes nothing.
+inline constexpr char kProgressSequenceKey[] = "f";
 
 std::string JobKey(const JobId& id);
 std::string CancelKey(const JobId& id);
@@ -141,6 +144,7 @@
 
   // leader.cc: jobs.
   void LoadJobs();
+  void LoadProgress(const StoreRead& jobs);
   void OnJobsListed(const StoreRead& jobs, const StoreRead& progress);
   void WatchJobs();
   void OnJobEvents(const StoreRead& read);
@@ -169,9 +173,7 @@
               const HoldReply& reply);
   void TakeEnds(Executor& executor, const std::vector<EndedTask>& ends);
   void TakeEnd(Executor& executor, const EndedTask& end);
-  void TakeRunning(Executor& executor,
-                   const HoldReply& reply,
-                   TimePoint sent);
+  void TakeRunning(Executor& executor, const HoldReply& reply, TimePoint sent);
   void AdoptRun(Executor& executor, const RunningTask& row);
   void DropMissingRuns(Executor& executor,
                        const HoldReply& reply,
@@ -283,6 +285,8 @@
   TimePoint next_sweep_{};
 
   std::set<JobId> dirty_;
+  int64_t sequence_revision_ = 0;   // of kProgressSequenceKey
+  int64_t executors_revision_ = 0;  // of kExecutorsKey
   bool flush_in_flight_ = false;
   TimePoint next_flush_{};
 };
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -62,6 +62,7 @@
           return;
         }
         if (!read.items.empty()) {
+          executors_revision_ = read.items[0].revision;
           const json list =
               json::from_msgpack(read.items[0].value, true, false);
           for (const json& row : list) {
@@ -120,10 +121,9 @@
     auto& executor = executors_[entry.id];
     if (executor == nullptr) {
       executor = std::make_unique<Executor>(entry);
-      context_.log.Write(Event::kExecutorFound,
-                         {{"executor", entry.id},
-                          {"pool", entry.pool},
-                          {"address", entry.address}});
+      context_.log.Write(Event::kExecutorFound, {{"executor", entry.id},
+                                                 {"pool", entry.pool},
+                                                 {"address", entry.address}});
     }
     const bool draining = entry.draining && !executor->entry.draining;
     const bool moved = entry.address != executor->entry.address;
@@ -135,9 +135,9 @@
       LoseRuns(*executor, "new life of its executor");
       executor->OnNewLife(entry.born);
       unread_.erase(entry.id);
-      context_.log.Write(Event::kExecutorNewLife,
-                         {{"executor", entry.id},
-                          {"born", std::to_string(entry.born)}});
+      context_.log.Write(
+          Event::kExecutorNewLife,
+          {{"executor", entry.id}, {"born", std::to_string(entry.born)}});
     }
     executor->entry = std::move(entry);
     executor->listed = true;
@@ -166,9 +166,9 @@
       executor.unlisted_since = now;
       context_.log.Write(Event::kExecutorGone, {{"executor", it->first}});
     }
-    const bool forget =
-        !executor.listed && executor.runs().empty() &&
-        now - executor.unlisted_since > kForgetAfter && !executor.hold_in_flight;
+    const bool forget = !executor.listed && executor.runs().empty() &&
+                        now - executor.unlisted_since > kForgetAfter &&
+                        !executor.hold_in_flight;
     if (forget) {
       unread_.erase(it->first);
       it = executors_.erase(it);
@@ -196,6 +196,7 @@
   }
   StoreWrite write;
   write.conditions.emplace_back(kLeaderKey, leadership_.fence);
+  write.conditions.emplace_back(kExecutorsKey, executors_revision_);
   std::string bytes;
   json::to_msgpack(list, bytes);
   write.puts.emplace_back(kExecutorsKey, std::move(bytes));
@@ -210,12 +211,23 @@
                                    const std::vector<ExecutorId>& ids) {
   executors_write_in_flight_ = false;
   if (reply.status == StoreStatus::kConflict) {
-    Fenced("another member holds the leader's key");
-    return;
+    bool leading = false;
+    for (const StoreItem& item : reply.items) {
+      leading = leading ||
+                (item.key == kLeaderKey && item.revision == leadership_.fence);
+      if (item.key == kExecutorsKey) {
+        executors_revision_ = item.revision;
+      }
+    }
+    if (!leading) {
+      Fenced("another member holds the leader's key");
+    }
+    return;  // the next poll tries again
   }
   if (reply.status != StoreStatus::kOk) {
-    return;  // the next poll tries again
+    return;
   }
+  executors_revision_ = reply.revision;
   for (const ExecutorId& id : ids) {
     const auto found = executors_.find(id);
     if (found != executors_.end()) {
@@ -256,19 +268,17 @@
     order.until = executor.ClockAt(now) + options_.lease;
     executor.OnUntilSent(*order.until);
   }
-  const bool quiet = executor.adopted && executor.clock_known() &&
-                     executor.misses == 0 &&
-                     executor.ends_read == executor.ends_stored &&
-                     !executor.runs().empty();
+  const bool quiet =
+      executor.adopted && executor.clock_known() && executor.misses == 0 &&
+      executor.ends_read == executor.ends_stored && !executor.runs().empty();
   order.wait = quiet ? options_.hold_wait : Millis(0);
   executor.hold_in_flight = true;
   executor.hold_sent = now;
   ++counts_.holds;
   context_.executors.Hold(
-      order, Guard([this, id = executor.entry.id, now,
-                    ends = order.ends_stored](const HoldReply& reply) {
-        OnHold(id, now, ends, reply);
-      }));
+      order,
+      Guard([this, id = executor.entry.id, now, ends = order.ends_stored](
+                const HoldReply& reply) { OnHold(id, now, ends, reply); }));
 }
 
 void CellLeader::OnHold(const ExecutorId& id,
@@ -297,9 +307,9 @@
   if (reply.result != OrderResult::kOk) {
     ++executor.misses;
     if (executor.misses == 2) {
-      context_.log.Write(Event::kExecutorSilent,
-                         {{"executor", id},
-                          {"runs", std::to_string(executor.runs().size())}});
+      context_.log.Write(
+          Event::kExecutorSilent,
+          {{"executor", id}, {"runs", std::to_string(executor.runs().size())}});
     }
     ScheduleHold(executor,
                  now + Backoff(kMissRetry, kMaxMissRetry, executor.misses));
@@ -330,8 +340,8 @@
   }
   executor.misses = 0;
   executor.OnClock(reply.clock, now);
-  executor.ends_confirmed =
-      std::max(executor.ends_confirmed, std::min(ends_sent, executor.ends_read));
+  executor.ends_confirmed = std::max(executor.ends_confirmed,
+                                     std::min(ends_sent, executor.ends_read));
   if (!executor.adopted) {
     executor.adopted = true;
     unread_.erase(id);
@@ -372,7 +382,8 @@
   Run* run = executor.FindRun(end.task);
   Duration took{0};
   if (run != nullptr && run->number == end.run) {
-    took = now - (run->confirmed == TimePoint() ? run->ordered : run->confirmed);
+    took =
+        now - (run->confirmed == TimePoint() ? run->ordered : run->confirmed);
     executor.RemoveRun(end.task);
   }
   context_.log.Write(Event::kTaskEnded,
@@ -404,12 +415,11 @@
     health.avoid_for = Duration(0);
     if (step->spec->estimate > Millis(0) && took > Duration(0) &&
         task.checkpoint.empty()) {
-      const double ratio =
-          std::chrono::duration<double>(took) /
-          std::chrono::duration<double>(step->spec->estimate);
+      const double ratio = std::chrono::duration<double>(took) /
+                           std::chrono::duration<double>(step->spec->estimate);
       // One long straggler says little of the executor.
-      health.slowness += kSlownessWeight *
-                         (std::min(ratio, 4.0) - health.slowness);
+      health.slowness +=
+          kSlownessWeight * (std::min(ratio, 4.0) - health.slowness);
       ++health.samples;
     }
     if (job.OnDone(*step, name->index)) {
@@ -431,10 +441,10 @@
   if (end.end == RunEnd::kFailed) {
     ++health.failures_in_row;
     if (health.failures_in_row >= kFailuresToAvoid) {
-      health.avoid_for = health.avoid_for == Duration(0)
-                             ? Duration(kFirstAvoid)
-                             : std::min<Duration>(health.avoid_for * 2,
-                                                  kMaxAvoid);
+      health.avoid_for =
+          health.avoid_for == Duration(0)
+              ? Duration(kFirstAvoid)
+              : std::min<Duration>(health.avoid_for * 2, kMaxAvoid);
       health.avoid_until = now + health.avoid_for;
       context_.log.Write(
           Event::kExecutorAvoided,
@@ -517,8 +527,7 @@
     if (listed.count(name) > 0 || run.start_pending) {
       continue;
     }
-    const bool was_there =
-        run.confirmed != TimePoint() && run.confirmed < sent;
+    const bool was_there = run.confirmed != TimePoint() && run.confirmed < sent;
     const bool stopped = run.stop_confirmed && run.stop_confirmed_at < sent;
     // A start that has not been carried out by its time never will be.
     const bool too_late = run.phase != RunPhase::kAtWork &&
@@ -547,11 +556,10 @@
                          const std::string& task,
                          const char* reason) {
   const Run run = executor.runs().at(task);
-  context_.log.Write(Event::kTaskRunLost,
-                     {{"task", task},
-                      {"run", std::to_string(run.number)},
-                      {"executor", executor.entry.id},
-                      {"reason", reason}});
+  context_.log.Write(Event::kTaskRunLost, {{"task", task},
+                                           {"run", std::to_string(run.number)},
+                                           {"executor", executor.entry.id},
+                                           {"reason", reason}});
   executor.RemoveRun(task);
   if (run.step == nullptr) {
     return;
@@ -590,8 +598,8 @@
 void CellLeader::RetryStops(Executor& executor) {
   const TimePoint now = context_.clock.Now();
   for (auto& [name, run] : executor.runs()) {
-    const bool ask = run.phase == RunPhase::kStopping ||
-                     run.phase == RunPhase::kUnanswered;
+    const bool ask =
+        run.phase == RunPhase::kStopping || run.phase == RunPhase::kUnanswered;
     if (ask && !run.stop_confirmed && !run.stop_in_flight &&
         now >= run.next_stop) {
       run.next_stop = now + kStopRetry;
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -1,7 +1,9 @@
 // What the leader must not lose: ends that executors may forget. All that has
 // changed is written together, so the number of writes follows time, not the
 // number of tasks. Each write has the leader's key as its condition, so a
-// leader that was replaced writes nothing more.
+// leader that was replaced writes nothing more, and the sequence key, so that a
+// write whose answer was lost and that is done seconds later does not replace
+// newer progress.
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,8 @@
 constexpr Millis kFlushInterval{25};
 constexpr Millis kFlushTimeout{1'000};
 constexpr Millis kFlushRetry{250};
+// Beside two conditions and the sequence key.
+constexpr size_t kMaxWrittenJobs = kMaxWriteEntries - 3;
 
 }  // namespace
 
@@ -41,9 +45,12 @@
   }
   StoreWrite write;
   write.conditions.emplace_back(kLeaderKey, leadership_.fence);
+  write.conditions.emplace_back(kProgressSequenceKey, sequence_revision_);
+  write.puts.emplace_back(kProgressSequenceKey,
+                          std::to_string(leadership_.fence));
   std::map<JobId, JobState> written;
   for (const JobId& id : dirty_) {
-    if (written.size() + 1 >= kMaxWriteEntries) {
+    if (written.size() >= kMaxWrittenJobs) {
       break;
     }
     const Job& job = *jobs_.at(id);
@@ -77,18 +84,32 @@
     const std::map<JobId, JobState>& written,
     const std::map<ExecutorId, std::pair<int64_t, int64_t>>& ends) {
   flush_in_flight_ = false;
-  if (reply.status == StoreStatus::kConflict) {
-    Fenced("another member holds the leader's key");
-    return;
-  }
   if (reply.status != StoreStatus::kOk) {
-    // The values are whole states, so writing them again is harmless.
     for (const auto& [id, state] : written) {
       dirty_.insert(id);
     }
     next_flush_ = context_.clock.Now() + kFlushRetry;
+  }
+  if (reply.status == StoreStatus::kConflict) {
+    bool leading = false;
+    for (const StoreItem& item : reply.items) {
+      leading = leading ||
+                (item.key == kLeaderKey && item.revision == leadership_.fence);
+      if (item.key == kProgressSequenceKey) {
+        sequence_revision_ = item.revision;
+      }
+    }
+    if (!leading) {
+      Fenced("another member holds the leader's key");
+      return;
+    }
+    // An earlier write without an answer was done after all.
+    next_flush_ = context_.clock.Now();
+  }
+  if (reply.status != StoreStatus::kOk) {
     return;
   }
+  sequence_revision_ = reply.revision;
   for (const auto& [id, state] : written) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -61,8 +61,8 @@
       continue;
     }
     const TimePoint objective = ObjectiveOf(step);
-    orders.push_back({PolicyOf(*step.job).priority, objective < now, objective,
-                      &step});
+    orders.push_back(
+        {PolicyOf(*step.job).priority, objective < now, objective, &step});
     ++it;
   }
   std::sort(orders.begin(), orders.end(),
@@ -142,7 +142,8 @@
   return usable;
 }
 
-void CellLeader::AskAdvice(Step& step, const std::vector<Executor*>& executors) {
+void CellLeader::AskAdvice(Step& step,
+                           const std::vector<Executor*>& executors) {
   if (executors.empty()) {
     return;
   }
@@ -165,8 +166,7 @@
 void CellLeader::PumpAdvice() {
   while (auto call = desk_.NextCall()) {
     ++counts_.advice;
-    const std::optional<TaskName> name =
-        TaskName::Parse(call->ask.step + ".0");
+    const std::optional<TaskName> name = TaskName::Parse(call->ask.step + ".0");
     context_.ask_member(
         call->member, call->ask,
         Guard([this, id = call->ask.id, name = *name,
@@ -237,12 +237,12 @@
   }
   // Room stays reserved while a new ticket for it is on its way.
   if (PolicyOf(*step.job).advice) {
-    eligible.erase(std::remove_if(eligible.begin(), eligible.end(),
-                                  [&](Executor* executor) {
-                                    return step.advice.good.count(
-                                               executor->entry.id) == 0;
-                                  }),
-                   eligible.end());
+    eligible.erase(
+        std::remove_if(eligible.begin(), eligible.end(),
+                       [&](Executor* executor) {
+                         return step.advice.good.count(executor->entry.id) == 0;
+                       }),
+        eligible.end());
   }
   drop_taken(eligible);
   Reserve(step, eligible);
@@ -333,9 +333,8 @@
                      part(size.memory_mb, free.memory_mb),
                      part(size.accelerators, free.accelerators)});
   };
-  std::sort(sorted.begin(), sorted.end(), [&](Executor* a, Executor* b) {
-    return lacking(a) < lacking(b);
-  });
+  std::sort(sorted.begin(), sorted.end(),
+            [&](Executor* a, Executor* b) { return lacking(a) < lacking(b); });
   const size_t wanted =
       step.spec->gang ? static_cast<size_t>(step.spec->count) : 1;
   for (size_t i = 0; i < sorted.size() && i < wanted; ++i) {
@@ -343,8 +342,7 @@
   }
 }
 
-void CellLeader::Preempt(Step& step,
-                         const std::vector<Executor*>& candidates) {
+void CellLeader::Preempt(Step& step, const std::vector<Executor*>& candidates) {
   const int priority = PolicyOf(*step.job).priority;
   const Resources size = RoomFor(*step.spec);
   const TimePoint now = context_.clock.Now();
@@ -447,11 +445,11 @@
                       {"executor", order.executor},
                       {"queue", step.job->queue().name},
                       {"fence", std::to_string(order.fence)}});
-  context_.executors.Start(
-      order, Guard([this, id = order.executor, text = order.task,
-                    number](const OrderReply& reply) {
-        OnStarted(id, text, number, reply);
-      }));
+  context_.executors.Start(order,
+                           Guard([this, id = order.executor, text = order.task,
+                                  number](const OrderReply& reply) {
+                             OnStarted(id, text, number, reply);
+                           }));
 }
 
 void CellLeader::OnStarted(const ExecutorId& id,
@@ -597,8 +595,7 @@
 
 void CellLeader::StopCopies(Step& step, int index) {
   // The members of a gang end together.
-  if (step.spec->gang ||
-      step.tasks[static_cast<size_t>(index)].live == 0) {
+  if (step.spec->gang || step.tasks[static_cast<size_t>(index)].live == 0) {
     return;
   }
   const std::string text = step.NameOf(index).Text();
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -57,8 +57,9 @@
   self.boot = options_.boot;
   self.address = options_.address;
   Election::Callbacks callbacks;
-  callbacks.write = [this](const LeaderRecord& record, int64_t expected,
-                           std::function<void(Election::Outcome, int64_t)> done) {
+  callbacks.write = [this](
+                        const LeaderRecord& record, int64_t expected,
+                        std::function<void(Election::Outcome, int64_t)> done) {
     WriteLeader(record, expected, std::move(done));
   };
   callbacks.on_leading = [this](int64_t term, int64_t fence, bool gone) {
@@ -166,6 +167,7 @@
   store_.Write(write, kCellTimeout, Guard([this](const StoreWriteReply& reply) {
                  register_in_flight_ = false;
                  registered_ = reply.status == StoreStatus::kOk;
+                 member_revision_ = reply.revision;
                  if (!registered_) {
                    context_.defer(kCellRetry,
                                   Guard([this] { RegisterMember(); }));
@@ -222,8 +224,7 @@
                                            election_->StepDown(reason);
                                          }));
                         }};
-  leader_ =
-      std::make_unique<CellLeader>(context, options_.leader, leadership);
+  leader_ = std::make_unique<CellLeader>(context, options_.leader, leadership);
   leader_->SetTable(table_);
   UpdateAdvisers();
   leader_->Begin();
@@ -240,8 +241,8 @@
 void CellNode::OnPause(Duration gap) {
   context_.log.Write(
       Event::kCellPaused,
-      {{"ms", std::to_string(
-                  std::chrono::duration_cast<Millis>(gap).count())}});
+      {{"ms",
+        std::to_string(std::chrono::duration_cast<Millis>(gap).count())}});
   if (leader_ != nullptr) {
     leader_->Suspend();
     VerifyLeadership(context_.clock.Now());
@@ -252,25 +253,25 @@
   if (leader_ == nullptr) {
     return;
   }
-  store_.Read(kLeaderKey, kVerifyPatience,
-              Guard([this, since](const StoreRead& read) {
-                if (leader_ == nullptr) {
-                  return;
-                }
-                if (read.status == StoreStatus::kOk) {
-                  TakeCellItem(read.items[0]);
-                  if (leader_ != nullptr) {
-                    leader_->Resume();
-                  }
-                  return;
-                }
-                if (context_.clock.Now() - since > kVerifyPatience) {
-                  leader_->Resume();
-                  return;
-                }
-                context_.defer(kCellRetry,
-                               Guard([this, since] { VerifyLeadership(since); }));
-              }));
+  store_.Read(
+      kLeaderKey, kVerifyPatience, Guard([this, since](const StoreRead& read) {
+        if (leader_ == nullptr) {
+          return;
+        }
+        if (read.status == StoreStatus::kOk) {
+          TakeCellItem(read.items[0]);
+          if (leader_ != nullptr) {
+            leader_->Resume();
+          }
+          return;
+        }
+        if (context_.clock.Now() - since > kVerifyPatience) {
+          leader_->Resume();
+          return;
+        }
+        context_.defer(kCellRetry,
+                       Guard([this, since] { VerifyLeadership(since); }));
+      }));
 }
 
 void CellNode::BeginStop() {
@@ -280,7 +281,11 @@
   stopping_ = true;
   election_->Leave();
   SendBeats();
+  // Only the own entry: a removal that is done late must not take that of the
+  // VM's next process.
   StoreWrite write;
+  write.conditions.emplace_back(kMemberPrefix + options_.node,
+                                member_revision_);
   write.removals.push_back(kMemberPrefix + options_.node);
   store_.Write(write, kCellTimeout, [](const StoreWriteReply&) {});
 }
@@ -498,7 +503,8 @@
   record.accepted = context_.clock.WallNow();
   intake_.Submit(
       id, record, deadline,
-      [this, id, name = queue.name, done = std::move(done)](SubmitResult result) {
+      [this, id, name = queue.name,
+       done = std::move(done)](SubmitResult result) {
         if (result == SubmitResult::kAccepted) {
           context_.log.Write(Event::kJobAccepted,
                              {{"job", id}, {"queue", name}});
@@ -507,8 +513,8 @@
               Event::kJobNotAccepted,
               {{"job", id},
                {"queue", name},
-               {"result", result == SubmitResult::kUnknown ? "unknown"
-                                                           : "not_stored"}});
+               {"result",
+                result == SubmitResult::kUnknown ? "unknown" : "not_stored"}});
         }
         done(result);
       });
@@ -576,9 +582,9 @@
 // Without a leader the store's word counts: progress, then the job itself.
 void CellNode::FindInStore(const JobId& id, TimePoint deadline, OnJob done) {
   const Duration left = deadline - context_.clock.Now();
-  const Millis timeout = std::min(
-      kCellTimeout,
-      std::max(Millis(1), std::chrono::duration_cast<Millis>(left)));
+  const Millis timeout =
+      std::min(kCellTimeout,
+               std::max(Millis(1), std::chrono::duration_cast<Millis>(left)));
   store_.List(
       JobKey(id), timeout,
       Guard([this, id, timeout, done = std::move(done)](const StoreRead& job) {
@@ -641,20 +647,19 @@
 }
 
 void CellNode::OnAdviceCall(const AdviceCall& call) {
-  context_.advice.Ask(
-      call.step, call.executors, call.timeout,
-      Guard([this, id = call.call,
-             address = call.address](const AdviceReply& reply) {
-        AdviceAnswer answer;
-        answer.call = id;
-        answer.answered = reply.answered;
-        answer.overloaded = reply.overloaded;
-        answer.validity = reply.validity;
-        for (const auto& [executor, ticket] : reply.good) {
-          answer.good.push_back({executor, ticket});
-        }
-        context_.peers.SendToAddress(address, answer);
-      }));
+  context_.advice.Ask(call.step, call.executors, call.timeout,
+                      Guard([this, id = call.call,
+                             address = call.address](const AdviceReply& reply) {
+                        AdviceAnswer answer;
+                        answer.call = id;
+                        answer.answered = reply.answered;
+                        answer.overloaded = reply.overloaded;
+                        answer.validity = reply.validity;
+                        for (const auto& [executor, ticket] : reply.good) {
+                          answer.good.push_back({executor, ticket});
+                        }
+                        context_.peers.SendToAddress(address, answer);
+                      }));
 }
 
 void CellNode::OnAdviceAnswer(const AdviceAnswer& answer) {
@@ -687,15 +692,13 @@
 }  // namespace
 
 void CellNode::OnMessage(const MemberId&, const Message& message) {
-  std::visit(
-      Overloaded{
-          [this](const CellBeat& m) { OnBeat(m); },
-          [this](const JobStateCall& m) { OnStateCall(m); },
-          [this](const JobStateAnswer& m) { OnStateAnswer(m); },
-          [this](const AdviceCall& m) { OnAdviceCall(m); },
-          [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
-          [](const auto&) {}},
-      message);
+  std::visit(Overloaded{[this](const CellBeat& m) { OnBeat(m); },
+                        [this](const JobStateCall& m) { OnStateCall(m); },
+                        [this](const JobStateAnswer& m) { OnStateAnswer(m); },
+                        [this](const AdviceCall& m) { OnAdviceCall(m); },
+                        [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
+                        [](const auto&) {}},
+             message);
 }
 
 }  // namespace chivedale::cell
--- a/cell/node.h
+++ b/cell/node.h
@@ -162,6 +162,7 @@
   int64_t cell_revision_ = 0;
   bool cell_listed_ = false;
   bool registered_ = false;
+  int64_t member_revision_ = 0;
   bool register_in_flight_ = false;
   bool stopping_ = false;
   bool checking_store_ = false;
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -70,7 +70,9 @@
   return size;
 }
 
-double Placer::Cost(const Step& step, int task, const Executor& executor) const {
+double Placer::Cost(const Step& step,
+                    int task,
+                    const Executor& executor) const {
   const StepSpec& spec = *step.spec;
   double time = std::clamp(executor.health.slowness, 0.3, 20.0);
   if (!spec.near_rack.empty() && spec.near_rack != executor.entry.rack) {
@@ -131,9 +133,9 @@
   }
   // A place far from the data costs the run time (far_factor - 1) times more;
   // waiting for a near one pays as long as it is shorter than that.
-  const bool far = (!spec.near_rack.empty() &&
-                    best->entry.rack != spec.near_rack) ||
-                   (!rack.empty() && best->entry.rack != rack);
+  const bool far =
+      (!spec.near_rack.empty() && best->entry.rack != spec.near_rack) ||
+      (!rack.empty() && best->entry.rack != rack);
   if (far && now - step.ready_since <
                  std::chrono::duration_cast<Duration>(
                      spec.estimate * (options_.far_factor - 1) / 2)) {
@@ -156,8 +158,8 @@
   for (Executor* executor : candidates) {
     Resources free = executor->Free();
     int places = 0;
-    const int bound = spec.max_per_executor > 0 ? spec.max_per_executor
-                                                : spec.count;
+    const int bound =
+        spec.max_per_executor > 0 ? spec.max_per_executor : spec.count;
     while (places < std::min(bound, spec.count) && size.FitsIn(free)) {
       free -= size;
       ++places;
@@ -182,8 +184,8 @@
               [](const Seat& a, const Seat& b) { return a.cost < b.cost; });
     std::vector<Executor*> members;
     for (const Seat& seat : sorted) {
-      for (int i = 0; i < seat.places &&
-                      static_cast<int>(members.size()) < spec.count;
+      for (int i = 0;
+           i < seat.places && static_cast<int>(members.size()) < spec.count;
            ++i) {
         members.push_back(seat.executor);
       }
--- a/cell/placer.h
+++ b/cell/placer.h
@@ -33,8 +33,9 @@
                     const std::vector<Executor*>& candidates,
                     TimePoint now) const;
   // One executor for each task, in order; empty when they do not all fit.
-  std::vector<Executor*> ForGang(const Step& step,
-                                 const std::vector<Executor*>& candidates) const;
+  std::vector<Executor*> ForGang(
+      const Step& step,
+      const std::vector<Executor*>& candidates) const;
 
   // Lower is better.
   double Cost(const Step& step, int task, const Executor& executor) const;
--- a/cell/ports.cc
+++ b/cell/ports.cc
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 11> kOrderResultNames = {
-    "ok",         "fenced",   "old_run",   "late",       "no_room", "bad_ticket",
-    "rejected",   "unhealthy", "other_life", "not_sent", "unknown"};
+    "ok",       "fenced",    "old_run",    "late",     "no_room", "bad_ticket",
+    "rejected", "unhealthy", "other_life", "not_sent", "unknown"};
 
 }  // namespace
 
--- a/cell/ports.h
+++ b/cell/ports.h
@@ -103,9 +103,9 @@
 
 enum class OrderResult {
   kOk,
-  kFenced,     // a newer leader has been here
-  kOldRun,     // a run at least as high was stopped or ended here
-  kLate,       // its time had passed when it arrived
+  kFenced,  // a newer leader has been here
+  kOldRun,  // a run at least as high was stopped or ended here
+  kLate,    // its time had passed when it arrived
   kNoRoom,
   kBadTicket,
   kRejected,   // malformed, or refused for another reason; not done
@@ -208,7 +208,14 @@
   ExecutorId executor;
 };
 
-enum class VmOrderResult { kOk, kFenced, kBusy, kWrongWave, kRejected, kUnknown };
+enum class VmOrderResult {
+  kOk,
+  kFenced,
+  kBusy,
+  kWrongWave,
+  kRejected,
+  kUnknown
+};
 
 class VmPort {
  public:
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -26,15 +26,15 @@
   std::string vm_address;      // of the service that lists the executors' VMs
   std::vector<std::string> seeds;
   std::string log_level = "info";
-  double cpu_share = 1;     // of a core that this process may use
+  double cpu_share = 1;      // of a core that this process may use
   double link_mbps = 1'000;  // of this VM's link
   // The executors' contract.
   Millis longest_lease{6'000};  // they shorten longer ones
   Millis stop_time{900};        // the longest a stop takes
   Millis gang_timeout{3'000};
-  Millis restore{600};          // to resume from a checkpoint
+  Millis restore{600};  // to resume from a checkpoint
   Millis status_retention{120'000};
-  Millis stop_grace{6'000};     // from SIGTERM to SIGKILL
+  Millis stop_grace{6'000};  // from SIGTERM to SIGKILL
   double far_factor = 3;
 };
 
--- a/cell/store_monitor.cc
+++ b/cell/store_monitor.cc
@@ -5,43 +5,48 @@
 namespace chivedale::cell {
 
 StoreMonitor::StoreMonitor(const Clock& clock, EventLog& log, StorePort& store)
-    : clock_(clock), log_(log), store_(store) {}
+    : state_(std::make_shared<State>(State{clock, log, false, {}})),
+      store_(store) {}
 
-void StoreMonitor::Note(StoreStatus status) {
+Duration StoreMonitor::State::FailingFor() const {
+  return failing ? clock.Now() - failing_since : Duration(0);
+}
+
+void StoreMonitor::State::Note(StoreStatus status) {
   const bool failed =
       status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
-  if (failed && !failing_) {
-    failing_since_ = clock_.Now();
-    log_.Write(Event::kStoreDown, {});
-  } else if (!failed && failing_) {
-    log_.Write(
-        Event::kStoreUp,
-        {{"ms", std::to_string(
-                    std::chrono::duration_cast<Millis>(failing_for()).count())}});
+  if (failed && !failing) {
+    failing_since = clock.Now();
+    log.Write(Event::kStoreDown, {});
+  } else if (!failed && failing) {
+    const auto ms = std::chrono::duration_cast<Millis>(FailingFor());
+    log.Write(Event::kStoreUp, {{"ms", std::to_string(ms.count())}});
   }
-  failing_ = failed;
+  failing = failed;
 }
 
 Duration StoreMonitor::failing_for() const {
-  return failing_ ? clock_.Now() - failing_since_ : Duration(0);
+  return state_->FailingFor();
 }
 
 void StoreMonitor::Read(const std::string& key, Millis timeout, OnRead done) {
   ++calls_;
-  store_.Read(key, timeout, [this, done = std::move(done)](StoreRead read) {
-    Note(read.status);
-    done(std::move(read));
-  });
+  store_.Read(key, timeout,
+              [state = state_, done = std::move(done)](StoreRead read) {
+                state->Note(read.status);
+                done(std::move(read));
+              });
 }
 
 void StoreMonitor::List(const std::string& prefix,
                         Millis timeout,
                         OnRead done) {
   ++calls_;
-  store_.List(prefix, timeout, [this, done = std::move(done)](StoreRead read) {
-    Note(read.status);
-    done(std::move(read));
-  });
+  store_.List(prefix, timeout,
+              [state = state_, done = std::move(done)](StoreRead read) {
+                state->Note(read.status);
+                done(std::move(read));
+              });
 }
 
 void StoreMonitor::Watch(const std::string& prefix,
@@ -50,8 +55,8 @@
                          OnRead done) {
   ++calls_;
   store_.Watch(prefix, after, wait,
-               [this, done = std::move(done)](StoreRead read) {
-                 Note(read.status);
+               [state = state_, done = std::move(done)](StoreRead read) {
+                 state->Note(read.status);
                  done(std::move(read));
                });
 }
@@ -61,8 +66,8 @@
                          OnWrite done) {
   ++calls_;
   store_.Write(write, timeout,
-               [this, done = std::move(done)](StoreWriteReply reply) {
-                 Note(reply.status);
+               [state = state_, done = std::move(done)](StoreWriteReply reply) {
+                 state->Note(reply.status);
                  done(std::move(reply));
                });
 }
--- a/cell/store_monitor.h
+++ b/cell/store_monitor.h
@@ -6,6 +6,7 @@
 #ifndef CELL_STORE_MONITOR_H_
 #define CELL_STORE_MONITOR_H_
 
+#include <memory>
 #include <string>
 
 #include "cell/ports.h"
@@ -31,13 +32,19 @@
   int64_t calls() const { return calls_; }
 
  private:
-  void Note(StoreStatus status);
-
-  const Clock& clock_;
-  EventLog& log_;
+  // Shared with calls under way, which may outlive this object.
+  struct State {
+    const Clock& clock;
+    EventLog& log;
+    bool failing = false;
+    TimePoint failing_since{};
+
+    Duration FailingFor() const;
+    void Note(StoreStatus status);
+  };
+
+  const std::shared_ptr<State> state_;
   StorePort& store_;
-  bool failing_ = false;
-  TimePoint failing_since_{};
   int64_t calls_ = 0;
 };
 
--- /dev/null
+++ b/cell/testing/fake_cell.cc
@@ -0,0 +1,316 @@
+#include "cell/testing/fake_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "chivedale/log4cxx_event_log.h"
+
+namespace chivedale::cell::testing {
+namespace {
+
+constexpr Duration kPeerWay = std::chrono::microseconds(800);
+constexpr size_t kKeptLines = 200'000;
+
+}  // namespace
+
+void KeptLog::Write(Event event, const LogFields& fields) {
+  if (lines_.size() < kKeptLines) {
+    const auto ms = std::chrono::duration_cast<Millis>(
+        clock_.Now().time_since_epoch() - std::chrono::hours(1));
+    lines_.push_back(std::to_string(ms.count()) + " " +
+                     FormatEvent(event, fields));
+  }
+}
+
+std::string KeptLog::Lines(const std::string& text) const {
+  std::string found;
+  for (const std::string& line : lines_) {
+    if (line.find(text) != std::string::npos) {
+      found += line + "\n";
+    }
+  }
+  return found;
+}
+
+class FakeCell::Peers final : public PeerPort {
+ public:
+  Peers(FakeCell& cell, std::string self)
+      : cell_(cell), self_(std::move(self)) {}
+  bool Send(const MemberId&, const Message&) override { return false; }
+  void SetAddress(const MemberId&, const std::string&) override {}
+  void SendToAddress(const std::string& address,
+                     const Message& message) override {
+    cell_.Deliver(self_, address, message);
+  }
+
+ private:
+  FakeCell& cell_;
+  const std::string self_;
+};
+
+class FakeCell::Advice final : public AdvicePort {
+ public:
+  explicit Advice(FakeCell& cell) : cell_(cell) {}
+  void Ask(const std::string& step,
+           const std::vector<ExecutorId>& executors,
+           Millis,
+           OnAdvice done) override {
+    AdviceReply reply;
+    reply.answered = true;
+    reply.validity = cell_.ticket_validity;
+    for (const ExecutorId& id : executors) {
+      // The same answer for the same pair, always.
+      const uint64_t hash = util::Hash64(step + "/" + id);
+      if (static_cast<double>(hash % 1'000) < cell_.advised * 1'000) {
+        reply.good.emplace_back(id, "t-" + id);
+      }
+    }
+    cell_.loop.After(cell_.advice_time, [done, reply] { done(reply); });
+  }
+
+ private:
+  FakeCell& cell_;
+};
+
+class FakeCell::Vms final : public VmPort {
+ public:
+  void List(OnList) override {}
+  void Upkeep(const std::string&, int64_t, int64_t, OnOrder) override {}
+};
+
+struct FakeCell::Host {
+  std::string name;
+  std::string address;
+  double strength = 1;
+  uint64_t life = 0;
+  bool peers_cut = false;
+  TimePoint frozen_until{};
+  std::unique_ptr<StorePort> store;
+  std::unique_ptr<ExecutorPort> executors;
+  std::unique_ptr<Peers> peers;
+  std::unique_ptr<Advice> advice;
+  std::unique_ptr<Vms> vms;
+  std::unique_ptr<CellNode> node;
+};
+
+FakeCell::FakeCell(uint64_t seed)
+    : random(seed),
+      store(loop, random),
+      executors(loop, random),
+      log(loop.clock()),
+      table_(std::make_shared<QueueTable>()) {}
+
+FakeCell::~FakeCell() = default;
+
+void FakeCell::AddNode(const std::string& name, double strength) {
+  auto host = std::make_unique<Host>();
+  host->name = name;
+  host->address = name + ":1";
+  host->strength = strength;
+  host->store = store.ViewOf(name);
+  host->executors = executors.ViewOf(name);
+  host->peers = std::make_unique<Peers>(*this, name);
+  host->advice = std::make_unique<Advice>(*this);
+  host->vms = std::make_unique<Vms>();
+  Host& added = *host;
+  hosts_[name] = std::move(host);
+  StartNode(added);
+}
+
+void FakeCell::StartNode(Host& host) {
+  const uint64_t life = ++host.life;
+  const std::string name = host.name;
+  NodeContext context{
+      loop.clock(),
+      log,
+      random,
+      *host.store,
+      *host.executors,
+      *host.advice,
+      *host.vms,
+      *host.peers,
+      [this](auto done) {
+        const bool down = entries_down;
+        loop.After(Millis(2), [this, done, down] {
+          if (down) {
+            done(StoreStatus::kUnknown, {});
+          } else {
+            done(StoreStatus::kOk, executors.Entries());
+          }
+        });
+      },
+      [this, name, life](Millis after, std::function<void()> run) {
+        loop.After(after, [this, name, life, run = std::move(run)]() mutable {
+          Host& at = *hosts_.at(name);
+          if (at.life != life) {
+            return;
+          }
+          // A process that stands still does its work when it goes on.
+          if (loop.clock().Now() < at.frozen_until) {
+            loop.After(at.frozen_until - loop.clock().Now(), std::move(run));
+            return;
+          }
+          run();
+        });
+      }};
+  NodeOptions options;
+  options.node = name;
+  options.boot = name + "-" + std::to_string(life);
+  options.address = host.address;
+  options.strength = host.strength;
+  host.node = std::make_unique<CellNode>(context, options);
+  if (table_->version > 0) {
+    host.node->OnTable(table_);
+  }
+  host.node->Begin();
+  TickLater(name, life);
+}
+
+void FakeCell::TickLater(const std::string& name, uint64_t life) {
+  loop.After(kNodeTick, [this, name, life] {
+    Host& host = *hosts_.at(name);
+    if (host.life != life || host.node == nullptr) {
+      return;
+    }
+    if (loop.clock().Now() >= host.frozen_until) {
+      host.node->Tick();
+    }
+    TickLater(name, life);
+  });
+}
+
+void FakeCell::Deliver(const std::string& from,
+                       const std::string& address,
+                       const Message& message) {
+  Host& sender = *hosts_.at(from);
+  loop.After(kPeerWay, [this, &sender, address, message] {
+    for (auto& [name, host] : hosts_) {
+      if (host->address != address) {
+        continue;
+      }
+      if (host->node == nullptr) {
+        if (sender.node != nullptr && !sender.peers_cut) {
+          sender.node->OnPeerDown(address, true);
+        }
+      } else if (!host->peers_cut && !sender.peers_cut &&
+                 loop.clock().Now() >= host->frozen_until) {
+        host->node->OnMessage(MemberId(sender.name), message);
+      }
+    }
+  });
+}
+
+void FakeCell::AddExecutors(const std::string& pool,
+                            int count,
+                            const Resources& size) {
+  for (int i = 0; i < count; ++i) {
+    ExecutorEntry entry;
+    entry.id = "e" + std::to_string(next_executor_++);
+    entry.address = entry.id + ":80";
+    entry.pool = pool;
+    entry.born = 1'000;
+    entry.capacity = size;
+    entry.rack = "r" + std::to_string(i / 4);
+    entry.labels = {i % 3 == 0 ? "b" : "a", entry.rack};
+    executors.Add(entry);
+  }
+}
+
+void FakeCell::SetQueue(const QueuePolicy& policy) {
+  auto table = std::make_shared<QueueTable>(*table_);
+  ++table->version;
+  table->queues.erase(std::remove_if(table->queues.begin(), table->queues.end(),
+                                     [&](const QueuePolicy& q) {
+                                       return q.name == policy.name;
+                                     }),
+                      table->queues.end());
+  table->queues.push_back(policy);
+  table_ = table;
+  for (auto& [name, host] : hosts_) {
+    if (host->node != nullptr) {
+      host->node->OnTable(table_);
+    }
+  }
+}
+
+void FakeCell::RunFor(Duration time) {
+  loop.RunFor(time);
+}
+
+void FakeCell::Kill(const std::string& name) {
+  Host& host = *hosts_.at(name);
+  ++host.life;
+  host.node.reset();
+}
+
+void FakeCell::Restart(const std::string& name) {
+  Host& host = *hosts_.at(name);
+  if (host.node == nullptr) {
+    StartNode(host);
+  }
+}
+
+void FakeCell::Freeze(const std::string& name, Duration time) {
+  hosts_.at(name)->frozen_until = loop.clock().Now() + time;
+}
+
+void FakeCell::CutPeers(const std::string& name, bool cut) {
+  hosts_.at(name)->peers_cut = cut;
+}
+
+CellNode* FakeCell::node(const std::string& name) {
+  return hosts_.at(name)->node.get();
+}
+
+CellNode* FakeCell::leader() {
+  for (auto& [name, host] : hosts_) {
+    if (host->node != nullptr && host->node->leading()) {
+      return host->node.get();
+    }
+  }
+  return nullptr;
+}
+
+void FakeCell::Submit(const std::string& name,
+                      const JobId& id,
+                      const JobSpec& spec,
+                      const std::string& queue_name) {
+  CellNode* at = node(name);
+  const QueuePolicy* policy = table_->FindQueue(queue_name);
+  if (at == nullptr || policy == nullptr) {
+    return;
+  }
+  executors.Expect(id, spec, policy->max_attempts);
+  const bool first = tried_.insert(id).second;
+  at->Submit(*policy, id, spec, loop.clock().Now() + Millis(1'500),
+             [this, id, first](SubmitResult result) {
+               if (result == SubmitResult::kAccepted) {
+                 accepted_.insert(id);
+               } else if (result == SubmitResult::kNotStored && first) {
+                 refused_.insert(id);
+               }
+             });
+}
+
+void FakeCell::Cancel(const std::string& name, const JobId& id) {
+  if (CellNode* at = node(name)) {
+    at->CancelJob(id, loop.clock().Now() + Millis(1'500),
+                  [this, id](CancelResult result) {
+                    if (result == CancelResult::kCancelled) {
+                      cancelled_.insert(id);
+                      executors.Cancelled(id);
+                    }
+                  });
+  }
+}
+
+std::optional<JobState> FakeCell::StateOf(const JobId& id) const {
+  for (const auto& [name, host] : hosts_) {
+    if (host->node != nullptr && host->node->leading()) {
+      return host->node->leader()->Find(id);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace chivedale::cell::testing
--- /dev/null
+++ b/cell/testing/fake_cell.h
@@ -0,0 +1,108 @@
+// Members of a cell with a store, executors and links of the test's own, on a
+// clock of the test's own.
+//
+//   FakeCell cell(seed);
+//   cell.AddNode("a");  cell.AddExecutors("pool", 4, {32'000, 64'000, 0, 0});
+//   cell.SetQueue(queue);
+//   cell.RunFor(Millis(1'000));
+//   cell.Submit("a", id, spec);
+#ifndef CELL_TESTING_FAKE_CELL_H_
+#define CELL_TESTING_FAKE_CELL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/node.h"
+#include "cell/testing/fake_executors.h"
+#include "cell/testing/fake_loop.h"
+#include "cell/testing/fake_store.h"
+#include "chivedale/event_log.h"
+#include "util/random.h"
+
+namespace chivedale::cell::testing {
+
+// Keeps the lines of the last events, for messages of failed checks.
+class KeptLog final : public EventLog {
+ public:
+  explicit KeptLog(const Clock& clock) : clock_(clock) {}
+  void Write(Event event, const LogFields& fields) override;
+  // Lines that contain the text.
+  std::string Lines(const std::string& text) const;
+
+ private:
+  const Clock& clock_;
+  std::vector<std::string> lines_;
+};
+
+class FakeCell {
+ public:
+  explicit FakeCell(uint64_t seed);
+  ~FakeCell();
+
+  // Commands.
+  void AddNode(const std::string& name, double strength = 1);
+  void AddExecutors(const std::string& pool, int count, const Resources& size);
+  void SetQueue(const QueuePolicy& queue);
+  void RunFor(Duration time);
+  // Ends the process at once; Restart begins a new one.
+  void Kill(const std::string& name);
+  void Restart(const std::string& name);
+  // The process stands still: its events wait.
+  void Freeze(const std::string& name, Duration time);
+  // Cuts the member from all other members.
+  void CutPeers(const std::string& name, bool cut);
+  void Submit(const std::string& name,
+              const JobId& id,
+              const JobSpec& spec,
+              const std::string& queue = "q");
+  void Cancel(const std::string& name, const JobId& id);
+
+  // Queries.
+  std::optional<JobState> StateOf(const JobId& id) const;
+  CellNode* node(const std::string& name);
+  CellNode* leader();
+  const std::set<JobId>& accepted() const { return accepted_; }
+  // Each submission of these was refused as not stored.
+  const std::set<JobId>& refused() const { return refused_; }
+  const std::set<JobId>& cancelled() const { return cancelled_; }
+
+  FakeLoop loop;
+  util::Random random;
+  FakeStore store;
+  FakeExecutors executors;
+  KeptLog log;
+  // Share of executors that advice allows, the same for each step and executor.
+  double advised = 1;
+  Duration advice_time = std::chrono::milliseconds(10);
+  Millis ticket_validity{2'000};
+  QueuePolicy queue;
+  bool entries_down = false;
+
+ private:
+  struct Host;
+  class Peers;
+  class Advice;
+  class Vms;
+
+  void StartNode(Host& host);
+  void TickLater(const std::string& name, uint64_t life);
+  void Deliver(const std::string& from,
+               const std::string& address,
+               const Message& message);
+
+  std::map<std::string, std::unique_ptr<Host>> hosts_;
+  std::shared_ptr<QueueTable> table_;
+  std::set<JobId> accepted_;
+  std::set<JobId> refused_;
+  std::set<JobId> tried_;
+  std::set<JobId> cancelled_;
+  int next_executor_ = 1;
+};
+
+}  // namespace chivedale::cell::testing
+
+#endif  // CELL_TESTING_FAKE_CELL_H_
--- /dev/null
+++ b/cell/testing/fake_executors.cc
@@ -0,0 +1,550 @@
+#include "cell/testing/fake_executors.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivedale::cell::testing {
+namespace {
+
+constexpr Millis kCallTimeout{800};
+constexpr Duration kWay = std::chrono::microseconds(500);
+constexpr Millis kCheckpointEvery{500};
+
+std::string Where(const TaskName& name, int64_t run, const ExecutorId& id) {
+  return name.Text() + "#" + std::to_string(run) + " on " + id;
+}
+
+}  // namespace
+
+class FakeExecutorView final : public ExecutorPort {
+ public:
+  FakeExecutorView(FakeExecutors& all, std::string member)
+      : all_(all), member_(std::move(member)) {}
+
+  void Start(const StartOrder& order, OnOrder done) override {
+    Order(order.address, order.executor, std::move(done),
+          [this, order](FakeExecutors::State& state) {
+            return all_.DoStart(state, order);
+          });
+  }
+  void Stop(const std::string& address,
+            const ExecutorId& executor,
+            const std::string& task,
+            int64_t run,
+            int64_t fence,
+            OnOrder done) override {
+    Order(address, executor, std::move(done),
+          [this, task, run, fence](FakeExecutors::State& state) {
+            return all_.DoStop(state, task, run, fence);
+          });
+  }
+  void Pace(const std::string& address,
+            const ExecutorId& executor,
+            const std::string&,
+            int64_t,
+            int,
+            int64_t,
+            OnOrder done) override {
+    Order(address, executor, std::move(done), [](FakeExecutors::State&) {
+      return OrderReply{OrderResult::kOk, {}};
+    });
+  }
+  void Hold(const HoldOrder& order, OnHold done) override;
+
+ private:
+  template <typename Act>
+  void Order(const std::string& address,
+             const ExecutorId& id,
+             OnOrder done,
+             Act act) {
+    const LinkFaults link = all_.LinkOf(member_, id);
+    if (link.cut || all_.At(address, id) == nullptr) {
+      all_.loop_.After(kCallTimeout, [done] { done({}); });
+      return;
+    }
+    if (all_.random_.Unit() < link.late_orders) {
+      const auto late =
+          Millis(2'000 + static_cast<int64_t>(all_.random_.Below(10'000)));
+      // The executor keeps the order; it is gone with its life.
+      const uint64_t life = all_.At(address, id)->life;
+      all_.loop_.After(late, [this, address, id, act, life] {
+        FakeExecutors::State* state = all_.At(address, id);
+        if (state != nullptr && state->life == life) {
+          act(*state);
+        }
+      });
+      all_.loop_.After(kCallTimeout, [done] { done({}); });
+      return;
+    }
+    const bool lost = all_.random_.Unit() < link.lost_answers;
+    all_.loop_.After(kWay, [this, address, id, act, done, lost] {
+      FakeExecutors::State* state = all_.At(address, id);
+      if (state == nullptr) {
+        all_.loop_.After(kCallTimeout, [done] { done({}); });
+        return;
+      }
+      const OrderReply reply = act(*state);
+      if (lost) {
+        all_.loop_.After(kCallTimeout, [done] { done({}); });
+      } else {
+        all_.loop_.After(kWay, [done, reply] { done(reply); });
+      }
+    });
+  }
+
+  FakeExecutors& all_;
+  const std::string member_;
+};
+
+void FakeExecutorView::Hold(const HoldOrder& order, OnHold done) {
+  ++all_.holds_;
+  const LinkFaults link = all_.LinkOf(member_, order.executor);
+  if (link.cut || all_.At(order.address, order.executor) == nullptr) {
+    all_.loop_.After(order.wait + kCallTimeout, [done] { done({}); });
+    return;
+  }
+  const bool lost = all_.random_.Unit() < link.lost_answers;
+  all_.loop_.After(kWay, [this, order, done, lost] {
+    FakeExecutors::State* state = all_.At(order.address, order.executor);
+    if (state == nullptr || lost) {
+      if (state != nullptr) {
+        all_.DoHold(*state, order);
+      }
+      all_.loop_.After(order.wait + kCallTimeout, [done] { done({}); });
+      return;
+    }
+    const HoldReply reply = all_.DoHold(*state, order);
+    const auto answer = [this, done](const HoldReply& hold) {
+      all_.loop_.After(kWay, [done, hold] { done(hold); });
+    };
+    if (reply.result != OrderResult::kOk || !reply.ended.empty() ||
+        order.wait == Millis(0)) {
+      answer(reply);
+      return;
+    }
+    const uint64_t wait = state->next_wait++;
+    const uint64_t life = state->life;
+    const auto finish = [this, order, answer, wait, life] {
+      FakeExecutors::State* now = all_.At(order.address, order.executor);
+      if (now != nullptr && now->life == life && now->waiting.erase(wait) > 0) {
+        answer(all_.Look(*now));
+      }
+    };
+    state->waiting[wait] = finish;
+    all_.loop_.After(order.wait, finish);
+    // A crash meanwhile leaves the caller to its timeout.
+    all_.loop_.After(order.wait + kCallTimeout, [this, order, done, life] {
+      FakeExecutors::State* now = all_.At(order.address, order.executor);
+      if (now == nullptr || now->life != life) {
+        done({});
+      }
+    });
+  });
+}
+
+std::unique_ptr<ExecutorPort> FakeExecutors::ViewOf(const std::string& member) {
+  return std::make_unique<FakeExecutorView>(*this, member);
+}
+
+void FakeExecutors::Add(const ExecutorEntry& entry) {
+  State& state = states_[entry.id];
+  state.entry = entry;
+  state.clock_zero = loop_.clock().Now();
+}
+
+void FakeExecutors::Crash(const ExecutorId& id) {
+  State& state = states_.at(id);
+  state.up = false;
+  state.runs.clear();
+  state.waiting.clear();
+  ++state.life;
+}
+
+void FakeExecutors::Restart(const ExecutorId& id) {
+  State& state = states_.at(id);
+  ExecutorEntry entry = state.entry;
+  const uint64_t life = state.life + 1;
+  state = State();
+  entry.born += 1'000;
+  state.entry = entry;
+  state.life = life;
+  state.clock_zero = loop_.clock().Now();
+}
+
+void FakeExecutors::Drain(const ExecutorId& id) {
+  states_.at(id).entry.draining = true;
+}
+
+void FakeExecutors::Expect(const JobId& id,
+                           const JobSpec& spec,
+                           int max_attempts) {
+  jobs_[id] = {spec, max_attempts};
+}
+
+std::vector<ExecutorEntry> FakeExecutors::Entries() const {
+  std::vector<ExecutorEntry> entries;
+  for (const auto& [id, state] : states_) {
+    if (state.up) {
+      entries.push_back(state.entry);
+    }
+  }
+  return entries;
+}
+
+int FakeExecutors::running() const {
+  int count = 0;
+  for (const auto& [id, state] : states_) {
+    count += static_cast<int>(state.runs.size());
+  }
+  return count;
+}
+
+FakeExecutors::State* FakeExecutors::At(const std::string& address,
+                                        const ExecutorId& id) {
+  const auto found = states_.find(id);
+  return found == states_.end() || !found->second.up ||
+                 found->second.entry.address != address
+             ? nullptr
+             : &found->second;
+}
+
+LinkFaults FakeExecutors::LinkOf(const std::string& member,
+                                 const ExecutorId& id) const {
+  const auto one = links.find({member, id});
+  if (one != links.end()) {
+    return one->second;
+  }
+  const auto all = member_links.find(member);
+  return all == member_links.end() ? LinkFaults() : all->second;
+}
+
+Millis FakeExecutors::ClockOf(const State& state) const {
+  return std::chrono::duration_cast<Millis>(
+      (loop_.clock().Now() - state.clock_zero) * clock_speed);
+}
+
+void FakeExecutors::Extend(State& state, Millis until) {
+  const Millis most = ClockOf(state) + longest_lease;
+  const Millis before = state.until;
+  state.until = std::max(state.until, std::min(until, most));
+  if (state.until > before) {
+    ArmLapse(state);
+  }
+}
+
+void FakeExecutors::ArmLapse(State& state) {
+  const Duration left = std::chrono::duration_cast<Duration>(
+      (state.until - ClockOf(state)) / clock_speed);
+  loop_.After(left + Millis(1), [this, id = state.entry.id, life = state.life] {
+    State& now = states_.at(id);
+    if (!now.up || now.life != life || ClockOf(now) <= now.until) {
+      return;
+    }
+    std::vector<std::string> tasks;
+    for (const auto& [task, run] : now.runs) {
+      tasks.push_back(task);
+    }
+    for (const std::string& task : tasks) {
+      End(now, task, RunEnd::kLapsed);
+    }
+  });
+}
+
+const StepSpec* FakeExecutors::SpecOf(const TaskName& name) const {
+  const auto job = jobs_.find(name.job);
+  if (job == jobs_.end() || name.step < 0 ||
+      static_cast<size_t>(name.step) >= job->second.spec.steps.size()) {
+    return nullptr;
+  }
+  return &job->second.spec.steps[static_cast<size_t>(name.step)];
+}
+
+void FakeExecutors::CheckStart(const State& state,
+                               const Run& run,
+                               const StartOrder& order) {
+  const TaskName& name = run.name;
+  const std::string where = Where(name, run.number, state.entry.id);
+  const auto job = jobs_.find(name.job);
+  const StepSpec* spec = SpecOf(name);
+  if (spec == nullptr || order.payload != job->second.spec.payload) {
+    Break("not asked for: " + where);
+    return;
+  }
+  Resources used = run.size;
+  for (const auto& [task, other] : state.runs) {
+    used += other.size;
+  }
+  if (!used.FitsIn(state.entry.capacity)) {
+    Break("over room: " + where);
+  }
+  int beside = 0;
+  for (const auto& [task, other] : state.runs) {
+    beside += other.name.job == name.job && other.name.step == name.step &&
+              other.name.occurrence == name.occurrence;
+  }
+  if (spec->max_per_executor > 0 && beside >= spec->max_per_executor) {
+    Break("too many of a step: " + where);
+  }
+  if (!spec->label.empty() &&
+      std::find(state.entry.labels.begin(), state.entry.labels.end(),
+                spec->label) == state.entry.labels.end()) {
+    Break("without its label: " + where);
+  }
+  const std::string text = name.Text();
+  if (!spec->copies_allowed) {
+    for (const auto& [id, other] : states_) {
+      if (other.up && id != state.entry.id && other.runs.count(text) > 0) {
+        Break("at work in two places: " + where + " and on " + id);
+      }
+    }
+    if (done_stored_.count(text) > 0) {
+      Break("started after its end was stored: " + where);
+    }
+  }
+  for (const int earlier : spec->after) {
+    const StepSpec& before =
+        job->second.spec.steps[static_cast<size_t>(earlier)];
+    for (int i = 0; i < before.count; ++i) {
+      const TaskName needed{name.job, name.occurrence, earlier, i};
+      if (done_.count(needed.Text()) == 0) {
+        Break("out of order: " + where);
+        return;
+      }
+    }
+  }
+  if (!spec->lasting && !spec->copies_allowed &&
+      failed_stored_[text] >= job->second.max_attempts) {
+    Break("too many attempts: " + where);
+  }
+}
+
+OrderReply FakeExecutors::DoStart(State& state, const StartOrder& order) {
+  OrderReply reply;
+  reply.clock = ClockOf(state);
+  if (order.fence < state.fence) {
+    reply.result = OrderResult::kFenced;
+    return reply;
+  }
+  state.fence = order.fence;
+  const auto there = state.runs.find(order.task);
+  if (there != state.runs.end() && there->second.number == order.run) {
+    reply.result = OrderResult::kOk;
+    return reply;
+  }
+  if (there != state.runs.end() || order.run <= state.barred[order.task]) {
+    reply.result = OrderResult::kOldRun;
+    return reply;
+  }
+  if (order.until <= *reply.clock) {
+    reply.result = OrderResult::kLate;
+    return reply;
+  }
+  Run run;
+  run.name = TaskName::Parse(order.task).value();
+  run.number = order.run;
+  run.checkpoint = order.checkpoint;
+  run.serial = next_serial_++;
+  if (const StepSpec* spec = SpecOf(run.name)) {
+    run.size = spec->size;
+    if (spec->fills) {
+      run.size.cpu_milli = 0;
+    }
+  }
+  CheckStart(state, run, order);
+  ++starts_;
+  started_.insert(order.task);
+  Extend(state, order.until);
+  state.runs[order.task] = run;
+  const StepSpec* spec = SpecOf(run.name);
+  if (spec != nullptr && spec->gang) {
+    BeginGang(run);
+    loop_.After(gang_timeout, [this, id = state.entry.id, task = order.task,
+                               serial = run.serial] {
+      State& now = states_.at(id);
+      const auto found = now.runs.find(task);
+      if (found != now.runs.end() && found->second.serial == serial &&
+          !found->second.at_work) {
+        End(now, task, RunEnd::kAlone);
+      }
+    });
+  } else {
+    Begin(state, order.task);
+  }
+  reply.result = OrderResult::kOk;
+  return reply;
+}
+
+void FakeExecutors::BeginGang(const Run& member) {
+  const StepSpec* spec = SpecOf(member.name);
+  std::vector<std::pair<State*, std::string>> members;
+  for (auto& [id, state] : states_) {
+    for (auto& [task, run] : state.runs) {
+      if (run.name.job == member.name.job &&
+          run.name.step == member.name.step &&
+          run.name.occurrence == member.name.occurrence &&
+          run.number == member.number && !run.at_work) {
+        members.emplace_back(&state, task);
+      }
+    }
+  }
+  if (static_cast<int>(members.size()) == spec->count) {
+    for (const auto& [state, task] : members) {
+      Begin(*state, task);
+    }
+  }
+}
+
+void FakeExecutors::Begin(State& state, const std::string& task) {
+  Run& run = state.runs.at(task);
+  run.at_work = true;
+  run.began = loop_.clock().Now();
+  const StepSpec* spec = SpecOf(run.name);
+  if (spec == nullptr) {
+    return;
+  }
+  const bool failing = fails && fails(run.name, state.entry.id);
+  if (spec->lasting && !failing) {
+    return;
+  }
+  const Duration time =
+      run_time ? run_time(run.name, *spec) : Duration(spec->estimate);
+  loop_.After(time,
+              [this, id = state.entry.id, task, serial = run.serial, failing] {
+                State& now = states_.at(id);
+                const auto found = now.runs.find(task);
+                if (found != now.runs.end() && found->second.serial == serial) {
+                  End(now, task, failing ? RunEnd::kFailed : RunEnd::kDone);
+                }
+              });
+}
+
+void FakeExecutors::End(State& state, const std::string& task, RunEnd end) {
+  const Run run = state.runs.at(task);
+  state.runs.erase(task);
+  EndedTask ended;
+  ended.number = state.next_end++;
+  ended.task = task;
+  ended.run = run.number;
+  ended.end = end;
+  const StepSpec* spec = SpecOf(run.name);
+  if (spec != nullptr && spec->checkpoints && run.at_work &&
+      loop_.clock().Now() - run.began > kCheckpointEvery) {
+    ended.checkpoint = "cp" + std::to_string(run.serial);
+  }
+  state.ended.push_back(ended);
+  state.barred[task] = std::max(state.barred[task], run.number);
+  if (end == RunEnd::kDone) {
+    done_.insert(task);
+  }
+  if (spec != nullptr && spec->gang) {
+    if (end == RunEnd::kDone) {
+      // One end stands for all.
+      for (int i = 0; i < spec->count; ++i) {
+        TaskName member = run.name;
+        member.index = i;
+        done_.insert(member.Text());
+      }
+    }
+    const RunEnd others =
+        end == RunEnd::kDone ? RunEnd::kDone : RunEnd::kBroken;
+    for (auto& [id, other] : states_) {
+      std::vector<std::string> members;
+      for (const auto& [text, member] : other.runs) {
+        if (member.name.job == run.name.job &&
+            member.name.step == run.name.step && member.number == run.number &&
+            member.at_work) {
+          members.push_back(text);
+        }
+      }
+      for (const std::string& text : members) {
+        if (other.runs.count(text) > 0) {
+          End(other, text, others);
+        }
+      }
+    }
+  }
+  Wake(state);
+}
+
+OrderReply FakeExecutors::DoStop(State& state,
+                                 const std::string& task,
+                                 int64_t run,
+                                 int64_t fence) {
+  OrderReply reply;
+  reply.clock = ClockOf(state);
+  if (fence < state.fence) {
+    reply.result = OrderResult::kFenced;
+    return reply;
+  }
+  state.fence = fence;
+  state.barred[task] = std::max(state.barred[task], run);
+  const auto found = state.runs.find(task);
+  if (found != state.runs.end() && found->second.number <= run &&
+      !found->second.stopping) {
+    found->second.stopping = true;
+    loop_.After(stop_time, [this, id = state.entry.id, task,
+                            serial = found->second.serial] {
+      State& now = states_.at(id);
+      const auto there = now.runs.find(task);
+      if (there != now.runs.end() && there->second.serial == serial) {
+        End(now, task, RunEnd::kStopped);
+      }
+    });
+  }
+  reply.result = OrderResult::kOk;
+  return reply;
+}
+
+HoldReply FakeExecutors::DoHold(State& state, const HoldOrder& order) {
+  if (order.fence < state.fence) {
+    HoldReply reply;
+    reply.result = OrderResult::kFenced;
+    return reply;
+  }
+  state.fence = order.fence;
+  if (order.until) {
+    Extend(state, *order.until);
+  }
+  for (const EndedTask& end : state.ended) {
+    if (end.number <= order.ends_stored && end.number > state.stored) {
+      const auto name = TaskName::Parse(end.task);
+      const StepSpec* spec = name ? SpecOf(*name) : nullptr;
+      if (end.end == RunEnd::kDone && spec != nullptr && !spec->lasting) {
+        done_stored_.insert(end.task);
+      } else if (end.end == RunEnd::kFailed) {
+        ++failed_stored_[end.task];
+      }
+    }
+  }
+  state.stored = std::max(state.stored, order.ends_stored);
+  state.ended.erase(std::remove_if(state.ended.begin(), state.ended.end(),
+                                   [&](const EndedTask& end) {
+                                     return end.number <= state.stored;
+                                   }),
+                    state.ended.end());
+  return Look(state);
+}
+
+HoldReply FakeExecutors::Look(const State& state) const {
+  HoldReply reply;
+  reply.result = OrderResult::kOk;
+  reply.clock = ClockOf(state);
+  reply.born = state.entry.born;
+  for (const auto& [task, run] : state.runs) {
+    RunningTask row;
+    row.task = task;
+    row.run = run.number;
+    reply.running.push_back(row);
+  }
+  reply.ended = state.ended;
+  return reply;
+}
+
+void FakeExecutors::Wake(State& state) {
+  std::map<uint64_t, std::function<void()>> waiting = state.waiting;
+  for (const auto& [wait, finish] : waiting) {
+    finish();
+  }
+}
+
+}  // namespace chivedale::cell::testing
--- /dev/null
+++ b/cell/testing/fake_executors.h
@@ -0,0 +1,141 @@
+// Executors that keep the contract of cell/ports.h and check what they are
+// told to do: room, leases, fences, gangs, ends kept until they are stored.
+//
+//   FakeExecutors executors(loop, random);
+//   executors.Add({"e1", "10.0.0.1:80", "pool", ...});
+//   std::unique_ptr<ExecutorPort> port = executors.ViewOf("member");
+//   BOOST_TEST(executors.broken().empty());
+#ifndef CELL_TESTING_FAKE_EXECUTORS_H_
+#define CELL_TESTING_FAKE_EXECUTORS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/job.h"
+#include "cell/ports.h"
+#include "cell/testing/fake_loop.h"
+#include "util/random.h"
+
+namespace chivedale::cell::testing {
+
+struct LinkFaults {
+  bool cut = false;         // nothing arrives
+  double lost_answers = 0;  // done, but the answer is lost
+  double late_orders = 0;   // done after 2 to 12 s, not answered
+};
+
+class FakeExecutors {
+ public:
+  FakeExecutors(FakeLoop& loop, util::Random& random)
+      : loop_(loop), random_(random) {}
+
+  std::unique_ptr<ExecutorPort> ViewOf(const std::string& member);
+
+  // Commands.
+  void Add(const ExecutorEntry& entry);
+  // Everything on it ends at once, unreported; it answers nothing.
+  void Crash(const ExecutorId& id);
+  // After a crash: the same id, nothing known of before.
+  void Restart(const ExecutorId& id);
+  void Drain(const ExecutorId& id);
+  // The jobs that tasks may belong to, for the checks.
+  void Expect(const JobId& id, const JobSpec& spec, int max_attempts);
+  void Cancelled(const JobId& id) { cancelled_.insert(id); }
+
+  // Queries.
+  std::vector<ExecutorEntry> Entries() const;
+  // What was done against the promises; empty when all is well.
+  const std::vector<std::string>& broken() const { return broken_; }
+  int running() const;
+  int64_t starts() const { return starts_; }
+  int64_t holds() const { return holds_; }
+  // Milliseconds of the last start of the task; nothing when it never began.
+  bool EverStarted(const std::string& task) const {
+    return started_.count(task) > 0;
+  }
+
+  // By member and executor.
+  std::map<std::pair<std::string, ExecutorId>, LinkFaults> links;
+  std::map<std::string, LinkFaults> member_links;
+  std::function<Duration(const TaskName&, const StepSpec&)> run_time;
+  std::function<bool(const TaskName&, const ExecutorId&)> fails;
+  Millis longest_lease{10'000};
+  Millis stop_time{100};
+  Millis gang_timeout{3'000};
+  double clock_speed = 1.0;  // 0.98: two percent slow
+
+ private:
+  friend class FakeExecutorView;
+  struct Run {
+    TaskName name;
+    int64_t number = 0;
+    std::string checkpoint;
+    TimePoint began{};
+    bool at_work = false;  // a gang waits for its members
+    bool stopping = false;
+    Resources size;
+    uint64_t serial = 0;
+  };
+  struct State {
+    ExecutorEntry entry;
+    bool up = true;
+    TimePoint clock_zero{};
+    int64_t fence = 0;
+    Millis until{0};
+    std::map<std::string, Run> runs;
+    std::vector<EndedTask> ended;
+    int64_t next_end = 1;
+    int64_t stored = 0;
+    std::map<std::string, int64_t> barred;  // no run up to this number
+    std::map<uint64_t, std::function<void()>> waiting;  // holds
+    uint64_t next_wait = 1;
+    uint64_t life = 1;
+  };
+
+  State* At(const std::string& address, const ExecutorId& id);
+  Millis ClockOf(const State& state) const;
+  LinkFaults LinkOf(const std::string& member, const ExecutorId& id) const;
+  void Extend(State& state, Millis until);
+  void ArmLapse(State& state);
+  OrderReply DoStart(State& state, const StartOrder& order);
+  OrderReply DoStop(State& state,
+                    const std::string& task,
+                    int64_t run,
+                    int64_t fence);
+  HoldReply DoHold(State& state, const HoldOrder& order);
+  HoldReply Look(const State& state) const;
+  void End(State& state, const std::string& task, RunEnd end);
+  void Begin(State& state, const std::string& task);
+  void BeginGang(const Run& member);
+  void Wake(State& state);
+  void CheckStart(const State& state, const Run& run, const StartOrder& order);
+  void Break(const std::string& what) { broken_.push_back(what); }
+  const StepSpec* SpecOf(const TaskName& name) const;
+
+  FakeLoop& loop_;
+  util::Random& random_;
+  std::map<ExecutorId, State> states_;
+  struct Expected {
+    JobSpec spec;
+    int max_attempts = 1;
+  };
+  std::map<JobId, Expected> jobs_;
+  std::set<JobId> cancelled_;
+  std::set<std::string> done_;         // tasks with an end `done`
+  std::set<std::string> done_stored_;  // and it was acknowledged
+  std::map<std::string, int> failed_stored_;
+  std::set<std::string> started_;
+  std::vector<std::string> broken_;
+  int64_t starts_ = 0;
+  int64_t holds_ = 0;
+  uint64_t next_serial_ = 1;
+};
+
+}  // namespace chivedale::cell::testing
+
+#endif  // CELL_TESTING_FAKE_EXECUTORS_H_
--- /dev/null
+++ b/cell/testing/fake_loop.h
@@ -0,0 +1,48 @@
+// Events in order of time on a clock of the test's own.
+//
+//   FakeLoop loop;
+//   loop.After(Millis(5), [] { ... });
+//   loop.RunFor(Millis(100));
+#ifndef CELL_TESTING_FAKE_LOOP_H_
+#define CELL_TESTING_FAKE_LOOP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "cell/types.h"
+#include "chivedale/testing/fake_clock.h"
+
+namespace chivedale::cell::testing {
+
+class FakeLoop {
+ public:
+  void After(Duration delay, std::function<void()> run) {
+    events_.emplace(std::make_pair(clock_.Now() + delay, next_++),
+                    std::move(run));
+  }
+  void RunFor(Duration time) {
+    const TimePoint end = clock_.Now() + time;
+    while (!events_.empty() && events_.begin()->first.first <= end) {
+      const auto first = events_.begin();
+      if (first->first.first > clock_.Now()) {
+        clock_.Advance(first->first.first - clock_.Now());
+      }
+      const std::function<void()> run = std::move(first->second);
+      events_.erase(first);
+      run();
+    }
+    clock_.Advance(end - clock_.Now());
+  }
+  const chivedale::testing::FakeClock& clock() const { return clock_; }
+
+ private:
+  chivedale::testing::FakeClock clock_;
+  uint64_t next_ = 0;
+  std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> events_;
+};
+
+}  // namespace chivedale::cell::testing
+
+#endif  // CELL_TESTING_FAKE_LOOP_H_
--- /dev/null
+++ b/cell/testing/fake_store.h
@@ -0,0 +1,79 @@
+// A store in memory with the contract of cell/ports.h and its faults: down for
+// some callers, slow, answers lost, writes done late, history forgotten.
+#ifndef CELL_TESTING_FAKE_STORE_H_
+#define CELL_TESTING_FAKE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/ports.h"
+#include "cell/testing/fake_loop.h"
+#include "util/random.h"
+
+namespace chivedale::cell::testing {
+
+struct StoreFaults {
+  bool refuses = false;     // answers that it does nothing
+  bool silent = false;      // no answer, nothing done
+  double lost_answers = 0;  // share of writes done without an answer
+  double late_writes = 0;   // share done after late_by, without an answer
+  Duration late_by = std::chrono::seconds(3);
+  Duration latency = std::chrono::milliseconds(2);
+};
+
+class FakeStore {
+ public:
+  FakeStore(FakeLoop& loop, util::Random& random)
+      : loop_(loop), random_(random) {}
+
+  // The store as one member sees it. It must outlive its callbacks.
+  std::unique_ptr<StorePort> ViewOf(const std::string& member);
+
+  // Commands.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  // Watches that begin at an older revision get kCompacted.
+  void ForgetHistory();
+
+  // Queries.
+  const StoreItem* Find(const std::string& key) const;
+  std::vector<StoreItem> Under(const std::string& prefix) const;
+  int64_t revision() const { return revision_; }
+  int64_t writes() const { return writes_; }
+
+  StoreFaults faults;                            // for all
+  std::map<std::string, StoreFaults> faults_of;  // instead, for a member
+
+ private:
+  friend class FakeStoreView;
+  struct Watcher {
+    std::string prefix;
+    int64_t after = 0;
+    std::function<void(StoreRead)> done;
+  };
+
+  const StoreFaults& FaultsOf(const std::string& member) const;
+  StoreWriteReply Apply(const StoreWrite& write);
+  void Changed(const StoreItem& item);
+  StoreRead EventsAfter(const std::string& prefix, int64_t after) const;
+  void WakeWatchers();
+
+  FakeLoop& loop_;
+  util::Random& random_;
+  int64_t revision_ = 100;
+  int64_t forgotten_ = 0;
+  int64_t writes_ = 0;
+  std::map<std::string, StoreItem> items_;
+  std::vector<StoreItem> history_;
+  std::map<uint64_t, Watcher> watchers_;
+  uint64_t next_watcher_ = 1;
+};
+
+}  // namespace chivedale::cell::testing
+
+#endif  // CELL_TESTING_FAKE_STORE_H_
--- a/cell/types.cc
+++ b/cell/types.cc
@@ -31,7 +31,8 @@
                                      std::string_view path) const {
   const QueuePolicy* best = nullptr;
   for (const QueuePolicy& queue : queues) {
-    if (queue.host == host && path.substr(0, queue.prefix.size()) == queue.prefix &&
+    if (queue.host == host &&
+        path.substr(0, queue.prefix.size()) == queue.prefix &&
         (best == nullptr || queue.prefix.size() > best->prefix.size())) {
       best = &queue;
     }
--- a/cell/types.h
+++ b/cell/types.h
@@ -35,8 +35,8 @@
   bool checkpoints = false;  // writes checkpoints a restart can resume from
   bool gang = false;         // all tasks run at once or none does
   bool same_rack = false;
-  std::string label;      // an executor must have it; empty: any
-  std::string near_rack;  // where the data is; empty: anywhere
+  std::string label;         // an executor must have it; empty: any
+  std::string near_rack;     // where the data is; empty: anywhere
   int max_per_executor = 0;  // 0: no bound
   bool copies_allowed = false;
   bool lasting = false;  // runs until the job is cancelled
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -350,9 +350,9 @@
   std::string boot;
   std::string address;
   bool leading = false;
-  bool leaving = false;   // stops soon; a leader wants a successor
-  bool store_ok = true;   // the store answers the sender
-  int64_t term = 0;       // of the leadership that the sender knows of
+  bool leaving = false;  // stops soon; a leader wants a successor
+  bool store_ok = true;  // the store answers the sender
+  int64_t term = 0;      // of the leadership that the sender knows of
   std::vector<QueuePending> pending;  // from a leader
 };
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -161,12 +161,7 @@
                  m.pending);
 CHIVEDALE_FIELDS(JobStateCall, m.call, m.address, m.job);
 CHIVEDALE_FIELDS(JobStateAnswer, m.call, m.leading, m.found, m.state);
-CHIVEDALE_FIELDS(AdviceCall,
-                 m.call,
-                 m.address,
-                 m.step,
-                 m.executors,
-                 m.timeout);
+CHIVEDALE_FIELDS(AdviceCall, m.call, m.address, m.step, m.executors, m.timeout);
 CHIVEDALE_FIELDS(AdviceTicket, m.executor, m.ticket);
 CHIVEDALE_FIELDS(AdviceAnswer,
                  m.call,
