Passes over usable executors per pool; a restarted executor is asked who it is before it is told what is stored

After any silence an executor is asked with number 0, and its own list decides what is lost. Ruled out: the link limit, the store's rate.

--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-Executor::Executor(ExecutorEntry initial) : entry(std::move(initial)) {
+Executor::Executor(ExecutorEntry initial, size_t initial_number)
+    : number(initial_number), entry(std::move(initial)) {
   born = entry.born;
 }
 
@@ -42,6 +43,8 @@
     ++task.live;
     task.last_run = std::max(task.last_run, number);
     ++step->live_on[entry.id];
+  } else {
+    ++unknown_runs_;
   }
   return run;
 }
@@ -59,6 +62,8 @@
     if (--live->second == 0) {
       run.step->live_on.erase(live);
     }
+  } else {
+    --unknown_runs_;
   }
   runs_.erase(found);
 }
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -59,7 +59,8 @@
 
 class Executor {
  public:
-  explicit Executor(ExecutorEntry entry);
+  // `number` is its own among the executors of one leader.
+  explicit Executor(ExecutorEntry entry, size_t number = 0);
 
   // Commands.
   Run& AddRun(const TaskName& name, int64_t number, Step* step, TimePoint now);
@@ -77,6 +78,8 @@
   std::map<std::string, Run>& runs() { return runs_; }
   const std::map<std::string, Run>& runs() const { return runs_; }
   Run* FindRun(const std::string& task);
+  // Something of unknown size runs there.
+  bool has_unknown_run() const { return unknown_runs_ > 0; }
   bool clock_known() const { return clock_known_; }
   // The executor's clock now, as far as it is known.
   Millis ClockAt(TimePoint now) const;
@@ -85,6 +88,7 @@
   TimePoint LapsedBy() const;
   bool HasLabel(const std::string& label) const;
 
+  const size_t number;
   ExecutorEntry entry;
   ExecutorHealth health;
   int64_t born = 0;
@@ -98,11 +102,13 @@
   int misses = 0;              // holds in a row without an answer
   bool hold_in_flight = false;
   TimePoint hold_sent{};
+  TimePoint last_answer{};  // of a hold
   TimePoint next_hold{};
   TimePoint drain_seen{};
 
  private:
   Resources committed_;
+  int unknown_runs_ = 0;
   std::map<std::string, Run> runs_;  // by task
   bool clock_known_ = false;
   Millis clock_{0};
--- a/cell/job.h
+++ b/cell/job.h
@@ -50,18 +50,34 @@
 
 class Job;
 
-struct Ticket {
-  std::string text;
+// Whether an executor may run a step, and the ticket for it.
+struct ExecutorAdvice {
+  enum class Kind { kUnknown, kBad, kGood };
+  Kind kind = Kind::kUnknown;
+  std::string ticket;
   TimePoint expires{};
 };
 
-// What is known of the executors that may run a step.
-struct StepAdvice {
-  bool asked = false;  // a call is under way
+// What is known of the executors that may run a step, by executor number.
+class StepAdvice {
+ public:
+  const ExecutorAdvice& Of(size_t executor) const {
+    static const ExecutorAdvice kNone;
+    return executor < entries_.size() ? entries_[executor] : kNone;
+  }
+  ExecutorAdvice& At(size_t executor) {
+    if (executor >= entries_.size()) {
+      entries_.resize(executor + 1);
+    }
+    return entries_[executor];
+  }
+
+  bool asked = false;     // a call is under way
   bool answered = false;
-  std::map<ExecutorId, Ticket> good;
-  std::set<ExecutorId> bad;
   TimePoint ask_again{};  // after a failed call
+
+ private:
+  std::vector<ExecutorAdvice> entries_;
 };
 
 struct Step {
@@ -72,6 +88,8 @@
   std::vector<Task> tasks;
   int done = 0;
   std::map<ExecutorId, int> live_on;  // live runs by executor
+  // By when the job should be done for its objective; set by the leader.
+  TimePoint objective{};
   int64_t gang_run = 0;               // latest run of a gang
   StepAdvice advice;
   TimePoint ready_since{};  // when its turn came
@@ -117,12 +135,21 @@
   void MarkStored(JobState state) { stored_state_ = state; }
   void set_any_started() { any_started_ = true; }
   void set_ended(TimePoint now) { ended_ = now; }
+  // The queue's row in the present table, which `table` names.
+  void set_policy(const QueuePolicy* policy, const void* table) const {
+    policy_ = policy;
+    policy_table_ = table;
+  }
 
   // Queries.
   const JobId& id() const { return id_; }
   const JobRecord& record() const { return record_; }
   int64_t revision() const { return revision_; }
   const QueuePolicy& queue() const { return record_.queue; }
+  // Null when the table was not asked yet.
+  const QueuePolicy* policy(const void* table) const {
+    return policy_table_ == table ? policy_ : nullptr;
+  }
   JobState state() const { return state_; }
   // What may be shown: an end only once it is stored.
   JobState shown_state() const;
@@ -145,6 +172,9 @@
   const JobId id_;
   const JobRecord record_;
   const int64_t revision_;
+  // A cache: looking a row up by name on each pass is too slow.
+  mutable const QueuePolicy* policy_ = nullptr;
+  mutable const void* policy_table_ = nullptr;
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -392,9 +392,14 @@
 }
 
 const QueuePolicy& CellLeader::PolicyOf(const Job& job) const {
-  const QueuePolicy* queue = table_->FindQueue(job.queue().name);
-  // A queue that left the table still owes its accepted jobs.
-  return queue == nullptr ? job.queue() : *queue;
+  const QueuePolicy* known = job.policy(table_.get());
+  if (known == nullptr) {
+    known = table_->FindQueue(job.queue().name);
+    // A queue that left the table still owes its accepted jobs.
+    known = known == nullptr ? &job.queue() : known;
+    job.set_policy(known, table_.get());
+  }
+  return *known;
 }
 
 TimePoint CellLeader::ObjectiveOf(const Step& step) const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -196,7 +196,16 @@
   // Whether an executor that has not been read may run tasks of the step, by
   // order of a predecessor.
   bool MayRunUnseen(const Step& step) const;
-  std::vector<Executor*> EligibleFor(const Step& step) const;
+  // The executors of a pool that can take starts, in the present pass.
+  struct PoolRoom {
+    std::vector<Executor*> usable;
+    // No executor has more of any resource free.
+    Resources most_free;
+    int reserving = 0;  // steps that keep executors from others
+  };
+  PoolRoom& RoomOf(const std::string& pool);
+  static void UpdateMostFree(PoolRoom& pool);
+  std::vector<Executor*> EligibleFor(const Step& step, const PoolRoom& pool);
   // Those of `eligible` that advice lets run the step now.
   std::vector<Executor*> Advised(Step& step,
                                  const std::vector<Executor*>& eligible);
@@ -219,14 +228,15 @@
   void StopGang(Step& step, int64_t number, const char* reason);
   void StopCopies(Step& step, int task);
   // Keeps the executors that the step waits for from less urgent steps.
-  void Reserve(const Step& step, const std::vector<Executor*>& candidates);
+  void Reserve(const Step& step,
+               const std::vector<Executor*>& candidates,
+               PoolRoom& pool);
   // Whether the candidates could hold the step if nothing else ran there.
   bool CouldFit(const Step& step,
                 const std::vector<Executor*>& candidates) const;
-  // Something of unknown size runs there.
-  bool HasUnknownRun(const Executor& executor) const;
   int64_t NextRun(const Task& task) const;
   Step* StepOf(const TaskName& name);
+  Executor* FindExecutor(const ExecutorId& id);
 
   // leader_progress.cc: what lasts.
   void MarkDirty(Job& job);
@@ -280,8 +290,11 @@
 
   bool pass_requested_ = false;
   // Of the present pass.
-  std::set<Executor*> reserved_;
-  std::map<std::string, int> reserving_;  // steps that reserve, by pool
+  std::set<const Executor*> reserved_;
+  std::map<std::string, PoolRoom> pass_rooms_;
+  TimePoint next_pass_{};
+  TimePoint next_check_{};
+  size_t next_number_ = 0;
   TimePoint next_sweep_{};
 
   std::set<JobId> dirty_;
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -30,6 +30,10 @@
 constexpr Millis kMaxMissRetry{1'000};
 constexpr Millis kExecutorsWrite{1'000};
 constexpr Millis kExecutorsRetry{200};
+// An executor does not crash and start again within this time.
+constexpr Millis kSameLife{1'500};
+// How often stops are repeated and silent executors looked for.
+constexpr Millis kCheckInterval{50};
 constexpr Millis kForgetAfter{5'000};
 constexpr Millis kStopRetry{400};
 // An executor lists at most this many ends in one answer.
@@ -72,7 +76,7 @@
             entry.pool = row.at(2).get<std::string>();
             unread_.insert(entry.id);
             if (executors_.count(entry.id) == 0) {
-              auto executor = std::make_unique<Executor>(entry);
+              auto executor = std::make_unique<Executor>(entry, next_number_++);
               executor->listed = false;
               executor->unlisted_since = context_.clock.Now();
               executors_.emplace(entry.id, std::move(executor));
@@ -120,7 +124,7 @@
     seen.insert(entry.id);
     auto& executor = executors_[entry.id];
     if (executor == nullptr) {
-      executor = std::make_unique<Executor>(entry);
+      executor = std::make_unique<Executor>(entry, next_number_++);
       context_.log.Write(Event::kExecutorFound, {{"executor", entry.id},
                                                  {"pool", entry.pool},
                                                  {"address", entry.address}});
@@ -132,12 +136,11 @@
     if (!life_known && !executor->adopted) {
       executor->born = entry.born;
     } else if (entry.born > executor->born || (life_known && moved)) {
-      LoseRuns(*executor, "new life of its executor");
-      executor->OnNewLife(entry.born);
-      unread_.erase(entry.id);
-      context_.log.Write(
-          Event::kExecutorNewLife,
-          {{"executor", entry.id}, {"born", std::to_string(entry.born)}});
+      // What runs in the new life is not known before it has listed it: a
+      // start that was sent before this entry was read may have begun there.
+      executor->adopted = false;
+      executor->misses = 0;
+      ScheduleHold(*executor, now);
     }
     executor->entry = std::move(entry);
     executor->listed = true;
@@ -246,9 +249,15 @@
     return;
   }
   const TimePoint now = context_.clock.Now();
+  const bool check = now >= next_check_;
+  if (check) {
+    next_check_ = now + kCheckInterval;
+  }
   for (auto& [id, executor] : executors_) {
-    RetryStops(*executor);
-    CheckSilent(*executor);
+    if (check) {
+      RetryStops(*executor);
+      CheckSilent(*executor);
+    }
     const bool needed = !executor->adopted || !executor->runs().empty() ||
                         executor->ends_read > executor->ends_confirmed;
     if (needed && !executor->hold_in_flight && now >= executor->next_hold) {
@@ -263,7 +272,12 @@
   order.address = executor.entry.address;
   order.executor = executor.entry.id;
   order.fence = leadership_.fence;
-  order.ends_stored = executor.ends_stored;
+  // A restarted executor keeps its id and counts its ends anew: told of the
+  // earlier life's ends it would forget its own. So after any silence it is
+  // asked who it is first.
+  const bool same_life = executor.adopted && executor.misses == 0 &&
+                         now - executor.last_answer < kSameLife;
+  order.ends_stored = same_life ? executor.ends_stored : 0;
   if (executor.clock_known() && executor.misses == 0) {
     order.until = executor.ClockAt(now) + options_.lease;
     executor.OnUntilSent(*order.until);
@@ -323,7 +337,8 @@
     }
     std::vector<std::string> lost;
     for (const auto& [name, run] : executor.runs()) {
-      if (listed.count(name) == 0 && !run.start_pending) {
+      const bool after_look = run.confirmed != TimePoint() && run.confirmed >= sent;
+      if (listed.count(name) == 0 && !run.start_pending && !after_look) {
         lost.push_back(name);
       }
     }
@@ -339,6 +354,7 @@
     executor.born = reply.born;
   }
   executor.misses = 0;
+  executor.last_answer = now;
   executor.OnClock(reply.clock, now);
   executor.ends_confirmed = std::max(executor.ends_confirmed,
                                      std::min(ends_sent, executor.ends_read));
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -12,6 +12,8 @@
 
 // Events within this time share a pass.
 constexpr Millis kPassDelay{2};
+// Time between passes against the time that one takes.
+constexpr int kPassRest = 3;
 // A start is not carried out later than this on the executor's clock.
 constexpr Millis kStartValidity{2'000};
 // A ticket must hold at least this long for the start to arrive in time.
@@ -34,7 +36,9 @@
     return;
   }
   pass_requested_ = true;
-  context_.defer(kPassDelay, Guard([this] {
+  const auto rest = std::chrono::duration_cast<Millis>(
+      next_pass_ - context_.clock.Now());
+  context_.defer(std::max(kPassDelay, rest), Guard([this] {
                    pass_requested_ = false;
                    Pass();
                  }));
@@ -60,9 +64,11 @@
       it = waiting_.erase(it);
       continue;
     }
-    const TimePoint objective = ObjectiveOf(step);
-    orders.push_back(
-        {PolicyOf(*step.job).priority, objective < now, objective, &step});
+    if (step.objective == TimePoint()) {
+      step.objective = ObjectiveOf(step);
+    }
+    orders.push_back({PolicyOf(*step.job).priority, step.objective < now,
+                      step.objective, &step});
     ++it;
   }
   std::sort(orders.begin(), orders.end(),
@@ -71,27 +77,54 @@
                      std::tie(b.priority, b.late, b.objective, b.step);
             });
   reserved_.clear();
-  reserving_.clear();
+  pass_rooms_.clear();
   for (const StepOrder& order : orders) {
     PassStep(*order.step);
   }
   PumpAdvice();
+  // Under load a pass takes long; events meanwhile share the next one.
+  const Duration took = context_.clock.Now() - now;
+  next_pass_ = context_.clock.Now() + kPassRest * took;
 }
 
-std::vector<Executor*> CellLeader::EligibleFor(const Step& step) const {
-  const TimePoint now = context_.clock.Now();
-  const QueuePolicy& policy = PolicyOf(*step.job);
+CellLeader::PoolRoom& CellLeader::RoomOf(const std::string& name) {
+  const auto [found, added] = pass_rooms_.try_emplace(name);
+  PoolRoom& pool = found->second;
+  if (added) {
+    const TimePoint now = context_.clock.Now();
+    for (const auto& [id, executor] : executors_) {
+      if (executor->entry.pool == name && Usable(*executor) &&
+          executor->health.avoid_until <= now && !executor->has_unknown_run()) {
+        pool.usable.push_back(executor.get());
+      }
+    }
+    UpdateMostFree(pool);
+  }
+  return pool;
+}
+
+void CellLeader::UpdateMostFree(PoolRoom& pool) {
+  pool.most_free = Resources();
+  for (const Executor* executor : pool.usable) {
+    const Resources free = executor->Free();
+    Resources& most = pool.most_free;
+    most.cpu_milli = std::max(most.cpu_milli, free.cpu_milli);
+    most.memory_mb = std::max(most.memory_mb, free.memory_mb);
+    most.accelerators = std::max(most.accelerators, free.accelerators);
+  }
+}
+
+std::vector<Executor*> CellLeader::EligibleFor(const Step& step,
+                                               const PoolRoom& pool) {
   const StepSpec& spec = *step.spec;
   const Resources size = RoomFor(spec);
   std::vector<Executor*> eligible;
-  for (const auto& [id, executor] : executors_) {
-    if (executor->entry.pool != policy.pool || !Usable(*executor) ||
-        executor->health.avoid_until > now ||
-        (!spec.label.empty() && !executor->HasLabel(spec.label)) ||
-        !size.FitsIn(executor->entry.capacity)) {
-      continue;
+  eligible.reserve(pool.usable.size());
+  for (Executor* executor : pool.usable) {
+    if ((spec.label.empty() || executor->HasLabel(spec.label)) &&
+        size.FitsIn(executor->entry.capacity)) {
+      eligible.push_back(executor);
     }
-    eligible.push_back(executor.get());
   }
   return eligible;
 }
@@ -103,40 +136,37 @@
   if (!policy.advice) {
     return eligible;
   }
+  using Kind = ExecutorAdvice::Kind;
   const TimePoint now = context_.clock.Now();
   const Resources size = RoomFor(*step.spec);
   const Duration refresh_before = policy.advice->decision + kAdviceSlack;
   std::vector<Executor*> usable;
-  std::vector<Executor*> unknown;
-  std::vector<Executor*> expired;
+  std::vector<Executor*> named;
   bool room_expired = false;
   for (Executor* executor : eligible) {
-    const auto good = step.advice.good.find(executor->entry.id);
-    if (good == step.advice.good.end()) {
-      if (step.advice.bad.count(executor->entry.id) == 0) {
-        unknown.push_back(executor);
+    const ExecutorAdvice& advice = step.advice.Of(executor->number);
+    if (advice.kind != Kind::kGood) {
+      // What an earlier answer did not name is asked for along with the rest.
+      if (advice.kind == Kind::kUnknown) {
+        named.push_back(executor);
       }
       continue;
     }
-    const Duration left = good->second.expires - now;
+    const Duration left = advice.expires - now;
     if (left > kTicketMargin) {
       usable.push_back(executor);
     } else if (size.FitsIn(executor->Free())) {
       room_expired = true;
     }
     if (left < refresh_before + kTicketMargin) {
-      expired.push_back(executor);
+      named.push_back(executor);
     }
   }
   if (step.advice.asked || now < step.advice.ask_again) {
     return usable;
   }
-  // What an earlier answer did not name is asked for along with the rest.
-  const bool first = !step.advice.answered;
   const bool idle_desk = desk_.waiting() == 0;
-  std::vector<Executor*> named = unknown;
-  named.insert(named.end(), expired.begin(), expired.end());
-  if (first || room_expired || idle_desk) {
+  if (!step.advice.answered || room_expired || idle_desk) {
     AskAdvice(step, named);
   }
   return usable;
@@ -151,7 +181,7 @@
   AdviceAsk ask;
   ask.step = step.NameOf(0).StepText();
   ask.priority = PolicyOf(*step.job).priority;
-  ask.objective = ObjectiveOf(step);
+  ask.objective = step.objective;
   for (const Executor* executor : executors) {
     if (ask.executors.size() < kMaxNamed) {
       ask.executors.push_back(executor->entry.id);
@@ -198,11 +228,15 @@
   }
   advice.answered = true;
   for (const ExecutorId& id : asked) {
-    advice.bad.insert(id);
+    if (const Executor* executor = FindExecutor(id)) {
+      advice.At(executor->number).kind = ExecutorAdvice::Kind::kBad;
+    }
   }
   for (const auto& [id, ticket] : reply.good) {
-    advice.bad.erase(id);
-    advice.good[id] = {ticket, now + reply.validity - kAdviceSlack};
+    if (const Executor* executor = FindExecutor(id)) {
+      advice.At(executor->number) = {ExecutorAdvice::Kind::kGood, ticket,
+                                     now + reply.validity - kAdviceSlack};
+    }
   }
   context_.log.Write(Event::kAdviceReceived,
                      {{"step", name.StepText()},
@@ -213,22 +247,31 @@
 
 void CellLeader::PassStep(Step& step) {
   const TimePoint now = context_.clock.Now();
-  std::vector<Executor*> eligible = EligibleFor(step);
+  const QueuePolicy& policy = PolicyOf(*step.job);
+  PoolRoom& pool = RoomOf(policy.pool);
+  // Without room, and behind steps that keep all that becomes free, nothing
+  // changes for this step but its first advice.
+  const bool hopeless = pool.reserving >= kMaxReserving &&
+                        !RoomFor(*step.spec).FitsIn(pool.most_free) &&
+                        (!policy.advice || step.advice.answered);
+  if (hopeless || step.retry_at > now || MayRunUnseen(step)) {
+    return;
+  }
+  std::vector<Executor*> eligible = EligibleFor(step, pool);
   std::vector<Executor*> candidates = Advised(step, eligible);
   const auto drop_taken = [&](std::vector<Executor*>& executors) {
     executors.erase(std::remove_if(executors.begin(), executors.end(),
-                                   [&](Executor* executor) {
-                                     return reserved_.count(executor) > 0 ||
-                                            HasUnknownRun(*executor);
+                                   [&](const Executor* executor) {
+                                     return reserved_.count(executor) > 0;
                                    }),
                     executors.end());
   };
-  drop_taken(candidates);
-  if (step.retry_at > now || MayRunUnseen(step)) {
-    return;
+  if (!reserved_.empty()) {
+    drop_taken(candidates);
   }
   const bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                       : PlaceTasks(step, candidates);
+  UpdateMostFree(pool);
   if (placed) {
     return;
   }
@@ -236,36 +279,37 @@
     Preempt(step, candidates);
   }
   // Room stays reserved while a new ticket for it is on its way.
-  if (PolicyOf(*step.job).advice) {
+  if (policy.advice) {
     eligible.erase(
         std::remove_if(eligible.begin(), eligible.end(),
-                       [&](Executor* executor) {
-                         return step.advice.good.count(executor->entry.id) == 0;
+                       [&](const Executor* executor) {
+                         return step.advice.Of(executor->number).kind !=
+                                ExecutorAdvice::Kind::kGood;
                        }),
         eligible.end());
   }
   drop_taken(eligible);
-  Reserve(step, eligible);
+  Reserve(step, eligible, pool);
 }
 
 bool CellLeader::PlaceTasks(Step& step,
                             const std::vector<Executor*>& candidates) {
   const TimePoint now = context_.clock.Now();
-  bool all = true;
+  std::vector<int> tasks;
   for (size_t i = 0; i < step.tasks.size(); ++i) {
-    Task& task = step.tasks[i];
-    if (task.done || task.live > 0 || task.retry_at > now) {
-      continue;
-    }
-    Executor* executor =
-        placer_.ForTask(step, static_cast<int>(i), candidates, now);
-    if (executor == nullptr) {
-      all = false;
-      continue;
+    const Task& task = step.tasks[i];
+    if (!task.done && task.live == 0 && task.retry_at <= now) {
+      tasks.push_back(static_cast<int>(i));
     }
-    Start(*executor, step, static_cast<int>(i), NextRun(task));
   }
-  return all;
+  size_t placed = 0;
+  placer_.PlaceEach(step, tasks, candidates, now,
+                    [&](int index, Executor& executor) {
+                      ++placed;
+                      const Task& task = step.tasks[static_cast<size_t>(index)];
+                      Start(executor, step, index, NextRun(task));
+                    });
+  return placed == tasks.size();
 }
 
 bool CellLeader::PlaceGang(Step& step,
@@ -308,12 +352,12 @@
 }
 
 void CellLeader::Reserve(const Step& step,
-                         const std::vector<Executor*>& candidates) {
-  int& reserving = reserving_[PolicyOf(*step.job).pool];
-  if (reserving >= kMaxReserving || !CouldFit(step, candidates)) {
+                         const std::vector<Executor*>& candidates,
+                         PoolRoom& pool) {
+  if (pool.reserving >= kMaxReserving || !CouldFit(step, candidates)) {
     return;
   }
-  ++reserving;
+  ++pool.reserving;
   // The ones with most room already are likely to have enough first.
   std::vector<Executor*> sorted;
   const Resources size = RoomFor(*step.spec);
@@ -434,10 +478,7 @@
   order.until = run.start_until;
   order.fence = leadership_.fence;
   order.checkpoint = task.checkpoint;
-  const auto ticket = step.advice.good.find(executor.entry.id);
-  if (ticket != step.advice.good.end()) {
-    order.ticket = ticket->second.text;
-  }
+  order.ticket = step.advice.Of(executor.number).ticket;
   ++counts_.starts;
   context_.log.Write(Event::kTaskStarted,
                      {{"task", order.task},
@@ -514,8 +555,8 @@
       executor.health.avoid_until = now + kRetryRejected;
       break;
     case OrderResult::kBadTicket:
-      step.advice.good.erase(id);
-      step.advice.answered = !step.advice.good.empty();
+      // A new life of the executor, perhaps: it is asked for anew.
+      step.advice.At(executor.number) = ExecutorAdvice();
       break;
     case OrderResult::kOldRun:
       ++record.last_run;
@@ -609,10 +650,9 @@
   }
 }
 
-bool CellLeader::HasUnknownRun(const Executor& executor) const {
-  return std::any_of(
-      executor.runs().begin(), executor.runs().end(),
-      [](const auto& entry) { return entry.second.step == nullptr; });
+Executor* CellLeader::FindExecutor(const ExecutorId& id) {
+  const auto found = executors_.find(id);
+  return found == executors_.end() ? nullptr : found->second.get();
 }
 
 }  // namespace chivedale::cell
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -16,8 +16,10 @@
 constexpr double kFailedHereCost = 50;
 // A filling task beside serving tasks disturbs them.
 constexpr double kDisturbCost = 20;
-// A run that keeps failing its executor's other tasks away.
+// For each failure in a row on the executor.
 constexpr double kFailureCost = 2;
+// For each task of a lasting step that an executor has already.
+constexpr double kSpreadCost = 0.5;
 
 double Fraction(int64_t part, int64_t whole) {
   return whole <= 0 ? 0.0
@@ -70,9 +72,7 @@
   return size;
 }
 
-double Placer::Cost(const Step& step,
-                    int task,
-                    const Executor& executor) const {
+double Placer::Cost(const Step& step, const Executor& executor) const {
   const StepSpec& spec = *step.spec;
   double time = std::clamp(executor.health.slowness, 0.3, 20.0);
   if (!spec.near_rack.empty() && spec.near_rack != executor.entry.rack) {
@@ -80,68 +80,92 @@
   }
   double cost = time + kFitWeight * LeftOver(executor, RoomFor(spec));
   cost += kFailureCost * executor.health.failures_in_row;
-  if (task >= 0 && step.tasks[static_cast<size_t>(task)].failed_on.count(
-                       executor.entry.id) > 0) {
-    cost += kFailedHereCost;
-  }
   if (Disturbs(spec, executor)) {
     cost += kDisturbCost;
   }
   return cost;
 }
 
-Executor* Placer::ForTask(const Step& step,
-                          int task,
-                          const std::vector<Executor*>& candidates,
-                          TimePoint now) const {
+void Placer::PlaceEach(
+    const Step& step,
+    const std::vector<int>& tasks,
+    const std::vector<Executor*>& candidates,
+    TimePoint now,
+    const std::function<void(int, Executor&)>& start) const {
   const StepSpec& spec = *step.spec;
   const Resources size = RoomFor(spec);
   // Tasks that belong on one rack follow those at work.
   std::string rack;
-  if (spec.same_rack && !step.live_on.empty()) {
+  if (spec.same_rack) {
     for (const Executor* executor : candidates) {
       if (LiveOn(step, executor->entry.id) > 0) {
         rack = executor->entry.rack;
       }
     }
   }
-  Executor* best = nullptr;
-  double best_cost = 0;
-  const std::string name = step.NameOf(task).Text();
+  struct Seat {
+    Executor* executor;
+    double cost;
+    int live;
+  };
+  std::vector<Seat> seats;
+  seats.reserve(candidates.size());
   for (Executor* executor : candidates) {
-    if (!size.FitsIn(executor->Free()) ||
-        (spec.max_per_executor > 0 &&
-         LiveOn(step, executor->entry.id) >= spec.max_per_executor) ||
-        executor->FindRun(name) != nullptr) {
-      continue;
+    if (size.FitsIn(executor->Free())) {
+      seats.push_back({executor, Cost(step, *executor),
+                       LiveOn(step, executor->entry.id)});
+    }
+  }
+  const Duration patience = std::chrono::duration_cast<Duration>(
+      spec.estimate * (options_.far_factor - 1) / 2);
+  for (const int index : tasks) {
+    const Task& task = step.tasks[static_cast<size_t>(index)];
+    const std::string name = task.last_run > 0 ? step.NameOf(index).Text() : "";
+    Seat* best = nullptr;
+    double best_cost = 0;
+    for (Seat& seat : seats) {
+      Executor& executor = *seat.executor;
+      if (!size.FitsIn(executor.Free()) ||
+          (spec.max_per_executor > 0 && seat.live >= spec.max_per_executor) ||
+          (!name.empty() && executor.FindRun(name) != nullptr)) {
+        continue;
+      }
+      double cost = seat.cost;
+      if (!rack.empty() && executor.entry.rack != rack) {
+        cost += options_.far_factor;
+      }
+      if (!task.failed_on.empty() &&
+          task.failed_on.count(executor.entry.id) > 0) {
+        cost += kFailedHereCost;
+      }
+      // Spread lasting tasks: the loss of an executor then takes few of them.
+      if (spec.lasting) {
+        cost += kSpreadCost * seat.live;
+      }
+      if (best == nullptr || cost < best_cost) {
+        best = &seat;
+        best_cost = cost;
+      }
     }
-    double cost = Cost(step, task, *executor);
-    if (!rack.empty() && executor->entry.rack != rack) {
-      cost += options_.far_factor;
+    if (best == nullptr) {
+      continue;
     }
-    // Spread lasting tasks: the loss of an executor then takes few of them.
-    if (spec.lasting) {
-      cost += 0.5 * LiveOn(step, executor->entry.id);
+    Executor& executor = *best->executor;
+    // A place far from the data costs the run time (far_factor - 1) times more;
+    // waiting for a near one pays as long as it is shorter than that.
+    const bool far =
+        (!spec.near_rack.empty() && executor.entry.rack != spec.near_rack) ||
+        (!rack.empty() && executor.entry.rack != rack);
+    if (far && now - step.ready_since < patience) {
+      continue;
     }
-    if (best == nullptr || cost < best_cost) {
-      best = executor;
-      best_cost = cost;
+    start(index, executor);
+    ++best->live;
+    best->cost = Cost(step, executor);
+    if (spec.same_rack && rack.empty()) {
+      rack = executor.entry.rack;
     }
   }
-  if (best == nullptr) {
-    return nullptr;
-  }
-  // A place far from the data costs the run time (far_factor - 1) times more;
-  // waiting for a near one pays as long as it is shorter than that.
-  const bool far =
-      (!spec.near_rack.empty() && best->entry.rack != spec.near_rack) ||
-      (!rack.empty() && best->entry.rack != rack);
-  if (far && now - step.ready_since <
-                 std::chrono::duration_cast<Duration>(
-                     spec.estimate * (options_.far_factor - 1) / 2)) {
-    return nullptr;
-  }
-  return best;
 }
 
 std::vector<Executor*> Placer::ForGang(
@@ -170,7 +194,7 @@
       busy = busy || executor->FindRun(step.NameOf(i).Text()) != nullptr;
     }
     if (places > 0 && !busy) {
-      seats.push_back({Cost(step, 0, *executor), executor, places});
+      seats.push_back({Cost(step, *executor), executor, places});
     }
   }
   const auto take = [&](const std::string* rack) {
@@ -211,7 +235,7 @@
     }
     double cost = 0;
     for (const Executor* member : members) {
-      cost = std::max(cost, Cost(step, 0, *member));
+      cost = std::max(cost, Cost(step, *member));
     }
     if (best.empty() || cost < best_cost) {
       best = std::move(members);
--- a/cell/placer.h
+++ b/cell/placer.h
@@ -1,7 +1,7 @@
 // Chooses the executors that tasks start on.
 //
 //   Placer placer;
-//   Executor* executor = placer.ForTask(step, task, candidates);
+//   placer.PlaceEach(step, tasks, candidates, now, [](int task, Executor& e) {});
 //   std::vector<Executor*> members = placer.ForGang(step, candidates);
 //
 // Candidates are those that may run the step; the placer looks at room, racks,
@@ -9,6 +9,7 @@
 #ifndef CELL_PLACER_H_
 #define CELL_PLACER_H_
 
+#include <functional>
 #include <vector>
 
 #include "cell/executor.h"
@@ -27,18 +28,19 @@
  public:
   explicit Placer(const PlacerOptions& options) : options_(options) {}
 
-  // Null when no candidate has room for the task now.
-  Executor* ForTask(const Step& step,
-                    int task,
-                    const std::vector<Executor*>& candidates,
-                    TimePoint now) const;
+  // Calls `start` for each task that finds room, which commits that room.
+  void PlaceEach(const Step& step,
+                 const std::vector<int>& tasks,
+                 const std::vector<Executor*>& candidates,
+                 TimePoint now,
+                 const std::function<void(int, Executor&)>& start) const;
   // One executor for each task, in order; empty when they do not all fit.
   std::vector<Executor*> ForGang(
       const Step& step,
       const std::vector<Executor*>& candidates) const;
 
   // Lower is better.
-  double Cost(const Step& step, int task, const Executor& executor) const;
+  double Cost(const Step& step, const Executor& executor) const;
 
  private:
   const PlacerOptions options_;
