Slow and failing executors are found while their runs are overdue

Cause: an executor that turned slow or hung was known only from the ends of its runs; a job of ten tasks hit one of nine slow ones in three of ten cases. Change: overdue runs count against an executor at once; where several show that the executor is slow, tasks are moved once; overdue tasks get a copy where the step allows it; the share of failures is smoothed.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <string>
 
+#include "cell/executor_health.h"
 #include "cell/job.h"
 #include "cell/ports.h"
 #include "cell/types.h"
@@ -48,15 +49,6 @@
   bool stop_in_flight = false;
 };
 
-// How well an executor does its work, from the ends of its runs.
-struct ExecutorHealth {
-  int failures_in_row = 0;
-  TimePoint avoid_until{};
-  Duration avoid_for{0};
-  double slowness = 1.0;  // run times against the declared ones, smoothed
-  int samples = 0;
-};
-
 class Executor {
  public:
   // `number` is its own among the executors of one leader.
@@ -104,7 +96,7 @@
   TimePoint hold_sent{};
   TimePoint last_answer{};  // of a hold
   TimePoint next_hold{};
-  TimePoint drain_seen{};
+  bool cordoned = false;  // gets no new task: its VM is due for upkeep
 
  private:
   Resources committed_;
--- /dev/null
+++ b/cell/executor_health.cc
@@ -0,0 +1,67 @@
+#include "cell/executor_health.h"
+
+#include <algorithm>
+
+namespace chivedale::cell {
+namespace {
+
+// Weights of the newest run against all before.
+constexpr double kSlownessWeight = 0.25;
+constexpr double kFailingWeight = 0.2;
+// One long straggler says little of its executor.
+constexpr double kMaxRatio = 4.0;
+// Each run that is overdue now adds as much to the expected time.
+constexpr double kOverdueFactor = 1.0;
+// So many overdue runs at once are not chance: one task in thirty runs long.
+constexpr int kSuspectOverdue = 2;
+// With one overdue run, an executor that was slow before is suspect too.
+constexpr double kSuspectSlowness = 1.8;
+constexpr int kSuspectSamples = 2;
+// After so many failures in a row the executor is left alone.
+constexpr int kFailuresToAvoid = 2;
+constexpr Duration kFirstAvoid = std::chrono::milliseconds(1'500);
+constexpr Duration kMaxAvoid = std::chrono::seconds(12);
+
+}  // namespace
+
+void ExecutorHealth::OnDone(Duration took, Duration declared) {
+  failures_in_row_ = 0;
+  avoid_for_ = Duration(0);
+  failing_ -= kFailingWeight * failing_;
+  if (declared > Duration(0) && took > Duration(0)) {
+    const double ratio = static_cast<double>(took.count()) /
+                         static_cast<double>(declared.count());
+    slowness_ += kSlownessWeight * (std::min(ratio, kMaxRatio) - slowness_);
+    ++samples_;
+  }
+}
+
+bool ExecutorHealth::OnFailed(TimePoint now) {
+  ++failures_in_row_;
+  failing_ += kFailingWeight * (1 - failing_);
+  if (failures_in_row_ < kFailuresToAvoid) {
+    return false;
+  }
+  avoid_for_ = avoid_for_ == Duration(0)
+                   ? kFirstAvoid
+                   : std::min<Duration>(avoid_for_ * 2, kMaxAvoid);
+  avoid_until_ = now + avoid_for_;
+  return true;
+}
+
+void ExecutorHealth::AvoidUntil(TimePoint until) {
+  avoid_until_ = std::max(avoid_until_, until);
+}
+
+void ExecutorHealth::SetOverdue(int overdue, int runs) {
+  overdue_ = overdue;
+  suspect_ = (overdue >= kSuspectOverdue && 2 * overdue >= runs) ||
+             (overdue >= 1 && slowness_ > kSuspectSlowness &&
+              samples_ >= kSuspectSamples);
+}
+
+double ExecutorHealth::TimeFactor() const {
+  return slowness_ + kOverdueFactor * overdue_;
+}
+
+}  // namespace chivedale::cell
--- a/cell/job.h
+++ b/cell/job.h
@@ -45,6 +45,7 @@
   std::string checkpoint;
   std::set<ExecutorId> failed_on;
   TimePoint retry_at{};  // no start before
+  int moved = 0;  // times it was taken off a slow executor
   TimePoint started{};   // of the latest run
 };
 
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -317,6 +317,9 @@
   for (auto& [number, occurrence] : job.open()) {
     for (Step& step : occurrence.steps) {
       waiting_.erase(&step);
+      for (size_t i = 0; i < step.tasks.size(); ++i) {
+        overdue_copies_.erase({&step, static_cast<int>(i)});
+      }
     }
   }
   StopAll(job);
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -182,9 +182,13 @@
   void LoseRun(Executor& executor, const std::string& task, const char* reason);
   void ScheduleHold(Executor& executor, TimePoint at);
   bool Usable(const Executor& executor) const;
+
+  // leader_health.cc: executors that are silent, slow or about to leave.
   void CheckSilent(Executor& executor);
+  void CheckOverdue(Executor& executor);
   void RetryStops(Executor& executor);
   void LeaveDraining(Executor& executor);
+  void MoveAway(Executor& executor, Run& run, const char* reason);
 
   // leader_starts.cc: the pass that starts tasks.
   void RequestPass();
@@ -227,6 +231,8 @@
                  const OrderReply& reply);
   void StopGang(Step& step, int64_t number, const char* reason);
   void StopCopies(Step& step, int task);
+  // Second runs of overdue tasks, where the step allows copies.
+  void StartCopies();
   // Keeps the executors that the step waits for from less urgent steps.
   void Reserve(const Step& step,
                const std::vector<Executor*>& candidates,
@@ -276,6 +282,7 @@
   std::set<JobId> early_cancels_;
   std::set<JobId> timed_;
   std::set<Step*> waiting_;
+  std::set<std::pair<Step*, int>> overdue_copies_;  // step and task
 
   std::map<ExecutorId, std::unique_ptr<Executor>> executors_;
   // Executors that an earlier leader may have used and that are not read yet.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -35,15 +35,8 @@
 // How often stops are repeated and silent executors looked for.
 constexpr Millis kCheckInterval{50};
 constexpr Millis kForgetAfter{5'000};
-constexpr Millis kStopRetry{400};
 // An executor lists at most this many ends in one answer.
 constexpr size_t kEndsPage = 500;
-// Weight of a new run time in an executor's slowness.
-constexpr double kSlownessWeight = 0.2;
-// After so many failures in a row an executor is left alone for a while.
-constexpr int kFailuresToAvoid = 2;
-constexpr Millis kFirstAvoid{1'500};
-constexpr Millis kMaxAvoid{12'000};
 
 Millis Backoff(Millis first, Millis most, int tries) {
   Millis wait = first;
@@ -146,7 +139,6 @@
     executor->listed = true;
     unstored = unstored || !executor->stored;
     if (draining) {
-      executor->drain_seen = now;
       context_.log.Write(Event::kExecutorDraining,
                          {{"executor", executor->entry.id}});
     }
@@ -257,6 +249,7 @@
     if (check) {
       RetryStops(*executor);
       CheckSilent(*executor);
+      CheckOverdue(*executor);
     }
     const bool needed = !executor->adopted || !executor->runs().empty() ||
                         executor->ends_read > executor->ends_confirmed;
@@ -425,19 +418,10 @@
     }
     MarkDirty(job);
   }
-  ExecutorHealth& health = executor.health;
   if (end.end == RunEnd::kDone) {
-    health.failures_in_row = 0;
-    health.avoid_for = Duration(0);
-    if (step->spec->estimate > Millis(0) && took > Duration(0) &&
-        task.checkpoint.empty()) {
-      const double ratio = std::chrono::duration<double>(took) /
-                           std::chrono::duration<double>(step->spec->estimate);
-      // One long straggler says little of the executor.
-      health.slowness +=
-          kSlownessWeight * (std::min(ratio, 4.0) - health.slowness);
-      ++health.samples;
-    }
+    // A resumed run is shorter than declared.
+    executor.health.OnDone(
+        task.checkpoint.empty() ? took : Duration(0), step->spec->estimate);
     if (job.OnDone(*step, name->index)) {
       MarkDirty(job);
       StopCopies(*step, name->index);
@@ -455,17 +439,9 @@
     return;
   }
   if (end.end == RunEnd::kFailed) {
-    ++health.failures_in_row;
-    if (health.failures_in_row >= kFailuresToAvoid) {
-      health.avoid_for =
-          health.avoid_for == Duration(0)
-              ? Duration(kFirstAvoid)
-              : std::min<Duration>(health.avoid_for * 2, kMaxAvoid);
-      health.avoid_until = now + health.avoid_for;
-      context_.log.Write(
-          Event::kExecutorAvoided,
-          {{"executor", executor.entry.id},
-           {"failures", std::to_string(health.failures_in_row)}});
+    if (executor.health.OnFailed(now)) {
+      context_.log.Write(Event::kExecutorAvoided,
+                         {{"executor", executor.entry.id}});
     }
     MarkDirty(job);
     if (job.OnFailed(*step, name->index, end.run, executor.entry.id)) {
@@ -597,64 +573,8 @@
 
 bool CellLeader::Usable(const Executor& executor) const {
   return executor.adopted && executor.listed && executor.stored &&
-         !executor.entry.draining && executor.misses == 0 &&
-         executor.clock_known();
-}
-
-void CellLeader::CheckSilent(Executor& executor) {
-  if (executor.runs().empty() || !executor.clock_known() ||
-      context_.clock.Now() < executor.LapsedBy()) {
-    return;
-  }
-  LoseRuns(executor, "silent until its leases ran out");
-  executor.adopted = false;
-  executor.misses = std::max(executor.misses, 1);
-}
-
-void CellLeader::RetryStops(Executor& executor) {
-  const TimePoint now = context_.clock.Now();
-  for (auto& [name, run] : executor.runs()) {
-    const bool ask =
-        run.phase == RunPhase::kStopping || run.phase == RunPhase::kUnanswered;
-    if (ask && !run.stop_confirmed && !run.stop_in_flight &&
-        now >= run.next_stop) {
-      run.next_stop = now + kStopRetry;
-      run.stop_in_flight = true;
-      ++counts_.stops;
-      context_.executors.Stop(
-          executor.entry.address, executor.entry.id, name, run.number,
-          leadership_.fence,
-          Guard([this, id = executor.entry.id, task = name,
-                 number = run.number](const OrderReply& reply) {
-            OnStopped(id, task, number, reply);
-          }));
-    }
-  }
-}
-
-void CellLeader::LeaveDraining(Executor& executor) {
-  const TimePoint now = context_.clock.Now();
-  for (auto& [name, run] : executor.runs()) {
-    if (run.step == nullptr || run.phase != RunPhase::kAtWork) {
-      continue;
-    }
-    const StepSpec& spec = *run.step->spec;
-    if (spec.lasting) {
-      StopRun(executor, run, "executor draining");
-      continue;
-    }
-    if (!spec.checkpoints || spec.gang || !executor.entry.leaves_in) {
-      continue;
-    }
-    const auto expected = std::chrono::duration_cast<Duration>(
-        spec.estimate * executor.health.slowness);
-    const Duration left = expected - (now - run.confirmed);
-    const Duration leaves = *executor.entry.leaves_in;
-    // The next look at the entry may be too late to stop it in time.
-    if (left > leaves && leaves < kEntryPoll + options_.stop_time) {
-      StopRun(executor, run, "executor about to leave");
-    }
-  }
+         !executor.entry.draining && !executor.cordoned &&
+         executor.misses == 0 && executor.clock_known();
 }
 
 }  // namespace chivedale::cell
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -81,6 +81,7 @@
   for (const StepOrder& order : orders) {
     PassStep(*order.step);
   }
+  StartCopies();
   PumpAdvice();
   // Under load a pass takes long; events meanwhile share the next one.
   const Duration took = context_.clock.Now() - now;
@@ -94,7 +95,7 @@
     const TimePoint now = context_.clock.Now();
     for (const auto& [id, executor] : executors_) {
       if (executor->entry.pool == name && Usable(*executor) &&
-          executor->health.avoid_until <= now && !executor->has_unknown_run()) {
+          !executor->health.avoided(now) && !executor->has_unknown_run()) {
         pool.usable.push_back(executor.get());
       }
     }
@@ -548,11 +549,11 @@
   record.retry_at = now + kRetryRejected;
   switch (reply.result) {
     case OrderResult::kUnhealthy:
-      executor.health.avoid_until = now + kAvoidUnhealthy;
+      executor.health.AvoidUntil(now + kAvoidUnhealthy);
       record.retry_at = now;
       break;
     case OrderResult::kNoRoom:
-      executor.health.avoid_until = now + kRetryRejected;
+      executor.health.AvoidUntil(now + kRetryRejected);
       break;
     case OrderResult::kBadTicket:
       // A new life of the executor, perhaps: it is asked for anew.
@@ -650,6 +651,30 @@
   }
 }
 
+void CellLeader::StartCopies() {
+  const TimePoint now = context_.clock.Now();
+  for (const auto& [step, index] : overdue_copies_) {
+    const Task& task = step->tasks[static_cast<size_t>(index)];
+    if (task.done || task.live != 1 || step->job->over()) {
+      continue;
+    }
+    const std::vector<Executor*> eligible =
+        EligibleFor(*step, RoomOf(PolicyOf(*step->job).pool));
+    std::vector<Executor*> candidates = Advised(*step, eligible);
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                    [&](const Executor* executor) {
+                                      return reserved_.count(executor) > 0 ||
+                                             executor->health.suspect();
+                                    }),
+                     candidates.end());
+    placer_.PlaceEach(*step, {index}, candidates, now,
+                      [&, at = step, i = index](int, Executor& executor) {
+                        Start(executor, *at, i, NextRun(at->tasks[static_cast<size_t>(i)]));
+                      });
+  }
+  overdue_copies_.clear();
+}
+
 Executor* CellLeader::FindExecutor(const ExecutorId& id) {
   const auto found = executors_.find(id);
   return found == executors_.end() ? nullptr : found->second.get();
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -16,8 +16,9 @@
 constexpr double kFailedHereCost = 50;
 // A filling task beside serving tasks disturbs them.
 constexpr double kDisturbCost = 20;
-// For each failure in a row on the executor.
-constexpr double kFailureCost = 2;
+// Of an executor whose runs all fail; a few failures are the tasks' own.
+constexpr double kFailingCost = 15;
+constexpr double kUsualFailing = 0.1;
 // For each task of a lasting step that an executor has already.
 constexpr double kSpreadCost = 0.5;
 
@@ -74,12 +75,13 @@
 
 double Placer::Cost(const Step& step, const Executor& executor) const {
   const StepSpec& spec = *step.spec;
-  double time = std::clamp(executor.health.slowness, 0.3, 20.0);
+  double time = std::clamp(executor.health.TimeFactor(), 0.3, 20.0);
   if (!spec.near_rack.empty() && spec.near_rack != executor.entry.rack) {
     time *= options_.far_factor;
   }
   double cost = time + kFitWeight * LeftOver(executor, RoomFor(spec));
-  cost += kFailureCost * executor.health.failures_in_row;
+  cost += kFailingCost *
+          std::max(0.0, executor.health.failing() - kUsualFailing);
   if (Disturbs(spec, executor)) {
     cost += kDisturbCost;
   }
