The leader stores jobs for members that the store does not answer

Change: after 150 ms without the store a member passes jobs and cancels to the leader; without both it is not ready.

--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -24,12 +24,12 @@
 JobIntake::~JobIntake() = default;
 
 void JobIntake::Submit(const JobId& id,
-                       const JobRecord& record,
+                       const std::string& record,
                        TimePoint deadline,
                        OnSubmit done) {
   Entry entry;
   entry.key = JobKey(id);
-  entry.value = EncodeJobRecord(record);
+  entry.value = record;
   entry.deadline = deadline;
   entry.done = std::move(done);
   Enqueue(std::move(entry));
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -2,7 +2,7 @@
 // shares the next one, so writes follow time and not the number of jobs.
 //
 //   JobIntake intake(clock, log, store, defer);
-//   intake.Submit(id, record, deadline, [](SubmitResult r) { ... });
+//   intake.Submit(id, EncodeJobRecord(record), deadline, [](SubmitResult r) { ... });
 //
 // A job is refused only when it certainly is not stored by this submission: a
 // write without an answer is followed up until its outcome is known or the
@@ -41,7 +41,7 @@
 
   // Commands.
   void Submit(const JobId& id,
-              const JobRecord& record,
+              const std::string& record,
               TimePoint deadline,
               OnSubmit done);
   void Cancel(const JobId& id, TimePoint deadline, OnCancel done);
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -27,6 +27,11 @@
 constexpr Millis kAdviceSlack{1'200};
 // A leader that the store does not answer for so long looks for a successor.
 constexpr Millis kStoreFailing{350};
+// Then the leader stores for this member, if it can.
+constexpr Millis kForwardAfter{150};
+constexpr Millis kLeaderHeard{700};
+// Without both, callers are better served by other VMs.
+constexpr Millis kNotReadyAfter{700};
 // After a pause orders wait for the store's word, but not for long: the
 // executors refuse what is stale.
 constexpr Millis kVerifyPatience{600};
@@ -367,6 +372,8 @@
   if (!leader || leader->node != beat.node || leader->boot != beat.boot) {
     return;
   }
+  leader_heard_ = context_.clock.Now();
+  leader_store_ok_ = beat.store_ok;
   pending_.clear();
   for (const QueuePending& queue : beat.pending) {
     pending_[queue.queue] = queue.jobs;
@@ -454,6 +461,18 @@
   for (StateWait& wait : late) {
     FindInStore(wait.job, wait.deadline, std::move(wait.done));
   }
+  std::vector<std::function<void(JobStoreResult)>> unstored;
+  for (auto it = store_waits_.begin(); it != store_waits_.end();) {
+    if (it->second.deadline <= now) {
+      unstored.push_back(std::move(it->second.done));
+      it = store_waits_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const auto& done : unstored) {
+    done(JobStoreResult::kUnknown);
+  }
   std::vector<AdvicePort::OnAdvice> unanswered;
   for (auto it = advice_waits_.begin(); it != advice_waits_.end();) {
     if (it->second.deadline <= now) {
@@ -484,7 +503,65 @@
 // ---- Callers.
 
 bool CellNode::ready() const {
-  return table_->version > 0 && !stopping_ && cell_listed_;
+  return table_->version > 0 && !stopping_ && cell_listed_ &&
+         (store_.failing_for() < kNotReadyAfter || leader_ != nullptr ||
+          LeaderShouldStore());
+}
+
+bool CellNode::LeaderShouldStore() const {
+  const auto& leader = election_->leader();
+  return leader_ == nullptr && leader && leader->node != options_.node &&
+         store_.failing_for() > kForwardAfter && leader_store_ok_ &&
+         context_.clock.Now() - leader_heard_ < kLeaderHeard;
+}
+
+void CellNode::StoreAtLeader(const JobId& id,
+                             Body record,
+                             TimePoint deadline,
+                             std::function<void(JobStoreResult)> done) {
+  JobStoreCall call;
+  call.call = next_call_++;
+  call.address = options_.address;
+  call.job = id;
+  call.record = std::move(record);
+  call.patience =
+      std::chrono::duration_cast<Millis>(deadline - context_.clock.Now());
+  store_waits_[call.call] = {deadline, std::move(done)};
+  context_.peers.SendToAddress(election_->leader()->address, call);
+}
+
+void CellNode::OnStoreCall(const JobStoreCall& call) {
+  const TimePoint deadline = context_.clock.Now() + call.patience;
+  const auto answer = [this, id = call.call,
+                       address = call.address](JobStoreResult result) {
+    JobStoreAnswer message;
+    message.call = id;
+    message.result = result;
+    context_.peers.SendToAddress(address, message);
+  };
+  if (call.record == nullptr) {
+    intake_.Cancel(call.job, deadline, [answer](CancelResult result) {
+      answer(result == CancelResult::kCancelled    ? JobStoreResult::kStored
+             : result == CancelResult::kNoSuchJob ? JobStoreResult::kNoSuchJob
+                                                  : JobStoreResult::kUnknown);
+    });
+    return;
+  }
+  intake_.Submit(call.job, *call.record, deadline, [answer](SubmitResult result) {
+    answer(result == SubmitResult::kAccepted    ? JobStoreResult::kStored
+           : result == SubmitResult::kNotStored ? JobStoreResult::kNotStored
+                                                : JobStoreResult::kUnknown);
+  });
+}
+
+void CellNode::OnStoreAnswer(const JobStoreAnswer& answer) {
+  const auto found = store_waits_.find(answer.call);
+  if (found == store_waits_.end()) {
+    return;
+  }
+  const auto done = std::move(found->second.done);
+  store_waits_.erase(found);
+  done(answer.result);
 }
 
 int64_t CellNode::Pending(const std::string& queue) const {
@@ -501,29 +578,50 @@
   record.queue = queue;
   record.spec = spec;
   record.accepted = context_.clock.WallNow();
-  intake_.Submit(
-      id, record, deadline,
-      [this, id, name = queue.name,
-       done = std::move(done)](SubmitResult result) {
-        if (result == SubmitResult::kAccepted) {
-          context_.log.Write(Event::kJobAccepted,
-                             {{"job", id}, {"queue", name}});
-        } else {
-          context_.log.Write(
-              Event::kJobNotAccepted,
-              {{"job", id},
-               {"queue", name},
-               {"result",
-                result == SubmitResult::kUnknown ? "unknown" : "not_stored"}});
-        }
-        done(result);
-      });
+  const auto finish = [this, id, name = queue.name,
+                       done = std::move(done)](SubmitResult result) {
+    if (result == SubmitResult::kAccepted) {
+      context_.log.Write(Event::kJobAccepted, {{"job", id}, {"queue", name}});
+    } else {
+      context_.log.Write(
+          Event::kJobNotAccepted,
+          {{"job", id},
+           {"queue", name},
+           {"result",
+            result == SubmitResult::kUnknown ? "unknown" : "not_stored"}});
+    }
+    done(result);
+  };
+  const std::string bytes = EncodeJobRecord(record);
+  if (!LeaderShouldStore()) {
+    intake_.Submit(id, bytes, deadline, finish);
+    return;
+  }
+  StoreAtLeader(id, std::make_shared<const std::string>(bytes), deadline,
+                [finish](JobStoreResult result) {
+                  finish(result == JobStoreResult::kStored
+                             ? SubmitResult::kAccepted
+                         : result == JobStoreResult::kNotStored
+                             ? SubmitResult::kNotStored
+                             : SubmitResult::kUnknown);
+                });
 }
 
 void CellNode::CancelJob(const JobId& id,
                          TimePoint deadline,
                          JobIntake::OnCancel done) {
-  intake_.Cancel(id, deadline, std::move(done));
+  if (!LeaderShouldStore()) {
+    intake_.Cancel(id, deadline, std::move(done));
+    return;
+  }
+  StoreAtLeader(id, nullptr, deadline,
+                [done = std::move(done)](JobStoreResult result) {
+                  done(result == JobStoreResult::kStored
+                           ? CancelResult::kCancelled
+                       : result == JobStoreResult::kNoSuchJob
+                           ? CancelResult::kNoSuchJob
+                           : CancelResult::kUnavailable);
+                });
 }
 
 void CellNode::FindJob(const JobId& id, TimePoint deadline, OnJob done) {
@@ -696,6 +794,8 @@
                         [this](const JobStateCall& m) { OnStateCall(m); },
                         [this](const JobStateAnswer& m) { OnStateAnswer(m); },
                         [this](const AdviceCall& m) { OnAdviceCall(m); },
+          [this](const JobStoreCall& m) { OnStoreCall(m); },
+          [this](const JobStoreAnswer& m) { OnStoreAnswer(m); },
                         [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
                         [](const auto&) {}},
              message);
--- a/cell/node.h
+++ b/cell/node.h
@@ -127,6 +127,14 @@
   void CheckStoreForLeader();
   void OnStateCall(const JobStateCall& call);
   void OnStateAnswer(const JobStateAnswer& answer);
+  // Whether the leader should store what this member's store calls can't.
+  bool LeaderShouldStore() const;
+  void StoreAtLeader(const JobId& id,
+                     Body record,
+                     TimePoint deadline,
+                     std::function<void(JobStoreResult)> done);
+  void OnStoreCall(const JobStoreCall& call);
+  void OnStoreAnswer(const JobStoreAnswer& answer);
   void OnAdviceCall(const AdviceCall& call);
   void OnAdviceAnswer(const AdviceAnswer& answer);
   void AskMemberForAdvice(const std::string& member,
@@ -166,6 +174,8 @@
   bool register_in_flight_ = false;
   bool stopping_ = false;
   bool checking_store_ = false;
+  TimePoint leader_heard_{};     // the last beat of the leader
+  bool leader_store_ok_ = false;  // as it said then
   TimePoint led_since_{};
   TimePoint next_beat_{};
   TimePoint next_expiry_{};
@@ -178,6 +188,11 @@
     OnJob done;
   };
   std::map<uint64_t, StateWait> state_waits_;
+  struct StoreWait {
+    TimePoint deadline{};
+    std::function<void(JobStoreResult)> done;
+  };
+  std::map<uint64_t, StoreWait> store_waits_;
   struct AdviceWait {
     TimePoint deadline{};
     AdvicePort::OnAdvice done;
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -370,6 +370,22 @@
   std::string state;
 };
 
+// From a member that the store does not answer: store this job or cancel.
+struct JobStoreCall {
+  uint64_t call = 0;
+  std::string address;  // to answer to
+  std::string job;
+  Body record;          // null: cancel the job
+  Millis patience{0};
+};
+
+enum class JobStoreResult { kStored, kNotStored, kUnknown, kNoSuchJob };
+
+struct JobStoreAnswer {
+  uint64_t call = 0;
+  JobStoreResult result = JobStoreResult::kUnknown;
+};
+
 // From the leader: call the advice service for this step.
 struct AdviceCall {
   uint64_t call = 0;
@@ -422,7 +438,9 @@
                              JobStateCall,
                              JobStateAnswer,
                              AdviceCall,
-                             AdviceAnswer>;
+                             AdviceAnswer,
+                             JobStoreCall,
+                             JobStoreAnswer>;
 
 }  // namespace chivedale
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -169,6 +169,13 @@
                  m.overloaded,
                  m.validity,
                  m.good);
+CHIVEDALE_FIELDS(JobStoreCall,
+                 m.call,
+                 m.address,
+                 m.job,
+                 m.record,
+                 m.patience);
+CHIVEDALE_FIELDS(JobStoreAnswer, m.call, m.result);
 
 #undef CHIVEDALE_FIELDS
 
@@ -237,6 +244,11 @@
   static constexpr RegisterOutcome kValue = RegisterOutcome::kWait;
 };
 
+template <>
+struct LastOf<JobStoreResult> {
+  static constexpr JobStoreResult kValue = JobStoreResult::kNoSuchJob;
+};
+
 }  // namespace chivedale
 
 #endif  // CHIVEDALE_PEER_FIELDS_H_
