--- a/cell/election.cc
+++ b/cell/election.cc
@@ -195,6 +195,18 @@
   }
 }
 
+void Election::OnLaterTerm(const LeaderRecord& record) {
+  if (!leader_ || record.term <= leader_->term) {
+    return;
+  }
+  // The revision stays as it is: a write that expects it fails, as it should.
+  leader_ = record;
+  last_beat_ = clock_.Now();
+  suspected_ = false;
+  gone_ = false;
+  StepDown("another member leads in a later term");
+}
+
 void Election::Leave() {
   leaving_ = true;
 }
--- a/cell/election.h
+++ b/cell/election.h
@@ -77,6 +77,9 @@
   void OnRecord(const std::optional<LeaderRecord>& record, int64_t revision);
   // A beat of a member that leads.
   void OnBeat(const std::string& node, const std::string& boot, int64_t term);
+  // A beat of a member that leads in a later term than is known here: the
+  // store may not be in reach to tell.
+  void OnLaterTerm(const LeaderRecord& record);
   // Evidence that the leader is gone or gives up; no need to wait for silence.
   // `gone`: it has certainly ended.
   void Suspect(const std::string& reason, bool gone);
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -42,6 +42,8 @@
   std::string checkpoint;
   int percent = 100;
   int64_t figure = 0;
+  int wanted_percent = 100;  // as last ordered
+  TimePoint paced{};
   // Of a stop.
   bool stop_confirmed = false;
   TimePoint stop_confirmed_at{};
--- a/cell/job.h
+++ b/cell/job.h
@@ -45,7 +45,7 @@
   std::string checkpoint;
   std::set<ExecutorId> failed_on;
   TimePoint retry_at{};  // no start before
-  int moved = 0;  // times it was taken off a slow executor
+  int moved = 0;         // times it was taken off a slow executor
   TimePoint started{};   // of the latest run
 };
 
@@ -73,7 +73,7 @@
     return entries_[executor];
   }
 
-  bool asked = false;     // a call is under way
+  bool asked = false;  // a call is under way
   bool answered = false;
   TimePoint ask_again{};  // after a failed call
 
@@ -91,7 +91,7 @@
   std::map<ExecutorId, int> live_on;  // live runs by executor
   // By when the job should be done for its objective; set by the leader.
   TimePoint objective{};
-  int64_t gang_run = 0;               // latest run of a gang
+  int64_t gang_run = 0;  // latest run of a gang
   StepAdvice advice;
   TimePoint ready_since{};  // when its turn came
   bool ready = false;
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -2,7 +2,8 @@
 // shares the next one, so writes follow time and not the number of jobs.
 //
 //   JobIntake intake(clock, log, store, defer);
-//   intake.Submit(id, EncodeJobRecord(record), deadline, [](SubmitResult r) { ... });
+//   intake.Submit(id, EncodeJobRecord(record), deadline, [](SubmitResult r) {
+//   ... });
 //
 // A job is refused only when it certainly is not stored by this submission: a
 // write without an answer is followed up until its outcome is known or the
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -98,6 +98,7 @@
   }
   HoldDue();
   OpenTimed();
+  RunWaves();
   PumpAdvice();
   if (!dirty_.empty() && now >= next_flush_) {
     Flush();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -41,7 +41,8 @@
   Millis hold_wait{1'000};  // how long a hold waits for an end
   Millis stop_time{900};    // longest time a stop takes
   Millis gang_timeout{3'000};
-  Millis restore{600};  // to resume from a checkpoint
+  Millis restore{600};        // to resume from a checkpoint
+  Millis upkeep_time{2'000};  // that a VM's upkeep takes
   Millis status_retention{120'000};
   PlacerOptions placer;
 };
@@ -57,7 +58,8 @@
 // Keys in the store.
 inline constexpr char kJobPrefix[] = "j/";  // j/ID, and j/ID/x: cancelled
 inline constexpr char kCancelSuffix[] = "/x";
-inline constexpr char kProgressPrefix[] = "p/";  // p/ID
+inline constexpr char kProgressPrefix[] = "p/";      // p/ID
+inline constexpr char kWaveProgressPrefix[] = "w/";  // w/NUMBER: VMs done
 inline constexpr char kCellPrefix[] = "c/";
 inline constexpr char kLeaderKey[] = "c/leader";
 inline constexpr char kExecutorsKey[] = "c/executors";
@@ -78,12 +80,18 @@
 using ListExecutors = std::function<void(
     std::function<void(StoreStatus, std::vector<ExecutorEntry>)>)>;
 
+// Tells the operators how far a wave is.
+using WriteWaveStatus = std::function<
+    void(int64_t wave, bool completed, std::function<void(bool)> done)>;
+
 struct LeaderContext {
   const Clock& clock;
   EventLog& log;
   StorePort& store;
   ExecutorPort& executors;
+  VmPort& vms;
   ListExecutors list_executors;
+  WriteWaveStatus write_wave_status;
   AskMember ask_member;
   Defer defer;
   // A newer leader exists. The leader is destroyed afterwards, not within.
@@ -115,6 +123,8 @@
   void Tick();
   void SetTable(std::shared_ptr<const QueueTable> table);
   void SetMembers(const std::set<std::string>& members);
+  // Called again for a wave that was announced before.
+  void AddWave(const UpkeepWave& wave);
   // Gives no more orders, for a successor or after a pause of this process.
   void Suspend();
   void Resume();
@@ -190,6 +200,38 @@
   void LeaveDraining(Executor& executor);
   void MoveAway(Executor& executor, Run& run, const char* reason);
 
+  // leader_pace.cc: tasks that fill beside tasks that serve.
+  void PaceFills(Executor& executor);
+
+  // leader_waves.cc: upkeep of the executors' VMs.
+  enum class VmPhase { kClearing, kOrdering, kDown };
+  struct VmWork {
+    VmPhase phase = VmPhase::kClearing;
+    TimePoint since{};
+    ExecutorId executor;  // that ran there before
+  };
+  struct WaveState {
+    UpkeepWave wave;
+    TimePoint announced{};
+    std::set<std::string> begun;  // VMs whose upkeep has begun or is over
+    std::map<std::string, VmWork> work;
+    bool loaded = false;  // what a predecessor did is known
+    bool shown_running = false;
+    bool completed = false;
+  };
+  void LoadWave(int64_t number);
+  void RunWaves();
+  void RunWave(WaveState& state);
+  void ListVms();
+  bool PickVm(WaveState& state);
+  void ClearVm(WaveState& state, const std::string& vm, VmWork& work);
+  void OrderUpkeep(int64_t number, const std::string& vm);
+  void OnUpkeep(int64_t number, const std::string& vm, VmOrderResult result);
+  void StoreWave(const WaveState& state);
+  // Whether a planned action may take a task of the step now.
+  bool MayTake(const Step& step, int task) const;
+  Duration PatienceOf(const WaveState& state) const;
+
   // leader_starts.cc: the pass that starts tasks.
   void RequestPass();
   void Pass();
@@ -295,6 +337,12 @@
   bool store_failing_ = false;
   bool executors_write_in_flight_ = false;
 
+  std::map<int64_t, WaveState> waves_;
+  std::map<std::string, VmInfo> vms_;  // as last listed
+  TimePoint next_wave_check_{};
+  TimePoint next_vm_list_{};
+  bool vm_list_in_flight_ = false;
+
   bool pass_requested_ = false;
   // Of the present pass.
   std::set<const Executor*> reserved_;
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -330,7 +330,8 @@
     }
     std::vector<std::string> lost;
     for (const auto& [name, run] : executor.runs()) {
-      const bool after_look = run.confirmed != TimePoint() && run.confirmed >= sent;
+      const bool after_look =
+          run.confirmed != TimePoint() && run.confirmed >= sent;
       if (listed.count(name) == 0 && !run.start_pending && !after_look) {
         lost.push_back(name);
       }
@@ -420,8 +421,8 @@
   }
   if (end.end == RunEnd::kDone) {
     // A resumed run is shorter than declared.
-    executor.health.OnDone(
-        task.checkpoint.empty() ? took : Duration(0), step->spec->estimate);
+    executor.health.OnDone(task.checkpoint.empty() ? took : Duration(0),
+                           step->spec->estimate);
     if (job.OnDone(*step, name->index)) {
       MarkDirty(job);
       StopCopies(*step, name->index);
@@ -473,6 +474,7 @@
     run->figure = row.figure;
   }
   DropMissingRuns(executor, reply, sent);
+  PaceFills(executor);
 }
 
 void CellLeader::AdoptRun(Executor& executor, const RunningTask& row) {
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -36,8 +36,8 @@
     return;
   }
   pass_requested_ = true;
-  const auto rest = std::chrono::duration_cast<Millis>(
-      next_pass_ - context_.clock.Now());
+  const auto rest =
+      std::chrono::duration_cast<Millis>(next_pass_ - context_.clock.Now());
   context_.defer(std::max(kPassDelay, rest), Guard([this] {
                    pass_requested_ = false;
                    Pass();
@@ -669,7 +669,8 @@
                      candidates.end());
     placer_.PlaceEach(*step, {index}, candidates, now,
                       [&, at = step, i = index](int, Executor& executor) {
-                        Start(executor, *at, i, NextRun(at->tasks[static_cast<size_t>(i)]));
+                        Start(executor, *at, i,
+                              NextRun(at->tasks[static_cast<size_t>(i)]));
                       });
   }
   overdue_copies_.clear();
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -217,7 +217,9 @@
                         context_.log,
                         store_,
                         context_.executors,
+                        context_.vms,
                         context_.list_executors,
+                        context_.write_wave_status,
                         [this](const std::string& member, const AdviceAsk& ask,
                                AdvicePort::OnAdvice done) {
                           AskMemberForAdvice(member, ask, std::move(done));
@@ -231,6 +233,9 @@
                         }};
   leader_ = std::make_unique<CellLeader>(context, options_.leader, leadership);
   leader_->SetTable(table_);
+  for (const auto& [number, wave] : waves_) {
+    leader_->AddWave(wave);
+  }
   UpdateAdvisers();
   leader_->Begin();
   next_beat_ = context_.clock.Now();
@@ -368,6 +373,7 @@
     }
     return;
   }
+  election_->OnLaterTerm({beat.node, beat.boot, beat.address, beat.term});
   election_->OnBeat(beat.node, beat.boot, beat.term);
   if (!leader || leader->node != beat.node || leader->boot != beat.boot) {
     return;
@@ -500,6 +506,13 @@
   }
 }
 
+void CellNode::OnWave(const UpkeepWave& wave) {
+  waves_[wave.number] = wave;
+  if (leader_ != nullptr) {
+    leader_->AddWave(wave);
+  }
+}
+
 // ---- Callers.
 
 bool CellNode::ready() const {
@@ -541,17 +554,18 @@
   };
   if (call.record == nullptr) {
     intake_.Cancel(call.job, deadline, [answer](CancelResult result) {
-      answer(result == CancelResult::kCancelled    ? JobStoreResult::kStored
+      answer(result == CancelResult::kCancelled   ? JobStoreResult::kStored
              : result == CancelResult::kNoSuchJob ? JobStoreResult::kNoSuchJob
                                                   : JobStoreResult::kUnknown);
     });
     return;
   }
-  intake_.Submit(call.job, *call.record, deadline, [answer](SubmitResult result) {
-    answer(result == SubmitResult::kAccepted    ? JobStoreResult::kStored
-           : result == SubmitResult::kNotStored ? JobStoreResult::kNotStored
-                                                : JobStoreResult::kUnknown);
-  });
+  intake_.Submit(
+      call.job, *call.record, deadline, [answer](SubmitResult result) {
+        answer(result == SubmitResult::kAccepted    ? JobStoreResult::kStored
+               : result == SubmitResult::kNotStored ? JobStoreResult::kNotStored
+                                                    : JobStoreResult::kUnknown);
+      });
 }
 
 void CellNode::OnStoreAnswer(const JobStoreAnswer& answer) {
@@ -597,14 +611,13 @@
     intake_.Submit(id, bytes, deadline, finish);
     return;
   }
-  StoreAtLeader(id, std::make_shared<const std::string>(bytes), deadline,
-                [finish](JobStoreResult result) {
-                  finish(result == JobStoreResult::kStored
-                             ? SubmitResult::kAccepted
-                         : result == JobStoreResult::kNotStored
-                             ? SubmitResult::kNotStored
-                             : SubmitResult::kUnknown);
-                });
+  StoreAtLeader(
+      id, std::make_shared<const std::string>(bytes), deadline,
+      [finish](JobStoreResult result) {
+        finish(result == JobStoreResult::kStored      ? SubmitResult::kAccepted
+               : result == JobStoreResult::kNotStored ? SubmitResult::kNotStored
+                                                      : SubmitResult::kUnknown);
+      });
 }
 
 void CellNode::CancelJob(const JobId& id,
@@ -614,14 +627,13 @@
     intake_.Cancel(id, deadline, std::move(done));
     return;
   }
-  StoreAtLeader(id, nullptr, deadline,
-                [done = std::move(done)](JobStoreResult result) {
-                  done(result == JobStoreResult::kStored
-                           ? CancelResult::kCancelled
-                       : result == JobStoreResult::kNoSuchJob
-                           ? CancelResult::kNoSuchJob
-                           : CancelResult::kUnavailable);
-                });
+  StoreAtLeader(
+      id, nullptr, deadline, [done = std::move(done)](JobStoreResult result) {
+        done(result == JobStoreResult::kStored ? CancelResult::kCancelled
+             : result == JobStoreResult::kNoSuchJob
+                 ? CancelResult::kNoSuchJob
+                 : CancelResult::kUnavailable);
+      });
 }
 
 void CellNode::FindJob(const JobId& id, TimePoint deadline, OnJob done) {
@@ -794,8 +806,8 @@
                         [this](const JobStateCall& m) { OnStateCall(m); },
                         [this](const JobStateAnswer& m) { OnStateAnswer(m); },
                         [this](const AdviceCall& m) { OnAdviceCall(m); },
-          [this](const JobStoreCall& m) { OnStoreCall(m); },
-          [this](const JobStoreAnswer& m) { OnStoreAnswer(m); },
+                        [this](const JobStoreCall& m) { OnStoreCall(m); },
+                        [this](const JobStoreAnswer& m) { OnStoreAnswer(m); },
                         [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
                         [](const auto&) {}},
              message);
--- a/cell/node.h
+++ b/cell/node.h
@@ -54,6 +54,7 @@
   VmPort& vms;
   PeerPort& peers;
   ListExecutors list_executors;
+  WriteWaveStatus write_wave_status;
   Defer defer;
 };
 
@@ -78,6 +79,7 @@
   void Tick();
   // A table that is not newer than the present one is ignored.
   void OnTable(std::shared_ptr<const QueueTable> table);
+  void OnWave(const UpkeepWave& wave);
   void OnMessage(const MemberId& from, const Message& message);
   // The connection to a member was lost; refused: no process listens there.
   void OnPeerDown(const std::string& address, bool refused);
@@ -174,12 +176,13 @@
   bool register_in_flight_ = false;
   bool stopping_ = false;
   bool checking_store_ = false;
-  TimePoint leader_heard_{};     // the last beat of the leader
+  TimePoint leader_heard_{};      // the last beat of the leader
   bool leader_store_ok_ = false;  // as it said then
   TimePoint led_since_{};
   TimePoint next_beat_{};
   TimePoint next_expiry_{};
 
+  std::map<int64_t, UpkeepWave> waves_;  // all that were announced
   uint64_t next_call_ = 1;
   struct StateWait {
     JobId job;
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -80,20 +80,19 @@
     time *= options_.far_factor;
   }
   double cost = time + kFitWeight * LeftOver(executor, RoomFor(spec));
-  cost += kFailingCost *
-          std::max(0.0, executor.health.failing() - kUsualFailing);
+  cost +=
+      kFailingCost * std::max(0.0, executor.health.failing() - kUsualFailing);
   if (Disturbs(spec, executor)) {
     cost += kDisturbCost;
   }
   return cost;
 }
 
-void Placer::PlaceEach(
-    const Step& step,
-    const std::vector<int>& tasks,
-    const std::vector<Executor*>& candidates,
-    TimePoint now,
-    const std::function<void(int, Executor&)>& start) const {
+void Placer::PlaceEach(const Step& step,
+                       const std::vector<int>& tasks,
+                       const std::vector<Executor*>& candidates,
+                       TimePoint now,
+                       const std::function<void(int, Executor&)>& start) const {
   const StepSpec& spec = *step.spec;
   const Resources size = RoomFor(spec);
   // Tasks that belong on one rack follow those at work.
@@ -114,8 +113,8 @@
   seats.reserve(candidates.size());
   for (Executor* executor : candidates) {
     if (size.FitsIn(executor->Free())) {
-      seats.push_back({executor, Cost(step, *executor),
-                       LiveOn(step, executor->entry.id)});
+      seats.push_back(
+          {executor, Cost(step, *executor), LiveOn(step, executor->entry.id)});
     }
   }
   const Duration patience = std::chrono::duration_cast<Duration>(
--- a/cell/placer.h
+++ b/cell/placer.h
@@ -1,8 +1,8 @@
 // Chooses the executors that tasks start on.
 //
 //   Placer placer;
-//   placer.PlaceEach(step, tasks, candidates, now, [](int task, Executor& e) {});
-//   std::vector<Executor*> members = placer.ForGang(step, candidates);
+//   placer.PlaceEach(step, tasks, candidates, now, [](int task, Executor& e)
+//   {}); std::vector<Executor*> members = placer.ForGang(step, candidates);
 //
 // Candidates are those that may run the step; the placer looks at room, racks,
 // spread, earlier failures and how fast each has been.
--- a/cell/settings.cc
+++ b/cell/settings.cc
@@ -96,6 +96,7 @@
       {"gang_timeout_ms", TimeTo(&CellSettings::gang_timeout)},
       {"restore_ms", TimeTo(&CellSettings::restore)},
       {"status_retention_ms", TimeTo(&CellSettings::status_retention)},
+      {"upkeep_time_ms", TimeTo(&CellSettings::upkeep_time)},
       {"stop_grace_ms", TimeTo(&CellSettings::stop_grace)},
       {"cpu_share", AmountTo(&CellSettings::cpu_share)},
       {"link_mbps", AmountTo(&CellSettings::link_mbps)},
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -34,7 +34,8 @@
   Millis gang_timeout{3'000};
   Millis restore{600};  // to resume from a checkpoint
   Millis status_retention{120'000};
-  Millis stop_grace{6'000};  // from SIGTERM to SIGKILL
+  Millis upkeep_time{2'000};  // that a VM's upkeep takes
+  Millis stop_grace{6'000};   // from SIGTERM to SIGKILL
   double far_factor = 3;
 };
 
--- /dev/null
+++ b/cell/testing/cell_test.cc
@@ -0,0 +1,372 @@
+// Single faults of a cell, each as a story: what fails, who takes over, and how
+// long that takes. Each case that the bench found stands here by its cause.
+#include <boost/test/unit_test.hpp>
+
+#include "cell/testing/fake_cell.h"
+
+namespace chivedale::cell {
+namespace {
+
+using testing::FakeCell;
+
+constexpr char kId[] = "00000000000000aa";
+
+QueuePolicy Queue(int priority = 0) {
+  QueuePolicy queue;
+  queue.name = "q" + std::to_string(priority);
+  queue.pool = "pool";
+  queue.priority = priority;
+  queue.max_attempts = 2;
+  queue.stretch = 1.5;
+  queue.target = Millis(300);
+  return queue;
+}
+
+JobSpec Job(int count, Millis estimate, int64_t cpu = 4'000) {
+  JobSpec spec;
+  spec.payload = "p";
+  StepSpec step;
+  step.count = count;
+  step.size = {cpu, 1'000, 0, 0};
+  step.estimate = estimate;
+  spec.steps = {step};
+  return spec;
+}
+
+struct Cell : FakeCell {
+  Cell() : FakeCell(1) {
+    for (const char* name : {"a", "b", "c"}) {
+      AddNode(name);
+    }
+    AddExecutors("pool", 4, {32'000, 64'000, 0, 0});
+    SetQueue(Queue(0));
+    SetQueue(Queue(2));
+    RunFor(Millis(2'000));
+  }
+  ~Cell() {
+    for (const std::string& what : executors.broken()) {
+      BOOST_ERROR(what);
+    }
+  }
+  std::string LeaderName() {
+    for (const char* name : {"a", "b", "c"}) {
+      if (node(name) != nullptr && node(name)->leading()) {
+        return name;
+      }
+    }
+    return "";
+  }
+  std::string OtherName() { return LeaderName() == "a" ? "b" : "a"; }
+};
+
+BOOST_AUTO_TEST_SUITE(ACell)
+
+BOOST_AUTO_TEST_CASE(RunsAJobAndShowsIt) {
+  Cell cell;
+  cell.Submit(cell.OtherName(), kId, Job(6, Millis(600)), "q0");
+  cell.RunFor(Millis(100));
+  BOOST_TEST(cell.accepted().count(kId) == 1u);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kRunning));
+  cell.RunFor(Millis(700));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(TakesOneIdOnceHoweverOftenItIsSent) {
+  Cell cell;
+  for (const char* name : {"a", "b", "c", "a"}) {
+    cell.Submit(name, kId, Job(6, Millis(300)), "q0");
+  }
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.executors.starts() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(StopsTheTasksOfACancelledJob) {
+  Cell cell;
+  cell.Submit("a", kId, Job(6, Millis(20'000)), "q0");
+  cell.RunFor(Millis(500));
+  cell.Cancel("b", kId);
+  cell.RunFor(Millis(600));
+  BOOST_TEST(cell.executors.running() == 0);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCancelled));
+}
+
+BOOST_AUTO_TEST_CASE(FailsAJobThatFailsAsOftenAsItMay) {
+  Cell cell;
+  cell.executors.fails = [](const TaskName&, const ExecutorId&) {
+    return true;
+  };
+  cell.Submit("a", kId, Job(1, Millis(100)), "q0");
+  cell.RunFor(Millis(3'000));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kFailed));
+  BOOST_TEST(cell.executors.starts() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(RunsATimedJobEachTimeItIsDue) {
+  Cell cell;
+  JobSpec spec = Job(2, Millis(100));
+  spec.occurrences = 3;
+  spec.first_due = cell.loop.clock().WallNow() + Millis(1'000);
+  spec.interval = Millis(500);
+  cell.Submit("a", kId, spec, "q0");
+  cell.RunFor(Millis(900));
+  BOOST_TEST(cell.executors.starts() == 0);
+  cell.RunFor(Millis(300));
+  BOOST_TEST(cell.executors.starts() == 2);
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.executors.starts() == 6);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsALastingTaskAtWorkAcrossCrashes) {
+  Cell cell;
+  JobSpec spec = Job(1, Millis(500));
+  spec.steps[0].lasting = true;
+  cell.Submit("a", kId, spec, "q0");
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.executors.running() == 1);
+  for (int i = 1; i <= 4; ++i) {
+    cell.executors.Crash("e" + std::to_string(i));
+    cell.executors.Restart("e" + std::to_string(i));
+  }
+  cell.RunFor(Millis(3'000));
+  BOOST_TEST(cell.executors.running() == 1);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kRunning));
+}
+
+BOOST_AUTO_TEST_SUITE(WhoseLeaderFails)
+
+BOOST_AUTO_TEST_CASE(OrdersAgainWithinASecondOfItsDeath) {
+  Cell cell;
+  cell.Kill(cell.LeaderName());
+  cell.RunFor(Millis(50));
+  const std::string other = cell.node("a") != nullptr ? "a" : "b";
+  cell.Submit(other, kId, Job(2, Millis(300)), "q0");
+  cell.RunFor(Millis(1'000));
+  BOOST_TEST(cell.executors.EverStarted(std::string(kId) + ".0.0.0"));
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnAfterAFreezeWithoutASecondStart) {
+  Cell cell;
+  cell.Submit("a", kId, Job(6, Millis(4'000)), "q0");
+  cell.RunFor(Millis(200));
+  cell.Freeze(cell.LeaderName(), Millis(3'000));
+  cell.RunFor(Millis(8'000));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+  BOOST_TEST(cell.executors.starts() == 6);
+}
+
+// Found on trouble-1: an executor that had left kept a new leader from starting
+// anything for 5 s.
+BOOST_AUTO_TEST_CASE(DoesNotWaitForExecutorsThatLeftLongAgo) {
+  Cell cell;
+  cell.executors.Crash("e4");
+  cell.RunFor(Millis(15'000));
+  for (const char* name : {"a", "b", "c"}) {
+    cell.Kill(name);
+  }
+  cell.RunFor(Millis(500));
+  for (const char* name : {"a", "b", "c"}) {
+    cell.Restart(name);
+  }
+  cell.RunFor(Millis(1'500));
+  cell.Submit("a", kId, Job(2, Millis(100)), "q0");
+  cell.RunFor(Millis(700));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+// Found on scale-1: executors of the predecessor's list counted as restarted.
+BOOST_AUTO_TEST_CASE(AdoptsWhatRunsInsteadOfStartingItAgain) {
+  Cell cell;
+  cell.Submit("a", kId, Job(6, Millis(3'000)), "q0");
+  cell.RunFor(Millis(200));
+  for (const char* name : {"a", "b", "c"}) {
+    cell.Kill(name);
+  }
+  cell.RunFor(Millis(300));
+  for (const char* name : {"a", "b", "c"}) {
+    cell.Restart(name);
+  }
+  cell.RunFor(Millis(6'000));
+  BOOST_TEST(cell.executors.starts() == 6);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(IsReplacedWhenOnlyItIsCutFromTheStore) {
+  Cell cell;
+  const std::string before = cell.LeaderName();
+  cell.store.faults_of[before].refuses = true;
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.LeaderName() != before);
+  BOOST_TEST(cell.LeaderName() != "");
+}
+
+BOOST_AUTO_TEST_CASE(StaysWhenTheStoreIsDownForAll) {
+  Cell cell;
+  cell.Submit("a", kId, Job(12, Millis(1'500), 20'000), "q0");
+  cell.RunFor(Millis(200));
+  const std::string before = cell.LeaderName();
+  cell.store.faults.silent = true;
+  cell.entries_down = true;
+  cell.RunFor(Millis(6'000));
+  BOOST_TEST(cell.LeaderName() == before);
+  // Starts need no store.
+  BOOST_TEST(cell.executors.starts() == 12);
+  cell.store.faults = testing::StoreFaults();
+  cell.entries_down = false;
+  cell.RunFor(Millis(3'000));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(GivesWayToAMuchStrongerMember) {
+  FakeCell cell(3);
+  cell.AddNode("weak", 0.12);
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.node("weak")->leading());
+  cell.AddNode("strong", 0.5);
+  cell.RunFor(Millis(6'000));
+  BOOST_TEST(cell.node("strong")->leading());
+  BOOST_TEST(!cell.node("weak")->leading());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseStoreMisbehaves)
+
+// Found on scale-2: a VM that the store turned away refused its callers.
+BOOST_AUTO_TEST_CASE(StoresJobsAtTheLeaderForAMemberThatIsCutOff) {
+  Cell cell;
+  const std::string member = cell.OtherName();
+  cell.store.faults_of[member].refuses = true;
+  cell.RunFor(Millis(600));
+  BOOST_TEST(cell.node(member)->ready());
+  cell.Submit(member, kId, Job(2, Millis(100)), "q0");
+  cell.RunFor(Millis(1'000));
+  BOOST_TEST(cell.accepted().count(kId) == 1u);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesOnlyWhatIsCertainlyNotStored) {
+  Cell cell;
+  cell.store.faults.late_writes = 1;
+  cell.Submit("a", kId, Job(2, Millis(100)), "q0");
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.refused().count(kId) == 0u);
+  cell.store.faults = testing::StoreFaults();
+  cell.RunFor(Millis(6'000));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Pattern: urgent small jobs come while long checkpointed work fills the pool.
+BOOST_AUTO_TEST_SUITE(UnderABurstOfUrgentJobs)
+
+BOOST_AUTO_TEST_CASE(StopsCheckpointedWorkThatIsLessUrgent) {
+  Cell cell;
+  JobSpec heavy = Job(16, Millis(20'000), 8'000);
+  heavy.steps[0].checkpoints = true;
+  cell.Submit("a", kId, heavy, "q2");
+  cell.RunFor(Millis(1'000));
+  BOOST_TEST(cell.executors.running() == 16);
+  cell.Submit("b", "00000000000000bb", Job(3, Millis(300), 8'000), "q0");
+  cell.RunFor(Millis(1'000));
+  BOOST_TEST((cell.StateOf("00000000000000bb") == JobState::kCompleted));
+  cell.RunFor(Millis(30'000));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Pattern: one executor hangs; its tasks would never end.
+BOOST_AUTO_TEST_SUITE(UnderAHangingExecutor)
+
+BOOST_AUTO_TEST_CASE(MovesItsTasksOnce) {
+  Cell cell;
+  cell.executors.run_time = [&](const TaskName& name, const StepSpec& spec) {
+    const bool hangs = cell.executors.RunsOn(name, "e1");
+    return hangs ? Duration(std::chrono::hours(1)) : Duration(spec.estimate);
+  };
+  cell.Submit("a", kId, Job(16, Millis(300), 8'000), "q0");
+  cell.RunFor(Millis(4'000));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(DuringAnUpkeepWave)
+
+BOOST_AUTO_TEST_CASE(TakesNoMoreVmsDownAtOnceThanTheWaveAllows) {
+  Cell cell;
+  cell.Submit("a", kId, Job(8, Millis(2'000)), "q0");
+  cell.RunFor(Millis(200));
+  UpkeepWave wave;
+  wave.number = 1;
+  wave.vms = {"vm-e1", "vm-e2", "vm-e3", "vm-e4"};
+  wave.deadline = Millis(20'000);
+  wave.max_at_once = 1;
+  cell.Announce(wave);
+  cell.RunFor(Millis(25'000));
+  BOOST_TEST(cell.upkept.size() == 4u);
+  BOOST_TEST(cell.most_down == 1);
+  BOOST_TEST(cell.wave_status[1]);
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(TakesLastingTasksOnlyAsTheirStepAllows) {
+  Cell cell;
+  JobSpec spec = Job(3, Millis(300), 30'000);
+  spec.steps[0].lasting = true;
+  spec.steps[0].may_miss = 1;
+  cell.Submit("a", kId, spec, "q0");
+  cell.RunFor(Millis(300));
+  UpkeepWave wave;
+  wave.number = 1;
+  wave.vms = {"vm-e1", "vm-e2", "vm-e3", "vm-e4"};
+  wave.deadline = Millis(20'000);
+  wave.max_at_once = 4;
+  cell.Announce(wave);
+  int fewest = 3;
+  for (int i = 0; i < 400; ++i) {
+    cell.RunFor(Millis(50));
+    fewest = std::min(fewest, cell.executors.running());
+  }
+  BOOST_TEST(fewest >= 2);
+  BOOST_TEST(cell.wave_status[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Pattern: tasks that fill beside a task that serves its own users.
+BOOST_AUTO_TEST_SUITE(WithTasksThatFill)
+
+BOOST_AUTO_TEST_CASE(PacesThemBeforeTheTargetIsReached) {
+  FakeCell cell(1);
+  cell.AddNode("a");
+  cell.AddExecutors("pool", 1, {32'000, 64'000, 0, 0});
+  cell.SetQueue(Queue(0));
+  cell.RunFor(Millis(2'000));
+  JobSpec serving = Job(1, Millis(500));
+  serving.steps[0].lasting = true;
+  serving.steps[0].tail_target = Millis(100);
+  JobSpec filling = Job(1, Millis(60'000));
+  filling.steps[0].fills = true;
+  cell.Submit("a", kId, serving, "q0");
+  cell.Submit("a", "00000000000000bb", filling, "q0");
+  cell.RunFor(Millis(1'000));
+  const std::string fill = "00000000000000bb.0.0.0";
+  BOOST_TEST(cell.executors.percents[fill] == 0);  // never paced
+  cell.executors.figures[std::string(kId) + ".0.0.0"] = 95;
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.executors.paces > 0);
+  BOOST_TEST(cell.executors.percents[fill] == 0);
+  cell.executors.figures[std::string(kId) + ".0.0.0"] = 20;
+  cell.RunFor(Millis(15'000));
+  BOOST_TEST(cell.executors.percents[fill] == 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -72,10 +72,26 @@
   FakeCell& cell_;
 };
 
+// Executors' VMs: an upkeep ends all that runs there; a new executor follows.
 class FakeCell::Vms final : public VmPort {
  public:
-  void List(OnList) override {}
-  void Upkeep(const std::string&, int64_t, int64_t, OnOrder) override {}
+  explicit Vms(FakeCell& cell) : cell_(cell) {}
+  void List(OnList done) override {
+    std::vector<VmInfo> list;
+    for (const auto& [vm, info] : cell_.vms) {
+      list.push_back(info);
+    }
+    cell_.loop.After(Millis(3), [done, list] { done(list); });
+  }
+  void Upkeep(const std::string& vm, int64_t, int64_t, OnOrder done) override {
+    cell_.loop.After(Millis(3), [this, vm, done] {
+      cell_.BeginUpkeep(vm);
+      done(VmOrderResult::kOk);
+    });
+  }
+
+ private:
+  FakeCell& cell_;
 };
 
 struct FakeCell::Host {
@@ -111,7 +127,7 @@
   host->executors = executors.ViewOf(name);
   host->peers = std::make_unique<Peers>(*this, name);
   host->advice = std::make_unique<Advice>(*this);
-  host->vms = std::make_unique<Vms>();
+  host->vms = std::make_unique<Vms>(*this);
   Host& added = *host;
   hosts_[name] = std::move(host);
   StartNode(added);
@@ -139,6 +155,10 @@
           }
         });
       },
+      [this](int64_t wave, bool completed, std::function<void(bool)> done) {
+        wave_status[wave] = completed;
+        loop.After(Millis(2), [done] { done(true); });
+      },
       [this, name, life](Millis after, std::function<void()> run) {
         loop.After(after, [this, name, life, run = std::move(run)]() mutable {
           Host& at = *hosts_.at(name);
@@ -213,6 +233,35 @@
     entry.rack = "r" + std::to_string(i / 4);
     entry.labels = {i % 3 == 0 ? "b" : "a", entry.rack};
     executors.Add(entry);
+    vms["vm-" + entry.id] = {"vm-" + entry.id, pool, VmState::kUp, entry.id};
+  }
+}
+
+void FakeCell::BeginUpkeep(const std::string& vm) {
+  VmInfo& info = vms.at(vm);
+  if (!upkept.insert(vm).second) {
+    return;  // done before
+  }
+  most_down = std::max(most_down, ++down_now);
+  info.state = VmState::kUpkeep;
+  executors.Crash(info.executor);
+  const ExecutorEntry old = executors.EntryOf(info.executor);
+  loop.After(Millis(2'000), [this, vm, old] {
+    --down_now;
+    ExecutorEntry entry = old;
+    entry.id = "e" + std::to_string(next_executor_++);
+    entry.address = entry.id + ":80";
+    executors.Add(entry);
+    vms.at(vm).state = VmState::kUp;
+    vms.at(vm).executor = entry.id;
+  });
+}
+
+void FakeCell::Announce(const UpkeepWave& wave) {
+  for (auto& [name, host] : hosts_) {
+    if (host->node != nullptr) {
+      host->node->OnWave(wave);
+    }
   }
 }
 
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -60,6 +60,8 @@
               const JobSpec& spec,
               const std::string& queue = "q");
   void Cancel(const std::string& name, const JobId& id);
+  void Announce(const UpkeepWave& wave);
+  void BeginUpkeep(const std::string& vm);
 
   // Queries.
   std::optional<JobState> StateOf(const JobId& id) const;
@@ -81,6 +83,11 @@
   Millis ticket_validity{2'000};
   QueuePolicy queue;
   bool entries_down = false;
+  std::map<std::string, VmInfo> vms;
+  std::set<std::string> upkept;
+  std::map<int64_t, bool> wave_status;  // true: completed
+  int down_now = 0;
+  int most_down = 0;
 
  private:
   struct Host;
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -40,14 +40,17 @@
   }
   void Pace(const std::string& address,
             const ExecutorId& executor,
-            const std::string&,
+            const std::string& task,
             int64_t,
-            int,
+            int percent,
             int64_t,
             OnOrder done) override {
-    Order(address, executor, std::move(done), [](FakeExecutors::State&) {
-      return OrderReply{OrderResult::kOk, {}};
-    });
+    Order(address, executor, std::move(done),
+          [this, task, percent](FakeExecutors::State&) {
+            ++all_.paces;
+            all_.percents[task] = percent;
+            return OrderReply{OrderResult::kOk, {}};
+          });
   }
   void Hold(const HoldOrder& order, OnHold done) override;
 
@@ -534,6 +537,12 @@
     RunningTask row;
     row.task = task;
     row.run = run.number;
+    if (const auto figure = figures.find(task); figure != figures.end()) {
+      row.figure = figure->second;
+    }
+    if (const auto percent = percents.find(task); percent != percents.end()) {
+      row.percent = percent->second;
+    }
     reply.running.push_back(row);
   }
   reply.ended = state.ended;
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -43,6 +43,9 @@
   // After a crash: the same id, nothing known of before.
   void Restart(const ExecutorId& id);
   void Drain(const ExecutorId& id);
+  const ExecutorEntry& EntryOf(const ExecutorId& id) const {
+    return states_.at(id).entry;
+  }
   // The jobs that tasks may belong to, for the checks.
   void Expect(const JobId& id, const JobSpec& spec, int max_attempts);
   void Cancelled(const JobId& id) { cancelled_.insert(id); }
@@ -59,6 +62,16 @@
     return started_.count(task) > 0;
   }
 
+  bool RunsOn(const TaskName& name, const ExecutorId& id) const {
+    const auto found = states_.find(id);
+    return found != states_.end() && found->second.runs.count(name.Text()) > 0;
+  }
+
+  // Tails of serving tasks, and what filling ones were paced to.
+  std::map<std::string, int64_t> figures;
+  std::map<std::string, int> percents;
+  int paces = 0;
+
   // By member and executor.
   std::map<std::pair<std::string, ExecutorId>, LinkFaults> links;
   std::map<std::string, LinkFaults> member_links;
--- /dev/null
+++ b/cell/testing/job_test.cc
@@ -0,0 +1,202 @@
+// Guards against jobs that end too early, too late or twice, and against
+// progress that a new leader reads differently from how it was written.
+#include "cell/job.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <stdexcept>
+
+#include "chivedale/testing/fake_clock.h"
+#include "util/random.h"
+
+namespace chivedale::cell {
+namespace {
+
+JobRecord TwoSteps(int first, int second) {
+  JobRecord record;
+  record.queue.name = "q";
+  record.queue.pool = "pool";
+  record.queue.max_attempts = 2;
+  record.queue.stretch = 1.5;
+  record.queue.target = Millis(300);
+  StepSpec a;
+  a.count = first;
+  a.estimate = Millis(600);
+  StepSpec b;
+  b.count = second;
+  b.estimate = Millis(400);
+  b.after = {0};
+  record.spec.payload = "text";
+  record.spec.steps = {a, b};
+  return record;
+}
+
+struct Opened {
+  explicit Opened(const JobRecord& record) : job("0123456789abcdef", record) {
+    job.OpenDue(clock.WallNow(), clock.Now());
+  }
+  Step& step(int index) { return *job.FindStep(0, index); }
+
+  chivedale::testing::FakeClock clock;
+  Job job;
+};
+
+BOOST_AUTO_TEST_SUITE(AJobOfSteps)
+
+BOOST_AUTO_TEST_CASE(StartsWithTheStepsThatDependOnNothing) {
+  Opened opened(TwoSteps(2, 1));
+  BOOST_TEST(opened.step(0).ready);
+  BOOST_TEST(!opened.step(1).ready);
+  BOOST_TEST(opened.step(0).Waiting() == 2);
+  BOOST_TEST(opened.job.Chain().count() == 1'000);
+}
+
+BOOST_AUTO_TEST_CASE(OpensALaterStepWhenAllTasksBeforeItAreDone) {
+  Opened opened(TwoSteps(2, 1));
+  BOOST_TEST(opened.job.OnDone(opened.step(0), 0));
+  opened.job.UpdateReady(opened.clock.Now());
+  BOOST_TEST(!opened.step(1).ready);
+  BOOST_TEST(opened.job.OnDone(opened.step(0), 1));
+  opened.job.UpdateReady(opened.clock.Now());
+  BOOST_TEST(opened.step(1).ready);
+}
+
+BOOST_AUTO_TEST_CASE(IsShownAsCompletedOnlyOnceThatIsStored) {
+  Opened opened(TwoSteps(1, 1));
+  opened.job.set_any_started();
+  opened.job.OnDone(opened.step(0), 0);
+  opened.job.OnDone(opened.step(1), 0);
+  BOOST_TEST((opened.job.state() == JobState::kCompleted));
+  BOOST_TEST((opened.job.shown_state() == JobState::kRunning));
+  opened.job.MarkStored(JobState::kCompleted);
+  BOOST_TEST((opened.job.shown_state() == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(TakesARepeatedEndOnce) {
+  Opened opened(TwoSteps(1, 1));
+  BOOST_TEST(opened.job.OnDone(opened.step(0), 0));
+  BOOST_TEST(!opened.job.OnDone(opened.step(0), 0));
+  BOOST_TEST(!opened.job.OnFailed(opened.step(1), 0, 7, "e1"));
+  BOOST_TEST(!opened.job.OnFailed(opened.step(1), 0, 7, "e1"));
+  BOOST_TEST((opened.job.state() == JobState::kQueued));
+  BOOST_TEST(opened.job.OnFailed(opened.step(1), 0, 8, "e2"));
+  BOOST_TEST((opened.job.state() == JobState::kFailed));
+}
+
+BOOST_AUTO_TEST_SUITE(WithAGang)
+
+BOOST_AUTO_TEST_CASE(IsDoneWithOneEndOfAnyMember) {
+  JobRecord record = TwoSteps(3, 1);
+  record.spec.steps[0].gang = true;
+  Opened opened(record);
+  opened.job.OnDone(opened.step(0), 2);
+  BOOST_TEST(opened.step(0).Finished());
+}
+
+BOOST_AUTO_TEST_CASE(CountsOneFailureForAllMembersOfARun) {
+  JobRecord record = TwoSteps(3, 1);
+  record.spec.steps[0].gang = true;
+  Opened opened(record);
+  BOOST_TEST(!opened.job.OnFailed(opened.step(0), 0, 1, "e1"));
+  BOOST_TEST(!opened.job.OnFailed(opened.step(0), 1, 1, "e2"));
+  BOOST_TEST(opened.job.OnFailed(opened.step(0), 1, 2, "e2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithTimes)
+
+BOOST_AUTO_TEST_CASE(OpensEachOccurrenceWhenItIsDue) {
+  chivedale::testing::FakeClock clock;
+  JobRecord record = TwoSteps(1, 1);
+  record.spec.occurrences = 3;
+  record.spec.first_due = clock.WallNow() + Millis(1'000);
+  record.spec.interval = Millis(500);
+  Job job("0123456789abcdef", record);
+  BOOST_TEST(!job.OpenDue(clock.WallNow(), clock.Now()));
+  clock.Advance(Millis(1'600));
+  BOOST_TEST(job.OpenDue(clock.WallNow(), clock.Now()));
+  BOOST_TEST(job.open().size() == 2u);
+  clock.Advance(Millis(10'000));
+  job.OpenDue(clock.WallNow(), clock.Now());
+  BOOST_TEST(job.open().size() == 3u);
+  BOOST_TEST((job.NextDue() == WallTime::max()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(InTheStore)
+
+RC_BOOST_PROP(IsReadAsItWasWritten, (uint64_t seed)) {
+  util::Random random(seed);
+  JobRecord record = TwoSteps(1 + static_cast<int>(random.Below(5)),
+                              1 + static_cast<int>(random.Below(5)));
+  record.spec.steps[0].checkpoints = true;
+  record.spec.steps[0].label = random.Hex(4);
+  record.queue.advice = AdvicePolicy{Millis(13), Millis(1), Millis(2'000)};
+  record.queue.max_attempts = 9;
+  const JobRecord read = DecodeJobRecord(EncodeJobRecord(record));
+  RC_ASSERT(EncodeJobRecord(read) == EncodeJobRecord(record));
+
+  Opened first(record);
+  for (int i = 0; i < 6; ++i) {
+    Step& step = first.step(static_cast<int>(random.Below(2)));
+    const int task = static_cast<int>(random.Below(step.tasks.size()));
+    if (random.Below(2) == 0) {
+      first.job.OnDone(step, task);
+    } else {
+      first.job.OnFailed(step, task, 1 + static_cast<int64_t>(random.Below(4)),
+                         "e1");
+      step.tasks[static_cast<size_t>(task)].checkpoint = random.Hex(6);
+    }
+  }
+  const std::string progress = first.job.EncodeProgress();
+  Job second("0123456789abcdef", read);
+  second.DecodeProgress(progress, first.clock.WallNow(), first.clock.Now());
+  RC_ASSERT(second.state() == first.job.state());
+  RC_ASSERT(second.EncodeProgress() == progress);
+}
+
+RC_BOOST_PROP(IsRejectedWhenItsBytesAreDamaged, (uint64_t seed)) {
+  util::Random random(seed);
+  std::string bytes = EncodeJobRecord(TwoSteps(2, 2));
+  for (int i = 0; i < 3; ++i) {
+    bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
+  }
+  bytes.resize(random.Below(bytes.size() + 1));
+  try {
+    DecodeJobRecord(bytes);
+  } catch (const std::runtime_error&) {
+    RC_TAG("rejected");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ATaskName)
+
+BOOST_AUTO_TEST_CASE(IsReadBack) {
+  const TaskName name{"5c0e7a21d94b36f8", 2, 1, 17};
+  BOOST_TEST(name.Text() == "5c0e7a21d94b36f8.2.1.17");
+  const auto read = TaskName::Parse(name.Text());
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->job == name.job);
+  BOOST_TEST(read->occurrence == 2);
+  BOOST_TEST(read->step == 1);
+  BOOST_TEST(read->index == 17);
+}
+
+BOOST_AUTO_TEST_CASE(IsRejectedWhenMalformed) {
+  for (const char* text : {"", "a", "a.1", "a.1.2", ".1.2.3", "a.1.2.x",
+                           "a.-1.2.3", "a.1.2.3x", "a.1..3"}) {
+    BOOST_TEST(!TaskName::Parse(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
--- /dev/null
+++ b/cell/testing/placer_test.cc
@@ -0,0 +1,274 @@
+// Where tasks go: room, racks, spread, slow and failing executors; and which
+// member is asked for advice.
+#include "cell/placer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "cell/advice_desk.h"
+#include "cell/executor_health.h"
+#include "chivedale/testing/fake_clock.h"
+
+namespace chivedale::cell {
+namespace {
+
+struct Fleet {
+  explicit Fleet(int count, Resources size = {32'000, 64'000, 0, 0}) {
+    for (int i = 0; i < count; ++i) {
+      ExecutorEntry entry;
+      entry.id = "e" + std::to_string(i);
+      entry.capacity = size;
+      entry.rack = "r" + std::to_string(i / 2);
+      executors.push_back(
+          std::make_unique<Executor>(entry, static_cast<size_t>(i)));
+      all.push_back(executors.back().get());
+    }
+  }
+  Step& Open(const StepSpec& spec) {
+    JobRecord record;
+    record.spec.steps = {spec};
+    jobs.push_back(
+        std::make_unique<Job>("j" + std::to_string(jobs.size()), record));
+    jobs.back()->OpenDue(clock.WallNow(), clock.Now());
+    return *jobs.back()->FindStep(0, 0);
+  }
+  // The executors that the step's tasks are started on.
+  std::vector<std::string> Place(Step& step) {
+    std::vector<int> tasks;
+    for (int i = 0; i < step.spec->count; ++i) {
+      tasks.push_back(i);
+    }
+    std::vector<std::string> placed;
+    Placer(PlacerOptions())
+        .PlaceEach(step, tasks, all, clock.Now(),
+                   [&](int task, Executor& executor) {
+                     executor.AddRun(step.NameOf(task), 1, &step, clock.Now());
+                     placed.push_back(executor.entry.id);
+                   });
+    return placed;
+  }
+
+  chivedale::testing::FakeClock clock;
+  std::vector<std::unique_ptr<Executor>> executors;
+  std::vector<Executor*> all;
+  std::vector<std::unique_ptr<Job>> jobs;
+};
+
+StepSpec Tasks(int count, int64_t cpu) {
+  StepSpec spec;
+  spec.count = count;
+  spec.size = {cpu, 1'000, 0, 0};
+  spec.estimate = Millis(600);
+  return spec;
+}
+
+BOOST_AUTO_TEST_SUITE(APlacer)
+
+BOOST_AUTO_TEST_CASE(GivesNoExecutorMoreThanItHolds) {
+  Fleet fleet(2);
+  BOOST_TEST(fleet.Place(fleet.Open(Tasks(9, 10'000))).size() == 6u);
+  for (const auto& executor : fleet.executors) {
+    BOOST_TEST(executor->Free().IsValid());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CountsMemoryButNotProcessorsOfTasksThatFill) {
+  Fleet fleet(1);
+  StepSpec spec = Tasks(3, 30'000);
+  spec.fills = true;
+  spec.size.memory_mb = 30'000;
+  BOOST_TEST(fleet.Place(fleet.Open(spec)).size() == 2u);
+  BOOST_TEST(fleet.executors[0]->Free().cpu_milli == 32'000);
+}
+
+BOOST_AUTO_TEST_CASE(PacksTightlySoThatWideTasksFindRoom) {
+  Fleet fleet(4);
+  const auto placed = fleet.Place(fleet.Open(Tasks(3, 10'000)));
+  BOOST_TEST(std::set<std::string>(placed.begin(), placed.end()).size() == 1u);
+  BOOST_TEST(fleet.Place(fleet.Open(Tasks(3, 32'000))).size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheBoundOfTasksPerExecutor) {
+  Fleet fleet(3);
+  StepSpec spec = Tasks(9, 1'000);
+  spec.max_per_executor = 2;
+  BOOST_TEST(fleet.Place(fleet.Open(spec)).size() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForTheRackOfTheDataOnlyAsLongAsThatPays) {
+  Fleet fleet(4);
+  fleet.Place(fleet.Open(Tasks(2, 32'000)));  // fills rack r0
+  StepSpec spec = Tasks(1, 8'000);
+  spec.near_rack = "r0";
+  Step& step = fleet.Open(spec);
+  BOOST_TEST(fleet.Place(step).empty());
+  fleet.clock.Advance(Millis(700));  // above estimate x (far_factor - 1) / 2
+  BOOST_TEST(fleet.Place(step).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AvoidsTheExecutorThatTheTaskFailedOn) {
+  Fleet fleet(2);
+  Step& step = fleet.Open(Tasks(1, 1'000));
+  step.tasks[0].failed_on.insert("e0");
+  BOOST_TEST(fleet.Place(step) == std::vector<std::string>{"e1"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE(ForGangs)
+
+BOOST_AUTO_TEST_CASE(PlacesAllMembersOrNone) {
+  Fleet fleet(2);
+  StepSpec spec = Tasks(3, 20'000);
+  spec.gang = true;
+  const Placer placer{PlacerOptions()};
+  BOOST_TEST(placer.ForGang(fleet.Open(spec), fleet.all).empty());
+  spec.count = 2;
+  BOOST_TEST(placer.ForGang(fleet.Open(spec), fleet.all).size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsThemOnOneRackWhereTheStepAsks) {
+  Fleet fleet(4);
+  fleet.Place(fleet.Open(Tasks(1, 32'000)));  // one of rack r0
+  StepSpec spec = Tasks(2, 32'000);
+  spec.gang = true;
+  spec.same_rack = true;
+  const auto members =
+      Placer{PlacerOptions()}.ForGang(fleet.Open(spec), fleet.all);
+  BOOST_REQUIRE_EQUAL(members.size(), 2u);
+  BOOST_TEST(members[0]->entry.rack == "r1");
+  BOOST_TEST(members[1]->entry.rack == "r1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Pattern: a few slow executors under jobs of many tasks; a job is as late as
+// its slowest task.
+BOOST_AUTO_TEST_SUITE(UnderSlowExecutors)
+
+BOOST_AUTO_TEST_CASE(PrefersOthersAsSoonAsRunsAreOverdue) {
+  Fleet fleet(2);
+  fleet.executors[0]->health.SetOverdue(2, 2);
+  const auto placed = fleet.Place(fleet.Open(Tasks(2, 1'000)));
+  BOOST_TEST(placed == (std::vector<std::string>{"e1", "e1"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(fleet.executors[0]->health.suspect());
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotSuspectAnExecutorForOneLongTask) {
+  ExecutorHealth health;
+  health.SetOverdue(1, 4);
+  BOOST_TEST(!health.suspect());
+}
+
+BOOST_AUTO_TEST_CASE(LeavesOneThatFailsInARowAloneForLongerEachTime) {
+  chivedale::testing::FakeClock clock;
+  ExecutorHealth health;
+  BOOST_TEST(!health.OnFailed(clock.Now()));
+  BOOST_TEST(health.OnFailed(clock.Now()));
+  BOOST_TEST(health.avoided(clock.Now()));
+  clock.Advance(Millis(1'600));
+  BOOST_TEST(!health.avoided(clock.Now()));
+  health.OnFailed(clock.Now());
+  clock.Advance(Millis(1'600));
+  BOOST_TEST(health.avoided(clock.Now()));
+  health.OnDone(Millis(600), Millis(600));
+  BOOST_TEST(!health.OnFailed(clock.Now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnExecutor)
+
+BOOST_AUTO_TEST_CASE(HoldsRoomFromTheOrderToTheEnd) {
+  Fleet fleet(1);
+  Step& step = fleet.Open(Tasks(1, 8'000));
+  Executor& executor = *fleet.all[0];
+  executor.AddRun(step.NameOf(0), 1, &step, fleet.clock.Now());
+  BOOST_TEST(executor.Free().cpu_milli == 24'000);
+  BOOST_TEST(step.tasks[0].live == 1);
+  executor.RemoveRun(step.NameOf(0).Text());
+  BOOST_TEST(executor.Free().cpu_milli == 32'000);
+  BOOST_TEST(step.tasks[0].live == 0);
+  BOOST_TEST(step.live_on.empty());
+}
+
+BOOST_AUTO_TEST_CASE(HasLapsedOnlyOnceASlowClockHasReachedItsLeases) {
+  Fleet fleet(1);
+  Executor& executor = *fleet.all[0];
+  const TimePoint now = fleet.clock.Now();
+  executor.OnClock(Millis(10'000), now);
+  executor.OnUntilSent(Millis(13'500));
+  BOOST_TEST((executor.LapsedBy() - now >= Millis(3'570)));  // 3,500 / 0.98
+  executor.OnClock(Millis(12'000), now + Millis(2'000));
+  BOOST_TEST((executor.LapsedBy() - now < Millis(3'700)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Pattern: the advice service takes one call at a time for each VM.
+BOOST_AUTO_TEST_SUITE(AnAdviceDesk)
+
+AdviceAsk Ask(const char* step, int priority, Millis takes) {
+  AdviceAsk ask;
+  ask.step = step;
+  ask.priority = priority;
+  ask.takes = takes;
+  return ask;
+}
+
+BOOST_AUTO_TEST_CASE(SpreadsCallsOverTheMembers) {
+  chivedale::testing::FakeClock clock;
+  AdviceDesk desk(clock);
+  desk.SetMembers({"a", "b"});
+  for (int i = 0; i < 4; ++i) {
+    desk.Ask(Ask("s", 0, Millis(500)));
+  }
+  std::set<std::string> used;
+  while (const auto call = desk.NextCall()) {
+    used.insert(call->member);
+  }
+  BOOST_TEST(used.size() == 2u);
+  BOOST_TEST(desk.waiting() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(MakesTheMostUrgentCallFirst) {
+  chivedale::testing::FakeClock clock;
+  AdviceDesk desk(clock);
+  desk.SetMembers({"a"});
+  desk.Ask(Ask("heavy", 2, Millis(500)));
+  desk.Ask(Ask("urgent", 0, Millis(20)));
+  BOOST_TEST(desk.NextCall()->ask.step == "urgent");
+}
+
+BOOST_AUTO_TEST_CASE(CallsAgainWhenAMemberIsDone) {
+  chivedale::testing::FakeClock clock;
+  AdviceDesk desk(clock);
+  desk.SetMembers({"a"});
+  desk.Ask(Ask("one", 0, Millis(500)));
+  desk.Ask(Ask("two", 0, Millis(500)));
+  const auto first = desk.NextCall();
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(!desk.NextCall().has_value());
+  desk.OnAnswer(first->ask.id);
+  BOOST_TEST(desk.NextCall()->ask.step == "two");
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsMembersThatAreGone) {
+  chivedale::testing::FakeClock clock;
+  AdviceDesk desk(clock);
+  desk.SetMembers({"a"});
+  desk.SetMembers({});
+  desk.Ask(Ask("one", 0, Millis(20)));
+  BOOST_TEST(!desk.NextCall().has_value());
+  desk.SetMembers({"b"});
+  BOOST_TEST(desk.NextCall()->member == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
--- a/cell/types.h
+++ b/cell/types.h
@@ -91,6 +91,14 @@
   const PoolPolicy* FindPool(std::string_view name) const;
 };
 
+// VMs that are due for upkeep, a few at a time.
+struct UpkeepWave {
+  int64_t number = 0;
+  std::vector<std::string> vms;
+  Millis deadline{0};  // from its announcement
+  int max_at_once = 1;
+};
+
 // JOB.OCCURRENCE.STEP.INDEX
 struct TaskName {
   JobId job;
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -375,7 +375,7 @@
   uint64_t call = 0;
   std::string address;  // to answer to
   std::string job;
-  Body record;          // null: cancel the job
+  Body record;  // null: cancel the job
   Millis patience{0};
 };
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -169,12 +169,7 @@
                  m.overloaded,
                  m.validity,
                  m.good);
-CHIVEDALE_FIELDS(JobStoreCall,
-                 m.call,
-                 m.address,
-                 m.job,
-                 m.record,
-                 m.patience);
+CHIVEDALE_FIELDS(JobStoreCall, m.call, m.address, m.job, m.record, m.patience);
 CHIVEDALE_FIELDS(JobStoreAnswer, m.call, m.result);
 
 #undef CHIVEDALE_FIELDS
