An executor is suspect only while several runs say so and none ends

Ruled out: waiting for room (half start within 29 ms, 99 of 100 within 420 ms). Change: a run counts against others of its step, or once a job; and nothing may have ended there for 1.2 s.

--- a/cell/executor_health.cc
+++ b/cell/executor_health.cc
@@ -12,11 +12,13 @@
 constexpr double kMaxRatio = 4.0;
 // Each run that is overdue now adds as much to the expected time.
 constexpr double kOverdueFactor = 1.0;
-// So many overdue runs at once are not chance: one task in thirty runs long.
-constexpr int kSuspectOverdue = 2;
+// One task in thirty runs long, so one in five of those at work at a time: more
+// than one must be overdue, and none have ended for a while.
+constexpr int kSuspectSignals = 2;
+constexpr Duration kStandstill = std::chrono::milliseconds(1'200);
 // With one overdue run, an executor that was slow before is suspect too.
 constexpr double kSuspectSlowness = 1.8;
-constexpr int kSuspectSamples = 2;
+constexpr int kSuspectSamples = 4;
 // After so many failures in a row the executor is left alone.
 constexpr int kFailuresToAvoid = 2;
 constexpr Duration kFirstAvoid = std::chrono::milliseconds(1'500);
@@ -24,7 +26,8 @@
 
 }  // namespace
 
-void ExecutorHealth::OnDone(Duration took, Duration declared) {
+void ExecutorHealth::OnDone(Duration took, Duration declared, TimePoint now) {
+  last_done_ = now;
   failures_in_row_ = 0;
   avoid_for_ = Duration(0);
   failing_ -= kFailingWeight * failing_;
@@ -53,11 +56,15 @@
   avoid_until_ = std::max(avoid_until_, until);
 }
 
-void ExecutorHealth::SetOverdue(int overdue, int runs) {
+void ExecutorHealth::SetOverdue(int overdue,
+                                int signals,
+                                int runs,
+                                TimePoint now) {
   overdue_ = overdue;
-  suspect_ = (overdue >= kSuspectOverdue && 2 * overdue >= runs) ||
-             (overdue >= 1 && slowness_ > kSuspectSlowness &&
-              samples_ >= kSuspectSamples);
+  suspect_ = now - last_done_ > kStandstill &&
+             ((signals >= kSuspectSignals && 2 * overdue >= runs) ||
+              (signals >= 1 && slowness_ > kSuspectSlowness &&
+               samples_ >= kSuspectSamples));
 }
 
 double ExecutorHealth::TimeFactor() const {
--- a/cell/executor_health.h
+++ b/cell/executor_health.h
@@ -3,9 +3,9 @@
 // not asked: it may be false either way.
 //
 //   ExecutorHealth health;
-//   health.OnDone(took, declared);
+//   health.OnDone(took, declared, now);
 //   if (health.OnFailed(now)) ...        // it is left alone for a while
-//   health.SetOverdue(count, runs);
+//   health.SetOverdue(count, signals, runs, now);
 //   double cost = health.TimeFactor();   // 1: as declared
 #ifndef CELL_EXECUTOR_HEALTH_H_
 #define CELL_EXECUTOR_HEALTH_H_
@@ -18,12 +18,14 @@
  public:
   // Commands.
   // A run ended well; `declared` is zero when it is not known.
-  void OnDone(Duration took, Duration declared);
+  void OnDone(Duration took, Duration declared, TimePoint now);
   // A run failed. True when the executor is to be left alone from now on.
   bool OnFailed(TimePoint now);
   void AvoidUntil(TimePoint until);
-  // Runs that take much longer than declared now, of all that run.
-  void SetOverdue(int overdue, int runs);
+  // Runs that take much longer than they should now, how many of them say
+  // something of the executor (the tasks of one job may all be declared too
+  // short), and all that run.
+  void SetOverdue(int overdue, int signals, int runs, TimePoint now);
 
   // Queries.
   bool avoided(TimePoint now) const { return avoid_until_ > now; }
@@ -31,8 +33,8 @@
   double TimeFactor() const;
   // Share of runs that fail, smoothed.
   double failing() const { return failing_; }
-  // Several runs at once take too long: the executor is slow or hangs, not one
-  // task.
+  // Several runs take too long and none ends: the executor is slow or hangs,
+  // not one task or job.
   bool suspect() const { return suspect_; }
 
  private:
@@ -42,6 +44,7 @@
   int failures_in_row_ = 0;
   int overdue_ = 0;
   bool suspect_ = false;
+  TimePoint last_done_{};
   TimePoint avoid_until_{};
   Duration avoid_for_{0};
 };
--- a/cell/job.h
+++ b/cell/job.h
@@ -91,6 +91,9 @@
   std::map<ExecutorId, int> live_on;  // live runs by executor
   // By when the job should be done for its objective; set by the leader.
   TimePoint objective{};
+  // Run times of its tasks that are done, against the declared one.
+  double ratio_sum = 0;
+  int ratio_count = 0;
   int64_t gang_run = 0;  // latest run of a gang
   StepAdvice advice;
   TimePoint ready_since{};  // when its turn came
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -421,8 +421,13 @@
   }
   if (end.end == RunEnd::kDone) {
     // A resumed run is shorter than declared.
-    executor.health.OnDone(task.checkpoint.empty() ? took : Duration(0),
-                           step->spec->estimate);
+    const Duration whole = task.checkpoint.empty() ? took : Duration(0);
+    executor.health.OnDone(whole, step->spec->estimate, now);
+    if (whole > Duration(0) && step->spec->estimate > Millis(0)) {
+      step->ratio_sum += std::chrono::duration<double>(whole) /
+                         std::chrono::duration<double>(step->spec->estimate);
+      ++step->ratio_count;
+    }
     if (job.OnDone(*step, name->index)) {
       MarkDirty(job);
       StopCopies(*step, name->index);
--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -18,6 +18,12 @@
 // Between two looks at an executor's entry.
 constexpr Millis kEntryInterval{900};
 
+// Enough tasks of the step are done to say how long they take.
+constexpr int kKnownRunTimes = 2;
+bool KnowsRunTime(const Step& step) {
+  return step.ratio_count >= kKnownRunTimes;
+}
+
 }  // namespace
 
 void CellLeader::CheckSilent(Executor& executor) {
@@ -33,11 +39,17 @@
 void CellLeader::CheckOverdue(Executor& executor) {
   const TimePoint now = context_.clock.Now();
   const auto over = [&](const Run& run, double ratio) {
+    const Step& step = *run.step;
+    const double usual =
+        KnowsRunTime(step) ? std::max(1.0, step.ratio_sum / step.ratio_count)
+                           : 1.0;
     const auto allowed = std::chrono::duration_cast<Duration>(
-        run.step->spec->estimate * ratio + kOverdueSlack);
+        step.spec->estimate * (usual * ratio) + kOverdueSlack);
     return now - run.confirmed > allowed;
   };
   int overdue = 0;
+  int signals = 0;
+  std::set<const Job*> jobs;
   int runs = 0;
   for (const auto& [name, run] : executor.runs()) {
     if (run.step == nullptr || run.phase != RunPhase::kAtWork ||
@@ -45,9 +57,15 @@
       continue;
     }
     ++runs;
-    overdue += over(run, kOverdueRatio) ? 1 : 0;
+    if (over(run, kOverdueRatio)) {
+      ++overdue;
+      // Against others of its step it counts by itself.
+      if (KnowsRunTime(*run.step) || jobs.insert(run.step->job).second) {
+        ++signals;
+      }
+    }
   }
-  executor.health.SetOverdue(overdue, runs);
+  executor.health.SetOverdue(overdue, signals, runs, now);
   if (runs == 0) {
     return;
   }
--- a/cell/testing/placer_test.cc
+++ b/cell/testing/placer_test.cc
@@ -149,7 +149,7 @@
 
 BOOST_AUTO_TEST_CASE(PrefersOthersAsSoonAsRunsAreOverdue) {
   Fleet fleet(2);
-  fleet.executors[0]->health.SetOverdue(2, 2);
+  fleet.executors[0]->health.SetOverdue(2, 2, 2, fleet.clock.Now());
   const auto placed = fleet.Place(fleet.Open(Tasks(2, 1'000)));
   BOOST_TEST(placed == (std::vector<std::string>{"e1", "e1"}),
              boost::test_tools::per_element());
@@ -157,9 +157,29 @@
 }
 
 BOOST_AUTO_TEST_CASE(DoesNotSuspectAnExecutorForOneLongTask) {
+  chivedale::testing::FakeClock clock;
+  ExecutorHealth health;
+  health.SetOverdue(1, 1, 4, clock.Now());
+  BOOST_TEST(!health.suspect());
+}
+
+// Found on a quiet day: 50 tasks were moved whose jobs were declared too short.
+BOOST_AUTO_TEST_CASE(DoesNotSuspectAnExecutorForTheTasksOfOneJob) {
+  chivedale::testing::FakeClock clock;
+  ExecutorHealth health;
+  health.SetOverdue(4, 1, 4, clock.Now());
+  BOOST_TEST(!health.suspect());
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotSuspectAnExecutorWhoseOtherRunsEnd) {
+  chivedale::testing::FakeClock clock;
   ExecutorHealth health;
-  health.SetOverdue(1, 4);
+  health.OnDone(Millis(600), Millis(600), clock.Now());
+  health.SetOverdue(2, 2, 4, clock.Now());
   BOOST_TEST(!health.suspect());
+  clock.Advance(Millis(2'000));
+  health.SetOverdue(2, 2, 4, clock.Now());
+  BOOST_TEST(health.suspect());
 }
 
 BOOST_AUTO_TEST_CASE(LeavesOneThatFailsInARowAloneForLongerEachTime) {
@@ -173,7 +193,7 @@
   health.OnFailed(clock.Now());
   clock.Advance(Millis(1'600));
   BOOST_TEST(health.avoided(clock.Now()));
-  health.OnDone(Millis(600), Millis(600));
+  health.OnDone(Millis(600), Millis(600), clock.Now());
   BOOST_TEST(!health.OnFailed(clock.Now()));
 }
 
