--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -40,9 +40,9 @@
   const TimePoint now = context_.clock.Now();
   const auto over = [&](const Run& run, double ratio) {
     const Step& step = *run.step;
-    const double usual =
-        KnowsRunTime(step) ? std::max(1.0, step.ratio_sum / step.ratio_count)
-                           : 1.0;
+    const double usual = KnowsRunTime(step)
+                             ? std::max(1.0, step.ratio_sum / step.ratio_count)
+                             : 1.0;
     const auto allowed = std::chrono::duration_cast<Duration>(
         step.spec->estimate * (usual * ratio) + kOverdueSlack);
     return now - run.confirmed > allowed;
