A leader that hears the store a moment later than others is not replaced; lint

Change: the store must answer a member and not the leader for 350 ms. StaysWhenTheStoreComesBackForOthersFirst failed first.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -223,7 +223,8 @@
 }
 
 void Job::UpdateReady(TimePoint now) {
-  for (auto& [number, occurrence] : open_) {
+  for (auto& entry : open_) {
+    Occurrence& occurrence = entry.second;
     for (Step& step : occurrence.steps) {
       if (step.ready) {
         continue;
--- a/cell/job.h
+++ b/cell/job.h
@@ -63,8 +63,8 @@
 class StepAdvice {
  public:
   const ExecutorAdvice& Of(size_t executor) const {
-    static const ExecutorAdvice kNone;
-    return executor < entries_.size() ? entries_[executor] : kNone;
+    static const ExecutorAdvice none;
+    return executor < entries_.size() ? entries_[executor] : none;
   }
   ExecutorAdvice& At(size_t executor) {
     if (executor >= entries_.size()) {
--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -15,11 +15,8 @@
 
 }  // namespace
 
-JobIntake::JobIntake(const Clock& clock,
-                     EventLog& log,
-                     StorePort& store,
-                     Defer defer)
-    : clock_(clock), log_(log), store_(store), defer_(std::move(defer)) {}
+JobIntake::JobIntake(const Clock& clock, StorePort& store, Defer defer)
+    : clock_(clock), store_(store), defer_(std::move(defer)) {}
 
 JobIntake::~JobIntake() = default;
 
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -1,7 +1,7 @@
 // Stores submitted jobs and cancels. What arrives while one write is under way
 // shares the next one, so writes follow time and not the number of jobs.
 //
-//   JobIntake intake(clock, log, store, defer);
+//   JobIntake intake(clock, store, defer);
 //   intake.Submit(id, EncodeJobRecord(record), deadline, [](SubmitResult r) {
 //   ... });
 //
@@ -21,7 +21,6 @@
 #include "cell/leader.h"
 #include "cell/ports.h"
 #include "cell/types.h"
-#include "chivedale/event_log.h"
 
 namespace chivedale::cell {
 
@@ -37,7 +36,7 @@
   using OnSubmit = std::function<void(SubmitResult)>;
   using OnCancel = std::function<void(CancelResult)>;
 
-  JobIntake(const Clock& clock, EventLog& log, StorePort& store, Defer defer);
+  JobIntake(const Clock& clock, StorePort& store, Defer defer);
   ~JobIntake();
 
   // Commands.
@@ -78,7 +77,6 @@
   }
 
   const Clock& clock_;
-  EventLog& log_;
   StorePort& store_;
   const Defer defer_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -174,7 +174,7 @@
   void StoreExecutors();
   void OnExecutorsStored(const StoreWriteReply& reply,
                          const std::vector<ExecutorId>& ids);
-  void LoadKnownExecutors(std::function<void()> done);
+  void LoadKnownExecutors(const std::function<void()>& done);
   void HoldDue();
   void Hold(Executor& executor);
   void OnHold(const ExecutorId& id,
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -48,7 +48,7 @@
 
 }  // namespace
 
-void CellLeader::LoadKnownExecutors(std::function<void()> done) {
+void CellLeader::LoadKnownExecutors(const std::function<void()>& done) {
   context_.store.Read(
       kExecutorsKey, kExecutorsWrite,
       Guard([this, done](const StoreRead& read) {
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -32,6 +32,8 @@
 constexpr Millis kLeaderHeard{700};
 // Without both, callers are better served by other VMs.
 constexpr Millis kNotReadyAfter{700};
+// Two beats of the leader.
+constexpr Millis kLeaderStoreless{350};
 // After a pause orders wait for the store's word, but not for long: the
 // executors refuse what is stale.
 constexpr Millis kVerifyPatience{600};
@@ -55,7 +57,7 @@
     : context_(context),
       options_(options),
       store_(context.clock, context.log, context.store),
-      intake_(context.clock, context.log, store_, context.defer),
+      intake_(context.clock, store_, context.defer),
       table_(std::make_shared<QueueTable>()) {
   LeaderRecord self;
   self.node = options_.node;
@@ -245,6 +247,7 @@
 void CellNode::OnNotLeading(const std::string& reason) {
   context_.log.Write(Event::kCellNotLeading, {{"reason", reason}});
   leader_.reset();
+  leader_storeless_since_ = TimePoint();
   advice_waits_.clear();
 }
 
@@ -388,6 +391,8 @@
     election_->Suspect("it gives way", false);
   } else if (!beat.store_ok) {
     CheckStoreForLeader();
+  } else {
+    leader_storeless_since_ = TimePoint();
   }
 }
 
@@ -401,9 +406,13 @@
                 if (read.status != StoreStatus::kOk) {
                   return;
                 }
-                const int64_t before = election_->revision();
                 TakeCellItem(read.items[0]);
-                if (election_->revision() == before) {
+                // When the store comes back, some member hears it first: a
+                // leader that hears it a moment later is not replaced.
+                const TimePoint now = context_.clock.Now();
+                if (leader_storeless_since_ == TimePoint()) {
+                  leader_storeless_since_ = now;
+                } else if (now - leader_storeless_since_ > kLeaderStoreless) {
                   election_->Suspect("the store does not answer it", false);
                 }
               }));
--- a/cell/node.h
+++ b/cell/node.h
@@ -178,6 +178,8 @@
   bool checking_store_ = false;
   TimePoint leader_heard_{};      // the last beat of the leader
   bool leader_store_ok_ = false;  // as it said then
+  // Since when the store answers this member and not the leader.
+  TimePoint leader_storeless_since_{};
   TimePoint led_since_{};
   TimePoint next_beat_{};
   TimePoint next_expiry_{};
--- a/cell/settings.cc
+++ b/cell/settings.cc
@@ -30,7 +30,7 @@
 }
 
 std::string Address(const std::string& key, const json& value) {
-  const std::string text = Text(key, value);
+  std::string text = Text(key, value);
   if (!util::ParseIpPort(text)) {
     Bad(key, "'" + text + "' is not IP:port");
   }
--- a/cell/testing/cell_history_test.cc
+++ b/cell/testing/cell_history_test.cc
@@ -15,7 +15,7 @@
 using testing::FakeCell;
 
 constexpr char kPool[] = "pool";
-const std::vector<std::string> kNodes = {"a", "b", "c"};
+const std::vector<std::string> node_names = {"a", "b", "c"};
 
 QueuePolicy UrgentQueue() {
   QueuePolicy queue;
@@ -74,7 +74,7 @@
 }
 
 std::string Name(util::Random& random) {
-  return kNodes[random.Below(kNodes.size())];
+  return node_names[random.Below(node_names.size())];
 }
 
 // One fault; each heals by itself.
@@ -150,7 +150,7 @@
       testing::LinkFaults late;
       late.late_orders = 0.15;
       late.lost_answers = 0.15;
-      for (const std::string& member : kNodes) {
+      for (const std::string& member : node_names) {
         cell.executors.member_links[member] = late;
       }
       cell.loop.After(heal_after,
@@ -159,7 +159,7 @@
     }
     default:
       // All lose power at once.
-      for (const std::string& member : kNodes) {
+      for (const std::string& member : node_names) {
         cell.Kill(member);
         cell.loop.After(heal_after, [&cell, member] { cell.Restart(member); });
       }
@@ -183,7 +183,7 @@
         return random.Below(25) == 0;
       };
     }
-    for (const std::string& name : kNodes) {
+    for (const std::string& name : node_names) {
       cell.AddNode(name);
     }
     cell.AddExecutors(kPool, 8, {32'000, 64'000, 0, 0});
--- a/cell/testing/cell_settings_test.cc
+++ b/cell/testing/cell_settings_test.cc
@@ -30,7 +30,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(NameWhatIsWrong) {
-  const std::pair<const char*, const char*> kCases[] = {
+  const std::pair<const char*, const char*> cases[] = {
       {"", "JSON"},
       {"{}", "vm_id"},
       {R"({"vm_idd":"x"})", "vm_idd"},
@@ -41,7 +41,7 @@
       {R"({"far_factor":0.5})", "far_factor"},
       {R"({"seeds":"x"})", "seeds"},
   };
-  for (const auto& [text, key] : kCases) {
+  for (const auto& [text, key] : cases) {
     try {
       ParseCellSettings(text);
       BOOST_ERROR(std::string("accepted: ") + text);
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -217,6 +217,22 @@
   BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
 }
 
+// Found in an incident of caminho-agua: the member that heard the store first
+// replaced a sound leader.
+BOOST_AUTO_TEST_CASE(StaysWhenTheStoreComesBackForOthersFirst) {
+  Cell cell;
+  const std::string before = cell.LeaderName();
+  cell.store.faults.refuses = true;
+  cell.RunFor(Millis(3'000));
+  cell.store.faults_of[before].refuses = true;
+  cell.store.faults = testing::StoreFaults();
+  cell.RunFor(Millis(250));
+  cell.store.faults_of.clear();
+  cell.RunFor(Millis(1'000));
+  BOOST_TEST(cell.LeaderName() == before);
+  BOOST_TEST(cell.node(before)->leader()->leadership().term == 1);
+}
+
 BOOST_AUTO_TEST_CASE(GivesWayToAMuchStrongerMember) {
   FakeCell cell(3);
   cell.AddNode("weak", 0.12);
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -17,8 +17,10 @@
   if (lines_.size() < kKeptLines) {
     const auto ms = std::chrono::duration_cast<Millis>(
         clock_.Now().time_since_epoch() - std::chrono::hours(1));
-    lines_.push_back(std::to_string(ms.count()) + " " +
-                     FormatEvent(event, fields));
+    std::string line = std::to_string(ms.count());
+    line += ' ';
+    line += FormatEvent(event, fields);
+    lines_.push_back(std::move(line));
   }
 }
 
@@ -26,7 +28,8 @@
   std::string found;
   for (const std::string& line : lines_) {
     if (line.find(text) != std::string::npos) {
-      found += line + "\n";
+      found += line;
+      found += '\n';
     }
   }
   return found;
@@ -155,7 +158,8 @@
           }
         });
       },
-      [this](int64_t wave, bool completed, std::function<void(bool)> done) {
+      [this](int64_t wave, bool completed,
+             const std::function<void(bool)>& done) {
         wave_status[wave] = completed;
         loop.After(Millis(2), [done] { done(true); });
       },
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -58,8 +58,8 @@
   template <typename Act>
   void Order(const std::string& address,
              const ExecutorId& id,
-             OnOrder done,
-             Act act) {
+             const OnOrder& done,
+             const Act& act) {
     const LinkFaults link = all_.LinkOf(member_, id);
     if (link.cut || all_.At(address, id) == nullptr) {
       all_.loop_.After(kCallTimeout, [done] { done({}); });
@@ -297,7 +297,10 @@
   if (!spec->copies_allowed) {
     for (const auto& [id, other] : states_) {
       if (other.up && id != state.entry.id && other.runs.count(text) > 0) {
-        Break("at work in two places: " + where + " and on " + id);
+        std::string what = "at work in two places: " + where;
+        what += " and on ";
+        what += id;
+        Break(what);
       }
     }
     if (done_stored_.count(text) > 0) {
--- a/cell/testing/leader_bench_main.cc
+++ b/cell/testing/leader_bench_main.cc
@@ -78,7 +78,7 @@
   int job = 0;
   for (int i = 0; i < jobs_per_second * seconds; ++i) {
     std::string id = std::to_string(++job);
-    id = std::string(16 - id.size(), '0') + id;
+    id.insert(0, 16 - id.size(), '0');
     if (i % 20 == 0) {
       cell.Submit("a", id, HeavyJob(), "heavy");
     } else {
--- a/cell/testing/placer_test.cc
+++ b/cell/testing/placer_test.cc
@@ -16,6 +16,8 @@
 
 struct Fleet {
   explicit Fleet(int count, Resources size = {32'000, 64'000, 0, 0}) {
+    all.reserve(static_cast<size_t>(count));
+    executors.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
       ExecutorEntry entry;
       entry.id = "e" + std::to_string(i);
@@ -37,6 +39,7 @@
   // The executors that the step's tasks are started on.
   std::vector<std::string> Place(Step& step) {
     std::vector<int> tasks;
+    tasks.reserve(static_cast<size_t>(step.spec->count));
     for (int i = 0; i < step.spec->count; ++i) {
       tasks.push_back(i);
     }
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -299,6 +299,14 @@
   void operator()(const Hold& m) { parts_.owner.OnHold(from_, m); }
   void operator()(const HoldReply& m) { parts_.jobs.OnHoldReply(from_, m); }
   void operator()(const HoldRelease& m) { parts_.owner.OnHoldRelease(m); }
+  // Messages of a cell of another kind (cell/); none is meant for this daemon.
+  void operator()(const CellBeat&) {}
+  void operator()(const JobStateCall&) {}
+  void operator()(const JobStateAnswer&) {}
+  void operator()(const AdviceCall&) {}
+  void operator()(const AdviceAnswer&) {}
+  void operator()(const JobStoreCall&) {}
+  void operator()(const JobStoreAnswer&) {}
   void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
   void operator()(const JobQuery& m) { parts_.owner.OnJobQuery(m); }
   void operator()(const JobQueryReply& m) {
