Split the leader's advice and the members' calls into files of their own; a leader without the store asks it at each beat

Cause: a waiting watch tells that the store is back only when it ends, so a leader said for up to 1.2 s after an outage that the store does not answer it, and was replaced (5.53 s in StaysWhenTheStoreComesBackForOthersFirst, which the move of code brought to light).

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -232,6 +232,16 @@
   bool MayTake(const Step& step, int task) const;
   Duration PatienceOf(const WaveState& state) const;
 
+  // leader_advice.cc
+  // Those of `eligible` that advice lets run the step now.
+  std::vector<Executor*> Advised(Step& step,
+                                 const std::vector<Executor*>& eligible);
+  void AskAdvice(Step& step, const std::vector<Executor*>& executors);
+  void OnAdvice(const TaskName& step,
+                const std::vector<ExecutorId>& asked,
+                const AdviceReply& reply);
+  void PumpAdvice();
+
   // leader_starts.cc: the pass that starts tasks.
   void RequestPass();
   void Pass();
@@ -252,14 +262,6 @@
   PoolRoom& RoomOf(const std::string& pool);
   static void UpdateMostFree(PoolRoom& pool);
   std::vector<Executor*> EligibleFor(const Step& step, const PoolRoom& pool);
-  // Those of `eligible` that advice lets run the step now.
-  std::vector<Executor*> Advised(Step& step,
-                                 const std::vector<Executor*>& eligible);
-  void AskAdvice(Step& step, const std::vector<Executor*>& executors);
-  void OnAdvice(const TaskName& step,
-                const std::vector<ExecutorId>& asked,
-                const AdviceReply& reply);
-  void PumpAdvice();
   void Preempt(Step& step, const std::vector<Executor*>& candidates);
   void Start(Executor& executor, Step& step, int task, int64_t number);
   void OnStarted(const ExecutorId& id,
--- /dev/null
+++ b/cell/leader_advice.cc
@@ -0,0 +1,137 @@
+// Advice says which executors may run a step and gives a ticket for each. The
+// answer of an executor does not change, but its ticket runs out, so tickets
+// are renewed while a step waits and the members have time for it.
+#include <algorithm>
+#include <utility>
+
+#include "cell/leader.h"
+
+namespace chivedale::cell {
+namespace {
+
+// A ticket must hold at least this long for the start to arrive in time.
+constexpr Millis kTicketMargin{80};
+// Expected way to the service and back, beside the time the call itself takes.
+constexpr Millis kAdviceSlack{40};
+constexpr size_t kMaxNamed = 100;
+constexpr Millis kAdviceRetry{150};
+
+}  // namespace
+
+std::vector<Executor*> CellLeader::Advised(
+    Step& step,
+    const std::vector<Executor*>& eligible) {
+  const QueuePolicy& policy = PolicyOf(*step.job);
+  if (!policy.advice) {
+    return eligible;
+  }
+  using Kind = ExecutorAdvice::Kind;
+  const TimePoint now = context_.clock.Now();
+  const Resources size = RoomFor(*step.spec);
+  const Duration refresh_before = policy.advice->decision + kAdviceSlack;
+  std::vector<Executor*> usable;
+  std::vector<Executor*> named;
+  bool room_expired = false;
+  for (Executor* executor : eligible) {
+    const ExecutorAdvice& advice = step.advice.Of(executor->number);
+    if (advice.kind != Kind::kGood) {
+      // What an earlier answer did not name is asked for along with the rest.
+      if (advice.kind == Kind::kUnknown) {
+        named.push_back(executor);
+      }
+      continue;
+    }
+    const Duration left = advice.expires - now;
+    if (left > kTicketMargin) {
+      usable.push_back(executor);
+    } else if (size.FitsIn(executor->Free())) {
+      room_expired = true;
+    }
+    if (left < refresh_before + kTicketMargin) {
+      named.push_back(executor);
+    }
+  }
+  if (step.advice.asked || now < step.advice.ask_again) {
+    return usable;
+  }
+  const bool idle_desk = desk_.waiting() == 0;
+  if (!step.advice.answered || room_expired || idle_desk) {
+    AskAdvice(step, named);
+  }
+  return usable;
+}
+
+void CellLeader::AskAdvice(Step& step,
+                           const std::vector<Executor*>& executors) {
+  if (executors.empty()) {
+    return;
+  }
+  const AdvicePolicy& policy = *PolicyOf(*step.job).advice;
+  AdviceAsk ask;
+  ask.step = step.NameOf(0).StepText();
+  ask.priority = PolicyOf(*step.job).priority;
+  ask.objective = step.objective;
+  for (const Executor* executor : executors) {
+    if (ask.executors.size() < kMaxNamed) {
+      ask.executors.push_back(executor->entry.id);
+    }
+  }
+  ask.takes = policy.decision +
+              policy.each * static_cast<int64_t>(ask.executors.size());
+  step.advice.asked = true;
+  desk_.Ask(std::move(ask));
+}
+
+void CellLeader::PumpAdvice() {
+  while (auto call = desk_.NextCall()) {
+    ++counts_.advice;
+    const std::optional<TaskName> name = TaskName::Parse(call->ask.step + ".0");
+    context_.ask_member(
+        call->member, call->ask,
+        Guard([this, id = call->ask.id, name = *name,
+               asked = call->ask.executors](const AdviceReply& reply) {
+          desk_.OnAnswer(id);
+          OnAdvice(name, asked, reply);
+          PumpAdvice();
+        }));
+  }
+}
+
+void CellLeader::OnAdvice(const TaskName& name,
+                          const std::vector<ExecutorId>& asked,
+                          const AdviceReply& reply) {
+  Step* step = StepOf(name);
+  if (step == nullptr) {
+    return;
+  }
+  const TimePoint now = context_.clock.Now();
+  StepAdvice& advice = step->advice;
+  advice.asked = false;
+  if (!reply.answered) {
+    advice.ask_again = now + kAdviceRetry;
+    context_.log.Write(Event::kAdviceFailed,
+                       {{"step", name.StepText()},
+                        {"overloaded", reply.overloaded ? "yes" : "no"}});
+    RequestPass();
+    return;
+  }
+  advice.answered = true;
+  for (const ExecutorId& id : asked) {
+    if (const Executor* executor = FindExecutor(id)) {
+      advice.At(executor->number).kind = ExecutorAdvice::Kind::kBad;
+    }
+  }
+  for (const auto& [id, ticket] : reply.good) {
+    if (const Executor* executor = FindExecutor(id)) {
+      advice.At(executor->number) = {ExecutorAdvice::Kind::kGood, ticket,
+                                     now + reply.validity - kAdviceSlack};
+    }
+  }
+  context_.log.Write(Event::kAdviceReceived,
+                     {{"step", name.StepText()},
+                      {"asked", std::to_string(asked.size())},
+                      {"good", std::to_string(reply.good.size())}});
+  RequestPass();
+}
+
+}  // namespace chivedale::cell
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -20,16 +20,9 @@
 constexpr Millis kBeat{200};
 // A member is asked for advice while it was heard within several beats.
 constexpr Millis kMemberAlive{1'000};
-// The leader answers within a few milliseconds; beyond this the store is asked.
-constexpr Millis kStatePatience{300};
 constexpr Millis kExpiryInterval{50};
-// Beyond the time that the advice service takes.
-constexpr Millis kAdviceSlack{1'200};
 // A leader that the store does not answer for so long looks for a successor.
 constexpr Millis kStoreFailing{350};
-// Then the leader stores for this member, if it can.
-constexpr Millis kForwardAfter{150};
-constexpr Millis kLeaderHeard{700};
 // Without both, callers are better served by other VMs.
 constexpr Millis kNotReadyAfter{700};
 // Two beats of the leader.
@@ -345,6 +338,7 @@
   const CellBeat beat = MakeBeat();
   next_beat_ = context_.clock.Now() + kBeat;
   if (leader_ != nullptr) {
+    ProbeStore();
     for (const auto& [node, member] : members_) {
       context_.peers.SendToAddress(member.address, beat);
     }
@@ -360,6 +354,20 @@
   }
 }
 
+// A waiting watch does not tell that the store is back before it ends.
+void CellNode::ProbeStore() {
+  if (store_.failing_for() == Duration(0) || probing_store_) {
+    return;
+  }
+  probing_store_ = true;
+  store_.Read(kLeaderKey, kBeat, Guard([this](const StoreRead& read) {
+                probing_store_ = false;
+                if (read.status == StoreStatus::kOk) {
+                  TakeCellItem(read.items[0]);
+                }
+              }));
+}
+
 void CellNode::OnBeat(const CellBeat& beat) {
   const auto member = members_.find(beat.node);
   if (member != members_.end()) {
@@ -462,46 +470,6 @@
   }
 }
 
-void CellNode::ExpireCalls() {
-  const TimePoint now = context_.clock.Now();
-  std::vector<StateWait> late;
-  for (auto it = state_waits_.begin(); it != state_waits_.end();) {
-    if (it->second.fallback_at <= now) {
-      late.push_back(std::move(it->second));
-      it = state_waits_.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  for (StateWait& wait : late) {
-    FindInStore(wait.job, wait.deadline, std::move(wait.done));
-  }
-  std::vector<std::function<void(JobStoreResult)>> unstored;
-  for (auto it = store_waits_.begin(); it != store_waits_.end();) {
-    if (it->second.deadline <= now) {
-      unstored.push_back(std::move(it->second.done));
-      it = store_waits_.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  for (const auto& done : unstored) {
-    done(JobStoreResult::kUnknown);
-  }
-  std::vector<AdvicePort::OnAdvice> unanswered;
-  for (auto it = advice_waits_.begin(); it != advice_waits_.end();) {
-    if (it->second.deadline <= now) {
-      unanswered.push_back(std::move(it->second.done));
-      it = advice_waits_.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  for (const auto& done : unanswered) {
-    done(AdviceReply());
-  }
-}
-
 void CellNode::OnTable(std::shared_ptr<const QueueTable> table) {
   if (table->version <= table_->version) {
     return;
@@ -530,63 +498,6 @@
           LeaderShouldStore());
 }
 
-bool CellNode::LeaderShouldStore() const {
-  const auto& leader = election_->leader();
-  return leader_ == nullptr && leader && leader->node != options_.node &&
-         store_.failing_for() > kForwardAfter && leader_store_ok_ &&
-         context_.clock.Now() - leader_heard_ < kLeaderHeard;
-}
-
-void CellNode::StoreAtLeader(const JobId& id,
-                             Body record,
-                             TimePoint deadline,
-                             std::function<void(JobStoreResult)> done) {
-  JobStoreCall call;
-  call.call = next_call_++;
-  call.address = options_.address;
-  call.job = id;
-  call.record = std::move(record);
-  call.patience =
-      std::chrono::duration_cast<Millis>(deadline - context_.clock.Now());
-  store_waits_[call.call] = {deadline, std::move(done)};
-  context_.peers.SendToAddress(election_->leader()->address, call);
-}
-
-void CellNode::OnStoreCall(const JobStoreCall& call) {
-  const TimePoint deadline = context_.clock.Now() + call.patience;
-  const auto answer = [this, id = call.call,
-                       address = call.address](JobStoreResult result) {
-    JobStoreAnswer message;
-    message.call = id;
-    message.result = result;
-    context_.peers.SendToAddress(address, message);
-  };
-  if (call.record == nullptr) {
-    intake_.Cancel(call.job, deadline, [answer](CancelResult result) {
-      answer(result == CancelResult::kCancelled   ? JobStoreResult::kStored
-             : result == CancelResult::kNoSuchJob ? JobStoreResult::kNoSuchJob
-                                                  : JobStoreResult::kUnknown);
-    });
-    return;
-  }
-  intake_.Submit(
-      call.job, *call.record, deadline, [answer](SubmitResult result) {
-        answer(result == SubmitResult::kAccepted    ? JobStoreResult::kStored
-               : result == SubmitResult::kNotStored ? JobStoreResult::kNotStored
-                                                    : JobStoreResult::kUnknown);
-      });
-}
-
-void CellNode::OnStoreAnswer(const JobStoreAnswer& answer) {
-  const auto found = store_waits_.find(answer.call);
-  if (found == store_waits_.end()) {
-    return;
-  }
-  const auto done = std::move(found->second.done);
-  store_waits_.erase(found);
-  done(answer.result);
-}
-
 int64_t CellNode::Pending(const std::string& queue) const {
   const auto found = pending_.find(queue);
   return found == pending_.end() ? 0 : found->second;
@@ -645,159 +556,6 @@
       });
 }
 
-void CellNode::FindJob(const JobId& id, TimePoint deadline, OnJob done) {
-  if (leader_ != nullptr && leader_->loaded()) {
-    if (const auto state = leader_->Find(id)) {
-      done({JobAnswer::Kind::kFound, *state});
-      return;
-    }
-    FindInStore(id, deadline, std::move(done));
-    return;
-  }
-  const auto& leader = election_->leader();
-  if (!leader || leader->node == options_.node) {
-    FindInStore(id, deadline, std::move(done));
-    return;
-  }
-  JobStateCall call;
-  call.call = next_call_++;
-  call.address = options_.address;
-  call.job = id;
-  const TimePoint fallback = context_.clock.Now() + kStatePatience;
-  state_waits_[call.call] = {id, std::min(fallback, deadline), deadline,
-                             std::move(done)};
-  context_.peers.SendToAddress(leader->address, call);
-}
-
-void CellNode::OnStateCall(const JobStateCall& call) {
-  JobStateAnswer answer;
-  answer.call = call.call;
-  if (leader_ != nullptr && leader_->loaded()) {
-    answer.leading = true;
-    if (const auto state = leader_->Find(call.job)) {
-      answer.found = true;
-      answer.state = std::string(JobStateName(*state));
-    }
-  }
-  context_.peers.SendToAddress(call.address, answer);
-}
-
-void CellNode::OnStateAnswer(const JobStateAnswer& answer) {
-  const auto found = state_waits_.find(answer.call);
-  if (found == state_waits_.end()) {
-    return;
-  }
-  StateWait wait = std::move(found->second);
-  state_waits_.erase(found);
-  const auto state = ParseJobState(answer.state);
-  if (answer.leading && answer.found && state) {
-    wait.done({JobAnswer::Kind::kFound, *state});
-    return;
-  }
-  // A job accepted a moment ago may not have reached the leader.
-  FindInStore(wait.job, wait.deadline, std::move(wait.done));
-}
-
-// Without a leader the store's word counts: progress, then the job itself.
-void CellNode::FindInStore(const JobId& id, TimePoint deadline, OnJob done) {
-  const Duration left = deadline - context_.clock.Now();
-  const Millis timeout =
-      std::min(kCellTimeout,
-               std::max(Millis(1), std::chrono::duration_cast<Millis>(left)));
-  store_.List(
-      JobKey(id), timeout,
-      Guard([this, id, timeout, done = std::move(done)](const StoreRead& job) {
-        if (job.status != StoreStatus::kOk) {
-          done({JobAnswer::Kind::kUnavailable, JobState::kQueued});
-          return;
-        }
-        bool accepted = false;
-        bool cancelled = false;
-        for (const StoreItem& item : job.items) {
-          accepted = accepted || item.key == JobKey(id);
-          cancelled = cancelled || item.key == CancelKey(id);
-        }
-        if (!accepted) {
-          done({JobAnswer::Kind::kNoSuchJob, JobState::kQueued});
-          return;
-        }
-        store_.Read(
-            ProgressKey(id), timeout,
-            Guard([cancelled, done](const StoreRead& progress) {
-              if (progress.status != StoreStatus::kOk &&
-                  progress.status != StoreStatus::kNotFound) {
-                done({JobAnswer::Kind::kUnavailable, JobState::kQueued});
-                return;
-              }
-              JobState state =
-                  cancelled ? JobState::kCancelled : JobState::kQueued;
-              if (!progress.items.empty()) {
-                const JobState stored =
-                    StoredState(progress.items[0].value).value_or(state);
-                const bool over = stored == JobState::kCompleted ||
-                                  stored == JobState::kFailed;
-                state = over || !cancelled ? stored : state;
-              }
-              done({JobAnswer::Kind::kFound, state});
-            }));
-      }));
-}
-
-// ---- Advice.
-
-void CellNode::AskMemberForAdvice(const std::string& member,
-                                  const AdviceAsk& ask,
-                                  AdvicePort::OnAdvice done) {
-  const Millis timeout =
-      std::chrono::duration_cast<Millis>(ask.takes) + kAdviceSlack;
-  const auto found = members_.find(member);
-  if (member == options_.node || found == members_.end()) {
-    context_.advice.Ask(ask.step, ask.executors, timeout, std::move(done));
-    return;
-  }
-  AdviceCall call;
-  call.call = next_call_++;
-  call.address = options_.address;
-  call.step = ask.step;
-  call.executors = ask.executors;
-  call.timeout = timeout;
-  advice_waits_[call.call] = {context_.clock.Now() + timeout, std::move(done)};
-  context_.peers.SendToAddress(found->second.address, call);
-}
-
-void CellNode::OnAdviceCall(const AdviceCall& call) {
-  context_.advice.Ask(call.step, call.executors, call.timeout,
-                      Guard([this, id = call.call,
-                             address = call.address](const AdviceReply& reply) {
-                        AdviceAnswer answer;
-                        answer.call = id;
-                        answer.answered = reply.answered;
-                        answer.overloaded = reply.overloaded;
-                        answer.validity = reply.validity;
-                        for (const auto& [executor, ticket] : reply.good) {
-                          answer.good.push_back({executor, ticket});
-                        }
-                        context_.peers.SendToAddress(address, answer);
-                      }));
-}
-
-void CellNode::OnAdviceAnswer(const AdviceAnswer& answer) {
-  const auto found = advice_waits_.find(answer.call);
-  if (found == advice_waits_.end()) {
-    return;
-  }
-  const AdvicePort::OnAdvice done = std::move(found->second.done);
-  advice_waits_.erase(found);
-  AdviceReply reply;
-  reply.answered = answer.answered;
-  reply.overloaded = answer.overloaded;
-  reply.validity = answer.validity;
-  for (const AdviceTicket& row : answer.good) {
-    reply.good.emplace_back(row.executor, row.ticket);
-  }
-  done(reply);
-}
-
 namespace {
 
 // Passes each message of the cell to its handler; others are not ours.
--- a/cell/node.h
+++ b/cell/node.h
@@ -126,7 +126,16 @@
   void VerifyLeadership(TimePoint since);
   void SendBeats();
   void OnBeat(const CellBeat& beat);
+  void ProbeStore();
   void CheckStoreForLeader();
+  void UpdateAdvisers();
+  CellBeat MakeBeat() const;
+  // How long stronger members go first in an election.
+  Millis Deference() const;
+  // A much stronger member lives and should lead.
+  bool ShouldYield() const;
+
+  // node_calls.cc
   void OnStateCall(const JobStateCall& call);
   void OnStateAnswer(const JobStateAnswer& answer);
   // Whether the leader should store what this member's store calls can't.
@@ -143,13 +152,8 @@
                           const AdviceAsk& ask,
                           AdvicePort::OnAdvice done);
   void FindInStore(const JobId& id, TimePoint deadline, OnJob done);
-  void UpdateAdvisers();
   void ExpireCalls();
-  CellBeat MakeBeat() const;
-  // How long stronger members go first in an election.
-  Millis Deference() const;
-  // A much stronger member lives and should lead.
-  bool ShouldYield() const;
+
   template <typename F>
   auto Guard(F f) {
     return [alive = std::weak_ptr<bool>(alive_), f](auto&&... args) {
@@ -176,6 +180,7 @@
   bool register_in_flight_ = false;
   bool stopping_ = false;
   bool checking_store_ = false;
+  bool probing_store_ = false;
   TimePoint leader_heard_{};      // the last beat of the leader
   bool leader_store_ok_ = false;  // as it said then
   // Since when the store answers this member and not the leader.
--- a/chivedale/chivedaled_main.cc
+++ b/chivedale/chivedaled_main.cc
@@ -18,7 +18,7 @@
 constexpr char kUsage[] =
     "usage: chivedaled --config FILE [--check-config]\n"
     "\n"
-    "  --config FILE     settings in JSON (docs/operators.md)\n"
+    "  --config FILE     settings in JSON (docs/OPERATIONS.md)\n"
     "  --check-config    check the settings and exit\n"
     "  --help            this text\n"
     "  --version         version\n"
--- a/chivedale/ctl_options.h
+++ b/chivedale/ctl_options.h
@@ -14,7 +14,7 @@
 
 namespace chivedale {
 
-// Documented in docs/operators.md.
+// Documented in docs/OPERATIONS.md.
 enum class ExitCode {
   kDone = 0,
   kRefused = 1,
