--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -22,7 +22,7 @@
       : all_(all), member_(std::move(member)) {}
 
   void Start(const StartOrder& order, OnOrder done) override {
-    Order(order.address, order.executor, std::move(done),
+    Order(order.address, order.executor, done,
           [this, order](FakeExecutors::State& state) {
             return all_.DoStart(state, order);
           });
@@ -33,7 +33,7 @@
             int64_t run,
             int64_t fence,
             OnOrder done) override {
-    Order(address, executor, std::move(done),
+    Order(address, executor, done,
           [this, task, run, fence](FakeExecutors::State& state) {
             return all_.DoStop(state, task, run, fence);
           });
@@ -45,7 +45,7 @@
             int percent,
             int64_t,
             OnOrder done) override {
-    Order(address, executor, std::move(done),
+    Order(address, executor, done,
           [this, task, percent](FakeExecutors::State&) {
             ++all_.paces;
             all_.percents[task] = percent;
