--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -63,7 +63,10 @@
     reply.validity = cell_.ticket_validity;
     for (const ExecutorId& id : executors) {
       // The same answer for the same pair, always.
-      const uint64_t hash = util::Hash64(step + "/" + id);
+      std::string pair = step;
+      pair += '/';
+      pair += id;
+      const uint64_t hash = util::Hash64(pair);
       if (static_cast<double>(hash % 1'000) < cell_.advised * 1'000) {
         reply.good.emplace_back(id, "t-" + id);
       }
