Only the leader follows the members' entries; lint of the election

Ruled out: processor (23%), memory (39 MB). Change: members watch the leader's key; the leader lists the members every 2 s and tells the strongest in its beats.

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -25,6 +25,7 @@
   struct Contending : msm::front::state<> {};
   struct Leading : msm::front::state<> {};
   using initial_state = Following;
+  // NOLINTNEXTLINE: MSM's name
   struct transition_table : boost::mpl::vector<Row<Following, Try, Contending>,
                                                Row<Following, Won, Leading>,
                                                Row<Contending, Won, Leading>,
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -60,7 +60,6 @@
 inline constexpr char kCancelSuffix[] = "/x";
 inline constexpr char kProgressPrefix[] = "p/";      // p/ID
 inline constexpr char kWaveProgressPrefix[] = "w/";  // w/NUMBER: VMs done
-inline constexpr char kCellPrefix[] = "c/";
 inline constexpr char kLeaderKey[] = "c/leader";
 inline constexpr char kExecutorsKey[] = "c/executors";
 // Written with all progress. A write that is done late finds another revision
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -30,6 +30,9 @@
 // After a pause orders wait for the store's word, but not for long: the
 // executors refuse what is stale.
 constexpr Millis kVerifyPatience{600};
+// Between two looks of the leader at the members' entries.
+constexpr Millis kMembersInterval{2'000};
+constexpr Millis kListAgain{500};
 // Weaker members wait up to this long for stronger ones in an election.
 constexpr Millis kMaxDeference{300};
 // A leader with less than this share of a member's strength gives way to it.
@@ -81,12 +84,15 @@
 
 void CellNode::Begin() {
   ListCell();
+  ListMembers();
+  // In a new cell the others register at the same time.
+  context_.defer(kListAgain, Guard([this] { ListMembers(); }));
 }
 
 // ---- Membership and election.
 
 void CellNode::ListCell() {
-  store_.List(kCellPrefix, kCellTimeout, Guard([this](const StoreRead& read) {
+  store_.List(kLeaderKey, kCellTimeout, Guard([this](const StoreRead& read) {
                 if (read.status != StoreStatus::kOk) {
                   context_.defer(kCellRetry, Guard([this] { ListCell(); }));
                   return;
@@ -109,7 +115,7 @@
 }
 
 void CellNode::WatchCell() {
-  store_.Watch(kCellPrefix, cell_revision_, kCellWatch,
+  store_.Watch(kLeaderKey, cell_revision_, kCellWatch,
                Guard([this](const StoreRead& read) {
                  if (read.status == StoreStatus::kOk) {
                    for (const StoreItem& item : read.items) {
@@ -157,6 +163,30 @@
   member.strength = value[2].get<double>();
 }
 
+// Only the leader follows the members: if each member followed all others, a
+// start of the whole cell would cost calls by the square of its size.
+void CellNode::ListMembers() {
+  next_members_ = context_.clock.Now() + kMembersInterval;
+  store_.List(kMemberPrefix, kCellTimeout, Guard([this](const StoreRead& read) {
+                if (read.status != StoreStatus::kOk) {
+                  return;  // the next one is soon
+                }
+                std::map<std::string, Member> before;
+                before.swap(members_);
+                strongest_ = options_.strength;
+                for (const StoreItem& item : read.items) {
+                  TakeCellItem(item);
+                }
+                for (auto& [node, member] : members_) {
+                  strongest_ = std::max(strongest_, member.strength);
+                  const auto known = before.find(node);
+                  if (known != before.end()) {
+                    member.heard = known->second.heard;
+                  }
+                }
+              }));
+}
+
 void CellNode::RegisterMember() {
   if (register_in_flight_ || stopping_) {
     return;
@@ -231,6 +261,7 @@
   for (const auto& [number, wave] : waves_) {
     leader_->AddWave(wave);
   }
+  ListMembers();
   UpdateAdvisers();
   leader_->Begin();
   next_beat_ = context_.clock.Now();
@@ -297,10 +328,7 @@
 }
 
 Millis CellNode::Deference() const {
-  double strongest = options_.strength;
-  for (const auto& [node, member] : members_) {
-    strongest = std::max(strongest, member.strength);
-  }
+  const double strongest = std::max(strongest_, options_.strength);
   return std::chrono::duration_cast<Millis>(
       kMaxDeference * (1 - options_.strength / strongest));
 }
@@ -323,6 +351,7 @@
   beat.boot = options_.boot;
   beat.address = options_.address;
   beat.leading = leader_ != nullptr;
+  beat.strongest = strongest_;
   beat.leaving = stopping_ || ShouldYield();
   beat.store_ok = store_.failing_for() < kStoreFailing;
   beat.term = election_->leader() ? election_->leader()->term : 0;
@@ -339,6 +368,9 @@
   next_beat_ = context_.clock.Now() + kBeat;
   if (leader_ != nullptr) {
     ProbeStore();
+    if (context_.clock.Now() >= next_members_) {
+      ListMembers();
+    }
     for (const auto& [node, member] : members_) {
       context_.peers.SendToAddress(member.address, beat);
     }
@@ -391,6 +423,7 @@
   }
   leader_heard_ = context_.clock.Now();
   leader_store_ok_ = beat.store_ok;
+  strongest_ = std::max(beat.strongest, options_.strength);
   pending_.clear();
   for (const QueuePending& queue : beat.pending) {
     pending_[queue.queue] = queue.jobs;
--- a/cell/node.h
+++ b/cell/node.h
@@ -116,6 +116,7 @@
   void ListCell();
   void WatchCell();
   void TakeCellItem(const StoreItem& item);
+  void ListMembers();
   void RegisterMember();
   void WriteLeader(const LeaderRecord& record,
                    int64_t expected,
@@ -186,6 +187,8 @@
   // Since when the store answers this member and not the leader.
   TimePoint leader_storeless_since_{};
   TimePoint led_since_{};
+  TimePoint next_members_{};
+  double strongest_ = 0;  // of all members, as last heard
   TimePoint next_beat_{};
   TimePoint next_expiry_{};
 
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -353,6 +353,7 @@
   bool leaving = false;  // stops soon; a leader wants a successor
   bool store_ok = true;  // the store answers the sender
   int64_t term = 0;      // of the leadership that the sender knows of
+  double strongest = 0;  // from a leader: the strength of its best member
   std::vector<QueuePending> pending;  // from a leader
 };
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -158,7 +158,8 @@
                  m.leaving,
                  m.store_ok,
                  m.term,
-                 m.pending);
+                 m.pending,
+                 m.strongest);
 CHIVEDALE_FIELDS(JobStateCall, m.call, m.address, m.job);
 CHIVEDALE_FIELDS(JobStateAnswer, m.call, m.leading, m.found, m.state);
 CHIVEDALE_FIELDS(AdviceCall, m.call, m.address, m.step, m.executors, m.timeout);
