A restarted member hears the leader at once

The leader knew members from a list every 2 s; a member that restarted meanwhile got no beats, took the leader for silent and was elected. Change: a beat makes its sender a member; one heard within a second stays. StaysWhileOtherMembersAreRestarted failed first.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -177,13 +177,18 @@
                 for (const StoreItem& item : read.items) {
                   TakeCellItem(item);
                 }
-                for (auto& [node, member] : members_) {
-                  strongest_ = std::max(strongest_, member.strength);
-                  const auto known = before.find(node);
-                  if (known != before.end()) {
-                    member.heard = known->second.heard;
+                const TimePoint now = context_.clock.Now();
+                for (const auto& [node, known] : before) {
+                  const auto listed = members_.find(node);
+                  if (listed != members_.end()) {
+                    listed->second.heard = known.heard;
+                  } else if (now - known.heard < kMemberAlive) {
+                    members_[node] = known;
                   }
                 }
+                for (const auto& [node, member] : members_) {
+                  strongest_ = std::max(strongest_, member.strength);
+                }
               }));
 }
 
@@ -401,11 +406,13 @@
 }
 
 void CellNode::OnBeat(const CellBeat& beat) {
-  const auto member = members_.find(beat.node);
-  if (member != members_.end()) {
-    member->second.heard = context_.clock.Now();
-    member->second.boot = beat.boot;
-    member->second.address = beat.address;
+  // A member that has just started is not listed yet; without beats it would
+  // take the leader for silent.
+  if (leader_ != nullptr || members_.count(beat.node) > 0) {
+    Member& member = members_[beat.node];
+    member.heard = context_.clock.Now();
+    member.boot = beat.boot;
+    member.address = beat.address;
   }
   const auto& leader = election_->leader();
   if (!beat.leading) {
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -217,6 +217,25 @@
   BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
 }
 
+// Found by a hunt on kowa-consult-grown (trouble-2, seed 805491429551): members
+// that were restarted in turn heard no beats and took over, one after the
+// other.
+BOOST_AUTO_TEST_CASE(StaysWhileOtherMembersAreRestarted) {
+  Cell cell;
+  const std::string before = cell.LeaderName();
+  const std::string other = cell.OtherName();
+  // Not in step with the leader's looks at the members' entries.
+  for (const int pause : {1'300, 1'700, 1'100, 1'500, 1'900, 1'200}) {
+    cell.node(other)->BeginStop();
+    cell.RunFor(Millis(2'300));
+    cell.Kill(other);
+    cell.Restart(other);
+    cell.RunFor(Millis(pause));
+  }
+  BOOST_TEST(cell.LeaderName() == before);
+  BOOST_TEST(cell.node(before)->leader()->leadership().term == 1);
+}
+
 // Found in an incident of caminho-agua: the member that heard the store first
 // replaced a sound leader.
 BOOST_AUTO_TEST_CASE(StaysWhenTheStoreComesBackForOthersFirst) {
