A job remembers its row by the count of tables, not by the table's address

Ruled out: the change of members (the crash is in the pass after an end). Change: a count names the table.

--- a/cell/job.h
+++ b/cell/job.h
@@ -139,8 +139,9 @@
   void MarkStored(JobState state) { stored_state_ = state; }
   void set_any_started() { any_started_ = true; }
   void set_ended(TimePoint now) { ended_ = now; }
-  // The queue's row in the present table, which `table` names.
-  void set_policy(const QueuePolicy* policy, const void* table) const {
+  // The queue's row in the table that `table` counts. Not its address: a later
+  // table may be at the same one.
+  void set_policy(const QueuePolicy* policy, uint64_t table) const {
     policy_ = policy;
     policy_table_ = table;
   }
@@ -151,7 +152,7 @@
   int64_t revision() const { return revision_; }
   const QueuePolicy& queue() const { return record_.queue; }
   // Null when the table was not asked yet.
-  const QueuePolicy* policy(const void* table) const {
+  const QueuePolicy* policy(uint64_t table) const {
     return policy_table_ == table ? policy_ : nullptr;
   }
   JobState state() const { return state_; }
@@ -178,7 +179,7 @@
   const int64_t revision_;
   // A cache: looking a row up by name on each pass is too slow.
   mutable const QueuePolicy* policy_ = nullptr;
-  mutable const void* policy_table_ = nullptr;
+  mutable uint64_t policy_table_ = 0;
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -59,6 +59,7 @@
 
 void CellLeader::SetTable(std::shared_ptr<const QueueTable> table) {
   table_ = std::move(table);
+  ++table_count_;
   RequestPass();
 }
 
@@ -396,12 +397,12 @@
 }
 
 const QueuePolicy& CellLeader::PolicyOf(const Job& job) const {
-  const QueuePolicy* known = job.policy(table_.get());
+  const QueuePolicy* known = job.policy(table_count_);
   if (known == nullptr) {
     known = table_->FindQueue(job.queue().name);
     // A queue that left the table still owes its accepted jobs.
     known = known == nullptr ? &job.queue() : known;
-    job.set_policy(known, table_.get());
+    job.set_policy(known, table_count_);
   }
   return *known;
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -313,6 +313,7 @@
   Placer placer_;
   AdviceDesk desk_;
   std::shared_ptr<const QueueTable> table_;
+  uint64_t table_count_ = 1;  // tables so far
   LeaderCounts counts_;
 
   bool loaded_ = false;
--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -84,6 +84,17 @@
   BOOST_TEST((opened.job.state() == JobState::kFailed));
 }
 
+// Found by a hunt on kowa-consult (mix, seed 848821056244, exit 139): the row
+// was remembered by the table's address, and a later table stood at the same
+// one.
+BOOST_AUTO_TEST_CASE(ForgetsARowOfAnEarlierTable) {
+  Opened opened(TwoSteps(1, 1));
+  const QueuePolicy row;
+  opened.job.set_policy(&row, 1);
+  BOOST_TEST(opened.job.policy(1) == &row);
+  BOOST_TEST(opened.job.policy(2) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE(WithAGang)
 
 BOOST_AUTO_TEST_CASE(IsDoneWithOneEndOfAnyMember) {
