--- a/cell/leader.h
+++ b/cell/leader.h
@@ -61,6 +61,7 @@
 inline constexpr char kProgressPrefix[] = "p/";      // p/ID
 inline constexpr char kWaveProgressPrefix[] = "w/";  // w/NUMBER: VMs done
 inline constexpr char kLeaderKey[] = "c/leader";
+inline constexpr char kMemberPrefix[] = "c/m/";  // c/m/NODE
 inline constexpr char kExecutorsKey[] = "c/executors";
 // Written with all progress. A write that is done late finds another revision
 // of it and changes nothing.
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -4,18 +4,13 @@
 #include "cell/node.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace chivedale::cell {
 namespace {
 
-using nlohmann::json;
-
-constexpr char kMemberPrefix[] = "c/m/";
 constexpr Millis kCellTimeout{1'000};
 constexpr Millis kCellRetry{100};
-constexpr Millis kCellWatch{1'500};
 // The leader's beats; several fit in the silence that makes it suspect.
 constexpr Millis kBeat{200};
 // A member is asked for advice while it was heard within several beats.
@@ -30,8 +25,6 @@
 // After a pause orders wait for the store's word, but not for long: the
 // executors refuse what is stale.
 constexpr Millis kVerifyPatience{600};
-// Between two looks of the leader at the members' entries.
-constexpr Millis kMembersInterval{2'000};
 constexpr Millis kListAgain{500};
 // Weaker members wait up to this long for stronger ones in an election.
 constexpr Millis kMaxDeference{300};
@@ -40,13 +33,6 @@
 // Not before the new leader has settled.
 constexpr Millis kYieldAfter{3'000};
 
-std::string MemberValue(const NodeOptions& options) {
-  std::string bytes;
-  json::to_msgpack(
-      json::array({options.boot, options.address, options.strength}), bytes);
-  return bytes;
-}
-
 }  // namespace
 
 CellNode::CellNode(const NodeContext& context, const NodeOptions& options)
@@ -91,125 +77,6 @@
 
 // ---- Membership and election.
 
-void CellNode::ListCell() {
-  store_.List(kLeaderKey, kCellTimeout, Guard([this](const StoreRead& read) {
-                if (read.status != StoreStatus::kOk) {
-                  context_.defer(kCellRetry, Guard([this] { ListCell(); }));
-                  return;
-                }
-                bool leader_seen = false;
-                for (const StoreItem& item : read.items) {
-                  leader_seen = leader_seen || item.key == kLeaderKey;
-                  TakeCellItem(item);
-                }
-                if (!leader_seen) {
-                  election_->OnRecord(std::nullopt, 0);
-                }
-                cell_listed_ = true;
-                cell_revision_ = std::max(cell_revision_, read.revision);
-                WatchCell();
-                if (!registered_) {
-                  RegisterMember();
-                }
-              }));
-}
-
-void CellNode::WatchCell() {
-  store_.Watch(kLeaderKey, cell_revision_, kCellWatch,
-               Guard([this](const StoreRead& read) {
-                 if (read.status == StoreStatus::kOk) {
-                   for (const StoreItem& item : read.items) {
-                     TakeCellItem(item);
-                   }
-                   cell_revision_ = std::max(cell_revision_, read.revision);
-                   WatchCell();
-                 } else if (read.status == StoreStatus::kCompacted) {
-                   ListCell();
-                 } else {
-                   context_.defer(kCellRetry, Guard([this] { WatchCell(); }));
-                 }
-               }));
-}
-
-void CellNode::TakeCellItem(const StoreItem& item) {
-  if (item.key == kLeaderKey) {
-    std::optional<LeaderRecord> record;
-    if (!item.deleted) {
-      record = DecodeLeaderRecord(item.value);
-    }
-    election_->OnRecord(record, item.revision);
-    return;
-  }
-  constexpr size_t kPrefix = sizeof kMemberPrefix - 1;
-  if (item.key.compare(0, kPrefix, kMemberPrefix) != 0) {
-    return;
-  }
-  const std::string node = item.key.substr(kPrefix);
-  if (node == options_.node) {
-    return;
-  }
-  if (item.deleted) {
-    members_.erase(node);
-    return;
-  }
-  const json value = json::from_msgpack(item.value, true, false);
-  if (!value.is_array() || value.size() < 3 || !value[0].is_string() ||
-      !value[1].is_string() || !value[2].is_number()) {
-    return;
-  }
-  Member& member = members_[node];
-  member.boot = value[0].get<std::string>();
-  member.address = value[1].get<std::string>();
-  member.strength = value[2].get<double>();
-}
-
-// Only the leader follows the members: if each member followed all others, a
-// start of the whole cell would cost calls by the square of its size.
-void CellNode::ListMembers() {
-  next_members_ = context_.clock.Now() + kMembersInterval;
-  store_.List(kMemberPrefix, kCellTimeout, Guard([this](const StoreRead& read) {
-                if (read.status != StoreStatus::kOk) {
-                  return;  // the next one is soon
-                }
-                std::map<std::string, Member> before;
-                before.swap(members_);
-                strongest_ = options_.strength;
-                for (const StoreItem& item : read.items) {
-                  TakeCellItem(item);
-                }
-                const TimePoint now = context_.clock.Now();
-                for (const auto& [node, known] : before) {
-                  const auto listed = members_.find(node);
-                  if (listed != members_.end()) {
-                    listed->second.heard = known.heard;
-                  } else if (now - known.heard < kMemberAlive) {
-                    members_[node] = known;
-                  }
-                }
-                for (const auto& [node, member] : members_) {
-                  strongest_ = std::max(strongest_, member.strength);
-                }
-              }));
-}
-
-void CellNode::RegisterMember() {
-  if (register_in_flight_ || stopping_) {
-    return;
-  }
-  register_in_flight_ = true;
-  StoreWrite write;
-  write.puts.emplace_back(kMemberPrefix + options_.node, MemberValue(options_));
-  store_.Write(write, kCellTimeout, Guard([this](const StoreWriteReply& reply) {
-                 register_in_flight_ = false;
-                 registered_ = reply.status == StoreStatus::kOk;
-                 member_revision_ = reply.revision;
-                 if (!registered_) {
-                   context_.defer(kCellRetry,
-                                  Guard([this] { RegisterMember(); }));
-                 }
-               }));
-}
-
 void CellNode::WriteLeader(
     const LeaderRecord& record,
     int64_t expected,
--- /dev/null
+++ b/cell/node_members.cc
@@ -0,0 +1,150 @@
+// The keys of the cell in the store: who leads, who the members are.
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cell/node.h"
+
+namespace chivedale::cell {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kCellTimeout{1'000};
+// A listed member that is missing from the list is kept while it was heard.
+constexpr Millis kHeardLately{1'000};
+constexpr Millis kCellRetry{100};
+constexpr Millis kCellWatch{1'500};
+// Between two looks of the leader at the members' entries.
+constexpr Millis kMembersInterval{2'000};
+
+std::string MemberValue(const NodeOptions& options) {
+  std::string bytes;
+  json::to_msgpack(
+      json::array({options.boot, options.address, options.strength}), bytes);
+  return bytes;
+}
+
+}  // namespace
+
+void CellNode::ListCell() {
+  store_.List(kLeaderKey, kCellTimeout, Guard([this](const StoreRead& read) {
+                if (read.status != StoreStatus::kOk) {
+                  context_.defer(kCellRetry, Guard([this] { ListCell(); }));
+                  return;
+                }
+                bool leader_seen = false;
+                for (const StoreItem& item : read.items) {
+                  leader_seen = leader_seen || item.key == kLeaderKey;
+                  TakeCellItem(item);
+                }
+                if (!leader_seen) {
+                  election_->OnRecord(std::nullopt, 0);
+                }
+                cell_listed_ = true;
+                cell_revision_ = std::max(cell_revision_, read.revision);
+                WatchCell();
+                if (!registered_) {
+                  RegisterMember();
+                }
+              }));
+}
+
+void CellNode::WatchCell() {
+  store_.Watch(kLeaderKey, cell_revision_, kCellWatch,
+               Guard([this](const StoreRead& read) {
+                 if (read.status == StoreStatus::kOk) {
+                   for (const StoreItem& item : read.items) {
+                     TakeCellItem(item);
+                   }
+                   cell_revision_ = std::max(cell_revision_, read.revision);
+                   WatchCell();
+                 } else if (read.status == StoreStatus::kCompacted) {
+                   ListCell();
+                 } else {
+                   context_.defer(kCellRetry, Guard([this] { WatchCell(); }));
+                 }
+               }));
+}
+
+void CellNode::TakeCellItem(const StoreItem& item) {
+  if (item.key == kLeaderKey) {
+    std::optional<LeaderRecord> record;
+    if (!item.deleted) {
+      record = DecodeLeaderRecord(item.value);
+    }
+    election_->OnRecord(record, item.revision);
+    return;
+  }
+  constexpr size_t kPrefix = sizeof kMemberPrefix - 1;
+  if (item.key.compare(0, kPrefix, kMemberPrefix) != 0) {
+    return;
+  }
+  const std::string node = item.key.substr(kPrefix);
+  if (node == options_.node) {
+    return;
+  }
+  if (item.deleted) {
+    members_.erase(node);
+    return;
+  }
+  const json value = json::from_msgpack(item.value, true, false);
+  if (!value.is_array() || value.size() < 3 || !value[0].is_string() ||
+      !value[1].is_string() || !value[2].is_number()) {
+    return;
+  }
+  Member& member = members_[node];
+  member.boot = value[0].get<std::string>();
+  member.address = value[1].get<std::string>();
+  member.strength = value[2].get<double>();
+}
+
+// Only the leader follows the members: if each member followed all others, a
+// start of the whole cell would cost calls by the square of its size.
+void CellNode::ListMembers() {
+  next_members_ = context_.clock.Now() + kMembersInterval;
+  store_.List(kMemberPrefix, kCellTimeout, Guard([this](const StoreRead& read) {
+                if (read.status != StoreStatus::kOk) {
+                  return;  // the next one is soon
+                }
+                std::map<std::string, Member> before;
+                before.swap(members_);
+                strongest_ = options_.strength;
+                for (const StoreItem& item : read.items) {
+                  TakeCellItem(item);
+                }
+                const TimePoint now = context_.clock.Now();
+                for (const auto& [node, known] : before) {
+                  const auto listed = members_.find(node);
+                  if (listed != members_.end()) {
+                    listed->second.heard = known.heard;
+                  } else if (now - known.heard < kHeardLately) {
+                    members_[node] = known;
+                  }
+                }
+                for (const auto& [node, member] : members_) {
+                  strongest_ = std::max(strongest_, member.strength);
+                }
+              }));
+}
+
+void CellNode::RegisterMember() {
+  if (register_in_flight_ || stopping_) {
+    return;
+  }
+  register_in_flight_ = true;
+  StoreWrite write;
+  write.puts.emplace_back(kMemberPrefix + options_.node, MemberValue(options_));
+  store_.Write(write, kCellTimeout, Guard([this](const StoreWriteReply& reply) {
+                 register_in_flight_ = false;
+                 registered_ = reply.status == StoreStatus::kOk;
+                 member_revision_ = reply.revision;
+                 if (!registered_) {
+                   context_.defer(kCellRetry,
+                                  Guard([this] { RegisterMember(); }));
+                 }
+               }));
+}
+
+}  // namespace chivedale::cell
