Jobs accepted after the predecessor has stopped need not wait for its executors

Cause: after an election by silence every job waits up to 5.1 s while one executor of the old list is out of reach, also a job that the predecessor cannot have started. The leader now reads the store's revision once its predecessor has had 1.5 s to be fenced; later jobs start at once. The first advice of the jobs that still wait is asked for meanwhile.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -8,6 +8,7 @@
 #include "cell/leader.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace chivedale::cell {
@@ -47,6 +48,9 @@
       leadership_(leadership),
       placer_(options.placer),
       desk_(context.clock),
+      unseen_until_(leadership.predecessor_gone
+                        ? leadership.fence
+                        : std::numeric_limits<int64_t>::max()),
       table_(std::make_shared<QueueTable>()) {}
 
 CellLeader::~CellLeader() = default;
@@ -100,6 +104,10 @@
   HoldDue();
   OpenTimed();
   RunWaves();
+  if (now - begun_ > kPredecessorNotice && now >= next_mark_ &&
+      !unread_.empty() && !PredecessorLapsed()) {
+    MarkPredecessorStopped();
+  }
   PumpAdvice();
   if (!dirty_.empty() && now >= next_flush_) {
     Flush();
@@ -129,7 +137,7 @@
     return false;
   }
   const Job& job = *step.job;
-  if (leadership_.predecessor_gone && job.revision() > leadership_.fence) {
+  if (job.revision() > unseen_until_) {
     return false;
   }
   if (PredecessorLapsed()) {
@@ -143,6 +151,19 @@
   });
 }
 
+// Jobs accepted from now on cannot have been started by the predecessor.
+void CellLeader::MarkPredecessorStopped() {
+  next_mark_ = context_.clock.Now() + kReadRetry;
+  context_.store.Read(
+      kLeaderKey, kReadTimeout, Guard([this](const StoreRead& read) {
+        if (read.status == StoreStatus::kOk && read.revision > 0) {
+          unseen_until_ = std::min(unseen_until_, read.revision);
+          next_mark_ = TimePoint::max();
+          RequestPass();
+        }
+      }));
+}
+
 // ---- Jobs.
 
 void CellLeader::LoadJobs() {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -262,6 +262,7 @@
   // Whether an executor that has not been read may run tasks of the step, by
   // order of a predecessor.
   bool MayRunUnseen(const Step& step) const;
+  void MarkPredecessorStopped();
   // All leases that the predecessor can have given have run out.
   bool PredecessorLapsed() const;
   // The executors of a pool that can take starts, in the present pass.
@@ -325,6 +326,10 @@
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Placer placer_;
   AdviceDesk desk_;
+  // Jobs with a later revision were accepted when the predecessor could not
+  // start them any more.
+  int64_t unseen_until_;
+  TimePoint next_mark_{};
   std::shared_ptr<const QueueTable> table_;
   uint64_t table_count_ = 1;  // tables so far
   LeaderCounts counts_;
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -134,10 +134,17 @@
   const bool hopeless = pool.reserving >= kMaxReserving &&
                         !RoomFor(*step.spec).FitsIn(pool.most_free) &&
                         (!policy.advice || step.advice.answered);
-  if (hopeless || step.retry_at > now || MayRunUnseen(step)) {
+  if (hopeless || step.retry_at > now) {
     return;
   }
   std::vector<Executor*> eligible = EligibleFor(step, pool);
+  if (MayRunUnseen(step)) {
+    // Its first advice is there when it may start.
+    if (!step.advice.answered) {
+      Advised(step, eligible);
+    }
+    return;
+  }
   std::vector<Executor*> candidates = Advised(step, eligible);
   const auto drop_taken = [&](std::vector<Executor*>& executors) {
     executors.erase(std::remove_if(executors.begin(), executors.end(),
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -193,6 +193,20 @@
   BOOST_TEST((cell.StateOf(late) == JobState::kCompleted));
 }
 
+// A job that came after the predecessor had to know of its successor cannot
+// run by its order; it need not wait for its executors' leases.
+BOOST_AUTO_TEST_CASE(StartsNewJobsWhileAnExecutorIsOutOfReach) {
+  Cell cell;
+  const std::string before = cell.LeaderName();
+  const std::string other = cell.OtherName();
+  cell.executors.Crash("e4");
+  cell.Freeze(before, Millis(10'000));
+  cell.RunFor(Millis(4'400));
+  cell.Submit(other, kId, Job(2, Millis(100)), "q0");
+  cell.RunFor(Millis(400));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
 // Found on scale-1: executors of the predecessor's list counted as restarted.
 BOOST_AUTO_TEST_CASE(AdoptsWhatRunsInsteadOfStartingItAgain) {
   Cell cell;
