An idle executor that missed a call is called again

Cause: the leader holds executors that run something, and starts nothing on one whose last call failed. A start that could not be sent, or a hold that went unanswered while nothing ran there, left an executor idle and doubted at once: it was never called again and got no task for the rest of the leader's term. Ruled out: advice, which names it each time.

--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -261,7 +261,9 @@
       CheckSilent(*executor);
       CheckOverdue(*executor);
     }
-    const bool needed = !executor->adopted || !executor->runs().empty() ||
+    // One that missed a call is not used before it has answered another.
+    const bool needed = !executor->adopted || executor->misses > 0 ||
+                        !executor->runs().empty() ||
                         executor->ends_read > executor->ends_confirmed;
     if (needed && !executor->hold_in_flight && now >= executor->next_hold) {
       Hold(*executor);
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -367,6 +367,22 @@
 // Pattern: one executor hangs; its tasks would never end.
 BOOST_AUTO_TEST_SUITE(UnderAHangingExecutor)
 
+// Found by a history: an idle executor that had missed a call was never called
+// again, so a job that only it might run did not start.
+BOOST_AUTO_TEST_CASE(UsesAnIdleExecutorAgainAfterACallThatWasNotSent) {
+  Cell cell;
+  testing::LinkFaults refused;
+  refused.refused = true;
+  for (const char* name : {"a", "b", "c"}) {
+    cell.executors.member_links[name] = refused;
+  }
+  cell.Submit("a", kId, Job(4, Millis(1'000), 32'000), "q0");
+  cell.RunFor(Millis(300));
+  cell.executors.member_links.clear();
+  cell.RunFor(Millis(1'900));
+  BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
+}
+
 // Found on scale-1 of a grown site: executors leave orders unanswered for
 // seconds, stops as well; a task waited 1.7 s for its next start.
 BOOST_AUTO_TEST_CASE(StartsATaskAgainSoonAfterAStartWithoutAnAnswer) {
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -65,6 +65,12 @@
       all_.loop_.After(kCallTimeout, [done] { done({}); });
       return;
     }
+    if (link.refused) {
+      all_.loop_.After(kWay, [done] {
+        done({OrderResult::kNotSent, std::nullopt});
+      });
+      return;
+    }
     if (all_.random_.Unit() < link.late_orders) {
       const auto late =
           Millis(2'000 + static_cast<int64_t>(all_.random_.Below(10'000)));
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -25,6 +25,7 @@
 
 struct LinkFaults {
   bool cut = false;         // nothing arrives
+  bool refused = false;     // orders are certainly not sent
   double lost_answers = 0;  // done, but the answer is lost
   double late_orders = 0;   // done after 2 to 12 s, not answered
 };
