While the store is down jobs wait unsent and are refused for certain

Cause: with the store silent for all, each job was written at once, the write went unanswered, and after 1.5 s the caller got an unknown outcome that it cannot try again. Now a job waits unsent for up to 1 s once the store has not answered for 0.2 s, and is then refused; followers probe a store that fails them, as the leader does.

--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -10,13 +10,23 @@
 // One write of the store's slowest day is 60 times the usual 4 ms.
 constexpr Millis kWriteTimeout{700};
 constexpr Millis kRetryDelay{60};
+// While the store is down a job waits here unsent, so that its refusal is
+// certain and its caller, who waits 3 s or so, may try again and wait once
+// more.
+constexpr Millis kUnsentWait{1'000};
 // Each entry takes a condition and a put.
 constexpr size_t kMaxBatch = kMaxWriteEntries / 2;
 
 }  // namespace
 
-JobIntake::JobIntake(const Clock& clock, StorePort& store, Defer defer)
-    : clock_(clock), store_(store), defer_(std::move(defer)) {}
+JobIntake::JobIntake(const Clock& clock,
+                     StorePort& store,
+                     Defer defer,
+                     std::function<bool()> store_down)
+    : clock_(clock),
+      store_(store),
+      defer_(std::move(defer)),
+      store_down_(std::move(store_down)) {}
 
 JobIntake::~JobIntake() = default;
 
@@ -67,15 +77,19 @@
 }
 
 void JobIntake::Enqueue(Entry entry) {
+  entry.unsent_until = clock_.Now() + kUnsentWait;
   queue_.push_back(std::move(entry));
   WriteNext();
 }
 
 void JobIntake::Expire() {
   const TimePoint now = clock_.Now();
+  const bool down = store_down_();
   std::vector<Entry> over;
   for (size_t i = 0; i < queue_.size();) {
-    if (queue_[i].deadline <= now) {
+    const Entry& entry = queue_[i];
+    if (entry.deadline <= now ||
+        (down && entry.refusable() && entry.unsent_until <= now)) {
       over.push_back(std::move(queue_[i]));
       queue_.erase(queue_.begin() + static_cast<long>(i));
     } else {
@@ -92,12 +106,13 @@
   if (write_in_flight_ || retry_pending_ || queue_.empty()) {
     return;
   }
+  const bool down = store_down_();
   std::vector<Entry> batch;
   StoreWrite write;
   std::set<std::string> keys;
   for (size_t i = 0; i < queue_.size() && batch.size() < kMaxBatch;) {
     // A write may name each key once.
-    if (!keys.insert(queue_[i].key).second) {
+    if ((down && queue_[i].refusable()) || !keys.insert(queue_[i].key).second) {
       ++i;
       continue;
     }
@@ -109,6 +124,10 @@
     write.puts.emplace_back(entry.key, entry.value);
     batch.push_back(std::move(entry));
   }
+  if (batch.empty()) {
+    RetryLater();
+    return;
+  }
   write_in_flight_ = true;
   auto shared = std::make_shared<std::vector<Entry>>(std::move(batch));
   store_.Write(write, kWriteTimeout,
@@ -164,6 +183,10 @@
     queue_.push_front(std::move(*it));
   }
   Expire();
+  RetryLater();
+}
+
+void JobIntake::RetryLater() {
   retry_pending_ = true;
   defer_(kRetryDelay, Guard([this] {
            retry_pending_ = false;
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -38,7 +38,11 @@
   using OnSubmit = std::function<void(SubmitResult, int64_t revision)>;
   using OnCancel = std::function<void(CancelResult)>;
 
-  JobIntake(const Clock& clock, StorePort& store, Defer defer);
+  // `store_down`: the store has not answered for a while.
+  JobIntake(const Clock& clock,
+            StorePort& store,
+            Defer defer,
+            std::function<bool()> store_down);
   ~JobIntake();
 
   // Commands.
@@ -61,13 +65,17 @@
     // An earlier write of it had no answer and may still be done.
     bool uncertain = false;
     TimePoint deadline{};
+    TimePoint unsent_until{};  // while the store is down
     OnSubmit done;
+    // No write of it was sent, and its absence is an answer.
+    bool refusable() const { return conditional && !uncertain; }
   };
 
   void Enqueue(Entry entry);
   void WriteNext();
   void OnWritten(std::vector<Entry> batch, const StoreWriteReply& reply);
   void Requeue(std::vector<Entry> batch, bool uncertain);
+  void RetryLater();
   void Expire();
   template <typename F>
   auto Guard(F f) {
@@ -81,6 +89,7 @@
   const Clock& clock_;
   StorePort& store_;
   const Defer defer_;
+  const std::function<bool()> store_down_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::deque<Entry> queue_;
   bool write_in_flight_ = false;
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -18,6 +18,9 @@
 constexpr Millis kExpiryInterval{50};
 // A leader that the store does not answer for so long looks for a successor.
 constexpr Millis kStoreFailing{350};
+// Without an answer for so long the store is taken for down: a single answer
+// may be lost.
+constexpr Millis kStoreDown{200};
 // Without both, callers are better served by other VMs.
 constexpr Millis kNotReadyAfter{700};
 // Two beats of the leader.
@@ -39,7 +42,10 @@
     : context_(context),
       options_(options),
       store_(context.clock, context.log, context.store),
-      intake_(context.clock, store_, context.defer),
+      intake_(context.clock,
+              store_,
+              context.defer,
+              [this] { return store_.failing_for() > kStoreDown; }),
       table_(std::make_shared<QueueTable>()) {
   LeaderRecord self;
   self.node = options_.node;
@@ -238,8 +244,8 @@
 void CellNode::SendBeats() {
   const CellBeat beat = MakeBeat();
   next_beat_ = context_.clock.Now() + kBeat;
+  ProbeStore();
   if (leader_ != nullptr) {
-    ProbeStore();
     if (context_.clock.Now() >= next_members_) {
       ListMembers();
     }
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -332,6 +332,30 @@
   BOOST_TEST(cell.executors.running() == 0);
 }
 
+// Found on trouble-3 of a grown site: jobs sent while the store was silent were
+// answered as unknown, so that their callers could not try again.
+BOOST_AUTO_TEST_CASE(RefusesJobsForCertainWhileTheStoreIsDown) {
+  Cell cell;
+  cell.store.faults.silent = true;
+  cell.RunFor(Millis(2'500));
+  const char* const names[] = {"a", "b", "c"};
+  for (const char* name : names) {
+    cell.Submit(name, std::string("00000000000000c") + name,
+                Job(1, Millis(100)), "q0");
+  }
+  cell.RunFor(Millis(1'200));
+  BOOST_TEST(cell.refused().size() == 3);
+  // One that waits is stored as soon as the store answers.
+  for (const char* name : names) {
+    cell.Submit(name, std::string("00000000000000b") + name,
+                Job(1, Millis(100)), "q0");
+  }
+  cell.RunFor(Millis(300));
+  cell.store.faults.silent = false;
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.accepted().size() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOnlyWhatIsCertainlyNotStored) {
   Cell cell;
   cell.store.faults.late_writes = 1;
