Advice is asked for the executors that have room

Cause: a step named the first hundred executors by id in its call for advice, so on the grown sites all steps crowded on the same hundred of 252: in bursts urgent tasks waited 0.35 to 0.96 s for room there, traced by the parts of each job's critical path, while the others had room. Ruled out: stops of less urgent work (headroom alone changed these waits by less than 0.1 s).

--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -2,6 +2,7 @@
 // answer of an executor does not change, but its ticket runs out, so tickets
 // are renewed while a step waits and the members have time for it.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "cell/leader.h"
@@ -13,9 +14,54 @@
 constexpr Millis kTicketMargin{80};
 // Expected way to the service and back, beside the time the call itself takes.
 constexpr Millis kAdviceSlack{40};
+// Executors in one call: enough that the tasks find room on those that may run
+// them, about half, and no more, since each adds to the call's time.
 constexpr size_t kMaxNamed = 100;
+constexpr size_t kMinNamed = 30;
+constexpr size_t kNamedPerTask = 4;
 constexpr Millis kAdviceRetry{150};
 
+// Those that can take a task now come first. In the order of their names all
+// steps would crowd on the same ones.
+std::vector<const Executor*> MostRoomFirst(
+    const Step& step,
+    const std::vector<Executor*>& executors) {
+  const StepSpec& spec = *step.spec;
+  const Resources size = RoomFor(spec);
+  // Whole executors stay free for tasks that need all accelerators of one.
+  const bool wide = size.accelerators > 0;
+  struct Row {
+    bool fits;
+    int64_t free;
+    const Executor* executor;
+  };
+  std::vector<Row> rows;
+  rows.reserve(executors.size());
+  for (const Executor* executor : executors) {
+    const Resources free = executor->Free();
+    rows.push_back({size.FitsIn(free),
+                    wide ? -free.accelerators : free.cpu_milli, executor});
+  }
+  // Where racks, gangs or accelerators matter, any of them may be the one.
+  const bool any =
+      wide || spec.gang || spec.same_rack || !spec.near_rack.empty();
+  const size_t wanted =
+      any ? kMaxNamed
+          : std::clamp(kNamedPerTask * static_cast<size_t>(spec.count),
+                       kMinNamed, kMaxNamed);
+  const size_t count = std::min(rows.size(), wanted);
+  std::partial_sort(rows.begin(), rows.begin() + static_cast<long>(count),
+                    rows.end(), [](const Row& a, const Row& b) {
+                      return std::tie(b.fits, b.free) <
+                             std::tie(a.fits, a.free);
+                    });
+  std::vector<const Executor*> named;
+  for (size_t i = 0; i < count; ++i) {
+    named.push_back(rows[i].executor);
+  }
+  return named;
+}
+
 }  // namespace
 
 std::vector<Executor*> CellLeader::Advised(
@@ -71,10 +117,8 @@
   ask.step = step.NameOf(0).StepText();
   ask.priority = PolicyOf(*step.job).priority;
   ask.objective = step.objective;
-  for (const Executor* executor : executors) {
-    if (ask.executors.size() < kMaxNamed) {
-      ask.executors.push_back(executor->entry.id);
-    }
+  for (const Executor* executor : MostRoomFirst(step, executors)) {
+    ask.executors.push_back(executor->entry.id);
   }
   ask.takes = policy.decision +
               policy.each * static_cast<int64_t>(ask.executors.size());
