Batch steps leave room for bursts of urgent work

Cause: room taken from running tasks is free only when their stops have ended, 0.4 to 0.9 s later. Steps that are not the most urgent of their pool, and are not short of time, now leave free what the urgent ones use (smoothed over 2 s), up to a fifth of the pool.

Tests: FindsRoomThatBatchWorkHasLeftFree (fails without), TakesAllRoomForBatchWorkThatIsShortOfTime.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -257,7 +257,9 @@
   void Pass();
   void MarkWaiting(Step& step);
   void PassStep(Step& step);
-  bool PlaceTasks(Step& step, const std::vector<Executor*>& candidates);
+  bool PlaceTasks(Step& step,
+                  const std::vector<Executor*>& candidates,
+                  int most);
   bool PlaceGang(Step& step, const std::vector<Executor*>& candidates);
   // Whether an executor that has not been read may run tasks of the step, by
   // order of a predecessor.
@@ -268,6 +270,8 @@
   // The executors of a pool that can take starts, in the present pass.
   struct PoolRoom {
     std::vector<Executor*> usable;
+    Resources capacity;  // of all of them
+    Resources free;
     // No executor has more of any resource free.
     Resources most_free;
     int reserving = 0;  // steps that keep executors from others
@@ -301,6 +305,11 @@
   Step* StepOf(const TaskName& name);
   Executor* FindExecutor(const ExecutorId& id);
 
+  // leader_headroom.cc: room kept free for bursts of urgent work.
+  void MeasureUrgentUse();
+  // How many of its tasks the step may start beside that room.
+  int TasksBesideHeadroom(const Step& step, const PoolRoom& pool) const;
+
   // leader_progress.cc: what lasts.
   void MarkDirty(Job& job);
   void Flush();
@@ -363,6 +372,10 @@
   TimePoint next_vm_list_{};
   bool vm_list_in_flight_ = false;
 
+  std::map<std::string, int> urgent_priority_;   // by pool
+  std::map<std::string, Resources> urgent_use_;  // smoothed, by pool
+  TimePoint next_measure_{};
+
   bool pass_requested_ = false;
   // Of the present pass.
   std::set<const Executor*> reserved_;
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -73,6 +73,7 @@
             });
   reserved_.clear();
   pass_rooms_.clear();
+  MeasureUrgentUse();
   for (const StepOrder& order : orders) {
     PassStep(*order.step);
   }
@@ -92,6 +93,7 @@
       if (executor->entry.pool == name && Usable(*executor) &&
           !executor->health.avoided(now) && !executor->has_unknown_run()) {
         pool.usable.push_back(executor.get());
+        pool.capacity += executor->entry.capacity;
       }
     }
     UpdateMostFree(pool);
@@ -101,8 +103,10 @@
 
 void CellLeader::UpdateMostFree(PoolRoom& pool) {
   pool.most_free = Resources();
+  pool.free = Resources();
   for (const Executor* executor : pool.usable) {
     const Resources free = executor->Free();
+    pool.free += free;
     Resources& most = pool.most_free;
     most.cpu_milli = std::max(most.cpu_milli, free.cpu_milli);
     most.memory_mb = std::max(most.memory_mb, free.memory_mb);
@@ -156,8 +160,12 @@
   if (!reserved_.empty()) {
     drop_taken(candidates);
   }
+  const int most = TasksBesideHeadroom(step, pool);
+  if (most == 0 || (step.spec->gang && most < step.spec->count)) {
+    return;
+  }
   const bool placed = step.spec->gang ? PlaceGang(step, candidates)
-                                      : PlaceTasks(step, candidates);
+                                      : PlaceTasks(step, candidates, most);
   UpdateMostFree(pool);
   if (placed) {
     return;
@@ -180,7 +188,8 @@
 }
 
 bool CellLeader::PlaceTasks(Step& step,
-                            const std::vector<Executor*>& candidates) {
+                            const std::vector<Executor*>& candidates,
+                            int most) {
   const TimePoint now = context_.clock.Now();
   std::vector<int> tasks;
   for (size_t i = 0; i < step.tasks.size(); ++i) {
@@ -189,6 +198,9 @@
       tasks.push_back(static_cast<int>(i));
     }
   }
+  if (tasks.size() > static_cast<size_t>(most)) {
+    tasks.resize(static_cast<size_t>(most));
+  }
   size_t placed = 0;
   placer_.PlaceEach(step, tasks, candidates, now,
                     [&](int index, Executor& executor) {
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -372,6 +372,57 @@
 // Pattern: urgent small jobs come while long checkpointed work fills the pool.
 BOOST_AUTO_TEST_SUITE(UnderABurstOfUrgentJobs)
 
+// Found on every day of the grown sites: each step asked for advice on the same
+// first hundred executors by name, and waited for room there while the others
+// were free.
+BOOST_AUTO_TEST_CASE(AsksForAdviceOnExecutorsWithRoom) {
+  Cell cell;
+  cell.AddExecutors("pool", 126, {32'000, 64'000, 0, 0});
+  cell.RunFor(Millis(1'500));
+  cell.Submit("a", "00000000000000bb", Job(105, Millis(20'000), 32'000), "q0");
+  cell.RunFor(Millis(300));
+  QueuePolicy advised = Queue(1);
+  advised.priority = 0;
+  advised.advice = AdvicePolicy{Millis(200), Millis(0), Millis(2'000)};
+  cell.advice_time = Millis(200);
+  cell.SetQueue(advised);
+  cell.RunFor(Millis(300));
+  cell.Submit("a", kId, Job(4, Millis(300)), "q1");
+  cell.RunFor(Millis(260));
+  BOOST_TEST(cell.executors.EverStarted(std::string(kId) + ".0.0.3"));
+}
+
+// Found on the scale days: batch work filled the pool, so a burst waited for
+// stops, which take up to a second, or for ends.
+BOOST_AUTO_TEST_CASE(FindsRoomThatBatchWorkHasLeftFree) {
+  Cell cell;
+  cell.Submit("a", kId, Job(8, Millis(8'000)), "q0");
+  cell.RunFor(Millis(4'000));
+  cell.Submit("a", "00000000000000bb", Job(40, Millis(20'000)), "q2");
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.executors.running() > 20);
+  cell.Submit("a", "00000000000000cc", Job(5, Millis(300)), "q0");
+  cell.RunFor(Millis(60));
+  for (const char* task : {".0.0.0", ".0.0.4"}) {
+    BOOST_TEST(
+        cell.executors.EverStarted(std::string("00000000000000cc") + task));
+  }
+}
+
+// Room is not kept from a step that would be late.
+BOOST_AUTO_TEST_CASE(TakesAllRoomForBatchWorkThatIsShortOfTime) {
+  Cell cell;
+  cell.Submit("a", kId, Job(8, Millis(8'000)), "q0");
+  cell.RunFor(Millis(4'000));
+  QueuePolicy tight = Queue(3);
+  tight.stretch = 1;
+  cell.SetQueue(tight);
+  cell.RunFor(Millis(300));
+  cell.Submit("a", "00000000000000bb", Job(40, Millis(20'000)), "q3");
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.executors.running() == 32);
+}
+
 BOOST_AUTO_TEST_CASE(StopsCheckpointedWorkThatIsLessUrgent) {
   Cell cell;
   JobSpec heavy = Job(16, Millis(20'000), 8'000);
