--- a/cell/leader_headroom.cc
+++ b/cell/leader_headroom.cc
@@ -1,8 +1,10 @@
 // Urgent jobs come in bursts, and room that has to be taken from running tasks
 // is there only when their stops have ended. So less urgent steps that still
-// have time leave as much of their pool free as the urgent ones use now: a
-// burst doubles their work.
+// have time leave as much of their pool free as the most urgent queues of the
+// table use there now: a burst doubles their work. Pools without such queues
+// keep nothing free.
 #include <algorithm>
+#include <limits>
 
 #include "cell/leader.h"
 
@@ -37,10 +39,14 @@
   }
   next_measure_ = now + kMeasureInterval;
   urgent_priority_.clear();
+  int most_urgent = std::numeric_limits<int>::max();
   for (const QueuePolicy& queue : table_->queues) {
-    const auto [found, added] =
-        urgent_priority_.try_emplace(queue.pool, queue.priority);
-    found->second = std::min(found->second, queue.priority);
+    most_urgent = std::min(most_urgent, queue.priority);
+  }
+  for (const QueuePolicy& queue : table_->queues) {
+    if (queue.priority == most_urgent) {
+      urgent_priority_[queue.pool] = most_urgent;
+    }
   }
   std::map<std::string, Resources> use;
   for (const auto& [id, executor] : executors_) {
