--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -456,6 +456,13 @@
   return *known;
 }
 
+Duration CellLeader::AgeOf(const Job& job) const {
+  // Another VM's clock may be ahead.
+  return std::max(Duration(0),
+                  std::chrono::duration_cast<Duration>(
+                      context_.clock.WallNow() - job.record().accepted));
+}
+
 TimePoint CellLeader::ObjectiveOf(const Step& step) const {
   const Job& job = *step.job;
   WallTime from = job.record().accepted;
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -31,6 +31,7 @@
 #include "cell/ports.h"
 #include "cell/types.h"
 #include "chivedale/event_log.h"
+#include "chivedale/metrics.h"
 
 namespace chivedale::cell {
 
@@ -87,6 +88,7 @@
 struct LeaderContext {
   const Clock& clock;
   EventLog& log;
+  Metrics& metrics;
   StorePort& store;
   ExecutorPort& executors;
   VmPort& vms;
@@ -175,6 +177,8 @@
   void OpenTimed();
   void RemoveOld();
   const QueuePolicy& PolicyOf(const Job& job) const;
+  // Since the job was accepted, by the VMs' clocks.
+  Duration AgeOf(const Job& job) const;
   TimePoint ObjectiveOf(const Step& step) const;
 
   // leader_executors.cc: holds, what they list, executors that come and go.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -442,6 +442,9 @@
     // A resumed run is shorter than declared.
     const Duration whole = task.checkpoint.empty() ? took : Duration(0);
     executor.health.OnDone(whole, step->spec->estimate, now);
+    if (took > Duration(0)) {
+      context_.metrics.Observe(Timer::kRun, job.queue().name, took);
+    }
     if (whole > Duration(0) && step->spec->estimate > Millis(0)) {
       step->ratio_sum += std::chrono::duration<double>(whole) /
                          std::chrono::duration<double>(step->spec->estimate);
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -117,6 +117,10 @@
     }
     found->second->MarkStored(state);
     if (state == JobState::kCompleted || state == JobState::kFailed) {
+      if (!found->second->timed()) {
+        context_.metrics.Observe(Timer::kTotal, found->second->queue().name,
+                                 AgeOf(*found->second));
+      }
       context_.log.Write(Event::kJobEnded,
                          {{"job", id},
                           {"queue", found->second->queue().name},
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -81,6 +81,7 @@
   PumpAdvice();
   // Under load a pass takes long; events meanwhile share the next one.
   const Duration took = context_.clock.Now() - now;
+  context_.metrics.Observe(Timer::kDecision, "pass", took);
   next_pass_ = context_.clock.Now() + kPassRest * took;
 }
 
@@ -367,6 +368,10 @@
   run.checkpoint = task.checkpoint;
   executor.OnUntilSent(run.start_until);
   task.started = now;
+  if (!step.job->any_started() && !step.job->timed()) {
+    context_.metrics.Observe(Timer::kWait, step.job->queue().name,
+                             AgeOf(*step.job));
+  }
   step.job->set_any_started();
   StartOrder order;
   order.address = executor.entry.address;
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -118,6 +118,7 @@
                       {"fence", std::to_string(leadership.fence)}});
   LeaderContext context{context_.clock,
                         context_.log,
+                        context_.metrics,
                         store_,
                         context_.executors,
                         context_.vms,
--- a/cell/node.h
+++ b/cell/node.h
@@ -26,6 +26,7 @@
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/messages.h"
+#include "chivedale/metrics.h"
 #include "chivedale/ports.h"
 #include "util/random.h"
 
@@ -47,6 +48,7 @@
 struct NodeContext {
   const Clock& clock;
   EventLog& log;
+  Metrics& metrics;
   util::Random& random;
   StorePort& store;
   ExecutorPort& executors;
@@ -104,6 +106,7 @@
   const CellLeader* leader() const { return leader_.get(); }
   const Election& election() const { return *election_; }
   int64_t store_calls() const { return store_.calls(); }
+  const Metrics& metrics() const { return context_.metrics; }
 
  private:
   struct Member {
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -28,6 +28,7 @@
         << "chivedale_advice_calls_total " << counts.advice << "\n"
         << "chivedale_progress_writes_total " << counts.progress_writes << "\n";
   }
+  out << node.metrics().PrometheusText();
   return out.str();
 }
 
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -71,6 +71,17 @@
   BOOST_TEST((cell.StateOf(kId) == JobState::kCompleted));
 }
 
+BOOST_AUTO_TEST_CASE(MeasuresWaitsAndRunTimesByQueue) {
+  Cell cell;
+  cell.Submit("a", kId, Job(2, Millis(300)), "q0");
+  cell.RunFor(Millis(1'000));
+  const double run = cell.metrics.QuantileSeconds(Timer::kRun, "q0", 0.5);
+  BOOST_TEST(run > 0.2);
+  BOOST_TEST(run < 0.5);
+  BOOST_TEST(cell.metrics.QuantileSeconds(Timer::kWait, "q0", 1) < 0.1);
+  BOOST_TEST(cell.metrics.QuantileSeconds(Timer::kTotal, "q0", 1) >= run);
+}
+
 BOOST_AUTO_TEST_CASE(TakesOneIdOnceHoweverOftenItIsSent) {
   Cell cell;
   for (const char* name : {"a", "b", "c", "a"}) {
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -145,6 +145,7 @@
   NodeContext context{
       loop.clock(),
       log,
+      metrics,
       random,
       *host.store,
       *host.executors,
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -21,6 +21,7 @@
 #include "cell/testing/fake_loop.h"
 #include "cell/testing/fake_store.h"
 #include "chivedale/event_log.h"
+#include "chivedale/metrics.h"
 #include "util/random.h"
 
 namespace chivedale::cell::testing {
@@ -77,6 +78,7 @@
   FakeStore store;
   FakeExecutors executors;
   KeptLog log;
+  Metrics metrics;  // of all members together
   // Share of executors that advice allows, the same for each step and executor.
   double advised = 1;
   Duration advice_time = std::chrono::milliseconds(10);
