A step keeps no executor from others while its pool is half free

Cause: a step without room keeps the executors it needs from less urgent steps. After 1.5 s with nothing at work such a step now takes kept room too.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -326,6 +326,8 @@
   void MeasureUrgentUse();
   // How many of its tasks the step may start beside that room.
   int TasksBesideHeadroom(const Step& step, const PoolRoom& pool) const;
+  // Nothing of the step runs although its pool has room.
+  bool IsOverlooked(const Step& step, const PoolRoom& pool) const;
 
   // leader_progress.cc: what lasts.
   void MarkDirty(Job& job);
--- a/cell/leader_headroom.cc
+++ b/cell/leader_headroom.cc
@@ -20,6 +20,11 @@
 // the room there is.
 constexpr double kTimeLeft = 1.2;
 
+// A step of which nothing runs for so long takes kept room as well, where at
+// least half of its pool is free: the step that keeps it may wait for one long
+// task, and callers see an idle pool.
+constexpr Millis kReservedPatience{1'500};
+
 int64_t Smoothed(int64_t before, int64_t now) {
   return before +
          static_cast<int64_t>(kNewest * static_cast<double>(now - before));
@@ -101,4 +106,19 @@
   }));
 }
 
+bool CellLeader::IsOverlooked(const Step& step, const PoolRoom& pool) const {
+  const Resources size = RoomFor(*step.spec);
+  const auto half_free = [](int64_t each, int64_t free, int64_t capacity) {
+    return each <= 0 || 2 * free >= capacity;
+  };
+  return step.live_on.empty() &&
+         context_.clock.Now() - step.ready_since > kReservedPatience &&
+         half_free(size.cpu_milli, pool.free.cpu_milli,
+                   pool.capacity.cpu_milli) &&
+         half_free(size.memory_mb, pool.free.memory_mb,
+                   pool.capacity.memory_mb) &&
+         half_free(size.accelerators, pool.free.accelerators,
+                   pool.capacity.accelerators);
+}
+
 }  // namespace chivedale::cell
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -161,7 +161,8 @@
                                    }),
                     executors.end());
   };
-  if (!reserved_.empty()) {
+  const bool overlooked = IsOverlooked(step, pool);
+  if (!reserved_.empty() && !overlooked) {
     drop_taken(candidates);
   }
   const int most = TasksBesideHeadroom(step, pool);
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -476,6 +476,26 @@
 // Pattern: one executor hangs; its tasks would never end.
 BOOST_AUTO_TEST_SUITE(UnderAHangingExecutor)
 
+// Found by hunts as work that could run and did not, twice: a wide step kept
+// the one executor that both may use, and waited for one long task there.
+BOOST_AUTO_TEST_CASE(DoesNotKeepAnExecutorFromOthersWhileThePoolIsIdle) {
+  Cell cell;
+  const auto on_label = [](int count, Millis estimate, int64_t cpu) {
+    JobSpec spec = Job(count, estimate, cpu);
+    spec.steps[0].label = "b";  // e1 and e4
+    return spec;
+  };
+  cell.executors.Crash("e4");
+  cell.RunFor(Millis(6'000));
+  cell.Submit("a", kId, on_label(1, Millis(20'000), 2'000), "q0");
+  cell.RunFor(Millis(200));
+  cell.Submit("a", "00000000000000bb", on_label(1, Millis(300), 32'000), "q0");
+  cell.RunFor(Millis(200));
+  cell.Submit("a", "00000000000000cc", on_label(7, Millis(300), 4'000), "q2");
+  cell.RunFor(Millis(2'500));
+  BOOST_TEST((cell.StateOf("00000000000000cc") == JobState::kCompleted));
+}
+
 // Found by a history: an idle executor that had missed a call was never called
 // again, so a job that only it might run did not start.
 BOOST_AUTO_TEST_CASE(UsesAnIdleExecutorAgainAfterACallThatWasNotSent) {
