Log reads of the operators' documents with their size and duration

Change: events 605 operator_read and 606 operator_read_failed with bytes and ms; the HTTP client counts the bytes of a response body, also of an incomplete one.

--- a/cell/ports.h
+++ b/cell/ports.h
@@ -36,7 +36,8 @@
 struct StoreRead {
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<StoreItem> items;
-  int64_t revision = 0;  // of the store
+  int64_t revision = 0;       // of the store
+  size_t received_bytes = 0;  // of the response, also if it is incomplete
 };
 
 struct StoreWrite {
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -37,6 +37,8 @@
       {Event::kTableRejected, "table_rejected", L::kError},
       {Event::kTableEdited, "table_edited", L::kInfo},
       {Event::kTableConflict, "table_conflict", L::kInfo},
+      {Event::kOperatorRead, "operator_read", L::kInfo},
+      {Event::kOperatorReadFailed, "operator_read_failed", L::kWarning},
       {Event::kJobSubmitted, "job_submitted", L::kInfo},
       {Event::kJobEnded, "job_ended", L::kInfo},
       {Event::kJobTakenOver, "job_taken_over", L::kWarning},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -51,6 +51,8 @@
   kTableRejected = 602,
   kTableEdited = 603,
   kTableConflict = 604,
+  kOperatorRead = 605,
+  kOperatorReadFailed = 606,
   kJobSubmitted = 701,
   kJobEnded = 702,
   kJobTakenOver = 703,
--- a/chivedale/http_client.h
+++ b/chivedale/http_client.h
@@ -41,6 +41,8 @@
   HttpHeaders headers;
   Body body;          // never null with kAnswered
   std::string error;  // reason if there is no response
+  // Bytes of the response body, also if it is incomplete.
+  size_t received_bytes = 0;
 };
 
 class HttpClient {
--- a/chivedale/http_connection.cc
+++ b/chivedale/http_connection.cc
@@ -137,6 +137,7 @@
   }
   // A server may respond before it has read the whole request, so read a
   // response also after a failed write.
+  received_bytes_ = 0;
   parser_.emplace();
   parser_->header_limit(static_cast<uint32_t>(options_.max_header_bytes));
   parser_->body_limit(options_.max_body_bytes);
@@ -158,11 +159,22 @@
   if (length && *length > options_.max_body_bytes) {
     return OnReceived(http::error::body_limit, write_failed);
   }
-  http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this(), write_failed](error_code read_error, size_t) {
-        self->OnReceived(read_error, write_failed);
-      });
+  ReceivePart(write_failed);
+}
+
+void HttpConnection::ReceivePart(bool write_failed) {
+  if (parser_->is_done()) {
+    return OnReceived({}, write_failed);
+  }
+  http::async_read_some(socket_, buffer_, *parser_,
+                        [self = shared_from_this(), write_failed](
+                            error_code error, size_t bytes) {
+                          self->received_bytes_ += bytes;
+                          if (error) {
+                            return self->OnReceived(error, write_failed);
+                          }
+                          self->ReceivePart(write_failed);
+                        });
 }
 
 void HttpConnection::OnReceived(error_code error, bool write_failed) {
@@ -190,6 +202,7 @@
   const PendingCall pending = std::move(*pending_);
   pending_.reset();
   reusable = reusable && !closed_;
+  result.received_bytes = received_bytes_;
   if (timed_out_ && result.status != CallStatus::kAnswered) {
     result.error = "timeout";
   }
--- a/chivedale/http_connection.h
+++ b/chivedale/http_connection.h
@@ -71,6 +71,7 @@
   void Send();
   void OnSent(boost::system::error_code error, size_t bytes);
   void OnHeader(boost::system::error_code error, bool write_failed);
+  void ReceivePart(bool write_failed);
   void OnReceived(boost::system::error_code error, bool write_failed);
   void FinishCall(HttpResult result, bool reusable);
   void ArmTimer();
@@ -89,6 +90,7 @@
       parser_;
   std::optional<PendingCall> pending_;
   std::string header_;
+  size_t received_bytes_ = 0;  // of the current call's response body
   std::chrono::steady_clock::time_point idle_since_;
   bool connected_ = false;
   bool timer_armed_ = false;
