Receive large reads of the store for as long as data arrives

Cause: a watch or list ended 1.6 s or 1.5 s after its call, also while its response arrived, and was made again 100 ms later from the start. The table of 720 kB took 1.8 s for the 19 members of the region together, so every read was aborted, for ever, and the aborted data kept the link saturated: a metastable congestion collapse. Holds, starts, store calls and heartbeats on that link timed out with it. Change: HttpCall::stall_timeout. Once a response has begun, the call ends when no data has arrived for that time, or after max_receive_time.

--- a/chivedale/http_client.h
+++ b/chivedale/http_client.h
@@ -27,6 +27,10 @@
   // From Call to the last byte of the response, including the wait for a
   // connection.
   Millis timeout{1'000};
+  // If not zero, a response that has begun may exceed `timeout` while data
+  // arrives: the call ends once none has arrived for this long, or at
+  // Options::max_receive_time.
+  Millis stall_timeout{0};
 };
 
 enum class CallStatus {
@@ -53,6 +57,9 @@
     size_t max_waiting_per_address = 1'024;
     size_t max_header_bytes = 16'384;
     size_t max_body_bytes = size_t{64} << 20;
+    // From the first byte of a response to the last one, for calls with a
+    // stall_timeout.
+    Millis max_receive_time{30'000};
     // Shorter than the idle timeout of servers, so that the client closes
     // first.
     Millis idle_timeout{30'000};
--- a/chivedale/http_connection.cc
+++ b/chivedale/http_connection.cc
@@ -159,9 +159,22 @@
   if (length && *length > options_.max_body_bytes) {
     return OnReceived(http::error::body_limit, write_failed);
   }
+  receive_limit_ = SteadyClock::now() + options_.max_receive_time;
+  ExtendDeadline();
   ReceivePart(write_failed);
 }
 
+// Aborting a large response that still arrives would waste what the network has
+// carried; a repeated call would then load it even more.
+void HttpConnection::ExtendDeadline() {
+  const Millis stall_timeout = pending_->call.stall_timeout;
+  if (stall_timeout > Millis(0)) {
+    pending_->deadline =
+        std::max(pending_->deadline,
+                 std::min(SteadyClock::now() + stall_timeout, receive_limit_));
+  }
+}
+
 void HttpConnection::ReceivePart(bool write_failed) {
   if (parser_->is_done()) {
     return OnReceived({}, write_failed);
@@ -173,6 +186,7 @@
                           if (error) {
                             return self->OnReceived(error, write_failed);
                           }
+                          self->ExtendDeadline();
                           self->ReceivePart(write_failed);
                         });
 }
--- a/chivedale/http_connection.h
+++ b/chivedale/http_connection.h
@@ -72,6 +72,8 @@
   void OnSent(boost::system::error_code error, size_t bytes);
   void OnHeader(boost::system::error_code error, bool write_failed);
   void ReceivePart(bool write_failed);
+  // Moves the deadline of a call with a stall_timeout after data has arrived.
+  void ExtendDeadline();
   void OnReceived(boost::system::error_code error, bool write_failed);
   void FinishCall(HttpResult result, bool reusable);
   void ArmTimer();
@@ -90,6 +92,7 @@
       parser_;
   std::optional<PendingCall> pending_;
   std::string header_;
+  std::chrono::steady_clock::time_point receive_limit_;
   size_t received_bytes_ = 0;  // of the current call's response body
   std::chrono::steady_clock::time_point idle_since_;
   bool connected_ = false;
--- a/chivedale/testing/http_client_test.cc
+++ b/chivedale/testing/http_client_test.cc
@@ -4,11 +4,13 @@
 
 #include <rapidcheck/boost_test.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <set>
+#include <thread>
 
 #include "chivedale/http_server.h"
 #include "chivedale/testing/http_test_support.h"
@@ -17,6 +19,9 @@
 namespace chivedale::testing {
 namespace {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
 std::string AddressOf(const HttpServer& server) {
   return "127.0.0.1:" + std::to_string(server.port());
 }
@@ -248,7 +253,6 @@
   ThreadedIoContext threads(1);
   HttpClient client(threads.io(), options);
   for (const std::string& response : responses) {
-    namespace asio = boost::asio;
     asio::io_context io;
     asio::ip::tcp::acceptor acceptor(io,
                                      {asio::ip::make_address("127.0.0.1"), 0});
@@ -270,6 +274,83 @@
   threads.Stop();
 }
 
+// A server that sends a response of `parts` parts, one each `interval`, and
+// then closes the connection or, if `announced` is larger, falls silent.
+class SlowServer {
+ public:
+  SlowServer(int parts, int announced, Millis interval)
+      : acceptor_(threads_.io(), {asio::ip::address_v4::loopback(), 0}),
+        thread_([this, parts, announced, interval] {
+          tcp::socket socket(threads_.io());
+          acceptor_.accept(socket);
+          std::array<char, 1'024> request{};
+          socket.read_some(asio::buffer(request));
+          boost::system::error_code ignored;
+          asio::write(socket,
+                      asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                   std::to_string(announced) + "\r\n\r\n"),
+                      ignored);
+          for (int i = 0; i < parts; ++i) {
+            std::this_thread::sleep_for(interval);
+            asio::write(socket, asio::buffer("x", 1), ignored);
+          }
+          // Ends when the client closes the connection.
+          socket.read_some(asio::buffer(request), ignored);
+        }) {}
+  ~SlowServer() { thread_.join(); }
+
+  // Calls the server and returns the result.
+  HttpResult Get(Millis stall_timeout, const HttpClient::Options& options) {
+    HttpClient client(threads_.io(), options);
+    HttpCall call = MakeCall(
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()), "GET",
+        "/");
+    call.timeout = Millis(200);
+    call.stall_timeout = stall_timeout;
+    HttpResult result = CallAndWait(client, std::move(call));
+    client.Close();
+    return result;
+  }
+
+ private:
+  ThreadedIoContext threads_{2};
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+// Guards against reads that are aborted and repeated while their data arrives.
+BOOST_AUTO_TEST_CASE(LongResponseIsReceivedWhileDataArrives) {
+  SlowServer server(8, 8, Millis(60));
+  const HttpResult result = server.Get(Millis(2'000), {});
+  BOOST_TEST((result.status == CallStatus::kAnswered));
+  BOOST_TEST(result.received_bytes == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(LongResponseTimesOutWithoutAStallTimeout) {
+  SlowServer server(8, 8, Millis(60));
+  const HttpResult result = server.Get(Millis(0), {});
+  BOOST_TEST((result.status == CallStatus::kUnreachable));
+  BOOST_TEST(result.received_bytes < 8u);
+}
+
+// Guards against a call that never ends because its connection was lost.
+BOOST_AUTO_TEST_CASE(StalledResponseTimesOut) {
+  SlowServer server(2, 8, Millis(10));
+  const HttpResult result = server.Get(Millis(300), {});
+  BOOST_TEST((result.status == CallStatus::kUnreachable));
+  BOOST_TEST(result.error == "timeout");
+  BOOST_TEST(result.received_bytes == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(EndlessResponseIsCutAtTheReceiveLimit) {
+  SlowServer server(200, 200, Millis(20));
+  HttpClient::Options options;
+  options.max_receive_time = Millis(500);
+  const HttpResult result = server.Get(Millis(2'000), options);
+  BOOST_TEST((result.status == CallStatus::kUnreachable));
+  BOOST_TEST(result.error == "timeout");
+}
+
 BOOST_AUTO_TEST_CASE(EarlyResponseToLargeUploadIsRead) {
   HttpServer::Options options;
   options.max_body_bytes = 1'000;
