Pass over single known failing cases instead of whole test programs

Cause: scripts/test.sh skipped each program that KNOWN-RED.txt named, so one failing case hid all other cases of the program, and a name that matched no test skipped nothing without a message.

Evidence: Boost.Test 1.74 ignores every filter of a list if one of them matches nothing, and fails a program with no case left. CTest includes TEST_INCLUDE_FILES before the tests of the same directory, where a property has no effect.

Change: an entry names the cases, "test: PROGRAM: SUITE/CASE[, SUITE/CASE...]". scripts/known_red.sh compares each entry with the cases of the built program, and fails on one that does not exist, a suite, a program without cases or a malformed line. CTest gives the program BOOST_TEST_RUN_FILTERS; a program whose every case is listed is disabled, so that the summary prints it. scripts/test.sh prints the cases before and after the run. ctest alone runs every test. scripts/known_red_test.sh, run by CTest, guards the script. The three entries name their cases.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,12 +16,16 @@
 scripts/build.sh "$dir" "$sanitize"
 # A fixed seed gives the same result on each run; scripts/soak.sh varies it.
 export RC_PARAMS=${RC_PARAMS:-seed=20260704}
-skip=()
-if [ -s KNOWN-RED.txt ]; then
-  kinds='test'
-  [ -z "$sanitize" ] || kinds='test|sanitized test'
-  red=$(sed -nE "s/^($kinds): *//p" KNOWN-RED.txt | paste -sd'|' -)
-  echo "known failing tests, not run here (KNOWN-RED.txt): $red"
-  [ -z "$red" ] || skip=(-E "^($red)\$")
-fi
-ctest --test-dir "$dir" --output-on-failure -j "$(nproc)" "${skip[@]}"
+# CTest reads this file; emptied at the end so that ctest alone runs every test.
+known_red=$dir/known_red.cmake
+trap ': >"$known_red"' EXIT
+scripts/known_red.sh KNOWN-RED.txt "$dir" ${sanitize:+sanitized} >"$known_red"
+print_known_red() {
+  echo "known failing cases, not run here (KNOWN-RED.txt):"
+  sed -n 's/^# /  /p' "$known_red"
+}
+print_known_red
+status=0
+ctest --test-dir "$dir" --output-on-failure -j "$(nproc)" || status=$?
+print_known_red
+exit "$status"
