--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -262,7 +262,7 @@
 
 void CellLeader::WatchJobs() {
   context_.store.Watch(
-      kJobPrefix, jobs_revision_, kWatchWait,
+      kJobPrefix, jobs_revision_, kWatchWait, kWatchMargin,
       Guard([this](const StoreRead& read) {
         if (read.status == StoreStatus::kOk) {
           OnJobEvents(read);
--- a/cell/node_members.cc
+++ b/cell/node_members.cc
@@ -53,7 +53,7 @@
 }
 
 void CellNode::WatchCell() {
-  store_.Watch(kLeaderKey, cell_revision_, kCellWatchTimeout,
+  store_.Watch(kLeaderKey, cell_revision_, kCellWatchTimeout, kWatchMargin,
                Guard([this](const StoreRead& read) {
                  if (read.status == StoreStatus::kOk) {
                    for (const StoreItem& item : read.items) {
--- a/cell/ports.h
+++ b/cell/ports.h
@@ -57,6 +57,10 @@
 // Maximum total of conditions, puts and removals in one write.
 inline constexpr size_t kMaxWriteEntries = 32;
 
+// Time for the response of a watch to begin after its wait. Short, because only
+// this limit detects the loss of a connection without a reset.
+inline constexpr Millis kWatchMargin{700};
+
 class StorePort {
  public:
   using OnRead = std::function<void(StoreRead)>;
@@ -66,10 +70,11 @@
   // Lists all items under the prefix, reading as many pages as needed.
   virtual void List(const std::string& prefix, Millis timeout, OnRead done) = 0;
   // Returns the changes under the prefix after the revision `after`. Waits up
-  // to `wait` for the first one.
+  // to `wait` for the first one, and `margin` more for the response to begin.
   virtual void Watch(const std::string& prefix,
                      int64_t after,
                      Millis wait,
+                     Millis margin,
                      OnRead done) = 0;
   virtual void Write(const StoreWrite& write, Millis timeout, OnWrite done) = 0;
 };
--- a/cell/store_monitor.cc
+++ b/cell/store_monitor.cc
@@ -52,9 +52,10 @@
 void StoreMonitor::Watch(const std::string& prefix,
                          int64_t after,
                          Millis wait,
+                         Millis margin,
                          OnRead done) {
   ++calls_;
-  store_.Watch(prefix, after, wait,
+  store_.Watch(prefix, after, wait, margin,
                [state = state_, done = std::move(done)](StoreRead read) {
                  state->RecordStatus(read.status);
                  done(std::move(read));
--- a/cell/store_monitor.h
+++ b/cell/store_monitor.h
@@ -23,6 +23,7 @@
   void Watch(const std::string& prefix,
              int64_t after,
              Millis wait,
+             Millis margin,
              OnRead done) override;
   void Write(const StoreWrite& write, Millis timeout, OnWrite done) override;
 
--- a/cell/testing/fake_store.cc
+++ b/cell/testing/fake_store.cc
@@ -34,6 +34,7 @@
   void Watch(const std::string& prefix,
              int64_t after,
              Millis wait,
+             Millis margin,
              OnRead done) override;
   void Write(const StoreWrite& write, Millis timeout, OnWrite done) override;
 
@@ -63,6 +64,7 @@
 void FakeStoreView::Watch(const std::string& prefix,
                           int64_t after,
                           Millis wait,
+                          Millis /*margin*/,
                           OnRead done) {
   const StoreFaults& faults = store_.FaultsOf(member_);
   if (faults.unresponsive || faults.refuses) {
