Move the starting and stopping of runs into its own file

Its second half, from Start to StartCopies, is moved to cell/leader_runs.cc unchanged; FindExecutor joins StepOf in cell/leader.cc.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -548,4 +548,9 @@
   return step;
 }
 
+Executor* CellLeader::FindExecutor(const ExecutorId& id) {
+  const auto found = executors_.find(id);
+  return found == executors_.end() ? nullptr : found->second.get();
+}
+
 }  // namespace chivedale::cell
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -197,6 +197,9 @@
   // Time since acceptance, by the VMs' wall clocks.
   Duration AgeOf(const Job& job) const;
   TimePoint ObjectiveOf(const Step& step) const;
+  // Null if there is none.
+  Step* StepOf(const TaskName& name);
+  Executor* FindExecutor(const ExecutorId& id);
 
   // leader_entries.cc: discovery of executors.
   void PollExecutors();
@@ -308,6 +311,15 @@
   static void UpdateFreeResources(PoolState& pool);
   std::vector<Executor*> EligibleFor(const Step& step, const PoolState& pool);
   void Preempt(Step& step, const std::vector<Executor*>& candidates);
+  // Reserves executors for the step, which less urgent steps then cannot use.
+  void ReserveExecutors(const Step& step,
+                        const std::vector<Executor*>& candidates,
+                        PoolState& pool);
+  // Whether the candidates would fit the step if they were otherwise empty.
+  bool WouldFitIfEmpty(const Step& step,
+                       const std::vector<Executor*>& candidates) const;
+
+  // leader_runs.cc: starting and stopping of runs.
   void Start(Executor& executor, Step& step, int task, int64_t number);
   void OnStarted(const ExecutorId& id,
                  const std::string& task,
@@ -322,16 +334,7 @@
   void StopCopies(Step& step, int task);
   // Starts second runs of overdue tasks whose step allows copies.
   void StartCopies();
-  // Reserves executors for the step, which less urgent steps then cannot use.
-  void ReserveExecutors(const Step& step,
-                        const std::vector<Executor*>& candidates,
-                        PoolState& pool);
-  // Whether the candidates would fit the step if they were otherwise empty.
-  bool WouldFitIfEmpty(const Step& step,
-                       const std::vector<Executor*>& candidates) const;
   int64_t NextRunNumber(const Task& task) const;
-  Step* StepOf(const TaskName& name);
-  Executor* FindExecutor(const ExecutorId& id);
 
   // leader_headroom.cc: resources kept free for bursts of urgent jobs.
   void MeasureUrgentUse();
