Show since when a step waits and which pass looked at it last

Cause: the page of a job told only a reason. It did not tell when the reason began, whether passes still look at the step, or what became of its starts, and a step that is left out of the passes looked like any other. Two reasons were wrong: a step whose waiting tasks were all behind a retry time, beyond the headroom, or part of a gang with an earlier run read "the next scheduling pass".

Change: StepWait keeps the reason, times, the last pass and the results of starts since a task of the step was last known to run. A gang counts as running when all its members do. DescribeSteps moves to cell/leader_waits.cc and also reads "nothing: not queued for scheduling", "the answer to a start" and "the end of runs that are being stopped". No decision depends on any of it; a pass stores a few numbers per step and allocates nothing more. FakeExecutors can answer a start with a given result.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -30,6 +30,12 @@
 };
 
 struct Run {
+  // Whether it is not known yet that the run has begun.
+  bool IsStartUnconfirmed() const {
+    return phase == RunPhase::kStartSent ||
+           phase == RunPhase::kStartUnconfirmed;
+  }
+
   TaskName name;
   int64_t number = 0;
   Step* step = nullptr;  // null if the job is unknown; the run is stopped
--- a/cell/job.h
+++ b/cell/job.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/step_wait.h"
 #include "cell/types.h"
 
 namespace chivedale::cell {
@@ -101,9 +102,8 @@
   TimePoint ready_since{};  // when its dependencies completed
   bool ready = false;
   TimePoint retry_at{};  // earliest next start of a gang
-  // Why its waiting tasks did not start in the last scheduling pass. Shown to
-  // operators.
-  const char* waits_for = "the next scheduling pass";
+  StepWait wait;
+  int gang_running = 0;  // members of the latest run that are known to run
 
   TaskName NameOf(int task) const;
   bool Finished() const { return done == static_cast<int>(tasks.size()); }
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -75,6 +75,9 @@
 }
 
 void CellLeader::Suspend() {
+  if (!suspended_) {
+    suspended_at_ = context_.clock.Now();
+  }
   suspended_ = true;
 }
 
@@ -88,7 +91,7 @@
     return;
   }
   fenced_ = true;
-  suspended_ = true;
+  Suspend();
   context_.on_fenced(reason);
 }
 
@@ -495,36 +498,6 @@
   return found->second->visible_state();
 }
 
-std::vector<CellLeader::StepView> CellLeader::DescribeSteps(
-    const JobId& id) const {
-  std::vector<StepView> views;
-  const auto found = jobs_.find(id);
-  if (found == jobs_.end()) {
-    return views;
-  }
-  for (const auto& [number, occurrence] : found->second->open()) {
-    for (const Step& step : occurrence.steps) {
-      StepView view;
-      view.occurrence = number;
-      view.step = step.index;
-      view.tasks = static_cast<int>(step.tasks.size());
-      view.done = step.done;
-      for (const Task& task : step.tasks) {
-        view.running += task.live > 0 ? 1 : 0;
-      }
-      view.waiting = step.Waiting();
-      if (view.waiting > 0 && !found->second->terminal()) {
-        view.waits_for = !step.ready    ? "the steps before it"
-                         : suspended_   ? "the leader to resume giving orders"
-                         : !may_start() ? "jobs and executors to be loaded"
-                                        : step.waits_for;
-      }
-      views.push_back(std::move(view));
-    }
-  }
-  return views;
-}
-
 std::map<std::string, int64_t> CellLeader::Pending() const {
   std::map<std::string, int64_t> pending;
   for (const auto& [id, job] : jobs_) {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -114,6 +114,10 @@
   int64_t progress_writes = 0;
 };
 
+namespace testing {
+class CellLeaderPeer;
+}
+
 class CellLeader {
  public:
   CellLeader(const LeaderContext& context,
@@ -150,9 +154,23 @@
     int step = 0;
     int tasks = 0;
     int done = 0;
-    int running = 0;
+    int running = 0;  // tasks with a live run
     int waiting = 0;
-    std::string waits_for;  // empty if no task waits
+    int unconfirmed = 0;  // live runs whose start is not confirmed
+    int stopping = 0;     // live runs that are being stopped
+    bool queued = false;  // scheduling passes consider it
+    // Empty if no task waits. The rest applies only if it is set.
+    std::string waits_for;
+    Duration waits_for_time{0};  // since this reason applies
+    Duration waiting_time{0};    // since a task was last known to run
+    int64_t last_pass = 0;       // that considered the step; 0: none
+    Duration last_pass_age{0};
+    // Starts since a task was last known to run.
+    int starts = 0;
+    int rejected = 0;
+    int unanswered = 0;
+    std::string last_result;  // of the last start that failed
+    ExecutorId last_executor;
   };
   std::vector<StepView> DescribeSteps(const JobId& id) const;
   // Number of accepted jobs without a started task, by queue.
@@ -168,6 +186,8 @@
   bool may_start() const;
 
  private:
+  friend class testing::CellLeaderPeer;
+
   struct StepOrder {
     int priority;
     bool late;  // past its objective
@@ -336,6 +356,12 @@
   void StartCopies();
   int64_t NextRunNumber(const Task& task) const;
 
+  // leader_waits.cc: what steps wait for, for operators.
+  // The run is known to have begun.
+  void OnRunning(const Run& run);
+  std::pair<WaitReason, TimePoint> ReasonOf(const Step& step) const;
+  StepView ViewOf(const Step& step) const;
+
   // leader_headroom.cc: resources kept free for bursts of urgent jobs.
   void MeasureUrgentUse();
   // Maximum number of tasks that the step may start without using the headroom.
@@ -379,6 +405,7 @@
 
   bool loaded_ = false;
   bool suspended_ = false;
+  TimePoint suspended_at_{};
   bool fenced_ = false;
   TimePoint begin_time_{};
   int64_t jobs_revision_ = 0;
@@ -386,7 +413,7 @@
   // Cancellations whose job has not been read yet.
   std::set<JobId> unmatched_cancels_;
   std::set<JobId> recurring_jobs_;
-  std::set<Step*> waiting_;
+  std::set<Step*, std::less<>> waiting_;
   // Overdue tasks that may get a second run: step and task index.
   std::set<std::pair<Step*, int>> overdue_copies_;
 
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -216,6 +216,9 @@
   if (run != nullptr && run->number == end.run) {
     took = now - (run->running_since == TimePoint() ? run->start_sent
                                                     : run->running_since);
+    if (run->IsStartUnconfirmed()) {
+      OnRunning(*run);
+    }
     executor.RemoveRun(end.task);
   }
   context_.log.Write(Event::kTaskEnded,
@@ -295,10 +298,10 @@
       AdoptRun(executor, row);
       continue;
     }
-    if (run->phase == RunPhase::kStartSent ||
-        run->phase == RunPhase::kStartUnconfirmed) {
+    if (run->IsStartUnconfirmed()) {
       run->phase = RunPhase::kRunning;
       run->running_since = context_.clock.Now();
+      OnRunning(*run);
     }
     run->checkpoint = row.checkpoint;
     run->pace_percent = row.pace_percent;
@@ -334,6 +337,8 @@
   }
   if (!wanted) {
     StopRun(executor, run, "run not needed");
+  } else {
+    OnRunning(run);
   }
 }
 
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -33,6 +33,9 @@
   run.checkpoint = task.checkpoint;
   executor.OnDeadlineSent(run.start_until);
   task.started = now;
+  if (task.live == 1) {
+    step.wait.OnStartSent();
+  }
   if (!step.job->any_started() && !step.job->recurring()) {
     context_.metrics.Observe(Timer::kWait, step.job->queue().name,
                              AgeOf(*step.job));
@@ -87,8 +90,9 @@
   if (reply.result == OrderResult::kOk) {
     run->running_since =
         run->running_since == TimePoint() ? now : run->running_since;
-    if (run->phase != RunPhase::kStopping) {
+    if (run->IsStartUnconfirmed()) {
       run->phase = RunPhase::kRunning;
+      OnRunning(*run);
     }
     if (!executor.hold_in_flight) {
       ScheduleHold(executor, now);
@@ -102,6 +106,10 @@
                       {"run", std::to_string(number)},
                       {"executor", id},
                       {"result", std::string(OrderResultName(reply.result))}});
+  Task& record = step.tasks[static_cast<size_t>(index)];
+  if (record.live == 1) {
+    step.wait.OnStartFailed(reply.result, id);
+  }
   if (reply.result == OrderResult::kUnknown) {
     // In any other phase a hold has already listed the run as running, or it is
     // being stopped.
@@ -115,7 +123,6 @@
     return;
   }
   executor.RemoveRun(task);
-  Task& record = step.tasks[static_cast<size_t>(index)];
   record.retry_at = now + kRejectedRetryDelay;
   switch (reply.result) {
     case OrderResult::kUnhealthy:
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -16,6 +16,24 @@
 // Number of steps that may reserve executors in one pass.
 constexpr int kMaxReservingSteps = 4;
 
+// Why tasks of a step still wait after all that could be started were.
+WaitReason ReasonOfRest(const Step& step, TimePoint now) {
+  if (step.spec->gang) {
+    return WaitReason::kEarlierGangRun;
+  }
+  bool delayed = false;
+  for (const Task& task : step.tasks) {
+    if (task.done || task.live > 0) {
+      continue;
+    }
+    if (task.retry_at <= now) {
+      return WaitReason::kHeadroom;
+    }
+    delayed = true;
+  }
+  return delayed ? WaitReason::kRetryTime : WaitReason::kNextPass;
+}
+
 }  // namespace
 
 void CellLeader::RequestSchedulingPass() {
@@ -33,7 +51,9 @@
 
 void CellLeader::AddIfWaiting(Step& step) {
   if (step.ready && !step.job->terminal() && step.Waiting() > 0) {
-    waiting_.insert(&step);
+    if (waiting_.insert(&step).second) {
+      step.wait.OnQueued(context_.clock.Now());
+    }
   }
 }
 
@@ -126,19 +146,20 @@
   const TimePoint now = context_.clock.Now();
   const QueuePolicy& policy = PolicyOf(*step.job);
   PoolState& pool = PoolStateOf(policy.pool);
+  step.wait.OnConsidered(counts_.passes, now);
   // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
   // have reserved executors, unless it still needs its first advice call.
   const bool blocked = pool.reserving_steps >= kMaxReservingSteps &&
                        !ResourcesFor(*step.spec).FitsIn(pool.max_free) &&
                        (!policy.advice || step.advice.answered);
   if (blocked || step.retry_at > now) {
-    step.waits_for =
-        blocked ? "room, behind more urgent steps" : "its retry time";
+    step.wait.SetReason(
+        blocked ? WaitReason::kMoreUrgentSteps : WaitReason::kRetryTime, now);
     return;
   }
   std::vector<Executor*> eligible = EligibleFor(step, pool);
   if (MayRunOnUnreadExecutor(step)) {
-    step.waits_for = "executors whose runs this leader does not know yet";
+    step.wait.SetReason(WaitReason::kUnreadExecutors, now);
     // Request the first advice already, so that it is there when the step may
     // start.
     if (!step.advice.answered) {
@@ -160,20 +181,20 @@
   }
   const int most = MaxStartsWithinHeadroom(step, pool);
   if (most == 0 || (step.spec->gang && most < step.spec->count)) {
-    step.waits_for = "room beyond the headroom for urgent jobs";
+    step.wait.SetReason(WaitReason::kHeadroom, now);
     return;
   }
   const bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                       : PlaceTasks(step, candidates, most);
   UpdateFreeResources(pool);
   if (placed) {
-    step.waits_for = "the next scheduling pass";
+    step.wait.SetReason(ReasonOfRest(step, now), now);
     return;
   }
-  step.waits_for = eligible.empty()
-                       ? "a usable executor that matches its label and size"
-                   : candidates.empty() ? "advice, or executors it allows"
-                                        : "room";
+  step.wait.SetReason(eligible.empty()     ? WaitReason::kNoMatchingExecutor
+                      : candidates.empty() ? WaitReason::kAdvice
+                                           : WaitReason::kRoom,
+                      now);
   if (!candidates.empty()) {
     Preempt(step, candidates);
   }
@@ -229,6 +250,7 @@
     return false;
   }
   step.gang_run = number;
+  step.gang_running = 0;
   for (size_t i = 0; i < members.size(); ++i) {
     Start(*members[i], step, static_cast<int>(i), number);
   }
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -58,6 +58,37 @@
 
 constexpr char kJobsPath[] = "/jobs/";
 
+int64_t ToMillis(Duration time) {
+  return std::chrono::duration_cast<Millis>(time).count();
+}
+
+json StepRow(const CellLeader::StepView& view) {
+  json row = {{"occurrence", view.occurrence}, {"step", view.step},
+              {"tasks", view.tasks},           {"done", view.done},
+              {"running", view.running},       {"waiting", view.waiting}};
+  if (view.waits_for.empty()) {
+    return row;
+  }
+  row["waits_for"] = view.waits_for;
+  row["waits_for_ms"] = ToMillis(view.waits_for_time);
+  row["waiting_ms"] = ToMillis(view.waiting_time);
+  row["queued"] = view.queued;
+  row["unconfirmed"] = view.unconfirmed;
+  row["stopping"] = view.stopping;
+  row["last_pass"] = view.last_pass;
+  if (view.last_pass > 0) {
+    row["last_pass_age_ms"] = ToMillis(view.last_pass_age);
+  }
+  row["starts"] = view.starts;
+  row["rejected"] = view.rejected;
+  row["unanswered"] = view.unanswered;
+  if (!view.last_result.empty()) {
+    row["last_result"] = view.last_result;
+    row["last_executor"] = view.last_executor;
+  }
+  return row;
+}
+
 // The leader's view of a job. Other members refer to the leader.
 HttpResponse JobPage(const CellNode& node, const JobId& id) {
   const CellLeader* leader = node.leader();
@@ -73,17 +104,12 @@
   }
   json steps = json::array();
   for (const CellLeader::StepView& view : leader->DescribeSteps(id)) {
-    json row = {{"occurrence", view.occurrence}, {"step", view.step},
-                {"tasks", view.tasks},           {"done", view.done},
-                {"running", view.running},       {"waiting", view.waiting}};
-    if (!view.waits_for.empty()) {
-      row["waits_for"] = view.waits_for;
-    }
-    steps.push_back(std::move(row));
+    steps.push_back(StepRow(view));
   }
   return HttpResponse::Json(200,
                             json({{"id", id},
                                   {"state", std::string(JobStateName(*state))},
+                                  {"passes", leader->counts().passes},
                                   {"steps", std::move(steps)}})
                                 .dump());
 }
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -360,6 +360,10 @@
     reply.result = OrderResult::kDeadlinePassed;
     return reply;
   }
+  if (start_result && start_result(order) != OrderResult::kOk) {
+    reply.result = start_result(order);
+    return reply;
+  }
   Run run;
   run.name = TaskName::Parse(order.task).value();
   run.number = order.run;
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -79,6 +79,8 @@
   std::map<std::string, LinkFaults> member_links;
   std::function<Duration(const TaskName&, const StepSpec&)> run_time;
   std::function<bool(const TaskName&, const ExecutorId&)> fails;
+  // Result of each start; a start is not executed unless this is kOk.
+  std::function<OrderResult(const StartOrder&)> start_result;
   Millis longest_lease{10'000};
   Millis stop_time{100};
   Millis gang_timeout{3'000};
--- /dev/null
+++ b/cell/testing/leader_waits_test.cc
@@ -0,0 +1,245 @@
+// What operators learn about tasks that wait: the view of a step and its page.
+// Each case brings about one reason to wait.
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "cell/status_page.h"
+#include "cell/testing/cell_fixture.h"
+#include "cell/testing/cell_leader_peer.h"
+
+namespace chivedale::cell {
+namespace {
+
+using testing::CellFixture;
+using testing::CellLeaderPeer;
+using testing::kJobId;
+using testing::MakeJobSpec;
+using testing::MakeQueue;
+
+constexpr char kOtherJob[] = "00000000000000bb";
+constexpr int64_t kWholeExecutor = 32'000;
+
+struct WaitFixture : CellFixture {
+  // The first step of the job.
+  CellLeader::StepView View(const JobId& id = kJobId) {
+    const auto views = leader()->leader()->DescribeSteps(id);
+    BOOST_REQUIRE(!views.empty());
+    return views[0];
+  }
+  std::string Page() {
+    return *StatusPage(*leader(), std::string("/jobs/") + kJobId).body;
+  }
+  // Occupies all executors for the given time.
+  void FillPool(Millis time) {
+    Submit("a", kOtherJob, MakeJobSpec(4, time, kWholeExecutor), "q0");
+    RunFor(Millis(100));
+  }
+  void RejectStarts(OrderResult result) {
+    executors.start_result = [result](const StartOrder&) { return result; };
+  }
+  void CutExecutorsFromLeader() {
+    executors.member_links[LeaderName()].cut = true;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(AStepWithWaitingTasks)
+
+BOOST_AUTO_TEST_SUITE(TellsWhatItWaitsFor)
+
+BOOST_AUTO_TEST_CASE(Room) {
+  WaitFixture cell;
+  cell.FillPool(Millis(20'000));
+  cell.Submit("a", kJobId, MakeJobSpec(2, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(2'000));
+  const auto view = cell.View();
+  BOOST_TEST(view.waits_for == "room");
+  BOOST_TEST(view.queued);
+  BOOST_TEST(view.waiting == 2);
+  BOOST_TEST((view.waits_for_time > Millis(1'800)));
+  BOOST_TEST((view.waits_for_time <= view.waiting_time));
+  BOOST_TEST((view.waiting_time < Millis(2'000)));
+  BOOST_TEST(view.last_pass > 0);
+  BOOST_TEST((view.last_pass_age < Millis(600)));
+  BOOST_TEST(view.starts == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RoomBehindMoreUrgentSteps) {
+  WaitFixture cell;
+  cell.FillPool(Millis(20'000));
+  for (int i = 1; i <= 4; ++i) {
+    cell.Submit("a", "000000000000000" + std::to_string(i),
+                MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
+  }
+  cell.RunFor(Millis(100));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q2");
+  cell.RunFor(Millis(300));
+  BOOST_TEST(cell.View().waits_for == "room, behind more urgent steps");
+}
+
+BOOST_AUTO_TEST_CASE(RoomBeyondTheHeadroom) {
+  WaitFixture cell;
+  cell.Submit("a", kOtherJob, MakeJobSpec(8, Millis(8'000)), "q0");
+  cell.RunFor(Millis(4'000));
+  cell.Submit("a", kJobId, MakeJobSpec(40, Millis(20'000)), "q2");
+  cell.RunFor(Millis(500));
+  const auto view = cell.View();
+  BOOST_TEST(view.running > 0);
+  BOOST_TEST(view.waits_for == "room beyond the headroom for urgent jobs");
+}
+
+BOOST_AUTO_TEST_CASE(AMatchingExecutor) {
+  WaitFixture cell;
+  JobSpec spec = MakeJobSpec(1, Millis(100));
+  spec.steps[0].label = "none";
+  cell.Submit("a", kJobId, spec, "q0");
+  cell.RunFor(Millis(300));
+  BOOST_TEST(cell.View().waits_for ==
+             "a usable executor that matches its label and size");
+}
+
+BOOST_AUTO_TEST_CASE(Advice) {
+  WaitFixture cell;
+  QueuePolicy advised = MakeQueue(1);
+  advised.advice = AdvicePolicy{Millis(10), Millis(0), Millis(2'000)};
+  cell.advised_share = 0;
+  cell.SetQueue(advised);
+  cell.RunFor(Millis(300));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100)), "q1");
+  cell.RunFor(Millis(300));
+  BOOST_TEST(cell.View().waits_for == "advice, or executors it allows");
+}
+
+BOOST_AUTO_TEST_CASE(ItsRetryTime) {
+  WaitFixture cell;
+  cell.RejectStarts(OrderResult::kRejected);
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100)), "q0");
+  cell.RunFor(Millis(50));
+  const auto view = cell.View();
+  BOOST_TEST(view.waits_for == "its retry time");
+  BOOST_TEST(view.starts == 1);
+  BOOST_TEST(view.rejected == 1);
+  BOOST_TEST(view.unanswered == 0);
+  BOOST_TEST(view.last_result == "rejected");
+  BOOST_TEST(view.last_executor.substr(0, 1) == "e");
+}
+
+// Repeated starts do not make the wait look short.
+BOOST_AUTO_TEST_CASE(SinceItsTasksLastRan) {
+  WaitFixture cell;
+  cell.RejectStarts(OrderResult::kRejected);
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100)), "q0");
+  cell.RunFor(Millis(3'000));
+  const auto view = cell.View();
+  BOOST_TEST((view.waiting_time > Millis(2'900)));
+  BOOST_TEST(view.rejected > 3);
+  BOOST_TEST(view.rejected == view.starts);
+}
+
+BOOST_AUTO_TEST_CASE(TheAnswerToAStart) {
+  WaitFixture cell;
+  cell.CutExecutorsFromLeader();
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100)), "q0");
+  cell.RunFor(Millis(100));
+  auto view = cell.View();
+  BOOST_TEST(view.waiting == 0);
+  BOOST_TEST(view.unconfirmed == 1);
+  BOOST_TEST(view.starts == 1);
+  BOOST_TEST(view.waits_for == "the answer to a start");
+  cell.RunFor(Millis(1'500));
+  view = cell.View();
+  BOOST_TEST(view.unanswered == 1);
+  BOOST_TEST(view.last_result == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(TheEndOfARunThatIsStopped) {
+  WaitFixture cell;
+  JobSpec spec = MakeJobSpec(4, Millis(20'000), kWholeExecutor);
+  spec.steps[0].checkpoints = true;
+  cell.Submit("a", kJobId, spec, "q2");
+  cell.RunFor(Millis(1'000));
+  BOOST_TEST(cell.View().waits_for.empty());
+  cell.executors.stop_time = Millis(500);
+  cell.Submit("a", kOtherJob, MakeJobSpec(1, Millis(100)), "q0");
+  cell.RunFor(Millis(200));
+  const auto view = cell.View();
+  BOOST_TEST(view.stopping == 1);
+  BOOST_TEST(view.waits_for == "the end of runs that are being stopped");
+}
+
+BOOST_AUTO_TEST_CASE(TheStepsBeforeIt) {
+  WaitFixture cell;
+  JobSpec spec = MakeJobSpec(1, Millis(5'000));
+  spec.steps.push_back(spec.steps[0]);
+  spec.steps[1].depends_on = {0};
+  cell.Submit("a", kJobId, spec, "q0");
+  cell.RunFor(Millis(1'000));
+  const auto views = cell.leader()->leader()->DescribeSteps(kJobId);
+  BOOST_REQUIRE(views.size() == 2U);
+  BOOST_TEST(views[1].waits_for == "the steps before it");
+  BOOST_TEST((views[1].waits_for_time > Millis(900)));
+  BOOST_TEST(views[1].last_pass == 0);
+}
+
+BOOST_AUTO_TEST_CASE(OnThePageOfItsJob) {
+  WaitFixture cell;
+  cell.FillPool(Millis(20'000));
+  cell.Submit("a", kJobId, MakeJobSpec(2, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(1'000));
+  const std::string page = cell.Page();
+  for (const char* field :
+       {"\"passes\":", "\"waits_for\":\"room\"",
+        "\"waits_for_ms\":", "\"waiting_ms\":", "\"queued\":true",
+        "\"last_pass\":", "\"last_pass_age_ms\":", "\"starts\":0",
+        "\"rejected\":0", "\"unanswered\":0", "\"unconfirmed\":0",
+        "\"stopping\":0"}) {
+    BOOST_TEST(page.find(field) != std::string::npos, field << " in " << page);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatIsLeftOutOfThePasses)
+
+BOOST_AUTO_TEST_CASE(IsShownAndNotRepaired) {
+  WaitFixture cell;
+  cell.FillPool(Millis(20'000));
+  cell.Submit("a", kJobId, MakeJobSpec(2, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(300));
+  CellLeaderPeer::ClearWaitingSteps(*cell.leader()->leader());
+  cell.RunFor(Millis(600));
+  auto view = cell.View();
+  BOOST_TEST(!view.queued);
+  BOOST_TEST(view.waits_for == "nothing: not queued for scheduling");
+  const int64_t last_pass = view.last_pass;
+  cell.RunFor(Millis(2'000));
+  view = cell.View();
+  BOOST_TEST(!view.queued);
+  BOOST_TEST(view.last_pass == last_pass);
+  BOOST_TEST((view.last_pass_age > Millis(2'000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AfterATakeover)
+
+BOOST_AUTO_TEST_CASE(WaitsForExecutorsThatAreNotReadYet) {
+  WaitFixture cell;
+  cell.FillPool(Millis(3'000));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(200));
+  cell.executors.Crash("e4");
+  cell.Kill(cell.LeaderName());
+  cell.RunFor(Millis(3'500));
+  BOOST_REQUIRE(cell.leader() != nullptr);
+  BOOST_TEST(cell.View().waits_for ==
+             "executors whose runs this leader does not know yet");
+  cell.RunFor(Millis(4'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
