Log steps that wait long and steps that no pass looks at

Cause: nothing in the log told that a step waits. An operator who had only the logs could not tell a step without room from one that is left out of the scheduling passes.

Change: the leader's periodic check (every 0.5 s) writes event 1206 once a step has waited for 3 s since one of its tasks was last known to run, with the reason, the last pass, the room of the pool and the results of starts; again each time the wait has doubled, at most 20 lines per check. The wait counts over changes of the reason and over starts that fail, so that a step whose reason alternates is reported too. 1207 tells that such a step runs again. 1208, an error, tells that a ready step with waiting tasks is not queued for passes; nothing is queued again. /metrics counts these steps.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -120,6 +120,7 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     RemoveExpiredJobs();
+    ReportWaitingSteps();
     RequestSchedulingPass();
   }
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -114,6 +114,13 @@
   int64_t progress_writes = 0;
 };
 
+// Steps with waiting tasks, as of the last periodic check.
+struct WaitCounts {
+  int64_t waiting = 0;
+  int64_t waiting_long = 0;  // long enough to be logged
+  int64_t not_queued = 0;    // ready, but left out of the scheduling passes
+};
+
 namespace testing {
 class CellLeaderPeer;
 }
@@ -177,6 +184,7 @@
   std::map<std::string, int64_t> Pending() const;
   const Leadership& leadership() const { return leadership_; }
   const LeaderCounts& counts() const { return counts_; }
+  const WaitCounts& wait_counts() const { return wait_counts_; }
   size_t jobs() const { return jobs_.size(); }
   const std::map<ExecutorId, std::unique_ptr<Executor>>& executors() const {
     return executors_;
@@ -358,9 +366,12 @@
 
   // leader_waits.cc: what steps wait for, for operators.
   // The run is known to have begun.
-  void OnRunning(const Run& run);
+  void OnRunning(const Run& run, const Executor& executor);
   std::pair<WaitReason, TimePoint> ReasonOf(const Step& step) const;
   StepView ViewOf(const Step& step) const;
+  // Logs steps that wait long or are left out of the scheduling passes.
+  void ReportWaitingSteps();
+  void ReportWait(const Step& step, Event event);
 
   // leader_headroom.cc: resources kept free for bursts of urgent jobs.
   void MeasureUrgentUse();
@@ -402,6 +413,7 @@
   std::shared_ptr<const QueueTable> table_;
   uint64_t table_count_ = 1;  // sequence number of table_
   LeaderCounts counts_;
+  WaitCounts wait_counts_;
 
   bool loaded_ = false;
   bool suspended_ = false;
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -217,7 +217,7 @@
     took = now - (run->running_since == TimePoint() ? run->start_sent
                                                     : run->running_since);
     if (run->IsStartUnconfirmed()) {
-      OnRunning(*run);
+      OnRunning(*run, executor);
     }
     executor.RemoveRun(end.task);
   }
@@ -301,7 +301,7 @@
     if (run->IsStartUnconfirmed()) {
       run->phase = RunPhase::kRunning;
       run->running_since = context_.clock.Now();
-      OnRunning(*run);
+      OnRunning(*run, executor);
     }
     run->checkpoint = row.checkpoint;
     run->pace_percent = row.pace_percent;
@@ -338,7 +338,7 @@
   if (!wanted) {
     StopRun(executor, run, "run not needed");
   } else {
-    OnRunning(run);
+    OnRunning(run, executor);
   }
 }
 
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -1,13 +1,41 @@
-// Describes what steps wait for. Changes no decision.
+// Describes and logs what steps wait for. Changes no decision: a step that is
+// left out of the scheduling passes is reported, not queued again.
+#include <algorithm>
+#include <sstream>
+
 #include "cell/leader.h"
 
 namespace chivedale::cell {
-void CellLeader::OnRunning(const Run& run) {
+namespace {
+
+// Maximum number of lines per event and check; the next check continues.
+constexpr int kMaxReportsPerCheck = 20;
+
+std::string ToText(const Resources& resources) {
+  std::ostringstream out;
+  out << resources;
+  return out.str();
+}
+
+std::string ToMillisText(Duration time) {
+  return std::to_string(std::chrono::duration_cast<Millis>(time).count());
+}
+
+}  // namespace
+
+void CellLeader::OnRunning(const Run& run, const Executor& executor) {
   Step& step = *run.step;
   if (step.spec->gang && ++step.gang_running < step.spec->count) {
     return;
   }
-  step.wait.OnRunning(context_.clock.Now());
+  const TimePoint now = context_.clock.Now();
+  if (step.wait.reported()) {
+    context_.log.Write(Event::kStepWaitEnded,
+                       {{"step", step.NameOf(0).StepText()},
+                        {"waited_ms", ToMillisText(step.wait.Waited(now))},
+                        {"executor", executor.entry.id}});
+  }
+  step.wait.OnRunning(now);
 }
 
 std::vector<CellLeader::StepView> CellLeader::DescribeSteps(
@@ -87,4 +115,78 @@
   return {wait.reason(), wait.reason_since()};
 }
 
+void CellLeader::ReportWaitingSteps() {
+  const TimePoint now = context_.clock.Now();
+  wait_counts_ = WaitCounts();
+  if (!loaded_) {
+    return;
+  }
+  int waiting_reports = 0;
+  int not_queued_reports = 0;
+  for (auto& [id, job] : jobs_) {
+    if (job->terminal()) {
+      continue;
+    }
+    for (auto& [number, occurrence] : job->open()) {
+      for (Step& step : occurrence.steps) {
+        const bool waits = step.ready && step.Waiting() > 0;
+        // Without waiting tasks, starts that no run has followed may be
+        // unanswered.
+        if (!waits && (step.Finished() || step.wait.starts() == 0)) {
+          continue;
+        }
+        const bool queued = !waits || waiting_.count(&step) > 0;
+        if (!queued) {
+          step.wait.OnNotQueued(now);
+        }
+        ++wait_counts_.waiting;
+        wait_counts_.waiting_long += step.wait.IsLong(now) ? 1 : 0;
+        wait_counts_.not_queued += queued ? 0 : 1;
+        int& reports = queued ? waiting_reports : not_queued_reports;
+        if (step.wait.IsReportDue(now) && reports < kMaxReportsPerCheck) {
+          ++reports;
+          ReportWait(step,
+                     queued ? Event::kStepWaiting : Event::kStepNotQueued);
+          step.wait.OnReported(now);
+        }
+      }
+    }
+  }
+}
+
+void CellLeader::ReportWait(const Step& step, Event event) {
+  const TimePoint now = context_.clock.Now();
+  const StepWait& wait = step.wait;
+  const auto [reason, since] = ReasonOf(step);
+  const std::string& pool_name = PolicyOf(*step.job).pool;
+  LogFields fields = {
+      {"step", step.NameOf(0).StepText()},
+      {"queue", step.job->queue().name},
+      {"waiting", std::to_string(step.Waiting())},
+      {"of", std::to_string(step.tasks.size())},
+      {"waiting_ms", ToMillisText(wait.Waited(now))},
+      {"waits_for", std::string(WaitReasonText(reason))},
+      {"waits_for_ms", ToMillisText(now - since)},
+      {"last_pass", std::to_string(wait.pass())},
+      {"passes", std::to_string(counts_.passes)},
+  };
+  if (wait.pass() > 0) {
+    fields.emplace_back("last_pass_age_ms", ToMillisText(now - wait.pass_at()));
+  }
+  fields.emplace_back("size", ToText(ResourcesFor(*step.spec)));
+  fields.emplace_back("pool", pool_name);
+  const PoolState& pool = PoolStateOf(pool_name);
+  fields.emplace_back("usable", std::to_string(pool.usable.size()));
+  fields.emplace_back("free", ToText(pool.free));
+  fields.emplace_back("capacity", ToText(pool.capacity));
+  fields.emplace_back("starts", std::to_string(wait.starts()));
+  fields.emplace_back("rejected", std::to_string(wait.rejected()));
+  fields.emplace_back("unanswered", std::to_string(wait.unanswered()));
+  if (!wait.last_result().empty()) {
+    fields.emplace_back("last_result", wait.last_result());
+    fields.emplace_back("last_executor", wait.last_executor());
+  }
+  context_.log.Write(event, fields);
+}
+
 }  // namespace chivedale::cell
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -16,6 +16,7 @@
       << "chivedale_store_calls_total " << node.store_calls() << "\n";
   if (const CellLeader* leader = node.leader()) {
     const LeaderCounts& counts = leader->counts();
+    const WaitCounts& waits = leader->wait_counts();
     out << "chivedale_jobs " << leader->jobs() << "\n"
         << "chivedale_executors " << leader->executors().size() << "\n"
         << "chivedale_term " << leader->leadership().term << "\n"
@@ -26,7 +27,10 @@
         << "chivedale_holds_total " << counts.holds << "\n"
         << "chivedale_passes_total " << counts.passes << "\n"
         << "chivedale_advice_calls_total " << counts.advice << "\n"
-        << "chivedale_progress_writes_total " << counts.progress_writes << "\n";
+        << "chivedale_progress_writes_total " << counts.progress_writes << "\n"
+        << "chivedale_steps_waiting " << waits.waiting << "\n"
+        << "chivedale_steps_waiting_long " << waits.waiting_long << "\n"
+        << "chivedale_steps_not_queued " << waits.not_queued << "\n";
   }
   out << node.metrics().PrometheusText();
   return out.str();
--- a/cell/step_wait.cc
+++ b/cell/step_wait.cc
@@ -1,5 +1,6 @@
 #include "cell/step_wait.h"
 
+#include <algorithm>
 #include <array>
 
 namespace chivedale::cell {
@@ -30,12 +31,23 @@
 
 void StepWait::OnQueued(TimePoint now) {
   // A step whose starts fail repeatedly has waited since before the first one.
-  if (starts_ == 0 && rejected_ == 0 && unanswered_ == 0) {
+  if (!not_queued_ && starts_ == 0 && rejected_ == 0 && unanswered_ == 0) {
     since_ = now;
   }
+  not_queued_ = false;
   SetReason(WaitReason::kNextPass, now);
 }
 
+void StepWait::OnNotQueued(TimePoint now) {
+  if (not_queued_) {
+    return;
+  }
+  not_queued_ = true;
+  since_ = now;
+  reported_ = false;
+  next_report_ = kFirstReport;
+}
+
 void StepWait::OnConsidered(int64_t pass, TimePoint now) {
   pass_ = pass;
   pass_at_ = now;
@@ -61,6 +73,13 @@
   unanswered_ = 0;
   last_result_ = {};
   last_executor_.clear();
+  reported_ = false;
+  next_report_ = kFirstReport;
+}
+
+void StepWait::OnReported(TimePoint now) {
+  reported_ = true;
+  next_report_ = std::max<Duration>(kFirstReport, 2 * Waited(now));
 }
 
 }  // namespace chivedale::cell
--- a/cell/step_wait.h
+++ b/cell/step_wait.h
@@ -5,6 +5,7 @@
 //   wait.OnQueued(now);
 //   wait.OnConsidered(pass, now);  // by a scheduling pass, with the result:
 //   wait.SetReason(WaitReason::kRoom, now);
+//   if (wait.IsReportDue(now)) ...
 #ifndef CELL_STEP_WAIT_H_
 #define CELL_STEP_WAIT_H_
 
@@ -42,16 +43,27 @@
   // Commands.
   // The step was added to those that scheduling passes consider.
   void OnQueued(TimePoint now);
+  // The step has waiting tasks and no pass will consider it.
+  void OnNotQueued(TimePoint now);
   void OnConsidered(int64_t pass, TimePoint now);
   void SetReason(WaitReason reason, TimePoint now);
   void OnStartSent() { ++starts_; }
   void OnStartFailed(OrderResult result, const ExecutorId& executor);
   // A task, or all tasks of a gang, are known to run. The others wait from now.
   void OnRunning(TimePoint now);
+  // The wait was logged. The next report is due when it is twice as long.
+  void OnReported(TimePoint now);
 
   // Queries.
+  bool IsReportDue(TimePoint now) const {
+    return Waited(now) >= next_report_ || (not_queued_ && !reported_);
+  }
+  // Whether the wait was logged.
+  bool reported() const { return reported_; }
   TimePoint since() const { return since_; }
   Duration Waited(TimePoint now) const { return now - since_; }
+  // Whether the wait is long enough to be logged.
+  bool IsLong(TimePoint now) const { return Waited(now) >= kFirstReport; }
   WaitReason reason() const { return reason_; }
   TimePoint reason_since() const { return reason_since_; }
   // Number of the last pass that considered the step; 0 if there was none.
@@ -66,9 +78,12 @@
   const ExecutorId& last_executor() const { return last_executor_; }
 
  private:
+  static constexpr Millis kFirstReport{3'000};
+
   WaitReason reason_ = WaitReason::kNextPass;
   TimePoint reason_since_{};
   TimePoint since_{};
+  bool not_queued_ = false;
   int64_t pass_ = 0;
   TimePoint pass_at_{};
   int starts_ = 0;
@@ -76,6 +91,8 @@
   int unanswered_ = 0;
   std::string_view last_result_;
   ExecutorId last_executor_;
+  bool reported_ = false;
+  Duration next_report_ = kFirstReport;
 };
 
 }  // namespace chivedale::cell
--- a/cell/testing/leader_waits_test.cc
+++ b/cell/testing/leader_waits_test.cc
@@ -1,5 +1,6 @@
-// What operators learn about tasks that wait: the view of a step and its page.
-// Each case brings about one reason to wait.
+// What operators learn about tasks that wait: the view of a step, its page and
+// the log. Each case brings about one reason to wait.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -29,6 +30,10 @@
   std::string Page() {
     return *StatusPage(*leader(), std::string("/jobs/") + kJobId).body;
   }
+  int64_t Count(const std::string& event) const {
+    const std::string lines = log.Lines(event);
+    return std::count(lines.begin(), lines.end(), '\n');
+  }
   // Occupies all executors for the given time.
   void FillPool(Millis time) {
     Submit("a", kOtherJob, MakeJobSpec(4, time, kWholeExecutor), "q0");
@@ -198,24 +203,120 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(IsLogged)
+
+BOOST_AUTO_TEST_CASE(AfterThreeSecondsAndThenLessAndLessOften) {
+  WaitFixture cell;
+  cell.FillPool(Millis(30'000));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(2'800));
+  BOOST_TEST(cell.Count("step_waiting") == 0);
+  cell.RunFor(Millis(900));
+  BOOST_TEST(cell.Count("step_waiting") == 1);
+  const std::string line = cell.log.Lines("step_waiting");
+  for (const char* field :
+       {"1206 ", "step=00000000000000aa.0.0 ", "queue=q0 ", "waiting=1 ",
+        "of=1 ", "waits_for=room ", "waiting_ms=3", "waits_for_ms=3",
+        "last_pass=", "last_pass_age_ms=", "pool=pool ", "usable=4 ",
+        "free=0m/252000MB/", "capacity=128000m/256000MB/", "starts=0 "}) {
+    BOOST_TEST(line.find(field) != std::string::npos, field << " in " << line);
+  }
+  cell.RunFor(Millis(20'000));
+  BOOST_TEST(cell.Count("step_waiting") == 3);
+}
+
+BOOST_AUTO_TEST_CASE(AlsoWhileItsStartsAreRejected) {
+  WaitFixture cell;
+  cell.RejectStarts(OrderResult::kRejected);
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100)), "q0");
+  cell.RunFor(Millis(4'000));
+  const std::string line = cell.log.Lines("step_waiting");
+  BOOST_TEST(cell.Count("step_waiting") == 1);
+  BOOST_TEST(line.find("last_result=rejected") != std::string::npos, line);
+}
+
+// The members that were started do not make the gang run.
+BOOST_AUTO_TEST_CASE(AlsoWhileAMemberOfItsGangIsRejected) {
+  WaitFixture cell;
+  cell.executors.start_result = [](const StartOrder& order) {
+    return order.task.back() == '1' ? OrderResult::kRejected : OrderResult::kOk;
+  };
+  JobSpec spec = MakeJobSpec(2, Millis(300));
+  spec.steps[0].gang = true;
+  cell.Submit("a", kJobId, spec, "q0");
+  cell.RunFor(Millis(4'000));
+  BOOST_TEST(cell.Count("step_waiting") == 1);
+  cell.executors.start_result = nullptr;
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST(cell.Count("step_wait_ended") == 1);
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(AndItsStartAfterwards) {
+  WaitFixture cell;
+  cell.FillPool(Millis(5'000));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(7'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(cell.Count("step_wait_ended step=00000000000000aa.0.0") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(NotIfItsTasksStartSoon) {
+  WaitFixture cell;
+  cell.Submit("a", kJobId, MakeJobSpec(8, Millis(10'000)), "q0");
+  JobSpec gang = MakeJobSpec(4, Millis(10'000));
+  gang.steps[0].gang = true;
+  cell.Submit("a", kOtherJob, gang, "q0");
+  cell.RunFor(Millis(8'000));
+  BOOST_TEST(cell.executors.running() == 12);
+  BOOST_TEST(cell.Count("step_wait") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(WithABoundedNumberOfLines) {
+  WaitFixture cell;
+  cell.FillPool(Millis(20'000));
+  for (int i = 100; i < 150; ++i) {
+    cell.Submit("a", "0000000000000" + std::to_string(i),
+                MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
+  }
+  cell.RunFor(Millis(3'600));
+  BOOST_TEST(cell.Count("step_waiting") >= 20);
+  BOOST_TEST(cell.Count("step_waiting") <= 40);
+  cell.RunFor(Millis(1'500));
+  BOOST_TEST(cell.Count("step_waiting") == 50);
+  const std::string metrics = *StatusPage(*cell.leader(), "/metrics").body;
+  BOOST_TEST(metrics.find("chivedale_steps_waiting_long 50\n") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatIsLeftOutOfThePasses)
 
-BOOST_AUTO_TEST_CASE(IsShownAndNotRepaired) {
+// Guards against a loss of work that neither the log nor the page shows.
+BOOST_AUTO_TEST_CASE(IsReportedAndNotRepaired) {
   WaitFixture cell;
   cell.FillPool(Millis(20'000));
   cell.Submit("a", kJobId, MakeJobSpec(2, Millis(100), kWholeExecutor), "q0");
   cell.RunFor(Millis(300));
+  BOOST_TEST(cell.Count("step_not_queued") == 0);
   CellLeaderPeer::ClearWaitingSteps(*cell.leader()->leader());
   cell.RunFor(Millis(600));
   auto view = cell.View();
   BOOST_TEST(!view.queued);
   BOOST_TEST(view.waits_for == "nothing: not queued for scheduling");
+  BOOST_TEST(cell.Count("1208 step_not_queued step=00000000000000aa.0.0") == 1);
+  const std::string metrics = *StatusPage(*cell.leader(), "/metrics").body;
+  BOOST_TEST(metrics.find("chivedale_steps_not_queued 1\n") !=
+             std::string::npos);
   const int64_t last_pass = view.last_pass;
   cell.RunFor(Millis(2'000));
   view = cell.View();
   BOOST_TEST(!view.queued);
   BOOST_TEST(view.last_pass == last_pass);
   BOOST_TEST((view.last_pass_age > Millis(2'000)));
+  cell.RunFor(Millis(8'000));
+  BOOST_TEST(cell.Count("step_not_queued") == 3);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
