--- a/cell/leader.h
+++ b/cell/leader.h
@@ -114,6 +114,17 @@
   int64_t progress_writes = 0;
 };
 
+// Steps with waiting tasks, as of the last periodic check.
+struct WaitCounts {
+  int64_t waiting = 0;
+  int64_t waiting_long = 0;  // long enough to be logged
+  int64_t not_queued = 0;    // ready, but left out of the scheduling passes
+};
+
+namespace testing {
+class CellLeaderPeer;
+}
+
 class CellLeader {
  public:
   CellLeader(const LeaderContext& context,
@@ -150,15 +161,30 @@
     int step = 0;
     int tasks = 0;
     int done = 0;
-    int running = 0;
+    int running = 0;  // tasks with a live run
     int waiting = 0;
-    std::string waits_for;  // empty if no task waits
+    int unconfirmed = 0;  // live runs whose start is not confirmed
+    int stopping = 0;     // live runs that are being stopped
+    bool queued = false;  // scheduling passes consider it
+    // Empty if no task waits. The rest applies only if it is set.
+    std::string waits_for;
+    Duration waits_for_time{0};  // since this reason applies
+    Duration waiting_time{0};    // since a task was last known to run
+    int64_t last_pass = 0;       // that considered the step; 0: none
+    Duration last_pass_age{0};
+    // Starts since a task was last known to run.
+    int starts = 0;
+    int rejected = 0;
+    int unanswered = 0;
+    std::string last_result;  // of the last start that failed
+    ExecutorId last_executor;
   };
   std::vector<StepView> DescribeSteps(const JobId& id) const;
   // Number of accepted jobs without a started task, by queue.
   std::map<std::string, int64_t> Pending() const;
   const Leadership& leadership() const { return leadership_; }
   const LeaderCounts& counts() const { return counts_; }
+  const WaitCounts& wait_counts() const { return wait_counts_; }
   size_t jobs() const { return jobs_.size(); }
   const std::map<ExecutorId, std::unique_ptr<Executor>>& executors() const {
     return executors_;
@@ -168,6 +194,8 @@
   bool may_start() const;
 
  private:
+  friend class testing::CellLeaderPeer;
+
   struct StepOrder {
     int priority;
     bool late;  // past its objective
@@ -197,6 +225,9 @@
   // Time since acceptance, by the VMs' wall clocks.
   Duration AgeOf(const Job& job) const;
   TimePoint ObjectiveOf(const Step& step) const;
+  // Null if there is none.
+  Step* StepOf(const TaskName& name);
+  Executor* FindExecutor(const ExecutorId& id);
 
   // leader_entries.cc: discovery of executors.
   void PollExecutors();
@@ -293,7 +324,8 @@
   // that this leader has not read yet.
   bool MayRunOnUnreadExecutor(const Step& step) const;
   void ReadPredecessorRevisionLimit();
-  // All leases that the predecessor may have granted have expired.
+  // Time by which all leases that the predecessor may have granted expire.
+  TimePoint PredecessorLeasesEnd() const;
   bool PredecessorLeasesExpired() const;
   // Usable executors of a pool and their resources in the current pass.
   struct PoolState {
@@ -308,6 +340,15 @@
   static void UpdateFreeResources(PoolState& pool);
   std::vector<Executor*> EligibleFor(const Step& step, const PoolState& pool);
   void Preempt(Step& step, const std::vector<Executor*>& candidates);
+  // Reserves executors for the step, which less urgent steps then cannot use.
+  void ReserveExecutors(const Step& step,
+                        const std::vector<Executor*>& candidates,
+                        PoolState& pool);
+  // Whether the candidates would fit the step if they were otherwise empty.
+  bool WouldFitIfEmpty(const Step& step,
+                       const std::vector<Executor*>& candidates) const;
+
+  // leader_runs.cc: starting and stopping of runs.
   void Start(Executor& executor, Step& step, int task, int64_t number);
   void OnStarted(const ExecutorId& id,
                  const std::string& task,
@@ -322,16 +363,18 @@
   void StopCopies(Step& step, int task);
   // Starts second runs of overdue tasks whose step allows copies.
   void StartCopies();
-  // Reserves executors for the step, which less urgent steps then cannot use.
-  void ReserveExecutors(const Step& step,
-                        const std::vector<Executor*>& candidates,
-                        PoolState& pool);
-  // Whether the candidates would fit the step if they were otherwise empty.
-  bool WouldFitIfEmpty(const Step& step,
-                       const std::vector<Executor*>& candidates) const;
   int64_t NextRunNumber(const Task& task) const;
-  Step* StepOf(const TaskName& name);
-  Executor* FindExecutor(const ExecutorId& id);
+
+  // leader_waits.cc: what steps wait for, for operators.
+  // The run is known to have begun.
+  void OnRunning(const Run& run, const Executor& executor);
+  std::pair<WaitReason, TimePoint> ReasonOf(const Step& step) const;
+  StepView ViewOf(const Step& step) const;
+  // Logs steps that wait long or are left out of the scheduling passes.
+  void ReportWaitingSteps();
+  void ReportWait(const Step& step, Event event);
+  void ReportUnreadExecutors();
+  void ReportUnreadExecutorsEnd();
 
   // leader_headroom.cc: resources kept free for bursts of urgent jobs.
   void MeasureUrgentUse();
@@ -373,9 +416,11 @@
   std::shared_ptr<const QueueTable> table_;
   uint64_t table_count_ = 1;  // sequence number of table_
   LeaderCounts counts_;
+  WaitCounts wait_counts_;
 
   bool loaded_ = false;
   bool suspended_ = false;
+  TimePoint suspended_at_{};
   bool fenced_ = false;
   TimePoint begin_time_{};
   int64_t jobs_revision_ = 0;
@@ -383,7 +428,7 @@
   // Cancellations whose job has not been read yet.
   std::set<JobId> unmatched_cancels_;
   std::set<JobId> recurring_jobs_;
-  std::set<Step*> waiting_;
+  std::set<Step*, std::less<>> waiting_;
   // Overdue tasks that may get a second run: step and task index.
   std::set<std::pair<Step*, int>> overdue_copies_;
 
@@ -391,6 +436,8 @@
   // Executors that an earlier leader may have used and that have not answered a
   // hold call of this leader, so their runs are unknown.
   std::set<ExecutorId> unread_executors_;
+  bool unread_executors_reported_ = false;
+  bool unread_executors_end_reported_ = false;
   bool known_executors_loaded_ = false;
   bool executor_entries_read_ = false;
   TimePoint store_recovered_at_{};
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -3,7 +3,6 @@
 // and gangs are not starved by smaller, less urgent ones.
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 #include "cell/leader.h"
 
@@ -14,15 +13,26 @@
 constexpr Millis kPassDelay{2};
 // Minimum idle time between passes, as a multiple of the last pass's duration.
 constexpr int kPassIdleFactor = 3;
-// Time after which an executor does not execute a start any more, on its own
-// clock. An unanswered start blocks its task for about as long.
-constexpr Millis kStartValidity{800};
-constexpr Millis kRejectedRetryDelay{100};
-constexpr Millis kUnhealthyAvoidTime{1'000};
 // Number of steps that may reserve executors in one pass.
 constexpr int kMaxReservingSteps = 4;
-// Run numbers per term, so that those of a new leader exceed all earlier ones.
-constexpr int64_t kRunsPerTerm = 1'000;
+
+// Why tasks of a step still wait after all that could be started were.
+WaitReason ReasonOfRest(const Step& step, TimePoint now) {
+  if (step.spec->gang) {
+    return WaitReason::kEarlierGangRun;
+  }
+  bool delayed = false;
+  for (const Task& task : step.tasks) {
+    if (task.done || task.live > 0) {
+      continue;
+    }
+    if (task.retry_at <= now) {
+      return WaitReason::kHeadroom;
+    }
+    delayed = true;
+  }
+  return delayed ? WaitReason::kRetryTime : WaitReason::kNextPass;
+}
 
 }  // namespace
 
@@ -41,7 +51,9 @@
 
 void CellLeader::AddIfWaiting(Step& step) {
   if (step.ready && !step.job->terminal() && step.Waiting() > 0) {
-    waiting_.insert(&step);
+    if (waiting_.insert(&step).second) {
+      step.wait.OnQueued(context_.clock.Now());
+    }
   }
 }
 
@@ -51,6 +63,7 @@
   }
   ++counts_.passes;
   const TimePoint now = context_.clock.Now();
+  ReportUnreadExecutorsEnd();
   std::vector<StepOrder> orders;
   orders.reserve(waiting_.size());
   for (auto it = waiting_.begin(); it != waiting_.end();) {
@@ -134,19 +147,21 @@
   const TimePoint now = context_.clock.Now();
   const QueuePolicy& policy = PolicyOf(*step.job);
   PoolState& pool = PoolStateOf(policy.pool);
+  step.wait.OnConsidered(counts_.passes, now);
   // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
   // have reserved executors, unless it still needs its first advice call.
   const bool blocked = pool.reserving_steps >= kMaxReservingSteps &&
                        !ResourcesFor(*step.spec).FitsIn(pool.max_free) &&
                        (!policy.advice || step.advice.answered);
   if (blocked || step.retry_at > now) {
-    step.waits_for =
-        blocked ? "room, behind more urgent steps" : "its retry time";
+    step.wait.SetReason(
+        blocked ? WaitReason::kMoreUrgentSteps : WaitReason::kRetryTime, now);
     return;
   }
   std::vector<Executor*> eligible = EligibleFor(step, pool);
   if (MayRunOnUnreadExecutor(step)) {
-    step.waits_for = "executors whose runs this leader does not know yet";
+    step.wait.SetReason(WaitReason::kUnreadExecutors, now);
+    ReportUnreadExecutors();
     // Request the first advice already, so that it is there when the step may
     // start.
     if (!step.advice.answered) {
@@ -168,20 +183,20 @@
   }
   const int most = MaxStartsWithinHeadroom(step, pool);
   if (most == 0 || (step.spec->gang && most < step.spec->count)) {
-    step.waits_for = "room beyond the headroom for urgent jobs";
+    step.wait.SetReason(WaitReason::kHeadroom, now);
     return;
   }
   const bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                       : PlaceTasks(step, candidates, most);
   UpdateFreeResources(pool);
   if (placed) {
-    step.waits_for = "the next scheduling pass";
+    step.wait.SetReason(ReasonOfRest(step, now), now);
     return;
   }
-  step.waits_for = eligible.empty()
-                       ? "a usable executor that matches its label and size"
-                   : candidates.empty() ? "advice, or executors it allows"
-                                        : "room";
+  step.wait.SetReason(eligible.empty()     ? WaitReason::kNoMatchingExecutor
+                      : candidates.empty() ? WaitReason::kAdvice
+                                           : WaitReason::kRoom,
+                      now);
   if (!candidates.empty()) {
     Preempt(step, candidates);
   }
@@ -237,6 +252,7 @@
     return false;
   }
   step.gang_run = number;
+  step.gang_running = 0;
   for (size_t i = 0; i < members.size(); ++i) {
     Start(*members[i], step, static_cast<int>(i), number);
   }
@@ -365,240 +381,4 @@
   }
 }
 
-int64_t CellLeader::NextRunNumber(const Task& task) const {
-  return std::max(task.last_run, (leadership_.term - 1) * kRunsPerTerm) + 1;
-}
-
-void CellLeader::Start(Executor& executor,
-                       Step& step,
-                       int index,
-                       int64_t number) {
-  const TimePoint now = context_.clock.Now();
-  Task& task = step.tasks[static_cast<size_t>(index)];
-  const TaskName name = step.NameOf(index);
-  Run& run = executor.AddRun(name, number, &step, now);
-  run.start_until = executor.ClockAt(now) + kStartValidity;
-  run.start_pending = true;
-  run.checkpoint = task.checkpoint;
-  executor.OnDeadlineSent(run.start_until);
-  task.started = now;
-  if (!step.job->any_started() && !step.job->recurring()) {
-    context_.metrics.Observe(Timer::kWait, step.job->queue().name,
-                             AgeOf(*step.job));
-  }
-  step.job->set_any_started();
-  StartOrder order;
-  order.address = executor.entry.address;
-  order.executor = executor.entry.id;
-  order.task = name.Text();
-  order.run = number;
-  order.payload = step.job->record().spec.payload;
-  order.start_deadline = run.start_until;
-  order.fence = leadership_.fence;
-  order.checkpoint = task.checkpoint;
-  order.ticket = step.advice.Of(executor.number).ticket;
-  ++counts_.starts;
-  context_.log.Write(Event::kTaskStarted,
-                     {{"task", order.task},
-                      {"run", std::to_string(number)},
-                      {"executor", order.executor},
-                      {"queue", step.job->queue().name},
-                      {"fence", std::to_string(order.fence)}});
-  context_.executors.Start(order,
-                           Guard([this, id = order.executor, text = order.task,
-                                  number](const OrderReply& reply) {
-                             OnStarted(id, text, number, reply);
-                           }));
-}
-
-void CellLeader::OnStarted(const ExecutorId& id,
-                           const std::string& task,
-                           int64_t number,
-                           const OrderReply& reply) {
-  if (reply.result == OrderResult::kFenced) {
-    OnFenced("executor " + id + " has seen a newer leader");
-    return;
-  }
-  const auto found = executors_.find(id);
-  if (found == executors_.end()) {
-    return;
-  }
-  Executor& executor = *found->second;
-  const TimePoint now = context_.clock.Now();
-  if (reply.executor_clock) {
-    executor.OnClock(*reply.executor_clock, now);
-  }
-  Run* run = executor.FindRun(task);
-  if (run == nullptr || run->number != number) {
-    return;
-  }
-  run->start_pending = false;
-  if (reply.result == OrderResult::kOk) {
-    run->running_since =
-        run->running_since == TimePoint() ? now : run->running_since;
-    if (run->phase != RunPhase::kStopping) {
-      run->phase = RunPhase::kRunning;
-    }
-    if (!executor.hold_in_flight) {
-      ScheduleHold(executor, now);
-    }
-    return;
-  }
-  Step& step = *run->step;
-  const int index = run->name.index;
-  context_.log.Write(Event::kStartRejected,
-                     {{"task", task},
-                      {"run", std::to_string(number)},
-                      {"executor", id},
-                      {"result", std::string(OrderResultName(reply.result))}});
-  if (reply.result == OrderResult::kUnknown) {
-    // In any other phase a hold has already listed the run as running, or it is
-    // being stopped.
-    if (run->phase == RunPhase::kStartSent) {
-      run->phase = RunPhase::kStartUnconfirmed;
-      run->next_stop = now;
-    }
-    if (step.spec->gang) {
-      StopGang(step, number, "a gang member's start was not answered");
-    }
-    return;
-  }
-  executor.RemoveRun(task);
-  Task& record = step.tasks[static_cast<size_t>(index)];
-  record.retry_at = now + kRejectedRetryDelay;
-  switch (reply.result) {
-    case OrderResult::kUnhealthy:
-      executor.health.AvoidUntil(now + kUnhealthyAvoidTime);
-      record.retry_at = now;
-      break;
-    case OrderResult::kInsufficientCapacity:
-      executor.health.AvoidUntil(now + kRejectedRetryDelay);
-      break;
-    case OrderResult::kBadTicket:
-      // The executor may have restarted; request new advice on it.
-      step.advice.At(executor.number) = ExecutorAdvice();
-      break;
-    case OrderResult::kStaleRun:
-      ++record.last_run;
-      break;
-    case OrderResult::kWrongIncarnation:
-    case OrderResult::kNotSent:
-      executor.missed_holds = std::max(executor.missed_holds, 1);
-      ScheduleHold(executor, now);
-      record.retry_at = now;
-      break;
-    default:
-      break;
-  }
-  if (step.spec->gang) {
-    StopGang(step, number, "a gang member was not started");
-  }
-  AddIfWaiting(step);
-  RequestSchedulingPass();
-}
-
-void CellLeader::StopRun(Executor& executor, Run& run, const char* reason) {
-  if (run.phase == RunPhase::kStopping) {
-    return;
-  }
-  run.phase = RunPhase::kStopping;
-  run.next_stop = context_.clock.Now();
-  context_.log.Write(Event::kTaskStopOrdered,
-                     {{"task", run.name.Text()},
-                      {"run", std::to_string(run.number)},
-                      {"executor", executor.entry.id},
-                      {"reason", reason}});
-  RetryStops(executor);
-}
-
-void CellLeader::OnStopped(const ExecutorId& id,
-                           const std::string& task,
-                           int64_t number,
-                           const OrderReply& reply) {
-  if (reply.result == OrderResult::kFenced) {
-    OnFenced("executor " + id + " has seen a newer leader");
-    return;
-  }
-  const auto found = executors_.find(id);
-  if (found == executors_.end()) {
-    return;
-  }
-  Executor& executor = *found->second;
-  Run* run = executor.FindRun(task);
-  if (run == nullptr || run->number != number) {
-    return;
-  }
-  run->stop_in_flight = false;
-  const TimePoint now = context_.clock.Now();
-  if (reply.result == OrderResult::kOk) {
-    run->stop_confirmed = true;
-    run->stop_confirmed_at = now;
-    if (!executor.hold_in_flight) {
-      ScheduleHold(executor, now);
-    }
-  } else if (reply.result == OrderResult::kWrongIncarnation) {
-    executor.missed_holds = std::max(executor.missed_holds, 1);
-    ScheduleHold(executor, now);
-  }
-}
-
-void CellLeader::StopGang(Step& step, int64_t number, const char* reason) {
-  const std::map<ExecutorId, int> live = step.live_on;
-  for (const auto& [id, count] : live) {
-    Executor& executor = *executors_.at(id);
-    for (auto& [name, run] : executor.runs()) {
-      if (run.step == &step && run.number == number) {
-        StopRun(executor, run, reason);
-      }
-    }
-  }
-}
-
-void CellLeader::StopCopies(Step& step, int index) {
-  // The members of a gang end together and are not copied, so there is nothing
-  // to stop.
-  if (step.spec->gang || step.tasks[static_cast<size_t>(index)].live == 0) {
-    return;
-  }
-  const std::string text = step.NameOf(index).Text();
-  const std::map<ExecutorId, int> live = step.live_on;
-  for (const auto& [id, count] : live) {
-    Executor& executor = *executors_.at(id);
-    Run* run = executor.FindRun(text);
-    if (run != nullptr) {
-      StopRun(executor, *run, "another copy completed");
-    }
-  }
-}
-
-void CellLeader::StartCopies() {
-  const TimePoint now = context_.clock.Now();
-  for (const auto& [step, index] : overdue_copies_) {
-    const Task& task = step->tasks[static_cast<size_t>(index)];
-    if (task.done || task.live != 1 || step->job->terminal()) {
-      continue;
-    }
-    const std::vector<Executor*> eligible =
-        EligibleFor(*step, PoolStateOf(PolicyOf(*step->job).pool));
-    std::vector<Executor*> candidates = FilterByAdvice(*step, eligible);
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                    [&](const Executor* executor) {
-                                      return reserved_.count(executor) > 0 ||
-                                             executor->health.suspect();
-                                    }),
-                     candidates.end());
-    placer_.PlaceEach(*step, {index}, candidates, now,
-                      [&, at = step, i = index](int, Executor& executor) {
-                        Start(executor, *at, i,
-                              NextRunNumber(at->tasks[static_cast<size_t>(i)]));
-                      });
-  }
-  overdue_copies_.clear();
-}
-
-Executor* CellLeader::FindExecutor(const ExecutorId& id) {
-  const auto found = executors_.find(id);
-  return found == executors_.end() ? nullptr : found->second.get();
-}
-
 }  // namespace chivedale::cell
