Check that no job waits that can run once faults are over

cell_history_test checked only that all jobs are over 40 s after the last fault, so a step that waits for some seconds with room free was not seen. LivenessCheck looks every 100 ms, by the executors' runs and the job records in the store, for a job with nothing running, a step whose turn has come, room for it twice over and less than half of the pool in use. The users' contract lets it wait 3 s. A failure prints the job's log lines, the leader's explanation and the state of the executors.

The new histories have two kinds of executors, some with accelerators, steps of 15 to 30 tasks, gangs on one rack, long tasks, narrow advice, executors that fail everything, that leave orders unanswered for up to 12 s, that drain or are replaced, upkeep waves, changes of the queue table, and cuts between one member with some executors and the rest, with the store on either side.

The fakes follow: a pending watch of a member that the store does not answer gets no answer either, an executor taken down for upkeep does not come back, a member that starts learns of the waves, and a VM that is not up is busy.

--- a/cell/testing/cell_history_test.cc
+++ b/cell/testing/cell_history_test.cc
@@ -1,7 +1,8 @@
 // Property tests with random histories of a cell under faults: killed, paused
 // and partitioned members, a store that is down, loses answers, delays writes
 // or compacts its history, and executors that crash or answer late or not at
-// all. The fake executors check each order.
+// all. The fake executors check each order; LivenessCheck checks that no job
+// waits that can run.
 #include <rapidcheck/boost_test.h>
 
 #include <algorithm>
@@ -9,6 +10,7 @@
 #include <string>
 
 #include "cell/testing/fake_cell.h"
+#include "cell/testing/liveness_check.h"
 
 namespace chivedale::cell {
 namespace {
@@ -40,6 +42,23 @@
   return queue;
 }
 
+constexpr Millis kLongestEstimate{6'000};
+constexpr Millis kLongestFault{12'000};
+constexpr Millis kWaveDeadline{10'000};
+// Time until the effects of the last fault are over, as a sum of bounds: an
+// election with one unanswered write, the leases of the predecessor, the
+// longest run (1.5 x the longest estimate), and the longest time for which the
+// leader avoids an executor. Upkeep waves end within it too.
+Millis SettleTime() {
+  const ElectionOptions election;
+  const Millis store_timeout{1'000};   // kCellTimeout in node.cc
+  const Millis fencing_delay{1'500};   // kFencingDelay in leader.cc
+  const Millis longest_avoid{12'000};  // kMaxAvoid in executor_health.cc
+  return election.beat_timeout + election.max_jitter + store_timeout +
+         election.retry + LeaderOptions().lease * 103 / 100 + fencing_delay +
+         kLongestEstimate * 3 / 2 + longest_avoid;
+}
+
 std::string JobIdOf(int number) {
   std::string id = std::to_string(number);
   return std::string(16 - id.size(), '0') + id;
@@ -77,6 +96,34 @@
   return spec;
 }
 
+// Adds steps with many tasks, and long and large ones, to those of RandomJob().
+JobSpec RandomWideJob(util::Random& random, bool narrow) {
+  JobSpec spec = RandomJob(random, narrow);
+  for (StepSpec& step : spec.steps) {
+    step.same_rack = step.gang && random.UniformInt(3) == 0;
+    if (random.UniformInt(3) == 0) {
+      step.estimate =
+          Millis(2'000 +
+                 static_cast<int64_t>(random.UniformInt(
+                     static_cast<uint64_t>(kLongestEstimate.count()) - 2'000)));
+      step.count = std::min(step.count, 2);
+    }
+    if (random.UniformInt(4) == 0) {
+      step.size.accelerators = 1 + static_cast<int64_t>(random.UniformInt(2));
+      step.label = "";
+    } else if (random.UniformInt(6) == 0) {
+      step.size = {10'150, 27'840, 0, 0};
+    }
+  }
+  StepSpec& first = spec.steps[0];
+  if (!first.gang && first.estimate < Millis(1'000) &&
+      random.UniformInt(5) == 0) {
+    first.count = 15 + static_cast<int>(random.UniformInt(16));
+    first.size.cpu_milli = 2'800;
+  }
+  return spec;
+}
+
 std::string Name(util::Random& random) {
   return node_names[random.UniformInt(node_names.size())];
 }
@@ -171,6 +218,38 @@
   }
 }
 
+// Cuts one member and half of the executors off from the others for some time.
+// The store stays on one side.
+void CutRegions(FakeCell& cell, util::Random& random, Duration heal_after) {
+  const std::string alone = Name(random);
+  testing::LinkFaults cut;
+  cut.cut = true;
+  std::vector<std::pair<std::string, ExecutorId>> links;
+  for (const ExecutorEntry& entry : cell.executors.Entries()) {
+    const bool beside = random.UniformInt(2) == 0;
+    for (const std::string& name : node_names) {
+      if (beside != (name == alone)) {
+        links.emplace_back(name, entry.id);
+        cell.executors.links[links.back()] = cut;
+      }
+    }
+  }
+  const bool store_beside = random.UniformInt(3) == 0;
+  for (const std::string& name : node_names) {
+    if (store_beside != (name == alone)) {
+      cell.store.faults_of[name].unresponsive = true;
+    }
+  }
+  cell.Partition({alone});
+  cell.loop.After(heal_after, [&cell, links] {
+    for (const auto& link : links) {
+      cell.executors.links.erase(link);
+    }
+    cell.store.faults_of.clear();
+    cell.Partition({});
+  });
+}
+
 struct History {
   explicit History(uint64_t seed) : cell(seed), random(seed ^ 0x5bd1e995) {}
 
@@ -218,6 +297,58 @@
     cell.RunFor(Millis(40'000));
   }
 
+  // A longer history on a pool of two kinds of executors, followed by a time
+  // with jobs and no faults in which no job that could run may wait.
+  // `cut_regions`: also cut one member and some executors off the others.
+  void RunWide(bool cut_regions) {
+    wide = true;
+    const bool narrow = random.UniformInt(2) == 0;
+    cell.advised_share = narrow ? 0.5 : 1;
+    cell.executors.clock_speed = random.UniformInt(3) == 0 ? 0.98 : 1.0;
+    cell.executors.run_time = [this](const TaskName&, const StepSpec& spec) {
+      return std::chrono::duration_cast<Duration>(spec.estimate *
+                                                  (0.5 + random.UniformReal()));
+    };
+    cell.executors.fails = [this](const TaskName&, const ExecutorId& id) {
+      return failing.count(id) > 0 || (faulty && random.UniformInt(40) == 0);
+    };
+    for (const std::string& name : node_names) {
+      cell.AddNode(name);
+    }
+    cell.AddExecutors(kPool, 12, {32'000, 64'000, 0, 0});
+    cell.AddExecutors(kPool, 8, {48'000, 128'000, 4, 0});
+    cell.SetQueue(UrgentQueue());
+    cell.SetQueue(HeavyQueue());
+    cell.RunFor(Millis(2'000));
+    for (int round = 0; round < 50; ++round) {
+      SubmitWide(narrow);
+      if (random.UniformInt(3) == 0) {
+        InjectWideFault(cut_regions);
+      }
+      cell.RunFor(Millis(50 + static_cast<int64_t>(random.UniformInt(300))));
+    }
+    cell.RunFor(kLongestFault);
+    faulty = false;
+    Quiet(SettleTime(), narrow, nullptr);
+    testing::LivenessCheck check(cell);
+    Quiet(Millis(15'000), narrow, &check);
+    for (int i = 0; i < 900 && !check.all_over(); ++i) {
+      cell.RunFor(testing::kObserveInterval);
+      check.Observe();
+    }
+    cell.RunFor(Millis(2'000));  // the last ends are stored
+    if (check.violation()) {
+      RC_FAIL(*check.violation());
+    }
+    for (int64_t wave = 1; wave <= waves; ++wave) {
+      if (!cell.wave_status[wave]) {
+        RC_FAIL("wave " + std::to_string(wave) + " has not completed\n" +
+                cell.log.Lines(" upkeep_") + cell.log.Lines(" wave_") +
+                cell.log.Lines(" cell_"));
+      }
+    }
+  }
+
   void Check() {
     for (const std::string& what : cell.executors.violations()) {
       const size_t at = what.find(": ");
@@ -230,6 +361,9 @@
       if (!state) {
         RC_FAIL("accepted job is unknown: " + id + "\n" + cell.log.Lines(id));
       }
+      if (wide && !testing::LivenessCheck(cell).FitsOnEmptyPool(id)) {
+        continue;  // advice allows too few executors
+      }
       const bool cancelled = cell.cancelled().count(id) > 0;
       const bool ended = *state == JobState::kCompleted ||
                          *state == JobState::kFailed ||
@@ -250,8 +384,118 @@
     RC_ASSERT(cell.executors.running() == 0);
   }
 
+  void SubmitWide(bool narrow) {
+    const JobId id = JobIdOf(++jobs);
+    cell.Submit(Name(random), id, RandomWideJob(random, narrow),
+                random.UniformInt(2) == 0 ? "heavy" : "urgent");
+    if (random.UniformInt(15) == 0) {
+      const auto last = static_cast<uint64_t>(jobs);
+      cell.Cancel(Name(random),
+                  JobIdOf(1 + static_cast<int>(random.UniformInt(last))));
+    }
+  }
+
+  // Submits jobs at a rate that leaves most of the pool free.
+  void Quiet(Duration time, bool narrow, testing::LivenessCheck* check) {
+    const TimePoint end = cell.loop.clock().Now() + time;
+    while (cell.loop.clock().Now() < end) {
+      if (random.UniformInt(10) == 0) {
+        SubmitWide(narrow);
+      }
+      cell.RunFor(testing::kObserveInterval);
+      if (check != nullptr) {
+        check->Observe();
+      }
+    }
+  }
+
+  void InjectWideFault(bool cut_regions) {
+    const auto heal_after = Millis(
+        1'000 + static_cast<int64_t>(random.UniformInt(
+                    static_cast<uint64_t>(kLongestFault.count() - 1'000))));
+    const std::vector<ExecutorEntry> up = cell.executors.Entries();
+    const ExecutorId executor =
+        up.empty() ? "e1" : up[random.UniformInt(up.size())].id;
+    switch (random.UniformInt(14)) {
+      case 0:
+        failing.insert(executor);
+        cell.loop.After(heal_after,
+                        [this, executor] { failing.erase(executor); });
+        return;
+      case 1:
+      case 2: {
+        // The executor executes orders late, or loses most answers.
+        testing::LinkFaults late;
+        (random.UniformInt(2) == 0 ? late.late_orders : late.lost_answers) =
+            0.9;
+        for (const std::string& name : node_names) {
+          cell.executors.links[{name, executor}] = late;
+        }
+        cell.loop.After(heal_after, [this, executor] {
+          for (const std::string& name : node_names) {
+            cell.executors.links.erase({name, executor});
+          }
+        });
+        return;
+      }
+      case 3:
+        cell.executors.Drain(executor);
+        cell.loop.After(heal_after, [this, executor] {
+          cell.ReplaceExecutor(executor, Millis(500));
+        });
+        return;
+      case 4:
+        cell.ReplaceExecutor(executor, Millis(1'500));
+        return;
+      case 5:
+        AnnounceWave();
+        return;
+      case 6: {
+        QueuePolicy queue =
+            random.UniformInt(2) == 0 ? UrgentQueue() : HeavyQueue();
+        queue.objective_slack =
+            Millis(static_cast<int64_t>(random.UniformInt(10'000)));
+        queue.advice->validity =
+            Millis(1'000 + static_cast<int64_t>(random.UniformInt(3'000)));
+        cell.SetQueue(queue);
+        return;
+      }
+      case 7:
+      case 8:
+        if (cut_regions) {
+          CutRegions(cell, random, heal_after);
+        }
+        return;
+      default:
+        InjectFault(cell, random);
+        return;
+    }
+  }
+
+  void AnnounceWave() {
+    UpkeepWave wave;
+    wave.deadline = kWaveDeadline;
+    wave.max_concurrent = 2;
+    for (const auto& [vm, info] : cell.vms) {
+      if (announced.count(vm) == 0 && wave.vms.size() < 3) {
+        wave.vms.push_back(vm);
+        announced.insert(vm);
+      }
+    }
+    if (!wave.vms.empty()) {
+      wave.number = ++waves;
+      cell.Announce(wave);
+    }
+  }
+
   FakeCell cell;
   util::Random random;
+  bool wide = false;  // RunWide() was used
+  int jobs = 0;
+  int64_t waves = 0;
+  std::set<std::string> announced;  // VMs of the waves
+  std::set<ExecutorId> failing;     // executors on which all runs fail
+  bool faulty = true;               // some runs fail on all executors
 };
 
 BOOST_AUTO_TEST_SUITE(ACellUnderFaults)
@@ -273,6 +517,17 @@
   history.Check();
 }
 
+RC_BOOST_PROP(LetsNoJobWaitThatCanRunOnceFaultsAreOver, (uint64_t seed)) {
+  History history(seed);
+  history.RunWide(true);
+}
+
+RC_BOOST_PROP(KeepsInvariantsInWideHistories, (uint64_t seed)) {
+  History history(seed);
+  history.RunWide(false);
+  history.Check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -200,6 +200,96 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A predecessor ordered the upkeep of vm-e1, but the store did not get its
+// progress. e5 has replaced e1.
+BOOST_AUTO_TEST_SUITE(AfterAnUpkeepThatIsNotStored)
+
+struct Fixture : CellFixture {
+  Fixture() {
+    UpkeepWave wave;
+    wave.number = 1;
+    wave.vms = {"vm-e1"};
+    wave.deadline = Millis(20'000);
+    Announce(wave);
+    RunFor(Millis(5'000));
+    BOOST_REQUIRE(vms["vm-e1"].executor == "e5");
+  }
+  void ReplaceLeader() {
+    Kill(LeaderName());
+    store.Remove(kWaveProgressPrefix + std::to_string(1));
+    wave_status.clear();
+    RunFor(Millis(8'000));
+  }
+};
+
+// Regression (random history): the new leader repeated the order, took the
+// executor for one that was about to leave and never used it again.
+BOOST_FIXTURE_TEST_CASE(UsesTheNewExecutor, Fixture) {
+  ReplaceLeader();
+  BOOST_TEST(wave_status[1]);
+  Submit(LeaderName(), kJobId, MakeJobSpec(4, Millis(1'000), 32'000), "q0");
+  RunFor(Millis(1'500));
+  BOOST_TEST((StateOf(kJobId) == JobState::kCompleted));
+}
+
+// Regression (random history): the new leader took the runs on the new executor
+// for lost and started them again elsewhere.
+BOOST_FIXTURE_TEST_CASE(KeepsTheRunsOnTheNewExecutor, Fixture) {
+  executors.run_time = [this](const TaskName& name, const StepSpec&) {
+    return executors.RunsOn(name, "e5") ? Millis(12'000) : Millis(300);
+  };
+  JobSpec spec = MakeJobSpec(4, Millis(6'000));
+  spec.steps[0].max_per_executor = 1;
+  Submit("a", kJobId, spec, "q0");
+  RunFor(Millis(800));
+  BOOST_TEST(executors.running() == 1);
+  ReplaceLeader();
+  RunFor(Millis(8'000));
+  BOOST_TEST((StateOf(kJobId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// The rack of a task's data, or any single rack, has no room for it.
+BOOST_AUTO_TEST_SUITE(WithoutRoomOnTheBestRack)
+
+// Regression (random history): a task waited for the rack of its data for as
+// long as it runs, with the rest of the pool idle.
+BOOST_AUTO_TEST_CASE(StartsATaskElsewhereWithinTheContract) {
+  CellFixture cell;
+  JobSpec spec = MakeJobSpec(2, Millis(20'000));
+  spec.steps[0].preferred_rack = "r9";
+  cell.Submit("a", kJobId, spec, "q0");
+  cell.RunFor(Millis(3'000));
+  BOOST_TEST(cell.executors.running() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(StartsEachLongRunningTaskElsewhereWithinTheContract) {
+  CellFixture cell;
+  JobSpec spec = MakeJobSpec(2, Millis(20'000));
+  spec.steps[0].preferred_rack = "r9";
+  spec.steps[0].long_running = true;
+  cell.Submit("a", kJobId, spec, "q0");
+  cell.RunFor(Millis(3'000));
+  BOOST_TEST(cell.executors.running() == 2);
+}
+
+// Regression (random history): a gang that is slower on several racks was never
+// started where no single rack had room for it.
+BOOST_AUTO_TEST_CASE(StartsAGangOnSeveralRacks) {
+  CellFixture cell;
+  cell.AddExecutors("pool", 8, {32'000, 64'000, 0, 0});
+  cell.RunFor(Millis(1'500));
+  JobSpec spec = MakeJobSpec(12, Millis(300), 32'000);
+  spec.steps[0].gang = true;
+  spec.steps[0].same_rack = true;
+  cell.Submit("a", kJobId, spec, "q0");
+  cell.RunFor(Millis(3'000));
+  BOOST_TEST(cell.executors.EverStarted(std::string(kJobId) + ".0.0.11"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Filling tasks run beside a task that serves users.
 BOOST_AUTO_TEST_SUITE(WithFillingTasks)
 
--- /dev/null
+++ b/cell/testing/cell_partition_test.cc
@@ -0,0 +1,44 @@
+// Tests of a cell whose leader is cut off from all other members and from the
+// store, together with some of the executors.
+#include <boost/test/unit_test.hpp>
+
+#include "cell/testing/cell_fixture.h"
+
+namespace chivedale::cell {
+namespace {
+
+using testing::CellFixture;
+using testing::kJobId;
+using testing::MakeJobSpec;
+
+BOOST_AUTO_TEST_SUITE(ACellWhoseLeaderIsCutOff)
+
+// Regression (random history): the old leader renewed the leases of the
+// executors on its side, and the new one started their tasks again.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwice) {
+  CellFixture cell;
+  cell.Submit("a", kJobId, MakeJobSpec(4, Millis(20'000), 20'000), "q0");
+  cell.RunFor(Millis(300));
+  BOOST_TEST(cell.executors.running() == 4);
+  const std::string old = cell.LeaderName();
+  testing::LinkFaults cut;
+  cut.cut = true;
+  for (const std::string name : {"a", "b", "c"}) {
+    for (const std::string executor : {"e1", "e2", "e3", "e4"}) {
+      if ((name == old) != (executor == "e1")) {
+        cell.executors.links[{name, executor}] = cut;
+      }
+    }
+  }
+  cell.Partition({old});
+  cell.store.faults_of[old].unresponsive = true;
+  cell.AddExecutors("pool", 2, {32'000, 64'000, 0, 0});
+  cell.executors.links[{old, "e5"}] = cut;
+  cell.executors.links[{old, "e6"}] = cut;
+  cell.RunFor(Millis(15'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -62,12 +62,7 @@
     reply.answered = true;
     reply.validity = cell_.ticket_validity;
     for (const ExecutorId& id : executors) {
-      // Always the same answer for the same step and executor.
-      std::string pair = step;
-      pair += '/';
-      pair += id;
-      const uint64_t hash = util::Hash64(pair);
-      if (static_cast<double>(hash % 1'000) < cell_.advised_share * 1'000) {
+      if (cell_.AdviceAllows(step, id)) {
         reply.allowed.emplace_back(id, "t-" + id);
       }
     }
@@ -95,6 +90,11 @@
                    int64_t,
                    OnOrder done) override {
     cell_.loop.After(Millis(3), [this, vm, done] {
+      if (cell_.vms.at(vm).state != VmState::kUp &&
+          cell_.upkeep_done.count(vm) == 0) {
+        done(VmOrderResult::kBusy);
+        return;
+      }
       cell_.BeginUpkeep(vm);
       done(VmOrderResult::kOk);
     });
@@ -194,6 +194,9 @@
   if (table_->version > 0) {
     host.node->OnTable(table_);
   }
+  for (const auto& [number, wave] : waves_) {
+    host.node->OnWave(wave);
+  }
   host.node->Start();
   ScheduleTick(name, life);
 }
@@ -225,6 +228,7 @@
           sender.node->OnPeerDisconnected(address, true);
         }
       } else if (!host->peers_cut && !sender.peers_cut &&
+                 side_.count(name) == side_.count(sender.name) &&
                  loop.clock().Now() >= host->frozen_until) {
         host->node->OnMessage(MemberId(sender.name), message);
       }
@@ -256,20 +260,41 @@
   }
   max_down = std::max(max_down, ++down_now);
   info.state = VmState::kUpkeep;
-  executors.Crash(info.executor);
-  const ExecutorEntry old = executors.EntryOf(info.executor);
-  loop.After(Millis(2'000), [this, vm, old] {
+  executors.Remove(info.executor);
+  loop.After(Millis(2'000), [this, vm, old = info.executor] {
     --down_now;
-    ExecutorEntry entry = old;
-    entry.id = "e" + std::to_string(next_executor_++);
-    entry.address = entry.id + ":80";
-    executors.Add(entry);
+    vms.at(vm).executor = AddSuccessorOf(old);
     vms.at(vm).state = VmState::kUp;
-    vms.at(vm).executor = entry.id;
   });
 }
 
+void FakeCell::ReplaceExecutor(const ExecutorId& id, Duration delay) {
+  if (!executors.IsUp(id)) {
+    return;
+  }
+  const auto vm = std::find_if(vms.begin(), vms.end(), [&](const auto& entry) {
+    return entry.second.executor == id;
+  });
+  vm->second.state = VmState::kDown;
+  executors.Remove(id);
+  loop.After(delay, [this, id, &info = vm->second] {
+    info.executor = AddSuccessorOf(id);
+    info.state = VmState::kUp;
+  });
+}
+
+ExecutorId FakeCell::AddSuccessorOf(const ExecutorId& id) {
+  ExecutorEntry entry = executors.EntryOf(id);
+  entry.id = "e" + std::to_string(next_executor_++);
+  entry.address = entry.id + ":80";
+  entry.draining = false;
+  entry.min_time_to_leave.reset();
+  executors.Add(entry);
+  return entry.id;
+}
+
 void FakeCell::Announce(const UpkeepWave& wave) {
+  waves_[wave.number] = wave;
   for (auto& [name, host] : hosts_) {
     if (host->node != nullptr) {
       host->node->OnWave(wave);
@@ -365,6 +390,16 @@
   }
 }
 
+bool FakeCell::AdviceAllows(const std::string& step,
+                            const ExecutorId& id) const {
+  // Always the same answer for the same step and executor.
+  std::string pair = step;
+  pair += '/';
+  pair += id;
+  return static_cast<double>(util::Hash64(pair) % 1'000) <
+         advised_share * 1'000;
+}
+
 std::optional<JobState> FakeCell::StateOf(const JobId& id) const {
   for (const auto& [name, host] : hosts_) {
     if (host->node != nullptr && host->node->leading()) {
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -57,6 +57,11 @@
   void Freeze(const std::string& name, Duration time);
   // Disconnects the member from all other members, or reconnects it.
   void CutPeers(const std::string& name, bool cut);
+  // Drops messages between the members listed and all others; an empty set
+  // reconnects them.
+  void Partition(const std::set<std::string>& members) { side_ = members; }
+  // Removes the executor and adds one of the same kind after a delay.
+  void ReplaceExecutor(const ExecutorId& id, Duration delay);
   void Submit(const std::string& name,
               const JobId& id,
               const JobSpec& spec,
@@ -66,6 +71,8 @@
   void BeginUpkeep(const std::string& vm);
 
   // Queries.
+  // Whether advice allows the step (JOB.OCCURRENCE.STEP) on the executor.
+  bool AdviceAllows(const std::string& step, const ExecutorId& id) const;
   std::optional<JobState> StateOf(const JobId& id) const;
   CellNode* node(const std::string& name);
   CellNode* leader();
@@ -99,6 +106,8 @@
   class Vms;
 
   void StartNode(Host& host);
+  // Adds an executor of the same kind. Returns its ID.
+  ExecutorId AddSuccessorOf(const ExecutorId& id);
   void ScheduleTick(const std::string& name, uint64_t life);
   void Deliver(const std::string& from,
                const std::string& address,
@@ -106,6 +115,8 @@
 
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::shared_ptr<QueueTable> table_;
+  std::set<std::string> side_;
+  std::map<int64_t, UpkeepWave> waves_;
   std::set<JobId> accepted_;
   std::set<JobId> refused_;
   std::set<JobId> submitted_;
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -171,8 +171,16 @@
   ++state.incarnation;
 }
 
+void FakeExecutors::Remove(const ExecutorId& id) {
+  Crash(id);
+  states_.at(id).removed = true;
+}
+
 void FakeExecutors::Restart(const ExecutorId& id) {
   State& state = states_.at(id);
+  if (state.removed) {
+    return;
+  }
   ExecutorEntry entry = state.entry;
   const uint64_t incarnation = state.incarnation + 1;
   state = State();
@@ -210,6 +218,61 @@
   return count;
 }
 
+std::vector<std::pair<const ExecutorEntry*, Resources>> FakeExecutors::Use()
+    const {
+  std::vector<std::pair<const ExecutorEntry*, Resources>> use;
+  for (const auto& [id, state] : states_) {
+    if (!state.up) {
+      continue;
+    }
+    use.emplace_back(&state.entry, Resources());
+    for (const auto& [task, run] : state.runs) {
+      use.back().second += run.size;
+    }
+  }
+  return use;
+}
+
+bool FakeExecutors::RunsAnyOf(const JobId& id) const {
+  return std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
+    const auto& runs = entry.second.runs;
+    return entry.second.up &&
+           std::any_of(runs.begin(), runs.end(), [&](const auto& run) {
+             return run.second.name.job == id;
+           });
+  });
+}
+
+bool FakeExecutors::IsDone(const TaskName& name) const {
+  const StepSpec* spec = SpecOf(name);
+  if (spec == nullptr || done_.count(name.Text()) == 0) {
+    return false;
+  }
+  std::set<std::string> tasks{name.Text()};
+  for (int i = 0; spec->gang && i < spec->count; ++i) {
+    TaskName member = name;
+    member.index = i;
+    tasks.insert(member.Text());
+  }
+  const bool stored = std::any_of(
+      tasks.begin(), tasks.end(),
+      [&](const std::string& task) { return done_stored_.count(task) > 0; });
+  return stored ||
+         std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
+           const auto& ended = entry.second.ended;
+           return entry.second.up &&
+                  std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
+                    return end.end == RunEnd::kDone &&
+                           tasks.count(end.task) > 0;
+                  });
+         });
+}
+
+const JobSpec* FakeExecutors::JobSpecOf(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second.spec;
+}
+
 FakeExecutors::State* FakeExecutors::At(const std::string& address,
                                         const ExecutorId& id) {
   const auto found = states_.find(id);
@@ -458,6 +521,14 @@
   if (end == RunEnd::kDone) {
     done_.insert(task);
   }
+  if (end == RunEnd::kFailed && spec != nullptr && !spec->long_running) {
+    std::set<int64_t>& runs =
+        failed_runs_[spec->gang ? run.name.StepText() : task];
+    runs.insert(run.number);
+    if (static_cast<int>(runs.size()) >= jobs_.at(run.name.job).max_attempts) {
+      failed_jobs_.insert(run.name.job);
+    }
+  }
   if (spec != nullptr && spec->gang) {
     if (end == RunEnd::kDone) {
       // The end of one member completes all of them.
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -43,11 +43,15 @@
   // answer until it is restarted.
   void Crash(const ExecutorId& id);
   // Starts a crashed executor again, with the same ID and without any state.
+  // No effect if the executor was removed.
   void Restart(const ExecutorId& id);
+  // Ends the executor like Crash(), but for good.
+  void Remove(const ExecutorId& id);
   void Drain(const ExecutorId& id);
   const ExecutorEntry& EntryOf(const ExecutorId& id) const {
     return states_.at(id).entry;
   }
+  bool IsUp(const ExecutorId& id) const { return states_.at(id).up; }
   // Registers a job whose tasks may be started.
   void Expect(const JobId& id, const JobSpec& spec, int max_attempts);
   void Cancelled(const JobId& id) { cancelled_.insert(id); }
@@ -69,6 +73,18 @@
     return found != states_.end() && found->second.runs.count(name.Text()) > 0;
   }
 
+  // Executors that are up, with the resources in use there.
+  std::vector<std::pair<const ExecutorEntry*, Resources>> Use() const;
+  // Whether a run of the job is on an executor that is up.
+  bool RunsAnyOf(const JobId& id) const;
+  // Whether the end `done` of the task, or of any member of its gang, was
+  // acknowledged or is still listed by an executor that is up.
+  bool IsDone(const TaskName& name) const;
+  // Whether the runs of a task that have failed exhaust the job's attempts.
+  bool HasFailed(const JobId& id) const { return failed_jobs_.count(id) > 0; }
+  // Null if the job was not registered.
+  const JobSpec* JobSpecOf(const JobId& id) const;
+
   // Reported load figures and ordered pace percentages, by task.
   std::map<std::string, int64_t> figures;
   std::map<std::string, int> percents;
@@ -99,6 +115,7 @@
   struct State {
     ExecutorEntry entry;
     bool up = true;
+    bool removed = false;
     TimePoint clock_origin{};
     int64_t fence = 0;
     Millis until{0};
@@ -145,6 +162,9 @@
   std::set<std::string> done_;         // tasks with the end `done`
   std::set<std::string> done_stored_;  // those whose end was acknowledged
   std::map<std::string, int> failed_stored_;
+  // Runs that failed, by task or gang, whether or not that was acknowledged.
+  std::map<std::string, std::set<int64_t>> failed_runs_;
+  std::set<JobId> failed_jobs_;
   std::set<std::string> started_;
   std::vector<std::string> violations_;
   int64_t starts_ = 0;
--- a/cell/testing/fake_store.cc
+++ b/cell/testing/fake_store.cc
@@ -79,7 +79,7 @@
     return;
   }
   const uint64_t id = store_.next_watcher_++;
-  store_.watchers_[id] = {prefix, after, done};
+  store_.watchers_[id] = {member_, prefix, after, done};
   store_.loop_.After(wait, [this, id] {
     const auto found = store_.watchers_.find(id);
     if (found == store_.watchers_.end()) {
@@ -88,8 +88,10 @@
     const FakeStore::Watcher watcher = found->second;
     store_.watchers_.erase(found);
     StoreRead read;
-    read.status = StoreStatus::kOk;
-    read.revision = watcher.after;
+    if (!store_.FaultsOf(watcher.member).unresponsive) {
+      read.status = StoreStatus::kOk;
+      read.revision = watcher.after;
+    }
     watcher.done(read);
   });
 }
@@ -240,7 +242,7 @@
 void FakeStore::WakeWatchers() {
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     StoreRead read = EventsAfter(it->second.prefix, it->second.after);
-    if (read.items.empty()) {
+    if (read.items.empty() || FaultsOf(it->second.member).unresponsive) {
       ++it;
       continue;
     }
--- a/cell/testing/fake_store.h
+++ b/cell/testing/fake_store.h
@@ -19,10 +19,11 @@
 namespace chivedale::cell::testing {
 
 struct StoreFaults {
-  bool refuses = false;       // answers kRefused
-  bool unresponsive = false;  // no answer, nothing executed
-  double lost_answers = 0;    // share of writes executed without an answer
-  double late_writes = 0;     // share executed after late_by, without an answer
+  bool refuses = false;  // answers kRefused
+  // No answer, not even to a pending watch; nothing executed.
+  bool unresponsive = false;
+  double lost_answers = 0;  // share of writes executed without an answer
+  double late_writes = 0;   // share executed after late_by, without an answer
   Duration late_by = std::chrono::seconds(3);
   // Watches wait for their full time and end without an answer.
   bool watches_hang = false;
@@ -57,6 +58,7 @@
  private:
   friend class FakeStoreView;
   struct Watcher {
+    std::string member;
     std::string prefix;
     int64_t after = 0;
     std::function<void(StoreRead)> done;
