Bound the wait for a rack while nothing of a step runs

A task whose preferred rack had no room waited for up to estimate x (remote_rack_factor - 1) / 2, that is for as long as it runs with the default factor, though the rest of the pool was idle. With three executors allowed by advice, or the rack's executors gone, it waited for nothing. A gang with same_rack never started where no single rack had room for it, although several racks only make it slower. The users' contract lets a job with nothing running wait 3 s while most of its pool is free, and counts each long-running task by itself.

The wait is now at most 2 s while no task of the step runs, and for each long-running task; what is left covers the interval between two passes (0.5 s) and the start. A step with tasks at work waits as before. A gang uses several racks after the same wait.

--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -232,7 +232,8 @@
     }
     number = std::max(number, NextRunNumber(task));
   }
-  const std::vector<Executor*> members = placer_.ForGang(step, candidates);
+  const std::vector<Executor*> members =
+      placer_.ForGang(step, candidates, context_.clock.Now());
   if (members.empty()) {
     return false;
   }
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -24,6 +24,10 @@
 constexpr double kBaselineFailureRate = 0.1;
 // Cost per task of the same long-running step already on the executor.
 constexpr double kSpreadCost = 0.5;
+// Limit of the wait for a better rack while nothing of the step runs. The
+// users' contract lets such a step wait 3 s, which also have to cover the
+// interval between two passes and the start itself.
+constexpr Duration kMaxIdleRackWait = std::chrono::milliseconds(2'000);
 
 double Fraction(int64_t part, int64_t whole) {
   return whole <= 0 ? 0.0
@@ -94,6 +98,16 @@
   return cost;
 }
 
+// Running on a worse rack adds (remote_rack_factor - 1) times the run time, so
+// waiting for up to half of that is worthwhile.
+Duration Placer::MaxRackWait(const Step& step) const {
+  const auto worthwhile = std::chrono::duration_cast<Duration>(
+      step.spec->estimate * (options_.remote_rack_factor - 1) / 2);
+  // The contract counts each long-running task by itself.
+  const bool idle = step.live_on.empty() || step.spec->long_running;
+  return idle ? std::min(worthwhile, kMaxIdleRackWait) : worthwhile;
+}
+
 void Placer::PlaceEach(const Step& step,
                        const std::vector<int>& tasks,
                        const std::vector<Executor*>& candidates,
@@ -123,8 +137,7 @@
                        LiveRunsOn(step, executor->entry.id)});
     }
   }
-  const Duration max_rack_wait = std::chrono::duration_cast<Duration>(
-      spec.estimate * (options_.remote_rack_factor - 1) / 2);
+  const Duration max_rack_wait = MaxRackWait(step);
   for (const int index : tasks) {
     const Task& task = step.tasks[static_cast<size_t>(index)];
     const std::string name = task.last_run > 0 ? step.NameOf(index).Text() : "";
@@ -159,8 +172,6 @@
       continue;
     }
     Executor& executor = *best->executor;
-    // Running far from the data adds (remote_rack_factor - 1) times the run
-    // time, so waiting for up to half of that is worthwhile.
     const bool far = (!spec.preferred_rack.empty() &&
                       executor.entry.rack != spec.preferred_rack) ||
                      (!rack.empty() && executor.entry.rack != rack);
@@ -176,9 +187,9 @@
   }
 }
 
-std::vector<Executor*> Placer::ForGang(
-    const Step& step,
-    const std::vector<Executor*>& candidates) const {
+std::vector<Executor*> Placer::ForGang(const Step& step,
+                                       const std::vector<Executor*>& candidates,
+                                       TimePoint now) const {
   const StepSpec& spec = *step.spec;
   const Resources size = ResourcesFor(spec);
   struct Slot {
@@ -250,6 +261,9 @@
       best_cost = cost;
     }
   }
+  if (best.empty() && now - step.ready_since >= MaxRackWait(step)) {
+    return pick_members(nullptr);
+  }
   return best;
 }
 
--- a/cell/placer.h
+++ b/cell/placer.h
@@ -36,14 +36,17 @@
                  TimePoint now,
                  const std::function<void(int, Executor&)>& start) const;
   // Returns one executor per task, in order; empty if not all of them fit.
-  std::vector<Executor*> ForGang(
-      const Step& step,
-      const std::vector<Executor*>& candidates) const;
+  std::vector<Executor*> ForGang(const Step& step,
+                                 const std::vector<Executor*>& candidates,
+                                 TimePoint now) const;
 
   // Lower is better.
   double Cost(const Step& step, const Executor& executor) const;
 
  private:
+  // Longest time for which the step waits for room on its preferred rack, or
+  // for its tasks to share one.
+  Duration MaxRackWait(const Step& step) const;
   const PlacerOptions options_;
 };
 
--- a/cell/testing/placer_test.cc
+++ b/cell/testing/placer_test.cc
@@ -128,9 +128,12 @@
   StepSpec spec = Tasks(3, 20'000);
   spec.gang = true;
   const Placer placer{PlacerOptions()};
-  BOOST_TEST(placer.ForGang(fleet.Open(spec), fleet.all).empty());
+  BOOST_TEST(
+      placer.ForGang(fleet.Open(spec), fleet.all, fleet.clock.Now()).empty());
   spec.count = 2;
-  BOOST_TEST(placer.ForGang(fleet.Open(spec), fleet.all).size() == 2u);
+  BOOST_TEST(
+      placer.ForGang(fleet.Open(spec), fleet.all, fleet.clock.Now()).size() ==
+      2u);
 }
 
 BOOST_AUTO_TEST_CASE(PlacesThemOnOneRackIfTheStepRequiresIt) {
@@ -139,8 +142,8 @@
   StepSpec spec = Tasks(2, 32'000);
   spec.gang = true;
   spec.same_rack = true;
-  const auto members =
-      Placer{PlacerOptions()}.ForGang(fleet.Open(spec), fleet.all);
+  const auto members = Placer{PlacerOptions()}.ForGang(
+      fleet.Open(spec), fleet.all, fleet.clock.Now());
   BOOST_REQUIRE_EQUAL(members.size(), 2u);
   BOOST_TEST(members[0]->entry.rack == "r1");
   BOOST_TEST(members[1]->entry.rack == "r1");
