Find out whether an ordered upkeep was already done

After a takeover, a leader whose predecessor had ordered a VM's upkeep but not stored it repeated the order. The order is answered with kOk also if the upkeep is already done. The leader then took the executor that had replaced the old one for one that was about to go: it dropped its runs, which were started a second time elsewhere while they went on, left the executor cordoned for good, and waited for a replacement that never came, so that the wave never completed. With narrow advice, the executors that a step may use could all be cordoned so.

The answer alone no longer counts. A VM that is listed as not up, or with another executor, has begun its upkeep; only then are the runs dropped. An executor that answers a hold call sent after the order has not been taken down, so its upkeep is over and it is used again. Until either is seen it is called and gets no task.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -105,7 +105,8 @@
   int missed_holds = 0;
   bool hold_in_flight = false;
   TimePoint hold_sent{};
-  TimePoint last_answer{};  // to a hold call
+  TimePoint last_answer{};         // to a hold call
+  TimePoint answered_hold_sent{};  // when that call was sent
   TimePoint next_hold{};
   bool cordoned = false;  // gets no new task because its VM is due for upkeep
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -261,6 +261,8 @@
   void RunWave(WaveState& state);
   void ListVms();
   bool PickVm(WaveState& state);
+  // Whether a VM that was ordered down is up again, or was never taken down.
+  bool IsUpkeepOver(const std::string& vm, const VmUpkeep& upkeep);
   void ClearVm(WaveState& state, const std::string& vm, VmUpkeep& upkeep);
   void OrderUpkeep(int64_t number, const std::string& vm);
   void OnUpkeep(int64_t number, const std::string& vm, VmOrderResult result);
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -171,6 +171,7 @@
   }
   executor.missed_holds = 0;
   executor.last_answer = now;
+  executor.answered_hold_sent = sent;
   executor.OnClock(reply.executor_clock, now);
   executor.ends_confirmed = std::max(executor.ends_confirmed,
                                      std::min(ends_sent, executor.ends_read));
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -109,13 +109,8 @@
         }));
   }
   for (auto it = state.upkeeps.begin(); it != state.upkeeps.end();) {
-    const auto vm = vms_.find(it->first);
     VmUpkeep& upkeep = it->second;
-    const bool back =
-        upkeep.phase == VmPhase::kDown &&
-        (vm == vms_.end() || (vm->second.state == VmState::kUp &&
-                              vm->second.executor != upkeep.executor));
-    if (back) {
+    if (upkeep.phase == VmPhase::kDown && IsUpkeepOver(it->first, upkeep)) {
       it = state.upkeeps.erase(it);
       continue;
     }
@@ -144,6 +139,34 @@
   }
 }
 
+// An order is answered with kOk also if the upkeep is already done, perhaps on
+// the order of a predecessor. Only what the VM and its executor do afterwards
+// shows which it was.
+bool CellLeader::IsUpkeepOver(const std::string& vm, const VmUpkeep& upkeep) {
+  const auto info = vms_.find(vm);
+  if (info == vms_.end()) {
+    return true;
+  }
+  Executor* executor = FindExecutor(upkeep.executor);
+  const bool replaced = info->second.executor != upkeep.executor;
+  if (replaced || info->second.state != VmState::kUp) {
+    if (executor != nullptr) {
+      MarkAllRunsLost(*executor, "upkeep of its VM");
+    }
+    return replaced && info->second.state == VmState::kUp;
+  }
+  if (executor == nullptr) {
+    return false;
+  }
+  if (executor->answered_hold_sent > upkeep.since) {
+    executor->cordoned = false;
+    return true;
+  }
+  // Calls the executor until it answers.
+  executor->missed_holds = std::max(executor->missed_holds, 1);
+  return false;
+}
+
 // Starts to clear the VM with the fewest runs. Returns false if none is left.
 bool CellLeader::PickVm(WaveState& state) {
   const std::string* best = nullptr;
@@ -275,11 +298,6 @@
       upkeep.phase = VmPhase::kDown;
       upkeep.since = context_.clock.Now();
       state.started_vms.insert(vm);
-      if (Executor* executor = FindExecutor(upkeep.executor)) {
-        MarkAllRunsLost(*executor, "upkeep of its VM");
-        executor->adopted = false;
-        executor->missed_holds = std::max(executor->missed_holds, 1);
-      }
       StoreWave(state);
       return;
     case VmOrderResult::kFenced:
