Let leases on slow fake executors always expire

The expiry of a lease was scheduled 1 ms after its end. With a clock that is 2% slow that is less than 1 ms on the executor's clock, which is rounded down, so the check could find the lease still valid and was not repeated: the run then went on without a lease. Found by reading; no run is known that it changed.

--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -309,7 +309,8 @@
 void FakeExecutors::ScheduleLeaseExpiry(State& state) {
   const Duration left = std::chrono::duration_cast<Duration>(
       (state.until - ClockOf(state)) / clock_speed);
-  loop_.After(left + Millis(1),
+  // ClockOf() rounds down, and 1 ms may be less on a slow clock.
+  loop_.After(left + Millis(2),
               [this, id = state.entry.id, incarnation = state.incarnation] {
                 State& now = states_.at(id);
                 if (!now.up || now.incarnation != incarnation ||
