Grant a restarted executor no lease on its earlier clock

When the entry of a restarted executor was read before a hold call had failed or been answered, the next call granted a lease on the clock of the earlier life. The new life, whose clock starts anew, took it as a lease of up to the longest that it accepts (10 s), while the leader forgot that deadline on the answer. If the executor was then cut off, the leader started its tasks elsewhere after 3.7 s and they ran twice.

A lease is now granted only to an executor that has answered in its present life.

--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -82,7 +82,10 @@
                                 executor.missed_holds == 0 &&
                                 now - executor.last_answer < kMinRestartTime;
   request.ends_stored = same_incarnation ? executor.ends_stored : 0;
-  if (executor.clock_known() && executor.missed_holds == 0) {
+  // The clock of an executor that is not adopted may be that of its earlier
+  // life.
+  if (executor.adopted && executor.clock_known() &&
+      executor.missed_holds == 0) {
     request.lease_until = executor.ClockAt(now) + options_.lease;
     executor.OnDeadlineSent(*request.lease_until);
   }
--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -143,6 +143,31 @@
   BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
 }
 
+// Regression (random history): a restarted executor was granted a lease on the
+// clock of its earlier life, kept its tasks long after the leader had given
+// them up, and they ran twice.
+BOOST_AUTO_TEST_CASE(GrantsARestartedExecutorNoLeaseOnItsEarlierClock) {
+  // The executor's entry is read before the next hold call for some delays.
+  for (Millis down{2'000}; down < Millis(4'000); down += Millis(100)) {
+    CellFixture cell;
+    cell.RunFor(Millis(6'000));
+    cell.Submit("a", kJobId, MakeJobSpec(4, Millis(20'000), 32'000), "q0");
+    cell.RunFor(Millis(300));
+    cell.executors.Crash("e1");
+    cell.RunFor(down);
+    cell.executors.Restart("e1");
+    cell.RunFor(Millis(1'500));
+    testing::LinkFaults cut;
+    cut.cut = true;
+    for (const char* name : {"a", "b", "c"}) {
+      cell.executors.links[{name, "e1"}] = cut;
+    }
+    cell.AddExecutors("pool", 1, {32'000, 64'000, 0, 0});
+    cell.RunFor(Millis(6'000));
+    BOOST_TEST(cell.executors.running() == 4);
+  }
+}
+
 // One executor hangs, so that its tasks never end.
 BOOST_AUTO_TEST_CASE(MovesItsTasksOnce) {
   CellFixture cell;
