Add failing tests of values that other processes write out of range

Another writer may leave entries, records or replies that are nested very deeply, contain numbers too large or impossible ports.

--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -5,6 +5,8 @@
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "chivedale/testing/fake_clock.h"
@@ -13,6 +15,19 @@
 namespace chivedale::cell {
 namespace {
 
+using nlohmann::json;
+
+// The MessagePack value with the element at `path` replaced.
+std::string Replace(const std::string& bytes,
+                    const char* path,
+                    const json& element) {
+  json value = json::from_msgpack(bytes);
+  value.at(json::json_pointer(path)) = element;
+  std::string changed;
+  json::to_msgpack(value, changed);
+  return changed;
+}
+
 JobRecord MakeTwoStepRecord(int first, int second) {
   JobRecord record;
   record.queue.name = "q";
@@ -140,6 +155,87 @@
 
 BOOST_AUTO_TEST_SUITE(InTheStore)
 
+BOOST_AUTO_TEST_CASE(RecordWithAValueOutOfRangeIsRejected) {
+  const std::string record = EncodeJobRecord(MakeTwoStepRecord(2, 1));
+  const std::pair<const char*, json> changes[] = {
+      {"/0/2", 1e300},  // priority
+      {"/0/3", 1e300},  // attempts
+      {"/0/4", std::nan("")},
+      {"/0/5", 1e300},
+      {"/0/0", std::string(5'000, 'q')},
+      {"/0/6", json::array({1e300, 0, 0})},
+      {"/2/0/0", 1e300},  // tasks
+      {"/2/0/0", int64_t{1} << 40},
+      {"/2/0/1/0", INT64_MAX},  // processors
+      {"/2/0/1/1", -1},
+      {"/2/0/2", INT64_MAX},  // estimate
+      {"/2/0/3", json::array({1e300})},
+      {"/2/0/9", 1e300},
+      {"/2/0/13", INT64_MAX},
+      {"/3", INT64_MAX},  // occurrences
+      {"/3", -1},
+      {"/4", INT64_MAX},
+      {"/5", INT64_MAX},
+      {"/6", INT64_MAX},
+  };
+  for (const auto& [path, value] : changes) {
+    BOOST_CHECK_THROW(DecodeJobRecord(Replace(record, path, value)),
+                      std::runtime_error);
+  }
+  for (const std::string& bytes :
+       {std::string(), std::string("\xc1"), std::string(100'000, '\x91')}) {
+    BOOST_CHECK_THROW(DecodeJobRecord(bytes), std::runtime_error);
+    BOOST_TEST(!StoredState(bytes).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ProgressWithAValueOutOfRangeIsRejected) {
+  OpenedJob opened(MakeTwoStepRecord(2, 1));
+  opened.job.OnFailed(opened.step(0), 1, 3, "e1");
+  const std::string progress = opened.job.EncodeProgress();
+  const std::pair<const char*, json> changes[] = {
+      {"/0", "odd"},
+      {"/2/0/0", 20'000.0},  // occurrence
+      {"/2/0/0", 20'000},
+      {"/2/0/0", -1},
+      {"/2/0/1/0/1/0/0", 1e300},  // task
+      {"/2/0/1/0/1/0/0", -1},
+      {"/2/0/1/0/1/0/0", 2},
+      {"/2/0/1/0/1/0/1", json::array({1e300})},  // failed runs
+      {"/2/0/1/0/1/0/2", 7},
+      {"/2/0/1/0/1/0/2", std::string(5'000, 'c')},
+      {"/2", 7},
+  };
+  for (const auto& [path, value] : changes) {
+    Job job("0123456789abcdef", MakeTwoStepRecord(2, 1));
+    BOOST_CHECK_THROW(
+        job.DecodeProgress(Replace(progress, path, value),
+                           opened.clock.WallNow(), opened.clock.Now()),
+        std::runtime_error);
+  }
+  Job job("0123456789abcdef", MakeTwoStepRecord(2, 1));
+  BOOST_CHECK_THROW(
+      job.DecodeProgress(std::string(100'000, '\x91'), opened.clock.WallNow(),
+                         opened.clock.Now()),
+      std::runtime_error);
+}
+
+// The times of a job are added to the clock.
+BOOST_AUTO_TEST_CASE(ProgressOfAnOccurrenceFarFromDueIsRejected) {
+  chivedale::testing::FakeClock clock;
+  JobRecord record = MakeTwoStepRecord(1, 1);
+  record.spec.occurrences = 1'000;
+  record.spec.first_start = clock.WallNow();
+  record.spec.interval = std::chrono::hours(24 * 365);
+  Job ahead("0123456789abcdef", record);
+  ahead.OpenDueOccurrences(clock.WallNow(), clock.Now());
+  const std::string progress = ahead.EncodeProgress();
+  Job job("0123456789abcdef", record);
+  BOOST_CHECK_THROW(job.DecodeProgress(Replace(progress, "/2/0/0", 900),
+                                       clock.WallNow(), clock.Now()),
+                    std::runtime_error);
+}
+
 RC_BOOST_PROP(DecodesToWhatWasEncoded, (uint64_t seed)) {
   util::Random random(seed);
   JobRecord record =
