--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -66,6 +66,7 @@
       {Event::kExecutorDraining, "executor_draining", L::kInfo},
       {Event::kExecutorGone, "executor_gone", L::kInfo},
       {Event::kExecutorAvoided, "executor_avoided", L::kWarning},
+      {Event::kExecutorEntryRejected, "executor_entry_rejected", L::kWarning},
       {Event::kAdviceReceived, "advice_received", L::kInfo},
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -80,6 +80,7 @@
   kExecutorDraining = 1305,
   kExecutorGone = 1306,
   kExecutorAvoided = 1307,
+  kExecutorEntryRejected = 1308,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
