Bound the cell's own records where they are read back

A row of another form in c/executors threw out of the callback that read it, so each leader ended as soon as it was elected (type_error.304, exit status 1), and every member in turn. Numbers of job records, progress, leader and member records had no bounds: an occurrence number in progress opened every occurrence before it, and a term at the limit of 64 bits would be increased (read in the code, not shown by a run).

All these records are parsed by cell/decode.h and bounded where they are decoded. A row of c/executors, a member or an element of a wave's record that cannot be read is skipped; the rest holds. 1004 cell_bad_record names the key. A member's bad record is reported once for each revision. The count of done tasks is taken from the tasks, so that an occurrence that is stored twice does not count twice. The status page replaces invalid UTF-8 in names, which threw while the page was written.

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cell/decode.h"
+
 namespace chivedale::cell {
 namespace {
 
@@ -59,14 +61,18 @@
 }
 
 std::optional<LeaderRecord> DecodeLeaderRecord(const std::string& bytes) {
-  const nlohmann::json value = nlohmann::json::from_msgpack(bytes, true, false);
-  if (!value.is_array() || value.size() < 4 || !value[0].is_string() ||
-      !value[1].is_string() || !value[2].is_string() ||
-      !value[3].is_number_integer()) {
+  const nlohmann::json value = ParseMsgpack(bytes);
+  if (!value.is_array() || value.size() < 4) {
+    return std::nullopt;
+  }
+  const auto node = TextIn(value[0], kMaxNameBytes);
+  const auto boot_id = TextIn(value[1], kMaxNameBytes);
+  const auto address = TextIn(value[2], kMaxNameBytes);
+  const auto term = IntegerIn(value[3], 0, kMaxNumber);
+  if (!node || !boot_id || !address || !term) {
     return std::nullopt;
   }
-  return LeaderRecord{value[0].get<std::string>(), value[1].get<std::string>(),
-                      value[2].get<std::string>(), value[3].get<int64_t>()};
+  return LeaderRecord{*node, *boot_id, *address, *term};
 }
 
 Election::Election(const Clock& clock,
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -4,24 +4,53 @@
 #include "cell/job.h"
 
 #include <algorithm>
+#include <climits>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
 
+#include "cell/decode.h"
+
 namespace chivedale::cell {
 namespace {
 
 using nlohmann::json;
 
+// An earlier leader's clock may have been ahead of this one by this time.
+constexpr Millis kMaxClockLead = std::chrono::hours(24);
+// Of a wall clock's time since its epoch.
+constexpr int64_t kMaxWallMillis = int64_t{1} << 52;
+
+int64_t Integer(const json& value, int64_t min, int64_t max) {
+  const auto number = IntegerIn(value, min, max);
+  if (!number) {
+    throw std::runtime_error("a number is missing or out of range");
+  }
+  return *number;
+}
+
+int Count(const json& value, int64_t min, int64_t max) {
+  return static_cast<int>(Integer(value, min, max));
+}
+
+std::string Text(const json& value, size_t max_bytes) {
+  auto text = TextIn(value, max_bytes);
+  if (!text) {
+    throw std::runtime_error("a text is missing or too long");
+  }
+  return std::move(*text);
+}
+
 json EncodeSize(const Resources& size) {
   return json::array({size.cpu_milli, size.memory_mb, size.accelerators});
 }
 
 Resources DecodeSize(const json& value) {
   Resources size;
-  size.cpu_milli = value.at(0).get<int64_t>();
-  size.memory_mb = value.at(1).get<int64_t>();
-  size.accelerators = value.at(2).get<int64_t>();
+  size.cpu_milli = Integer(value.at(0), 0, kMaxAmount);
+  size.memory_mb = Integer(value.at(1), 0, kMaxAmount);
+  size.accelerators = Integer(value.at(2), 0, kMaxAmount);
   return size;
 }
 
@@ -38,22 +67,25 @@
   StepSpec step;
   size_t i = 0;
   const auto next = [&]() -> const json& { return value.at(i++); };
-  step.count = next().get<int>();
+  step.count = Count(next(), 1, kMaxTasksPerStep);
   step.size = DecodeSize(next());
-  step.estimate = Millis(next().get<int64_t>());
-  step.depends_on = next().get<std::vector<int>>();
+  step.estimate =
+      std::min(Millis(Integer(next(), 0, kMaxAmount)), kMaxDuration);
+  for (const json& earlier : next()) {
+    step.depends_on.push_back(Count(earlier, 0, kMaxSteps));
+  }
   step.checkpoints = next().get<bool>();
   step.gang = next().get<bool>();
   step.same_rack = next().get<bool>();
-  step.label = next().get<std::string>();
-  step.preferred_rack = next().get<std::string>();
-  step.max_per_executor = next().get<int>();
+  step.label = Text(next(), kMaxTextBytes);
+  step.preferred_rack = Text(next(), kMaxTextBytes);
+  step.max_per_executor = Count(next(), 0, kMaxTasksPerStep);
   step.copies_allowed = next().get<bool>();
   step.long_running = next().get<bool>();
-  step.image = next().get<std::string>();
-  step.tail_latency_target = Millis(next().get<int64_t>());
+  step.image = Text(next(), kMaxTextBytes);
+  step.tail_latency_target = Millis(Integer(next(), 0, kMaxAmount));
   step.fills = next().get<bool>();
-  step.max_unavailable = next().get<int>();
+  step.max_unavailable = Count(next(), 0, kMaxTasksPerStep);
   return step;
 }
 
@@ -71,16 +103,21 @@
 
 QueuePolicy DecodeQueue(const json& value) {
   QueuePolicy queue;
-  queue.name = value.at(0).get<std::string>();
-  queue.pool = value.at(1).get<std::string>();
-  queue.priority = value.at(2).get<int>();
-  queue.max_attempts = value.at(3).get<int>();
-  queue.objective_factor = value.at(4).get<double>();
-  queue.objective_slack = Millis(value.at(5).get<int64_t>());
+  queue.name = Text(value.at(0), kMaxTextBytes);
+  queue.pool = Text(value.at(1), kMaxTextBytes);
+  queue.priority = Count(value.at(2), INT_MIN, INT_MAX);
+  queue.max_attempts = Count(value.at(3), 1, INT_MAX);
+  if (!value.at(4).is_number() || std::isnan(value.at(4).get<double>())) {
+    throw std::runtime_error("the factor of the objective is not a number");
+  }
+  queue.objective_factor = ClampedNumber(value.at(4), 0, kMaxObjectiveFactor);
+  queue.objective_slack = Millis(Integer(value.at(5), 0, kMaxAmount));
   if (const json& advice = value.at(6); !advice.is_null()) {
-    queue.advice = AdvicePolicy{Duration(advice.at(0).get<int64_t>()),
-                                Duration(advice.at(1).get<int64_t>()),
-                                Millis(advice.at(2).get<int64_t>())};
+    constexpr int64_t kLongest = Duration(kMaxDuration).count();
+    queue.advice =
+        AdvicePolicy{Duration(Integer(advice.at(0), 0, kLongest)),
+                     Duration(Integer(advice.at(1), 0, kLongest)),
+                     Millis(Integer(advice.at(2), 0, kMaxDuration.count()))};
   }
   return queue;
 }
@@ -102,18 +139,14 @@
     ends[i] = begin + steps[i].estimate;
     longest = std::max(longest, ends[i]);
   }
-  return longest;
+  return std::min(longest, kMaxDuration);
 }
 
 void ValidateSteps(const std::vector<StepSpec>& steps) {
   for (size_t i = 0; i < steps.size(); ++i) {
-    if (steps[i].count < 1) {
-      throw std::runtime_error("job record: a step has a task count below 1");
-    }
     for (const int earlier : steps[i].depends_on) {
       if (earlier < 0 || static_cast<size_t>(earlier) >= i) {
-        throw std::runtime_error(
-            "job record: a step depends on one that is not earlier");
+        throw std::runtime_error("a step depends on one that is not earlier");
       }
     }
   }
@@ -136,26 +169,32 @@
 
 JobRecord DecodeJobRecord(const std::string& bytes) {
   try {
-    const json value = json::from_msgpack(bytes);
+    const json value = ParseMsgpack(bytes);
     JobRecord record;
     record.queue = DecodeQueue(value.at(0));
-    record.spec.payload = value.at(1).get<std::string>();
-    for (const json& step : value.at(2)) {
+    record.spec.payload = Text(value.at(1), kMaxTextBytes);
+    const json& steps = value.at(2);
+    if (!steps.is_array() || steps.empty() || steps.size() > kMaxSteps) {
+      throw std::runtime_error("the steps are missing, or too many");
+    }
+    for (const json& step : steps) {
       record.spec.steps.push_back(DecodeStep(step));
     }
-    record.spec.occurrences = value.at(3).get<int>();
-    record.spec.first_start = WallTime(Millis(value.at(4).get<int64_t>()));
-    record.spec.interval = Millis(value.at(5).get<int64_t>());
-    record.accepted = WallTime(Millis(value.at(6).get<int64_t>()));
+    record.spec.occurrences = Count(value.at(3), 0, kMaxOccurrences);
+    record.spec.first_start =
+        WallTime(Millis(Integer(value.at(4), 0, kMaxWallMillis)));
+    record.spec.interval = Millis(Integer(value.at(5), 0, kMaxAmount));
+    record.accepted =
+        WallTime(Millis(Integer(value.at(6), 0, kMaxClock.count())));
     ValidateSteps(record.spec.steps);
     return record;
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     throw std::runtime_error(std::string("job record: ") + error.what());
   }
 }
 
 std::optional<JobState> StoredState(const std::string& progress) {
-  const json value = json::from_msgpack(progress, true, false);
+  const json value = ParseMsgpack(progress);
   if (!value.is_array() || value.size() < 2 || !value[0].is_string() ||
       !value[1].is_boolean()) {
     return std::nullopt;
@@ -349,10 +388,10 @@
                          WallTime wall_now,
                          TimePoint now) {
   try {
-    const json value = json::from_msgpack(bytes);
+    const json value = ParseMsgpack(bytes);
     const auto state = ParseJobState(value.at(0).get<std::string>());
     if (!state) {
-      throw std::runtime_error("job progress: unknown state");
+      throw std::runtime_error("unknown state");
     }
     any_started_ = value.at(1).get<bool>();
     // Read the state first: a job that is over has no open occurrences.
@@ -363,31 +402,47 @@
       return;
     }
     OpenDueOccurrences(wall_now, now);
-    for (const json& stored : value.at(2)) {
-      const int number = stored.at(0).get<int>();
-      // The earlier leader's clock may have been ahead of this one.
+    const json& occurrences = value.at(2);
+    if (!occurrences.is_array()) {
+      throw std::runtime_error("the occurrences are not a list");
+    }
+    const int total = recurring() ? record_.spec.occurrences : 1;
+    for (const json& stored : occurrences) {
+      const int number = Count(stored.at(0), 0, total - 1);
+      if (recurring() &&
+          record_.spec.first_start + number * record_.spec.interval >
+              wall_now + kMaxClockLead) {
+        throw std::runtime_error("an occurrence is not due yet");
+      }
       while (next_occurrence_ <= number) {
         Open(next_occurrence_++, now);
       }
       size_t index = 0;
       for (const json& stored_step : stored.at(1)) {
         Step& step = open_.at(number).steps.at(index++);
-        const auto done = stored_step.at(0).get<std::string>();
+        const std::string done =
+            Text(stored_step.at(0), static_cast<size_t>(kMaxTasksPerStep));
         for (size_t i = 0; i < step.tasks.size() && i < done.size(); ++i) {
           step.tasks[i].done = done[i] == '1';
-          step.done += done[i] == '1' ? 1 : 0;
         }
+        step.done = static_cast<int>(
+            std::count_if(step.tasks.begin(), step.tasks.end(),
+                          [](const Task& task) { return task.done; }));
         for (const json& unfinished_task : stored_step.at(1)) {
-          Task& task = step.tasks.at(unfinished_task.at(0).get<size_t>());
-          task.failed_runs = unfinished_task.at(1).get<std::set<int64_t>>();
-          task.checkpoint = unfinished_task.at(2).get<std::string>();
+          const auto index_of_task = static_cast<size_t>(
+              Integer(unfinished_task.at(0), 0, kMaxTasksPerStep));
+          Task& task = step.tasks.at(index_of_task);
+          std::set<int64_t> failed_runs;
+          for (const json& run : unfinished_task.at(1)) {
+            failed_runs.insert(Integer(run, 0, kMaxNumber));
+          }
+          task.checkpoint = Text(unfinished_task.at(2), kMaxTextBytes);
+          task.failed_runs = std::move(failed_runs);
         }
       }
     }
     UpdateReady(now);
-  } catch (const json::exception& error) {
-    throw std::runtime_error(std::string("job progress: ") + error.what());
-  } catch (const std::out_of_range& error) {
+  } catch (const std::exception& error) {
     throw std::runtime_error(std::string("job progress: ") + error.what());
   }
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -205,6 +205,9 @@
   void OnExecutorsStored(const StoreWriteReply& reply,
                          const std::vector<ExecutorId>& ids);
   void LoadKnownExecutors(const std::function<void()>& done);
+  // Rows that cannot be read are logged and skipped.
+  std::vector<ExecutorEntry> DecodeKnownExecutors(
+      const std::string& bytes) const;
   bool IsRetired(const Executor& executor) const;
 
   // leader_executors.cc: hold calls and the runs and ends they list.
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cell/decode.h"
 #include "cell/leader.h"
 
 namespace chivedale::cell {
@@ -25,6 +26,36 @@
 
 }  // namespace
 
+std::vector<ExecutorEntry> CellLeader::DecodeKnownExecutors(
+    const std::string& bytes) const {
+  std::vector<ExecutorEntry> entries;
+  const json list = ParseMsgpack(bytes);
+  if (!list.is_array()) {
+    context_.log.Write(Event::kCellBadRecord,
+                       {{"key", kExecutorsKey}, {"reason", "not a list"}});
+    return entries;
+  }
+  for (size_t i = 0; i < list.size(); ++i) {
+    const json& row = list[i];
+    const bool is_row = row.is_array() && row.size() >= 3;
+    const auto id = is_row ? TextIn(row[0], kMaxNameBytes) : std::nullopt;
+    const auto address = is_row ? TextIn(row[1], kMaxNameBytes) : std::nullopt;
+    const auto pool = is_row ? TextIn(row[2], kMaxTextBytes) : std::nullopt;
+    if (!id || id->empty() || !address || !pool) {
+      context_.log.Write(
+          Event::kCellBadRecord,
+          {{"key", kExecutorsKey},
+           {"reason", "row " + std::to_string(i) + " is not an executor"}});
+      continue;
+    }
+    ExecutorEntry& entry = entries.emplace_back();
+    entry.id = *id;
+    entry.address = *address;
+    entry.pool = *pool;
+  }
+  return entries;
+}
+
 void CellLeader::LoadKnownExecutors(const std::function<void()>& done) {
   context_.store.Read(
       kExecutorsKey, kExecutorsTimeout,
@@ -37,13 +68,8 @@
         }
         if (!read.items.empty()) {
           executors_revision_ = read.items[0].revision;
-          const json list =
-              json::from_msgpack(read.items[0].value, true, false);
-          for (const json& row : list) {
-            ExecutorEntry entry;
-            entry.id = row.at(0).get<std::string>();
-            entry.address = row.at(1).get<std::string>();
-            entry.pool = row.at(2).get<std::string>();
+          for (const ExecutorEntry& entry :
+               DecodeKnownExecutors(read.items[0].value)) {
             unread_executors_.insert(entry.id);
             if (executors_.count(entry.id) == 0) {
               auto executor = std::make_unique<Executor>(entry, next_number_++);
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cell/decode.h"
 #include "cell/leader.h"
 
 namespace chivedale::cell {
@@ -51,12 +52,16 @@
         if (read.items.empty()) {
           return;
         }
-        const json started_vms =
-            json::from_msgpack(read.items[0].value, true, false);
-        if (started_vms.is_array()) {
-          for (const json& vm : started_vms) {
-            state.started_vms.insert(vm.is_string() ? vm.get<std::string>()
-                                                    : "");
+        const json started_vms = ParseMsgpack(read.items[0].value);
+        if (!started_vms.is_array()) {
+          context_.log.Write(
+              Event::kCellBadRecord,
+              {{"key", read.items[0].key}, {"reason", "not a list of VMs"}});
+          return;
+        }
+        for (const json& vm : started_vms) {
+          if (auto name = TextIn(vm, kMaxNameBytes)) {
+            state.started_vms.insert(std::move(*name));
           }
         }
       }));
--- a/cell/node.h
+++ b/cell/node.h
@@ -182,6 +182,8 @@
   std::shared_ptr<const QueueTable> table_;
   std::map<std::string, int64_t> pending_;  // from the leader's heartbeats
   std::map<std::string, Member> members_;   // by node, excluding this one
+  // Revisions of logged records of members that cannot be read, by node.
+  std::map<std::string, int64_t> rejected_members_;
   int64_t cell_revision_ = 0;
   bool cell_listed_ = false;
   bool registered_ = false;
--- a/cell/node_members.cc
+++ b/cell/node_members.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cell/decode.h"
 #include "cell/node.h"
 
 namespace chivedale::cell {
@@ -11,6 +12,8 @@
 
 using nlohmann::json;
 
+// Above the strength of any member, so that ratios of strengths are finite.
+constexpr double kMaxStrength = 1e6;
 constexpr Millis kCellTimeout{1'000};
 // A member missing from a new list is kept if it was heard from within this
 // time.
@@ -75,6 +78,10 @@
     std::optional<LeaderRecord> record;
     if (!item.deleted) {
       record = DecodeLeaderRecord(item.value);
+      if (!record) {
+        context_.log.Write(Event::kCellBadRecord,
+                           {{"key", item.key}, {"reason", "not a leader"}});
+      }
     }
     election_->OnRecord(record, item.revision);
     return;
@@ -89,17 +96,26 @@
   }
   if (item.deleted) {
     members_.erase(node);
+    rejected_members_.erase(node);
     return;
   }
-  const json value = json::from_msgpack(item.value, true, false);
-  if (!value.is_array() || value.size() < 3 || !value[0].is_string() ||
-      !value[1].is_string() || !value[2].is_number()) {
+  const json value = ParseMsgpack(item.value);
+  const bool is_row = value.is_array() && value.size() >= 3;
+  const auto boot_id = is_row ? TextIn(value[0], kMaxNameBytes) : std::nullopt;
+  const auto address = is_row ? TextIn(value[1], kMaxNameBytes) : std::nullopt;
+  if (!boot_id || !address || !value[2].is_number()) {
+    int64_t& logged = rejected_members_[node];
+    if (std::exchange(logged, item.revision) != item.revision) {
+      context_.log.Write(Event::kCellBadRecord,
+                         {{"key", item.key}, {"reason", "not a member"}});
+    }
     return;
   }
+  rejected_members_.erase(node);
   Member& member = members_[node];
-  member.boot_id = value[0].get<std::string>();
-  member.address = value[1].get<std::string>();
-  member.strength = value[2].get<double>();
+  member.boot_id = *boot_id;
+  member.address = *address;
+  member.strength = ClampedNumber(value[2], 0, kMaxStrength);
 }
 
 // Only the leader lists the members periodically. If every member did, a start
--- a/cell/settings.cc
+++ b/cell/settings.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "cell/decode.h"
 #include "chivedale/error.h"
 #include "util/ip_port.h"
 
@@ -134,7 +135,7 @@
 }  // namespace
 
 CellSettings ParseCellSettings(const std::string& text) {
-  const json value = json::parse(text, nullptr, false);
+  const json value = ParseJson(text);
   if (!value.is_object()) {
     throw Error(ErrorKind::kBadSettings, "settings must be a JSON object");
   }
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -8,6 +8,11 @@
 
 using nlohmann::json;
 
+// Names from the store may be invalid UTF-8.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string MetricsText(const CellNode& node) {
   std::ostringstream out;
   out << "chivedale_leading " << (node.leading() ? 1 : 0) << "\n"
@@ -53,7 +58,7 @@
     }
     status["executors"] = std::move(executors);
   }
-  return status.dump();
+  return Dump(status);
 }
 
 constexpr char kJobsPath[] = "/jobs/";
@@ -82,10 +87,9 @@
     steps.push_back(std::move(row));
   }
   return HttpResponse::Json(200,
-                            json({{"id", id},
+                            Dump({{"id", id},
                                   {"state", std::string(JobStateName(*state))},
-                                  {"steps", std::move(steps)}})
-                                .dump());
+                                  {"steps", std::move(steps)}}));
 }
 
 }  // namespace
