--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -8,6 +8,11 @@
 
 using nlohmann::json;
 
+// Names from the store may be invalid UTF-8.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string MetricsText(const CellNode& node) {
   std::ostringstream out;
   out << "chivedale_leading " << (node.leading() ? 1 : 0) << "\n"
@@ -57,7 +62,7 @@
     }
     status["executors"] = std::move(executors);
   }
-  return status.dump();
+  return Dump(status);
 }
 
 constexpr char kJobsPath[] = "/jobs/";
@@ -111,11 +116,10 @@
     steps.push_back(StepRow(view));
   }
   return HttpResponse::Json(200,
-                            json({{"id", id},
+                            Dump({{"id", id},
                                   {"state", std::string(JobStateName(*state))},
                                   {"passes", leader->counts().passes},
-                                  {"steps", std::move(steps)}})
-                                .dump());
+                                  {"steps", std::move(steps)}}));
 }
 
 }  // namespace
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -73,6 +73,7 @@
       {Event::kExecutorAvoided, "executor_avoided", L::kWarning},
       {Event::kExecutorsUnread, "executors_unread", L::kInfo},
       {Event::kExecutorsUnreadEnd, "executors_unread_end", L::kInfo},
+      {Event::kExecutorEntryRejected, "executor_entry_rejected", L::kWarning},
       {Event::kAdviceReceived, "advice_received", L::kInfo},
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -87,6 +87,7 @@
   kExecutorAvoided = 1307,
   kExecutorsUnread = 1308,
   kExecutorsUnreadEnd = 1309,
+  kExecutorEntryRejected = 1310,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
