--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -220,6 +220,26 @@
       std::runtime_error);
 }
 
+RC_BOOST_PROP(CorruptedBytesAreDecodedOrRejected, (uint64_t seed)) {
+  util::Random random(seed);
+  OpenedJob opened(MakeTwoStepRecord(2, 1));
+  opened.job.OnFailed(opened.step(0), 1, 3, "e1");
+  std::string record = EncodeJobRecord(opened.job.record());
+  std::string progress = opened.job.EncodeProgress();
+  for (std::string* bytes : {&record, &progress}) {
+    for (int i = 0; i < 2; ++i) {
+      (*bytes)[random.UniformInt(bytes->size())] =
+          static_cast<char>(random.UniformInt(256));
+    }
+  }
+  try {
+    Job job("0123456789abcdef", DecodeJobRecord(record));
+    job.DecodeProgress(progress, opened.clock.WallNow(), opened.clock.Now());
+  } catch (const std::runtime_error&) {
+    RC_SUCCEED("rejected");
+  }
+}
+
 // The times of a job are added to the clock.
 BOOST_AUTO_TEST_CASE(ProgressOfAnOccurrenceFarFromDueIsRejected) {
   chivedale::testing::FakeClock clock;
