--- /dev/null
+++ b/cell/testing/fake_executors_queries.cc
@@ -0,0 +1,81 @@
+// What tests ask of the fake executors.
+#include <algorithm>
+
+#include "cell/testing/fake_executors.h"
+
+namespace chivedale::cell::testing {
+
+std::vector<ExecutorEntry> FakeExecutors::Entries() const {
+  std::vector<ExecutorEntry> entries;
+  for (const auto& [id, state] : states_) {
+    if (state.up) {
+      entries.push_back(state.entry);
+    }
+  }
+  return entries;
+}
+
+int FakeExecutors::running() const {
+  int count = 0;
+  for (const auto& [id, state] : states_) {
+    count += static_cast<int>(state.runs.size());
+  }
+  return count;
+}
+
+std::vector<std::pair<const ExecutorEntry*, Resources>> FakeExecutors::Use()
+    const {
+  std::vector<std::pair<const ExecutorEntry*, Resources>> use;
+  for (const auto& [id, state] : states_) {
+    if (!state.up) {
+      continue;
+    }
+    use.emplace_back(&state.entry, Resources());
+    for (const auto& [task, run] : state.runs) {
+      use.back().second += run.size;
+    }
+  }
+  return use;
+}
+
+bool FakeExecutors::RunsAnyOf(const JobId& id) const {
+  return std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
+    const auto& runs = entry.second.runs;
+    return entry.second.up &&
+           std::any_of(runs.begin(), runs.end(), [&](const auto& run) {
+             return run.second.name.job == id;
+           });
+  });
+}
+
+bool FakeExecutors::IsDone(const TaskName& name) const {
+  const StepSpec* spec = SpecOf(name);
+  if (spec == nullptr || done_.count(name.Text()) == 0) {
+    return false;
+  }
+  std::set<std::string> tasks{name.Text()};
+  for (int i = 0; spec->gang && i < spec->count; ++i) {
+    TaskName member = name;
+    member.index = i;
+    tasks.insert(member.Text());
+  }
+  const bool stored = std::any_of(
+      tasks.begin(), tasks.end(),
+      [&](const std::string& task) { return done_stored_.count(task) > 0; });
+  return stored ||
+         std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
+           const auto& ended = entry.second.ended;
+           return entry.second.up &&
+                  std::any_of(ended.begin(), ended.end(), [&](const auto& end) {
+                    return end.end == RunEnd::kDone &&
+                           tasks.count(end.task) > 0;
+                  });
+         });
+}
+
+const JobSpec* FakeExecutors::JobSpecOf(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second.spec;
+}
+
+}  // namespace chivedale::cell::testing
