Log which executors a takeover waits for

Cause: a new leader holds back tasks that may run on an executor that it cannot reach, for up to the predecessor's leases (5.1 s with the default options). The log named neither these executors nor the end of the wait.

Change: event 1308 with their number by pool, the first five and the time left, 0.5 s after the leader's begin or at the first pass after it that holds a step back; executors within reach have answered by then. Event 1309 when all have answered or the leases have expired. Each is written at most once per leader.

Result: leader_waits_test: 1308 and 1309 once with an executor that crashed before the takeover, and neither if all answer.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -133,10 +133,13 @@
   return true;
 }
 
+TimePoint CellLeader::PredecessorLeasesEnd() const {
+  return begin_time_ + std::chrono::duration_cast<Duration>(
+                           options_.lease * kClockDriftFactor + kFencingDelay);
+}
+
 bool CellLeader::PredecessorLeasesExpired() const {
-  const auto lapsed = std::chrono::duration_cast<Duration>(
-      options_.lease * kClockDriftFactor + kFencingDelay);
-  return context_.clock.Now() - begin_time_ > lapsed;
+  return context_.clock.Now() > PredecessorLeasesEnd();
 }
 
 bool CellLeader::MayRunOnUnreadExecutor(const Step& step) const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -324,7 +324,8 @@
   // that this leader has not read yet.
   bool MayRunOnUnreadExecutor(const Step& step) const;
   void ReadPredecessorRevisionLimit();
-  // All leases that the predecessor may have granted have expired.
+  // Time by which all leases that the predecessor may have granted expire.
+  TimePoint PredecessorLeasesEnd() const;
   bool PredecessorLeasesExpired() const;
   // Usable executors of a pool and their resources in the current pass.
   struct PoolState {
@@ -372,6 +373,8 @@
   // Logs steps that wait long or are left out of the scheduling passes.
   void ReportWaitingSteps();
   void ReportWait(const Step& step, Event event);
+  void ReportUnreadExecutors();
+  void ReportUnreadExecutorsEnd();
 
   // leader_headroom.cc: resources kept free for bursts of urgent jobs.
   void MeasureUrgentUse();
@@ -433,6 +436,8 @@
   // Executors that an earlier leader may have used and that have not answered a
   // hold call of this leader, so their runs are unknown.
   std::set<ExecutorId> unread_executors_;
+  bool unread_executors_reported_ = false;
+  bool unread_executors_end_reported_ = false;
   bool known_executors_loaded_ = false;
   bool executor_entries_read_ = false;
   TimePoint store_recovered_at_{};
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -63,6 +63,7 @@
   }
   ++counts_.passes;
   const TimePoint now = context_.clock.Now();
+  ReportUnreadExecutorsEnd();
   std::vector<StepOrder> orders;
   orders.reserve(waiting_.size());
   for (auto it = waiting_.begin(); it != waiting_.end();) {
@@ -160,6 +161,7 @@
   std::vector<Executor*> eligible = EligibleFor(step, pool);
   if (MayRunOnUnreadExecutor(step)) {
     step.wait.SetReason(WaitReason::kUnreadExecutors, now);
+    ReportUnreadExecutors();
     // Request the first advice already, so that it is there when the step may
     // start.
     if (!step.advice.answered) {
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -10,6 +10,9 @@
 
 // Maximum number of lines per event and check; the next check continues.
 constexpr int kMaxReportsPerCheck = 20;
+constexpr size_t kMaxListedExecutors = 5;
+// Executors within reach have answered by then.
+constexpr Millis kUnreadReportDelay{500};
 
 std::string ToText(const Resources& resources) {
   std::ostringstream out;
@@ -189,4 +192,50 @@
   context_.log.Write(event, fields);
 }
 
+void CellLeader::ReportUnreadExecutors() {
+  if (unread_executors_reported_ ||
+      context_.clock.Now() - begin_time_ < kUnreadReportDelay) {
+    return;
+  }
+  unread_executors_reported_ = true;
+  std::map<std::string, int> by_pool;
+  std::string listed;
+  size_t count = 0;
+  for (const ExecutorId& id : unread_executors_) {
+    const auto found = executors_.find(id);
+    if (found == executors_.end()) {
+      continue;
+    }
+    ++by_pool[found->second->entry.pool];
+    if (++count <= kMaxListedExecutors) {
+      listed += listed.empty() ? id : "," + id;
+    }
+  }
+  std::string pools;
+  for (const auto& [pool, unread] : by_pool) {
+    pools += pools.empty() ? "" : ",";
+    pools += pool + ":" + std::to_string(unread);
+  }
+  context_.log.Write(Event::kExecutorsUnread,
+                     {{"unread", std::to_string(count)},
+                      {"pools", pools},
+                      {"executors", listed},
+                      {"at_most_ms", ToMillisText(PredecessorLeasesEnd() -
+                                                  context_.clock.Now())}});
+}
+
+void CellLeader::ReportUnreadExecutorsEnd() {
+  if (!unread_executors_reported_ || unread_executors_end_reported_ ||
+      (!unread_executors_.empty() && !PredecessorLeasesExpired())) {
+    return;
+  }
+  unread_executors_end_reported_ = true;
+  context_.log.Write(
+      Event::kExecutorsUnreadEnd,
+      {{"unread", std::to_string(unread_executors_.size())},
+       {"reason", unread_executors_.empty() ? "all executors have answered"
+                                            : "their leases have expired"},
+       {"after_ms", ToMillisText(context_.clock.Now() - begin_time_)}});
+}
+
 }  // namespace chivedale::cell
--- a/cell/testing/leader_waits_test.cc
+++ b/cell/testing/leader_waits_test.cc
@@ -323,7 +323,18 @@
 
 BOOST_AUTO_TEST_SUITE(AfterATakeover)
 
-BOOST_AUTO_TEST_CASE(WaitsForExecutorsThatAreNotReadYet) {
+BOOST_AUTO_TEST_CASE(IsNotLoggedIfAllExecutorsAnswerSoon) {
+  WaitFixture cell;
+  cell.FillPool(Millis(3'000));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
+  cell.RunFor(Millis(200));
+  cell.Kill(cell.LeaderName());
+  cell.RunFor(Millis(5'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(cell.Count("executors_unread") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(NamesTheExecutorsThatAreNotReadYet) {
   WaitFixture cell;
   cell.FillPool(Millis(3'000));
   cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
@@ -334,7 +345,15 @@
   BOOST_REQUIRE(cell.leader() != nullptr);
   BOOST_TEST(cell.View().waits_for ==
              "executors whose runs this leader does not know yet");
+  BOOST_TEST(cell.Count("1308 executors_unread") == 1);
+  const std::string line = cell.log.Lines("1308 executors_unread");
+  BOOST_TEST(
+      line.find("unread=1 pools=pool:1 executors=e4 ") != std::string::npos,
+      line);
+  BOOST_TEST(line.find("at_most_ms=") != std::string::npos, line);
+  BOOST_TEST(cell.Count("executors_unread_end") == 0);
   cell.RunFor(Millis(4'000));
+  BOOST_TEST(cell.Count("1309 executors_unread_end") == 1);
   BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
 }
 
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -69,6 +69,8 @@
       {Event::kExecutorDraining, "executor_draining", L::kInfo},
       {Event::kExecutorGone, "executor_gone", L::kInfo},
       {Event::kExecutorAvoided, "executor_avoided", L::kWarning},
+      {Event::kExecutorsUnread, "executors_unread", L::kInfo},
+      {Event::kExecutorsUnreadEnd, "executors_unread_end", L::kInfo},
       {Event::kAdviceReceived, "advice_received", L::kInfo},
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -83,6 +83,8 @@
   kExecutorDraining = 1305,
   kExecutorGone = 1306,
   kExecutorAvoided = 1307,
+  kExecutorsUnread = 1308,
+  kExecutorsUnreadEnd = 1309,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
