Let repeated reads of the store also allow longer pauses

Cause: the limit for a pause was 700 ms for each repetition. Change: it is the margin of a watch, or half the time limit of a read, so that it doubles with the time of a repeated read.

--- a/cell/ports.h
+++ b/cell/ports.h
@@ -70,7 +70,8 @@
   // Lists all items under the prefix, reading as many pages as needed.
   virtual void List(const std::string& prefix, Millis timeout, OnRead done) = 0;
   // Returns the changes under the prefix after the revision `after`. Waits up
-  // to `wait` for the first one, and `margin` more for the response to begin.
+  // to `wait` for the first one, and `margin` more for the response to begin
+  // and in each pause until it is complete.
   virtual void Watch(const std::string& prefix,
                      int64_t after,
                      Millis wait,
--- a/chivedale/http_connection.cc
+++ b/chivedale/http_connection.cc
@@ -88,6 +88,7 @@
     return owner_->Replace(shared_from_this(), std::move(pending));
   }
   pending_ = std::move(pending);
+  received_bytes_ = 0;
   ArmTimer();
   if (connected_) {
     return Send();
@@ -137,7 +138,6 @@
   }
   // A server may respond before it has read the whole request, so read a
   // response also after a failed write.
-  received_bytes_ = 0;
   parser_.emplace();
   parser_->header_limit(static_cast<uint32_t>(options_.max_header_bytes));
   parser_->body_limit(options_.max_body_bytes);
