Accept checkpoints and tickets of up to 64 KiB

Cause: the bounds on what other processes write limited checkpoints and tickets to 4,096 bytes, but the platform limits only the payload of a job. A hold reply with a longer checkpoint would have counted as unanswered, for ever. Change: kMaxTokenBytes.

--- a/cell/decode.h
+++ b/cell/decode.h
@@ -36,8 +36,11 @@
 inline constexpr double kMaxObjectiveFactor = 1'000;
 // Of IDs, names and labels.
 inline constexpr size_t kMaxNameBytes = 256;
-// Of checkpoints, tickets and payloads.
+// Of payloads and of names in the operators' documents.
 inline constexpr size_t kMaxTextBytes = 4'096;
+// Of what executors and the advice service issue, whose length the platform
+// does not limit: a running task whose row cannot be read would seem lost.
+inline constexpr size_t kMaxTokenBytes = 65'536;
 
 // Return a discarded value if the bytes are malformed or nested more than
 // kMaxNesting deep.
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -436,7 +436,7 @@
           for (const json& run : unfinished_task.at(1)) {
             failed_runs.insert(Integer(run, 0, kMaxNumber));
           }
-          task.checkpoint = Text(unfinished_task.at(2), kMaxTextBytes);
+          task.checkpoint = Text(unfinished_task.at(2), kMaxTokenBytes);
           task.failed_runs = std::move(failed_runs);
         }
       }
