Keep the ports of daemons under test from other sockets

Cause: the fixture took a port that the system chose (32768 to 60999), closed it and gave it to a daemon that listened on it later. Meanwhile any socket of the tests that run beside it may get the same port.

--- a/chivedale/testing/daemon_cell.h
+++ b/chivedale/testing/daemon_cell.h
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -21,6 +19,7 @@
 #include "chivedale/testing/threaded_io_context.h"
 #include "chivedale/testing/vm_list_standin.h"
 #include "chivedale/testing/worker_standin.h"
+#include "util/testing/port_allocator.h"
 
 namespace chivedale::testing {
 
@@ -39,16 +38,6 @@
  "teams": [{"name": "a", "cpu_milli": 0, "memory_mb": 0, "accelerators": 0,
   "slots": 0}]})";
 
-// Returns an address whose port is currently free, for a daemon that is started
-// next.
-inline std::string FreeAddress() {
-  boost::asio::io_context io;
-  const boost::asio::ip::tcp::acceptor acceptor(
-      io, boost::asio::ip::tcp::endpoint(
-              boost::asio::ip::make_address("127.0.0.1"), 0));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 class RunningDaemon {
  public:
   explicit RunningDaemon(const Settings& settings)
@@ -90,8 +79,8 @@
     }
     vm_list.Set(vms);
     for (int i = 0; i < 3; ++i) {
-      callers.push_back(FreeAddress());
-      peers.push_back(FreeAddress());
+      callers.push_back(util::Loopback(ports.Next()));
+      peers.push_back(util::Loopback(ports.Next()));
     }
   }
   ~Cell() {
@@ -157,6 +146,7 @@
   WorkerStandin workers{{}};
   ThreadedIoContext threads{1};
   HttpClient client{threads.io(), {}};
+  util::PortAllocator ports{threads.io()};
   std::vector<std::string> callers;
   std::vector<std::string> peers;
   std::vector<std::unique_ptr<RunningDaemon>> daemons;
