Keep a run whose start is answered too late

Callers saw accepted tasks started again and again and not run, with most of the room free: their runs ended as stopped 1 to 3.3 s after they had begun. Cause: a start that was not answered within 600 ms was stopped, although the executor may have executed it, and the task was started again at once with the same limit. While a round trip to the executors took longer than that, every run was stopped as soon as it had begun. In the new test, with 420 ms each way, all four tasks were started again before and the job was not completed after 12 s. Change: an unanswered start is not stopped. The executor does not begin it after its deadline, and the hold that returns just after the deadline shows whether the run is there; it is then kept, else started elsewhere, as before. Gangs are still stopped when a member's start is not answered.

--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -109,11 +109,8 @@
 void CellLeader::RetryStops(Executor& executor) {
   const TimePoint now = context_.clock.Now();
   for (auto& [name, run] : executor.runs()) {
-    // A start without an answer is stopped too, so that it cannot begin later.
-    const bool ask = run.phase == RunPhase::kStopping ||
-                     run.phase == RunPhase::kStartUnconfirmed;
-    if (ask && !run.stop_confirmed && !run.stop_in_flight &&
-        now >= run.next_stop) {
+    if (run.phase == RunPhase::kStopping && !run.stop_confirmed &&
+        !run.stop_in_flight && now >= run.next_stop) {
       run.next_stop = now + kStopRetry;
       run.stop_in_flight = true;
       ++counts_.stops;
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -112,10 +112,13 @@
   }
   if (reply.result == OrderResult::kUnknown) {
     // In any other phase a hold has already listed the run as running, or it is
-    // being stopped.
+    // being stopped. It is not stopped here: the executor may be running it,
+    // and does not begin it after its deadline. The next hold shows which.
     if (run->phase == RunPhase::kStartSent) {
       run->phase = RunPhase::kStartUnconfirmed;
-      run->next_stop = now;
+    }
+    if (!executor.hold_in_flight) {
+      ScheduleHold(executor, now);
     }
     if (step.spec->gang) {
       StopGang(step, number, "a gang member's start was not answered");
--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -88,6 +88,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(BehindASlowLink)
+
+// Guards against runs that are stopped and started again without end: the
+// answer to each start comes after the limit of the call, although the
+// executor runs the task and lists it.
+BOOST_AUTO_TEST_CASE(KeepsARunWhoseStartIsAnsweredTooLate) {
+  CellFixture cell;
+  testing::LinkFaults slow;
+  slow.delay = Millis(420);
+  for (const char* name : {"a", "b", "c"}) {
+    cell.executors.member_links[name] = slow;
+  }
+  cell.RunFor(Millis(4'000));
+  cell.Submit("a", kJobId, MakeJobSpec(4, Millis(5'000)), "q0");
+  cell.RunFor(Millis(12'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(cell.log.Lines(" task_stop").empty());
+  for (int index = 0; index < 4; ++index) {
+    BOOST_TEST(cell.log
+                   .Lines("task_started task=" + std::string(kJobId) + ".0.0." +
+                          std::to_string(index) + " run=2")
+                   .empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(UnderAHangingExecutor)
 
 // Regression (two random searches): a runnable step did not start because a
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -85,20 +85,24 @@
       all_.loop_.After(kCallTimeout, [done] { done({}); });
       return;
     }
-    const bool lost = all_.random_.UniformReal() < link.lost_answers;
-    all_.loop_.After(kOneWayLatency, [this, address, id, act, done, lost] {
-      FakeExecutors::State* state = all_.At(address, id);
-      if (state == nullptr) {
-        all_.loop_.After(kCallTimeout, [done] { done({}); });
-        return;
-      }
-      const OrderReply reply = act(*state);
-      if (lost) {
-        all_.loop_.After(kCallTimeout, [done] { done({}); });
-      } else {
-        all_.loop_.After(kOneWayLatency, [done, reply] { done(reply); });
-      }
-    });
+    const Duration one_way = kOneWayLatency + link.delay;
+    const bool lost = all_.random_.UniformReal() < link.lost_answers ||
+                      2 * one_way > kCallTimeout;
+    const Duration timeout = kCallTimeout - link.delay;
+    all_.loop_.After(
+        one_way, [this, address, id, act, done, lost, one_way, timeout] {
+          FakeExecutors::State* state = all_.At(address, id);
+          if (state == nullptr) {
+            all_.loop_.After(timeout, [done] { done({}); });
+            return;
+          }
+          const OrderReply reply = act(*state);
+          if (lost) {
+            all_.loop_.After(timeout, [done] { done({}); });
+          } else {
+            all_.loop_.After(one_way, [done, reply] { done(reply); });
+          }
+        });
   }
 
   FakeExecutors& all_;
@@ -113,7 +117,8 @@
     return;
   }
   const bool lost = all_.random_.UniformReal() < link.lost_answers;
-  all_.loop_.After(kOneWayLatency, [this, request, done, lost] {
+  const Duration one_way = kOneWayLatency + link.delay;
+  all_.loop_.After(one_way, [this, request, done, lost, one_way] {
     FakeExecutors::State* state = all_.At(request.address, request.executor);
     if (state == nullptr || lost) {
       if (state != nullptr) {
@@ -123,8 +128,8 @@
       return;
     }
     const HoldReply reply = all_.DoHold(*state, request);
-    const auto answer = [this, done](const HoldReply& hold) {
-      all_.loop_.After(kOneWayLatency, [done, hold] { done(hold); });
+    const auto answer = [this, done, one_way](const HoldReply& hold) {
+      all_.loop_.After(one_way, [done, hold] { done(hold); });
     };
     if (reply.result != OrderResult::kOk || !reply.ended.empty() ||
         request.wait == Millis(0)) {
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -28,6 +28,9 @@
   bool refused = false;     // orders fail with kNotSent
   double lost_answers = 0;  // share executed whose answer is lost
   double late_orders = 0;   // share executed after 2 to 12 s without an answer
+  // Added to the time in each direction; orders that take longer than the limit
+  // of a call are executed without an answer.
+  Duration delay{0};
 };
 
 class FakeExecutors {
