Free a server that is destroyed while it closes

Sanitized, daemon_test leaked once in 19 runs after all its cases had passed (LeakSanitizer, 888 bytes in 7 allocations: an HttpServer::Impl and its state). Cause: Close keeps a callback in the state that refers to the Impl, which holds the state. The callback is released when the last connection ends; if the threads stop before that, the destructor released the sessions but not the callback. Change: the destructor releases both. AServerThatIsDestroyedWhileItClosesIsFreed fails without the change and passes in 10 of 10 runs with it.

--- a/chivedale/http_server.cc
+++ b/chivedale/http_server.cc
@@ -139,7 +139,7 @@
 HttpServer::~HttpServer() {
   Abort();
   // If `io` has stopped, the functions that Abort posted will not run.
-  impl_->state_->ReleaseSessions();
+  impl_->state_->Release();
 }
 
 void HttpServer::Close(std::function<void()> on_idle) {
--- a/chivedale/http_server_state.cc
+++ b/chivedale/http_server_state.cc
@@ -67,10 +67,12 @@
   }
 }
 
-void HttpServerState::ReleaseSessions() {
-  std::unordered_map<HttpSession*, std::shared_ptr<HttpSession>> released;
+void HttpServerState::Release() {
+  std::unordered_map<HttpSession*, std::shared_ptr<HttpSession>> sessions;
+  std::function<void()> on_idle;  // refers to the owner of this state
   const std::lock_guard<std::mutex> lock(mutex_);
-  released.swap(sessions_);
+  sessions.swap(sessions_);
+  on_idle.swap(on_idle_);
 }
 
 bool HttpServerState::Reserve(size_t bytes) {
--- a/chivedale/http_session.h
+++ b/chivedale/http_session.h
@@ -33,8 +33,9 @@
   // Runs `on_idle` once, as soon as no connection is left.
   void Drain(std::function<void()> on_idle);
   void Abort();
-  // Releases the sessions without closing them; for use after `io` has stopped.
-  void ReleaseSessions();
+  // Releases the sessions without closing them, and the callback of Drain
+  // without running it; for use after `io` has stopped.
+  void Release();
   // Returns false if max_receiving_bytes would be exceeded.
   bool Reserve(size_t bytes);
   void Unreserve(size_t bytes);
--- a/chivedale/testing/http_server_test.cc
+++ b/chivedale/testing/http_server_test.cc
@@ -322,6 +322,35 @@
   BOOST_TEST(WaitUntil([&] { return closed.load(); }));
 }
 
+// Guards against a leak of the server: its threads stop while a connection is
+// still open after Close.
+BOOST_AUTO_TEST_CASE(AServerThatIsDestroyedWhileItClosesIsFreed) {
+  auto held = std::make_shared<int>(0);
+  const std::weak_ptr<int> handler = held;
+  {
+    ThreadedIoContext threads(2);
+    HttpServer server(
+        threads.io(), {},
+        [held = std::move(held)](const HttpRequest&, const HttpResponder&) {});
+    RawConnection caller(server.port());
+    BOOST_REQUIRE(WaitUntil([&] { return server.counts().connections == 1; }));
+    std::atomic<bool> closed{false};
+    server.Close([&] { closed = true; });
+    // The server has stopped listening once a new connection is refused.
+    BOOST_REQUIRE(WaitUntil([&] {
+      try {
+        RawConnection refused(server.port());
+        return false;
+      } catch (const boost::system::system_error&) {
+        return true;
+      }
+    }));
+    threads.Stop();
+    BOOST_TEST(!closed);
+  }
+  BOOST_TEST(handler.expired());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivedale::testing
