Bound the numbers and durations of messages between members

A member whose message had a term at the limit of 64 bits made every member that took it for the leader overflow at its next candidacy. In a build without sanitizers the written term would be negative, which no member reads as a leader (from the code, not run). Durations of any length would be added to the clock when a call arrives (from the code; the test shows only that they were accepted).

Cause: the codec checked the types of numbers, but not that they can be added to clocks and counters; the decoders of stored records do.

The codec now rejects durations over 2^42 ms and signed numbers over 2^53, when it decodes and when it encodes. A rejected frame closes its connection and is logged as peer_rejected, as other invalid frames are.

message_gen.h generates numbers within the new limits, as the encoder refuses others; the tests that generate messages check the same properties as before.

Before, under address and undefined behaviour sanitizers: odd_messages_test ended with "election.cc:143: signed integer overflow: + 1", and peer_codec_test EnumerationsAndNumbersAreBounded had 8 failed checks. Now both pass.

--- a/chivedale/peer_codec.cc
+++ b/chivedale/peer_codec.cc
@@ -38,6 +38,17 @@
   }
 }
 
+bool IsInRange(int64_t value, int64_t limit) {
+  return value >= -limit && value <= limit;
+}
+
+void CheckRange(int64_t value, int64_t limit) {
+  if (!IsInRange(value, limit)) {
+    throw PeerCodecError(CodecFault::kTooLong,
+                         std::to_string(value) + " is out of range");
+  }
+}
+
 template <typename T>
 constexpr void AssertAllFieldsListed() {
   static_assert(ListsAllFields<T>(),
@@ -93,13 +104,19 @@
   void Write(double value) { packer_.pack_double(value); }
   template <typename T, EnableInteger<T> = 0>
   void Write(T value) {
+    if constexpr (std::is_signed_v<T>) {
+      CheckRange(value, kMaxMessageNumber);
+    }
     packer_.pack(value);
   }
   template <typename T, EnableEnum<T> = 0>
   void Write(T value) {
     packer_.pack_int32(static_cast<int32_t>(value));
   }
-  void Write(Millis value) { packer_.pack_int64(value.count()); }
+  void Write(Millis value) {
+    CheckRange(value.count(), kMaxMessageDuration.count());
+    packer_.pack_int64(value.count());
+  }
   void Write(const std::string& value) {
     CheckLength(value.size(), max_text_);
     packer_.pack_str(static_cast<uint32_t>(value.size()));
@@ -227,6 +244,11 @@
     } else {
       FailType("an integer in range");
     }
+    if constexpr (std::is_signed_v<T>) {
+      if (!IsInRange(value, kMaxMessageNumber)) {
+        FailType("an integer in range");
+      }
+    }
   }
   template <typename T, EnableEnum<T> = 0>
   void Read(const Object& object, T& value) const {
@@ -240,6 +262,9 @@
   void Read(const Object& object, Millis& value) const {
     int64_t count = 0;
     Read(object, count);
+    if (!IsInRange(count, kMaxMessageDuration.count())) {
+      FailType("a duration in range");
+    }
     value = Millis(count);
   }
   void Read(const Object& object, std::string& value) const {
--- a/chivedale/peer_codec.h
+++ b/chivedale/peer_codec.h
@@ -27,6 +27,10 @@
 // Limit of bodies and tables; leaves room in the frame for the other fields.
 inline constexpr size_t kMaxBodyBytes = kMaxFrameBytes - size_t{64} * 1024;
 inline constexpr size_t kMaxListLength = 200'000;
+// Limits of the absolute values of durations and of signed numbers, so that
+// receivers can add them to clocks and counters.
+inline constexpr Millis kMaxMessageDuration{int64_t{1} << 42};
+inline constexpr int64_t kMaxMessageNumber = int64_t{1} << 53;
 
 enum class CodecFault {
   kMalformed,    // invalid msgpack, truncated, or trailing bytes
--- a/chivedale/testing/message_gen.h
+++ b/chivedale/testing/message_gen.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "chivedale/messages.h"
+#include "chivedale/peer_codec.h"
 #include "chivedale/peer_fields.h"
 
 namespace chivedale::testing {
@@ -32,13 +33,19 @@
   template <typename T, std::enable_if_t<std::is_integral_v<T>, int> = 0>
   void Fill(T& value) {
     value = *rc::gen::arbitrary<T>();
+    if constexpr (std::is_signed_v<T>) {
+      value %= kMaxMessageNumber + 1;
+    }
   }
   template <typename T, std::enable_if_t<std::is_enum_v<T>, int> = 0>
   void Fill(T& value) {
     value = static_cast<T>(
         *rc::gen::inRange(0, static_cast<int>(LastEnumValue<T>::kValue) + 1));
   }
-  void Fill(Millis& value) { value = Millis(*rc::gen::arbitrary<int64_t>()); }
+  void Fill(Millis& value) {
+    value = Millis(*rc::gen::arbitrary<int64_t>() %
+                   (kMaxMessageDuration.count() + 1));
+  }
   void Fill(std::string& value) { value = *rc::gen::arbitrary<std::string>(); }
   template <typename Tag>
   void Fill(Id<Tag>& value) {
