Reject stored jobs without an ID, or with one that is too long

A record under the key of a job whose ID is empty was taken as a job. Its tasks have names that do not parse: the leader read an empty optional when it asked for advice on the step, and executors were told to start ".0.0.0".

Cause: the bytes of a job record were checked, but not its key. The leader now logs such a record as cell_bad_record and skips it, wherever it comes from (the store or a member's notice).

Before, stored_records_test SkipsJobsWithAnOddId failed with std::bad_optional_access when the task name of a start was parsed; now it passes.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -10,8 +10,11 @@
 
 #include <algorithm>
 #include <limits>
+#include <stdexcept>
 #include <utility>
 
+#include "cell/decode.h"
+
 namespace chivedale::cell {
 namespace {
 
@@ -352,6 +355,9 @@
                              const std::string& record,
                              int64_t revision) {
   try {
+    if (id.empty() || id.size() > kMaxNameBytes) {
+      throw std::runtime_error("not a job ID");
+    }
     AddJob(id, DecodeJobRecord(record), revision);
   } catch (const std::runtime_error& error) {
     context_.log.Write(Event::kCellBadRecord,
--- a/cell/testing/stored_records_test.cc
+++ b/cell/testing/stored_records_test.cc
@@ -141,6 +141,22 @@
   CheckJobCompletes(cell);
 }
 
+// Regression: the leader ended when it asked for advice on a job without an ID.
+BOOST_AUTO_TEST_CASE(SkipsJobsWithAnOddId) {
+  JobRecord record;
+  record.queue = testing::MakeQueue(0);
+  record.queue.advice = AdvicePolicy{Millis(5), Millis(1), Millis(2'000)};
+  record.spec = MakeJobSpec(1, Millis(300));
+  for (const std::string& id : {std::string(), std::string(5'000, 'a')}) {
+    CellFixture cell;
+    cell.store.Put(JobKey(id), EncodeJobRecord(record));
+    cell.RunFor(kRun);
+    BOOST_TEST(cell.log.Lines("cell_bad_record").find("not a job ID") !=
+               std::string::npos);
+    CheckJobCompletes(cell);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RunsAWaveWithAnOddRecord) {
   std::vector<std::string> records = OddRecords();
   records.push_back(Msgpack(json::array({std::string(5'000, 'm'), 7})));
