Log upkeep waves that cannot be read

An operator who wrote a wave with an impossible number, without a list of machines, or with a machine that is not a string saw neither the upkeep nor a log line.

Cause: the parser's nullopt was dropped, and odd machines were skipped silently.

--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -78,6 +78,7 @@
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
       {Event::kWaveEnded, "wave_ended", L::kInfo},
+      {Event::kWaveRejected, "wave_rejected", L::kWarning},
       {Event::kSettingsReloaded, "settings_reloaded", L::kInfo},
   };
   return events;
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -92,6 +92,7 @@
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
   kWaveEnded = 1502,
+  kWaveRejected = 1503,
   kSettingsReloaded = 1601,
 };
 
