Test each decoder with odd values in otherwise valid documents

A property for each kind of document (the table, jobs, executor entries, waves, job records and progress) replaces one value or container by an odd one: null, limits of 64 bits, long texts, invalid UTF-8, deep nests. The result is within its bounds, or rejected. Random bytes, which the earlier properties write, rarely form such a value.

--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "cell/testing/odd_values.h"
 #include "chivedale/testing/fake_clock.h"
 #include "util/random.h"
 
@@ -240,6 +241,26 @@
   }
 }
 
+RC_BOOST_PROP(OddValueIsDecodedOrRejected, (uint64_t seed)) {
+  util::Random random(seed);
+  OpenedJob opened(MakeTwoStepRecord(2, 1));
+  opened.job.OnFailed(opened.step(0), 1, 3, "e1");
+  std::string record = EncodeJobRecord(opened.job.record());
+  std::string progress = opened.job.EncodeProgress();
+  std::string& changed = random.UniformInt(2) == 0 ? record : progress;
+  const json odd = testing::WithOddValue(json::from_msgpack(changed), random);
+  changed.clear();
+  json::to_msgpack(odd, changed);
+  try {
+    Job job("0123456789abcdef", DecodeJobRecord(record));
+    job.DecodeProgress(progress, opened.clock.WallNow(), opened.clock.Now());
+    job.OpenDueOccurrences(opened.clock.WallNow(), opened.clock.Now());
+    RC_ASSERT(!job.record().spec.steps.empty());
+  } catch (const std::runtime_error&) {
+    RC_SUCCEED("rejected");
+  }
+}
+
 // The times of a job are added to the clock.
 BOOST_AUTO_TEST_CASE(ProgressOfAnOccurrenceFarFromDueIsRejected) {
   chivedale::testing::FakeClock clock;
--- a/cell/testing/odd_messages_test.cc
+++ b/cell/testing/odd_messages_test.cc
@@ -1,14 +1,13 @@
 // Guards against members that end, or elect no leader, because of odd values in
 // the messages of another member.
 #include <boost/test/unit_test.hpp>
-#include <cmath>
-#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "cell/testing/cell_fixture.h"
+#include "cell/testing/odd_values.h"
 #include "chivedale/peer_codec.h"
 
 namespace chivedale::cell {
@@ -19,23 +18,12 @@
 using testing::kJobId;
 using testing::MakeJobSpec;
 using testing::MakeQueue;
+using testing::OddValues;
 
 constexpr Millis kElection{6'000};
 constexpr Millis kRun{2'000};
 constexpr char kOtherJob[] = "00000000000000bb";
 
-json OddValues() {
-  json nested = json::array();
-  for (int depth = 0; depth < 100; ++depth) {
-    nested = json::array({nested});
-  }
-  return json::array(
-      {nullptr, true, -1, INT64_MIN, INT64_MAX, UINT64_MAX, 1e300, -1e300,
-       std::nan(""), std::numeric_limits<double>::infinity(), "",
-       std::string(5'000, 'x'), "\xff\xfe", "a:65536", "127.0.0.1:0",
-       json::array(), json::object(), json::binary({0xc1}), std::move(nested)});
-}
-
 // A job that no executor can run.
 Body JobBytes() {
   JobRecord record;
