Show that a new leader never ends reads that begin late

The fake store can delay its responses by key; a response that is due after the limit of its call is lost, as with the HTTP client.

--- a/cell/testing/fake_store.cc
+++ b/cell/testing/fake_store.cc
@@ -11,7 +11,7 @@
       : store_(store), member_(std::move(member)) {}
 
   void Read(const std::string& key, Millis timeout, OnRead done) override {
-    Call(timeout, std::move(done), [this, key] {
+    Call(key, timeout, std::move(done), [this, key] {
       StoreRead read;
       const StoreItem* item = store_.Find(key);
       read.status = item == nullptr ? StoreStatus::kNotFound : StoreStatus::kOk;
@@ -23,7 +23,7 @@
     });
   }
   void List(const std::string& prefix, Millis timeout, OnRead done) override {
-    Call(timeout, std::move(done), [this, prefix] {
+    Call(prefix, timeout, std::move(done), [this, prefix] {
       StoreRead read;
       read.status = StoreStatus::kOk;
       read.items = store_.ListItems(prefix);
@@ -40,7 +40,7 @@
 
  private:
   template <typename Done, typename Answer>
-  void Call(Millis timeout, Done done, Answer answer) {
+  void Call(const std::string& key, Millis timeout, Done done, Answer answer) {
     const StoreFaults& faults = store_.FaultsOf(member_);
     if (faults.unresponsive) {
       store_.loop_.After(timeout, [done] { done({}); });
@@ -54,6 +54,11 @@
       });
       return;
     }
+    if (faults.late_reads.count(key) > 0) {
+      store_.Respond(member_, key, store_.loop_.clock().Now() + timeout, done,
+                     answer());
+      return;
+    }
     store_.loop_.After(faults.latency, [done, answer] { done(answer()); });
   }
 
@@ -64,24 +69,25 @@
 void FakeStoreView::Watch(const std::string& prefix,
                           int64_t after,
                           Millis wait,
-                          Millis /*margin*/,
+                          Millis margin,
                           OnRead done) {
   const StoreFaults& faults = store_.FaultsOf(member_);
   if (faults.unresponsive || faults.refuses) {
-    Call(wait, std::move(done), [] { return StoreRead(); });
+    Call(prefix, wait, std::move(done), [] { return StoreRead(); });
     return;
   }
   if (faults.watches_hang) {
     store_.loop_.After(wait, [done] { done(StoreRead()); });
     return;
   }
+  const TimePoint deadline = store_.loop_.clock().Now() + wait + margin;
   StoreRead now = store_.EventsAfter(prefix, after);
   if (now.status != StoreStatus::kOk || !now.items.empty()) {
-    store_.loop_.After(faults.latency, [done, now] { done(now); });
+    store_.Respond(member_, prefix, deadline, done, now);
     return;
   }
   const uint64_t id = store_.next_watcher_++;
-  store_.watchers_[id] = {member_, prefix, after, done};
+  store_.watchers_[id] = {member_, prefix, after, deadline, done};
   store_.loop_.After(wait, [this, id] {
     const auto found = store_.watchers_.find(id);
     if (found == store_.watchers_.end()) {
@@ -219,6 +225,25 @@
   return reply;
 }
 
+void FakeStore::Respond(const std::string& member,
+                        const std::string& key,
+                        TimePoint deadline,
+                        const std::function<void(StoreRead)>& done,
+                        const StoreRead& read) {
+  const StoreFaults& faults = FaultsOf(member);
+  const auto late = faults.late_reads.find(key);
+  if (late == faults.late_reads.end()) {
+    loop_.After(faults.latency, [done, read] { done(read); });
+    return;
+  }
+  const Duration time_left = deadline - loop_.clock().Now();
+  if (late->second > time_left) {
+    loop_.After(time_left, [done] { done({}); });
+    return;
+  }
+  loop_.After(late->second, [done, read] { done(read); });
+}
+
 void FakeStore::Changed(const StoreItem& item) {
   history_.push_back(item);
 }
@@ -248,7 +273,8 @@
       ++it;
       continue;
     }
-    loop_.After(faults.latency, [done = it->second.done, read] { done(read); });
+    Respond(it->second.member, it->second.prefix, it->second.deadline,
+            it->second.done, read);
     it = watchers_.erase(it);
   }
 }
--- a/cell/testing/fake_store.h
+++ b/cell/testing/fake_store.h
@@ -28,6 +28,10 @@
   // Watches wait for their full time and end without an answer.
   bool watches_hang = false;
   Duration latency = std::chrono::milliseconds(2);
+  // Delays of the responses to reads, lists and watches, by the key or prefix
+  // they name. A response shows the state at the call; one that is due after
+  // the time limit of its call is lost.
+  std::map<std::string, Duration> late_reads;
 };
 
 class FakeStore {
@@ -61,10 +65,18 @@
     std::string member;
     std::string prefix;
     int64_t after = 0;
+    TimePoint deadline{};
     std::function<void(StoreRead)> done;
   };
 
   const StoreFaults& FaultsOf(const std::string& member) const;
+  // Calls `done` with the response when it is due, or without one at the
+  // deadline.
+  void Respond(const std::string& member,
+               const std::string& key,
+               TimePoint deadline,
+               const std::function<void(StoreRead)>& done,
+               const StoreRead& read);
   StoreWriteReply Apply(const StoreWrite& write);
   void Changed(const StoreItem& item);
   StoreRead EventsAfter(const std::string& prefix, int64_t after) const;
--- /dev/null
+++ b/cell/testing/slow_store_test.cc
@@ -0,0 +1,68 @@
+// Tests of reads from a store whose responses begin later than the time limit
+// of the first attempt.
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "cell/testing/cell_fixture.h"
+
+namespace chivedale::cell {
+namespace {
+
+using testing::CellFixture;
+using testing::kJobId;
+using testing::MakeJobSpec;
+using testing::MakeQueue;
+
+constexpr Millis kElection{6'000};
+constexpr Millis kRun{15'000};
+
+struct Fixture : CellFixture {
+  // Runs a job on the next leader, which starts with responses this late.
+  void CheckNextLeaderRunsJobs(const std::string& key, Duration delay) {
+    Submit(NonLeaderName(), kJobId, MakeJobSpec(2, Millis(300)), "q0");
+    RunFor(Millis(50));
+    store.faults.late_reads[key] = delay;
+    Kill(LeaderName());
+    RunFor(kElection);
+    BOOST_REQUIRE(leader() != nullptr);
+    RunFor(kRun);
+    BOOST_TEST((StateOf(kJobId) == JobState::kCompleted));
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(ACellWithLateResponsesOfItsStore)
+
+// Regression: each attempt had the same time limit, so that a leader started no
+// task as long as its reads took longer.
+BOOST_AUTO_TEST_SUITE(WithANewLeader)
+
+BOOST_FIXTURE_TEST_CASE(ReadsTheExecutorsOfThePredecessor, Fixture) {
+  CheckNextLeaderRunsJobs(kExecutorsKey, Millis(1'800));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsTheJobs, Fixture) {
+  CheckNextLeaderRunsJobs(kJobPrefix, Millis(3'500));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsTheProgressOfTheJobs, Fixture) {
+  CheckNextLeaderRunsJobs(kProgressPrefix, Millis(3'500));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// The notice of the accepting member may be lost, so the leader also watches
+// the jobs.
+BOOST_FIXTURE_TEST_CASE(RunsAJobThatOnlyTheWatchReports, Fixture) {
+  const JobSpec spec = MakeJobSpec(2, Millis(300));
+  const JobRecord record{MakeQueue(0), spec, loop.clock().WallNow()};
+  executors.Expect(kJobId, spec, record.queue.max_attempts);
+  store.faults.late_reads[kJobPrefix] = Millis(2'300);
+  store.Put(JobKey(kJobId), EncodeJobRecord(record));
+  RunFor(kRun);
+  BOOST_TEST((StateOf(kJobId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
