Give the repeated reads of a new leader more time

Callers saw: with a store whose responses begin later than 1 s for the executors or 2 s for the jobs, each leader repeated these reads with the same limit and started nothing; a late watch of the jobs was never read. Cause: fixed limits for a read that is repeated from its start. The first attempts and the delays between attempts keep their values; these reads are made by one member, so their delays are not spread. Pages of a list are limited one by one, as before.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -182,39 +182,43 @@
 // ---- Jobs.
 
 void CellLeader::LoadJobs() {
-  context_.store.List(
-      kJobPrefix, kReadTimeout, Guard([this](const StoreRead& jobs) {
-        if (jobs.status != StoreStatus::kOk) {
-          context_.run_after(kReadRetryDelay, Guard([this] { LoadJobs(); }));
-          return;
-        }
-        LoadProgress(jobs);
-      }));
+  context_.store.List(kJobPrefix, jobs_limit_.Of(kReadTimeout),
+                      Guard([this](const StoreRead& jobs) {
+                        if (jobs.status != StoreStatus::kOk) {
+                          LoadJobsLater();
+                          return;
+                        }
+                        LoadProgress(jobs);
+                      }));
+}
+
+void CellLeader::LoadJobsLater() {
+  jobs_limit_.OnRead(false);
+  context_.run_after(kReadRetryDelay, Guard([this] { LoadJobs(); }));
 }
 
 void CellLeader::LoadProgress(const StoreRead& jobs) {
-  context_.store.Read(
-      kProgressSequenceKey, kReadTimeout,
-      Guard([this, jobs](const StoreRead& sequence) {
-        if (sequence.status != StoreStatus::kOk &&
-            sequence.status != StoreStatus::kNotFound) {
-          context_.run_after(kReadRetryDelay, Guard([this] { LoadJobs(); }));
-          return;
-        }
-        if (!sequence.items.empty() && !loaded_) {
-          sequence_revision_ = sequence.items[0].revision;
-        }
-        context_.store.List(kProgressPrefix, kReadTimeout,
+  context_.store.Read(kProgressSequenceKey, jobs_limit_.Of(kReadTimeout),
+                      Guard([this, jobs](const StoreRead& sequence) {
+                        if (sequence.status != StoreStatus::kOk &&
+                            sequence.status != StoreStatus::kNotFound) {
+                          LoadJobsLater();
+                          return;
+                        }
+                        if (!sequence.items.empty() && !loaded_) {
+                          sequence_revision_ = sequence.items[0].revision;
+                        }
+                        context_.store.List(
+                            kProgressPrefix, jobs_limit_.Of(kReadTimeout),
                             Guard([this, jobs](const StoreRead& progress) {
                               if (progress.status != StoreStatus::kOk) {
-                                context_.run_after(
-                                    kReadRetryDelay,
-                                    Guard([this] { LoadJobs(); }));
+                                LoadJobsLater();
                                 return;
                               }
+                              jobs_limit_.OnRead(true);
                               OnJobsListed(jobs, progress);
                             }));
-      }));
+                      }));
 }
 
 void CellLeader::OnJobsListed(const StoreRead& jobs,
@@ -269,8 +273,10 @@
 
 void CellLeader::WatchJobs() {
   context_.store.Watch(
-      kJobPrefix, jobs_revision_, kWatchWait, kWatchMargin,
+      kJobPrefix, jobs_revision_, kWatchWait, jobs_limit_.Of(kWatchMargin),
       Guard([this](const StoreRead& read) {
+        jobs_limit_.OnRead(read.status == StoreStatus::kOk ||
+                           read.status == StoreStatus::kCompacted);
         if (read.status == StoreStatus::kOk) {
           OnJobEvents(read);
           jobs_revision_ = std::max(jobs_revision_, read.revision);
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -32,6 +32,7 @@
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/metrics.h"
+#include "util/read_limit.h"
 
 namespace chivedale::cell {
 
@@ -205,6 +206,8 @@
 
   // leader.cc: jobs.
   void LoadJobs();
+  // Reads the jobs again after a failed read.
+  void LoadJobsLater();
   void LoadProgress(const StoreRead& jobs);
   void OnJobsListed(const StoreRead& jobs, const StoreRead& progress);
   void WatchJobs();
@@ -428,6 +431,8 @@
   TimePoint suspended_at_{};
   bool fenced_ = false;
   TimePoint begin_time_{};
+  util::ReadLimit known_executors_limit_;
+  util::ReadLimit jobs_limit_;  // also of their progress and of the watch
   int64_t jobs_revision_ = 0;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
   // Cancellations whose job has not been read yet.
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -58,10 +58,11 @@
 
 void CellLeader::LoadKnownExecutors(const std::function<void()>& done) {
   context_.store.Read(
-      kExecutorsKey, kExecutorsTimeout,
+      kExecutorsKey, known_executors_limit_.Of(kExecutorsTimeout),
       Guard([this, done](const StoreRead& read) {
         if (read.status != StoreStatus::kOk &&
             read.status != StoreStatus::kNotFound) {
+          known_executors_limit_.OnRead(false);
           context_.run_after(kExecutorsRetry,
                              Guard([this, done] { LoadKnownExecutors(done); }));
           return;
