--- a/cell/testing/slow_store_test.cc
+++ b/cell/testing/slow_store_test.cc
@@ -50,6 +50,14 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Regression: the leader never learnt how strong the other members are.
+BOOST_FIXTURE_TEST_CASE(YieldsToAMuchStrongerMember, Fixture) {
+  store.faults.late_reads[kMemberPrefix] = Millis(1'800);
+  AddNode("strong", 4);
+  RunFor(kRun);
+  BOOST_TEST(node("strong")->leading());
+}
+
 // The notice of the accepting member may be lost, so the leader also watches
 // the jobs.
 BOOST_FIXTURE_TEST_CASE(RunsAJobThatOnlyTheWatchReports, Fixture) {
