Give a repeated list of the members more time

Callers would see: a leader whose lists of the members begin 1 s late or more never learns how strong the others are, so it does not yield to a much stronger member. Cause: a fixed limit of 1 s for a list that is repeated from its start. Change: a list that follows a failed one has 2 s, the interval between two lists.

--- a/cell/node.h
+++ b/cell/node.h
@@ -29,6 +29,7 @@
 #include "chivedale/metrics.h"
 #include "chivedale/ports.h"
 #include "util/random.h"
+#include "util/read_limit.h"
 
 namespace chivedale::cell {
 
@@ -198,6 +199,7 @@
   TimePoint leader_store_lost_since_{};
   TimePoint leading_since_{};
   TimePoint next_members_{};
+  util::ReadLimit members_limit_;
   double strongest_ = 0;  // highest strength among the members
   TimePoint next_beat_{};
   TimePoint next_expiry_{};
--- a/cell/node_members.cc
+++ b/cell/node_members.cc
@@ -122,7 +122,9 @@
 // of the whole cell would need a number of calls quadratic in its size.
 void CellNode::ListMembers() {
   next_members_ = context_.clock.Now() + kMembersInterval;
-  store_.List(kMemberPrefix, kCellTimeout, Guard([this](const StoreRead& read) {
+  store_.List(kMemberPrefix, members_limit_.Of(kCellTimeout),
+              Guard([this](const StoreRead& read) {
+                members_limit_.OnRead(read.status == StoreStatus::kOk);
                 if (read.status != StoreStatus::kOk) {
                   return;  // listed again after kMembersInterval
                 }
