Read the store over a slow path in the daemon

Callers would see: a daemon on a path that needs more than 2 s for its table, or whose responses begin later, never gets a newer table from the store; with both watchers of a data centre on such a path, its members get it from other data centres only. Cause: one limit of 2 s for all bytes of a read, and the same one for each attempt. Change: StoreClient receives a response as long as data arrives (pauses of up to half the limit), and a read that follows a failed read of the same key or prefix has twice the time (util::ReadLimit). First attempts and writes keep their limits; a replica applies a table only if its revision is higher, so one that ends late undoes nothing.

--- a/chivedale/store_client.cc
+++ b/chivedale/store_client.cc
@@ -3,12 +3,20 @@
 // took effect.
 #include "chivedale/store_client.h"
 
+#include <map>
+#include <mutex>
+#include <utility>
+
 #include "chivedale/platform_codec.h"
 #include "chivedale/platform_protocol.h"
+#include "util/read_limit.h"
 
 namespace chivedale {
 namespace {
 
+// Bounds the memory for failed reads that are not repeated.
+constexpr size_t kMaxFailedReads = 1'024;
+
 std::string KeyTarget(const std::string& key) {
   return std::string(protocol::kKeysPath) + "/" + PercentEncode(key);
 }
@@ -50,8 +58,33 @@
 
 }  // namespace
 
+// Limits of the reads that failed last, by what is read. Thread-safe.
+class StoreClient::ReadLimits {
+ public:
+  Millis Of(const std::string& read, Millis first) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = limits_.find(read);
+    return found == limits_.end() ? first : found->second.Of(first);
+  }
+  void OnRead(const std::string& read, bool succeeded) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (succeeded) {
+      limits_.erase(read);
+    } else if (limits_.size() < kMaxFailedReads) {
+      limits_[read].OnRead(false);
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, util::ReadLimit> limits_;
+};
+
 StoreClient::StoreClient(HttpClient& http, Options options, PostFunction post)
-    : http_(http), options_(std::move(options)), post_(std::move(post)) {}
+    : http_(http),
+      options_(std::move(options)),
+      post_(std::move(post)),
+      limits_(std::make_shared<ReadLimits>()) {}
 
 void StoreClient::Call(HttpCall call,
                        std::function<StoreResult(const HttpResult&)> parse,
@@ -65,12 +98,29 @@
                                     std::move(done)));
 }
 
+void StoreClient::Read(HttpCall call,
+                       const std::string& read,
+                       Millis wait,
+                       Millis limit,
+                       std::function<StoreResult(const HttpResult&)> parse,
+                       Done done) {
+  const Millis allowed = limits_->Of(read, limit);
+  call.timeout = wait + allowed;
+  call.stall_timeout = allowed / 2;
+  Call(std::move(call), std::move(parse),
+       [limits = limits_, read, done = std::move(done)](StoreResult result) {
+         limits->OnRead(read, result.status != StoreStatus::kUnavailable);
+         done(std::move(result));
+       });
+}
+
 void StoreClient::Get(const std::string& key, Done done) {
   HttpCall call;
   call.method = "GET";
   call.target = KeyTarget(key);
-  call.timeout = options_.timeout;
-  Call(std::move(call), ParseRead, std::move(done));
+  const std::string read = call.target;
+  Read(std::move(call), read, Millis(0), options_.timeout, ParseRead,
+       std::move(done));
 }
 
 void StoreClient::Put(const std::string& key,
@@ -103,8 +153,9 @@
   call.method = "GET";
   call.target =
       std::string(protocol::kKeysPath) + "?" + Query(protocol::kPrefix, prefix);
-  call.timeout = options_.timeout;
-  Call(std::move(call), ParseEntries, std::move(done));
+  const std::string read = call.target;
+  Read(std::move(call), read, Millis(0), options_.timeout, ParseEntries,
+       std::move(done));
 }
 
 void StoreClient::Watch(const std::string& prefix,
@@ -113,12 +164,12 @@
                         Done done) {
   HttpCall call;
   call.method = "GET";
-  call.target = std::string(protocol::kWatchPath) + "?" +
-                Query(protocol::kPrefix, prefix) + "&" +
-                Query(protocol::kAfter, std::to_string(after)) + "&" +
-                Query(protocol::kWaitMs, std::to_string(wait.count()));
-  call.timeout = wait + options_.watch_margin;
-  Call(std::move(call), ParseEntries, std::move(done));
+  const std::string read = std::string(protocol::kWatchPath) + "?" +
+                           Query(protocol::kPrefix, prefix);
+  call.target = read + "&" + Query(protocol::kAfter, std::to_string(after)) +
+                "&" + Query(protocol::kWaitMs, std::to_string(wait.count()));
+  Read(std::move(call), read, wait, options_.watch_margin, ParseEntries,
+       std::move(done));
 }
 
 }  // namespace chivedale
--- a/chivedale/store_client.h
+++ b/chivedale/store_client.h
@@ -3,11 +3,14 @@
 //   StoreClient store(http, {"10.0.0.5:7000"}, post);
 //   store.Get("table", [](StoreResult result) { ... });
 //
-// No call is sent twice. Values are UTF-8 text; a Put of invalid UTF-8 is not
-// sent and ends with kUnavailable.
+// No call is sent twice. A read that its caller repeats after a failure has
+// twice the time of the first one; it is received as long as data arrives.
+// Values are UTF-8 text; a Put of invalid UTF-8 is not sent and ends with
+// kUnavailable.
 #ifndef CHIVEDALE_STORE_CLIENT_H_
 #define CHIVEDALE_STORE_CLIENT_H_
 
+#include <memory>
 #include <string>
 
 #include "chivedale/platform_call.h"
@@ -43,10 +46,23 @@
   void Call(HttpCall call,
             std::function<StoreResult(const HttpResult&)> parse,
             Done done);
+  // Calls with the limits of a read. `read` names what is read, for the limit
+  // of its repetition. `wait`: the store's wait for a change; `limit`: for the
+  // response to begin after that.
+  void Read(HttpCall call,
+            const std::string& read,
+            Millis wait,
+            Millis limit,
+            std::function<StoreResult(const HttpResult&)> parse,
+            Done done);
+
+  class ReadLimits;
 
   HttpClient& http_;
   const Options options_;
   const PostFunction post_;
+  // Shared with callbacks, which may run after the destructor.
+  const std::shared_ptr<ReadLimits> limits_;
 };
 
 }  // namespace chivedale
