--- a/cell/testing/slow_store_test.cc
+++ b/cell/testing/slow_store_test.cc
@@ -58,6 +58,40 @@
   BOOST_TEST(node("strong")->leading());
 }
 
+// Regression: a list of the jobs that began before a completed job was removed
+// added it again after that, and its tasks were run a second time.
+BOOST_FIXTURE_TEST_CASE(DoesNotRunARemovedJobAgain, Fixture) {
+  constexpr Millis kBeforeRemoval{118'000};
+  Submit(LeaderName(), kJobId, MakeJobSpec(2, Millis(300)), "q0");
+  while (StateOf(kJobId) != JobState::kCompleted) {
+    RunFor(Millis(50));
+  }
+  const int64_t starts = executors.starts();
+  RunFor(kBeforeRemoval);
+  store.faults.late_reads[kJobPrefix] = Millis(1'500);
+  store.CompactHistory();
+  RunFor(kRun);
+  BOOST_TEST((store.Find(JobKey(kJobId)) == nullptr));
+  BOOST_TEST(executors.starts() == starts);
+}
+
+// Regression: a watch that failed for longer than a job is kept reported its
+// record and its removal, and the job was run a second time.
+BOOST_FIXTURE_TEST_CASE(DoesNotRunAJobThatTheWatchReportsWithItsRemoval,
+                        Fixture) {
+  constexpr Millis kPastRemoval{125'000};
+  store.faults.watches_hang = true;
+  RunFor(Millis(2'000));
+  Submit(LeaderName(), kJobId, MakeJobSpec(2, Millis(300)), "q0");
+  RunFor(kPastRemoval);
+  BOOST_REQUIRE(store.Find(JobKey(kJobId)) == nullptr);
+  const int64_t starts = executors.starts();
+  store.faults.watches_hang = false;
+  RunFor(kRun);
+  BOOST_TEST(starts == 2);
+  BOOST_TEST(executors.starts() == starts);
+}
+
 // The notice of the accepting member may be lost, so the leader also watches
 // the jobs.
 BOOST_FIXTURE_TEST_CASE(RunsAJobThatOnlyTheWatchReports, Fixture) {
