Ignore the records of removed jobs in late reads

Callers would see: a job that had completed was run a second time, when its record was removed (120 s after its end) while a list or a watch that still showed it was late. Cause: the leader forgot a removed job at once, and took an unknown record for a new job; its progress is read on the first load only. Change: the leader keeps the revision of each removal until the watch has passed it, and ignores records up to that revision.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -9,6 +9,7 @@
 #include "cell/leader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -280,6 +281,7 @@
         if (read.status == StoreStatus::kOk) {
           OnJobEvents(read);
           jobs_revision_ = std::max(jobs_revision_, read.revision);
+          ForgetRemovedJobs();
           WatchJobs();
         } else if (read.status == StoreStatus::kCompacted) {
           // Changes were missed, so list all jobs. Known jobs are kept.
@@ -290,6 +292,12 @@
       }));
 }
 
+void CellLeader::ForgetRemovedJobs() {
+  for (auto it = removed_jobs_.begin(); it != removed_jobs_.end();) {
+    it = it->second <= jobs_revision_ ? removed_jobs_.erase(it) : std::next(it);
+  }
+}
+
 void CellLeader::OnJobEvents(const StoreRead& read) {
   for (const StoreItem& item : read.items) {
     if (!item.deleted) {
@@ -341,7 +349,10 @@
     id.resize(suffix);
     ApplyCancel(id);
   } else if (jobs_.count(id) == 0) {
-    ApplyRecord(id, item.value, item.revision);
+    const auto removed = removed_jobs_.find(id);
+    if (removed == removed_jobs_.end() || removed->second < item.revision) {
+      ApplyRecord(id, item.value, item.revision);
+    }
   }
 }
 
@@ -464,6 +475,7 @@
                          }
                          for (const JobId& id : removed) {
                            jobs_.erase(id);
+                           removed_jobs_[id] = reply.revision;
                          }
                        }));
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -224,6 +224,8 @@
   void StopAll(Job& job);
   void OpenDueRecurringJobs();
   void RemoveExpiredJobs();
+  // Forgets the removed jobs that no later read of the watch can show.
+  void ForgetRemovedJobs();
   const QueuePolicy& PolicyOf(const Job& job) const;
   // Time since acceptance, by the VMs' wall clocks.
   Duration AgeOf(const Job& job) const;
@@ -435,6 +437,10 @@
   util::ReadLimit jobs_limit_;  // also of their progress and of the watch
   int64_t jobs_revision_ = 0;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
+  // Jobs that this leader has removed, and the revisions of their removals,
+  // until the watch has passed them: a read that began before may still show
+  // their records.
+  std::unordered_map<JobId, int64_t> removed_jobs_;
   // Cancellations whose job has not been read yet.
   std::set<JobId> unmatched_cancels_;
   std::set<JobId> recurring_jobs_;
