Show that a late list reports a registered executor as gone

In the fake cell a list of the executors now shows their entries as they are when it begins, as a store does, and not at its end.

--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -157,14 +157,18 @@
       *host.vms,
       *host.peers,
       [this](auto done) {
-        const bool down = entries_down;
-        loop.After(Millis(2), [this, done, down] {
-          if (down) {
-            done(StoreStatus::kUnknown, {});
-          } else {
-            done(StoreStatus::kOk, executors.Entries());
-          }
-        });
+        if (entries_down) {
+          loop.After(entries_time, [done] { done(StoreStatus::kUnknown, {}); });
+          return;
+        }
+        std::vector<ExecutorEntry> entries = executors.Entries();
+        entries.erase(std::remove_if(entries.begin(), entries.end(),
+                                     [this](const ExecutorEntry& entry) {
+                                       return lost_entries.count(entry.id) > 0;
+                                     }),
+                      entries.end());
+        loop.After(entries_time,
+                   [done, entries] { done(StoreStatus::kOk, entries); });
       },
       [this](int64_t wave, bool completed,
              const std::function<void(bool)>& done) {
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -93,6 +93,9 @@
   Millis ticket_validity{2'000};
   QueuePolicy queue;
   bool entries_down = false;  // executors' entries cannot be listed
+  // Duration of a list of the executors' entries as they are when it begins.
+  Duration entries_time = std::chrono::milliseconds(2);
+  std::set<ExecutorId> lost_entries;  // not registered
   std::map<std::string, VmInfo> vms;
   std::set<std::string> upkeep_done;
   std::map<int64_t, bool> wave_status;  // true: completed
--- a/cell/testing/slow_store_test.cc
+++ b/cell/testing/slow_store_test.cc
@@ -92,6 +92,21 @@
   BOOST_TEST(executors.starts() == starts);
 }
 
+// Regression: a list that began before an executor was registered again after
+// an outage of the store, and ended later, reported the executor as gone.
+BOOST_FIXTURE_TEST_CASE(KeepsAnExecutorThatRegistersDuringAList, Fixture) {
+  entries_down = true;
+  RunFor(Millis(1'500));
+  entries_down = false;
+  lost_entries = {"e1"};
+  RunFor(Millis(600));
+  entries_time = Millis(2'200);
+  RunFor(Millis(1'300));
+  lost_entries.clear();
+  RunFor(kRun);
+  BOOST_TEST(log.Lines("executor_gone") == "");
+}
+
 // The notice of the accepting member may be lost, so the leader also watches
 // the jobs.
 BOOST_FIXTURE_TEST_CASE(RunsAJobThatOnlyTheWatchReports, Fixture) {
