Judge a list of the executors by when it began

Callers would see: after an outage of the store, an executor that had registered again was reported as gone, and not used, until the next list, if the list took long. Cause: the time in which entries are registered again was compared with the end of the list, which can be seconds after the state that it shows. Change: it is compared with the begin of the list.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -236,7 +236,10 @@
 
   // leader_entries.cc: discovery of executors.
   void PollExecutors();
-  void OnEntries(StoreStatus status, std::vector<ExecutorEntry> entries);
+  // `begin`: when the list began; the entries may be as old as that.
+  void OnEntries(TimePoint begin,
+                 StoreStatus status,
+                 std::vector<ExecutorEntry> entries);
   void StoreExecutors();
   void OnExecutorsStored(const StoreWriteReply& reply,
                          const std::vector<ExecutorId>& ids);
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -91,15 +91,17 @@
     return;
   }
   poll_in_flight_ = true;
-  next_poll_ = context_.clock.Now() + kEntryPollInterval;
-  context_.list_executors(
-      Guard([this](StoreStatus status, std::vector<ExecutorEntry> entries) {
+  const TimePoint begin = context_.clock.Now();
+  next_poll_ = begin + kEntryPollInterval;
+  context_.list_executors(Guard(
+      [this, begin](StoreStatus status, std::vector<ExecutorEntry> entries) {
         poll_in_flight_ = false;
-        OnEntries(status, std::move(entries));
+        OnEntries(begin, status, std::move(entries));
       }));
 }
 
-void CellLeader::OnEntries(StoreStatus status,
+void CellLeader::OnEntries(TimePoint begin,
+                           StoreStatus status,
                            std::vector<ExecutorEntry> entries) {
   const TimePoint now = context_.clock.Now();
   if (status != StoreStatus::kOk) {
@@ -162,7 +164,7 @@
       continue;
     }
     if (executor.listed &&
-        now - store_recovered_at_ > kEntryReregistrationTime) {
+        begin - store_recovered_at_ > kEntryReregistrationTime) {
       executor.listed = false;
       executor.unlisted_since = now;
       context_.log.Write(Event::kExecutorGone, {{"executor", it->first}});
