--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -9,6 +9,7 @@
 #include "cell/leader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <stdexcept>
 #include <utility>
@@ -185,39 +186,43 @@
 // ---- Jobs.
 
 void CellLeader::LoadJobs() {
-  context_.store.List(
-      kJobPrefix, kReadTimeout, Guard([this](const StoreRead& jobs) {
-        if (jobs.status != StoreStatus::kOk) {
-          context_.run_after(kReadRetryDelay, Guard([this] { LoadJobs(); }));
-          return;
-        }
-        LoadProgress(jobs);
-      }));
+  context_.store.List(kJobPrefix, jobs_limit_.Of(kReadTimeout),
+                      Guard([this](const StoreRead& jobs) {
+                        if (jobs.status != StoreStatus::kOk) {
+                          LoadJobsLater();
+                          return;
+                        }
+                        LoadProgress(jobs);
+                      }));
+}
+
+void CellLeader::LoadJobsLater() {
+  jobs_limit_.OnRead(false);
+  context_.run_after(kReadRetryDelay, Guard([this] { LoadJobs(); }));
 }
 
 void CellLeader::LoadProgress(const StoreRead& jobs) {
-  context_.store.Read(
-      kProgressSequenceKey, kReadTimeout,
-      Guard([this, jobs](const StoreRead& sequence) {
-        if (sequence.status != StoreStatus::kOk &&
-            sequence.status != StoreStatus::kNotFound) {
-          context_.run_after(kReadRetryDelay, Guard([this] { LoadJobs(); }));
-          return;
-        }
-        if (!sequence.items.empty() && !loaded_) {
-          sequence_revision_ = sequence.items[0].revision;
-        }
-        context_.store.List(kProgressPrefix, kReadTimeout,
+  context_.store.Read(kProgressSequenceKey, jobs_limit_.Of(kReadTimeout),
+                      Guard([this, jobs](const StoreRead& sequence) {
+                        if (sequence.status != StoreStatus::kOk &&
+                            sequence.status != StoreStatus::kNotFound) {
+                          LoadJobsLater();
+                          return;
+                        }
+                        if (!sequence.items.empty() && !loaded_) {
+                          sequence_revision_ = sequence.items[0].revision;
+                        }
+                        context_.store.List(
+                            kProgressPrefix, jobs_limit_.Of(kReadTimeout),
                             Guard([this, jobs](const StoreRead& progress) {
                               if (progress.status != StoreStatus::kOk) {
-                                context_.run_after(
-                                    kReadRetryDelay,
-                                    Guard([this] { LoadJobs(); }));
+                                LoadJobsLater();
                                 return;
                               }
+                              jobs_limit_.OnRead(true);
                               OnJobsListed(jobs, progress);
                             }));
-      }));
+                      }));
 }
 
 void CellLeader::OnJobsListed(const StoreRead& jobs,
@@ -272,11 +277,14 @@
 
 void CellLeader::WatchJobs() {
   context_.store.Watch(
-      kJobPrefix, jobs_revision_, kWatchWait, kWatchMargin,
+      kJobPrefix, jobs_revision_, kWatchWait, jobs_limit_.Of(kWatchMargin),
       Guard([this](const StoreRead& read) {
+        jobs_limit_.OnRead(read.status == StoreStatus::kOk ||
+                           read.status == StoreStatus::kCompacted);
         if (read.status == StoreStatus::kOk) {
           OnJobEvents(read);
           jobs_revision_ = std::max(jobs_revision_, read.revision);
+          ForgetRemovedJobs();
           WatchJobs();
         } else if (read.status == StoreStatus::kCompacted) {
           // Changes were missed, so list all jobs. Known jobs are kept.
@@ -287,6 +295,12 @@
       }));
 }
 
+void CellLeader::ForgetRemovedJobs() {
+  for (auto it = removed_jobs_.begin(); it != removed_jobs_.end();) {
+    it = it->second <= jobs_revision_ ? removed_jobs_.erase(it) : std::next(it);
+  }
+}
+
 void CellLeader::OnJobEvents(const StoreRead& read) {
   for (const StoreItem& item : read.items) {
     if (!item.deleted) {
@@ -338,7 +352,10 @@
     id.resize(suffix);
     ApplyCancel(id);
   } else if (jobs_.count(id) == 0) {
-    ApplyRecord(id, item.value, item.revision);
+    const auto removed = removed_jobs_.find(id);
+    if (removed == removed_jobs_.end() || removed->second < item.revision) {
+      ApplyRecord(id, item.value, item.revision);
+    }
   }
 }
 
@@ -464,6 +481,7 @@
                          }
                          for (const JobId& id : removed) {
                            jobs_.erase(id);
+                           removed_jobs_[id] = reply.revision;
                          }
                        }));
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -32,6 +32,7 @@
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/metrics.h"
+#include "util/read_limit.h"
 
 namespace chivedale::cell {
 
@@ -205,6 +206,8 @@
 
   // leader.cc: jobs.
   void LoadJobs();
+  // Reads the jobs again after a failed read.
+  void LoadJobsLater();
   void LoadProgress(const StoreRead& jobs);
   void OnJobsListed(const StoreRead& jobs, const StoreRead& progress);
   void WatchJobs();
@@ -221,6 +224,8 @@
   void StopAll(Job& job);
   void OpenDueRecurringJobs();
   void RemoveExpiredJobs();
+  // Forgets the removed jobs that no later read of the watch can show.
+  void ForgetRemovedJobs();
   const QueuePolicy& PolicyOf(const Job& job) const;
   // Time since acceptance, by the VMs' wall clocks.
   Duration AgeOf(const Job& job) const;
@@ -231,7 +236,10 @@
 
   // leader_entries.cc: discovery of executors.
   void PollExecutors();
-  void OnEntries(StoreStatus status, std::vector<ExecutorEntry> entries);
+  // `begin`: when the list began; the entries may be as old as that.
+  void OnEntries(TimePoint begin,
+                 StoreStatus status,
+                 std::vector<ExecutorEntry> entries);
   void StoreExecutors();
   void OnExecutorsStored(const StoreWriteReply& reply,
                          const std::vector<ExecutorId>& ids);
@@ -428,8 +436,14 @@
   TimePoint suspended_at_{};
   bool fenced_ = false;
   TimePoint begin_time_{};
+  util::ReadLimit known_executors_limit_;
+  util::ReadLimit jobs_limit_;  // also of their progress and of the watch
   int64_t jobs_revision_ = 0;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
+  // Jobs that this leader has removed, and the revisions of their removals,
+  // until the watch has passed them: a read that began before may still show
+  // their records.
+  std::unordered_map<JobId, int64_t> removed_jobs_;
   // Cancellations whose job has not been read yet.
   std::set<JobId> unmatched_cancels_;
   std::set<JobId> recurring_jobs_;
