Hold back tasks when the list of executors is unreadable

A takeover while one executor is out of reach could start a task a second time ("running on two executors") if that executor's row of the stored list, or the whole list, could not be read.

Cause: a row that is skipped is not among the unread executors, so nothing told the new leader that the predecessor's tasks may still run there.

Now a leader that skipped any part of the list holds back all tasks that the predecessor may have started, of every pool, until its leases have expired, as it does for an executor that has not answered. Until then it does not replace the list, so that a successor elsewhere waits too.

That a second takeover within that time also waits is not tested.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -110,7 +110,7 @@
   OpenDueRecurringJobs();
   RunWaves();
   if (now - begin_time_ > kFencingDelay && now >= next_limit_read_ &&
-      !unread_executors_.empty() && !PredecessorLeasesExpired()) {
+      HasUnreadExecutors()) {
     ReadPredecessorRevisionLimit();
   }
   SendAdviceCalls();
@@ -142,8 +142,13 @@
   return context_.clock.Now() > PredecessorLeasesEnd();
 }
 
+bool CellLeader::HasUnreadExecutors() const {
+  return (executor_rows_skipped_ || !unread_executors_.empty()) &&
+         !PredecessorLeasesExpired();
+}
+
 bool CellLeader::MayRunOnUnreadExecutor(const Step& step) const {
-  if (unread_executors_.empty() || leadership_.term <= 1 ||
+  if (!HasUnreadExecutors() || leadership_.term <= 1 ||
       step.spec->copies_allowed) {
     return false;
   }
@@ -151,8 +156,9 @@
   if (job.revision() > predecessor_revision_limit_) {
     return false;
   }
-  if (PredecessorLeasesExpired()) {
-    return false;
+  // The pool of a skipped executor is unknown.
+  if (executor_rows_skipped_) {
+    return true;
   }
   const std::string& pool = PolicyOf(job).pool;
   return std::any_of(
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -236,9 +236,9 @@
   void OnExecutorsStored(const StoreWriteReply& reply,
                          const std::vector<ExecutorId>& ids);
   void LoadKnownExecutors(const std::function<void()>& done);
-  // Rows that cannot be read are logged and skipped.
-  std::vector<ExecutorEntry> DecodeKnownExecutors(
-      const std::string& bytes) const;
+  // Rows that cannot be read are logged and skipped, see
+  // executor_rows_skipped_.
+  std::vector<ExecutorEntry> DecodeKnownExecutors(const std::string& bytes);
   bool IsRetired(const Executor& executor) const;
 
   // leader_executors.cc: hold calls and the runs and ends they list.
@@ -332,6 +332,9 @@
   // Time by which all leases that the predecessor may have granted expire.
   TimePoint PredecessorLeasesEnd() const;
   bool PredecessorLeasesExpired() const;
+  // Whether an executor that the predecessor may have used, and whose leases
+  // may not have expired, has not been read.
+  bool HasUnreadExecutors() const;
   // Usable executors of a pool and their resources in the current pass.
   struct PoolState {
     std::vector<Executor*> usable;
@@ -441,6 +444,9 @@
   // Executors that an earlier leader may have used and that have not answered a
   // hold call of this leader, so their runs are unknown.
   std::set<ExecutorId> unread_executors_;
+  // Part of the list at kExecutorsKey could not be read, so that there may be
+  // more unread executors than unread_executors_.
+  bool executor_rows_skipped_ = false;
   bool unread_executors_reported_ = false;
   bool unread_executors_end_reported_ = false;
   bool known_executors_loaded_ = false;
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -27,10 +27,11 @@
 }  // namespace
 
 std::vector<ExecutorEntry> CellLeader::DecodeKnownExecutors(
-    const std::string& bytes) const {
+    const std::string& bytes) {
   std::vector<ExecutorEntry> entries;
   const json list = ParseMsgpack(bytes);
   if (!list.is_array()) {
+    executor_rows_skipped_ = true;
     context_.log.Write(Event::kCellBadRecord,
                        {{"key", kExecutorsKey}, {"reason", "not a list"}});
     return entries;
@@ -42,6 +43,7 @@
     const auto address = is_row ? TextIn(row[1], kMaxNameBytes) : std::nullopt;
     const auto pool = is_row ? TextIn(row[2], kMaxTextBytes) : std::nullopt;
     if (!id || id->empty() || !address || !pool) {
+      executor_rows_skipped_ = true;
       context_.log.Write(
           Event::kCellBadRecord,
           {{"key", kExecutorsKey},
@@ -192,6 +194,10 @@
   if (executors_write_in_flight_ || !known_executors_loaded_ || suspended_) {
     return;
   }
+  // A successor elected before then must find the unreadable rows too.
+  if (executor_rows_skipped_ && !PredecessorLeasesExpired()) {
+    return;  // retried by the next poll
+  }
   json list = json::array();
   std::vector<ExecutorId> ids;
   for (const auto& [id, executor] : executors_) {
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -226,15 +226,17 @@
 
 void CellLeader::ReportUnreadExecutorsEnd() {
   if (!unread_executors_reported_ || unread_executors_end_reported_ ||
-      (!unread_executors_.empty() && !PredecessorLeasesExpired())) {
+      HasUnreadExecutors()) {
     return;
   }
   unread_executors_end_reported_ = true;
+  const bool all_answered =
+      unread_executors_.empty() && !executor_rows_skipped_;
   context_.log.Write(
       Event::kExecutorsUnreadEnd,
       {{"unread", std::to_string(unread_executors_.size())},
-       {"reason", unread_executors_.empty() ? "all executors have answered"
-                                            : "their leases have expired"},
+       {"reason", all_answered ? "all executors have answered"
+                               : "their leases have expired"},
        {"after_ms", ToMillisText(context_.clock.Now() - begin_time_)}});
 }
 
--- a/cell/testing/stored_records_test.cc
+++ b/cell/testing/stored_records_test.cc
@@ -73,6 +73,29 @@
   }
 }
 
+// Regression: the new leader started the task again while it was running on an
+// executor whose row it had skipped.
+BOOST_AUTO_TEST_CASE(StartsNothingThatMayRunOnAnExecutorOfAnOddRow) {
+  for (const bool is_list : {true, false}) {
+    CellFixture cell;
+    cell.Submit("a", kJobId, MakeJobSpec(1, Millis(20'000)), "q0");
+    cell.RunFor(Millis(800));
+    json list = json::from_msgpack(cell.store.Find(kExecutorsKey)->value);
+    for (json& row : list) {
+      const auto id = row[0].get<std::string>();
+      if (cell.executors.RunsOn({kJobId, 0, 0, 0}, id)) {
+        for (const char* member : {"a", "b", "c"}) {
+          cell.executors.links[{member, id}].cut = true;
+        }
+        row[1] = 7;
+      }
+    }
+    cell.store.Put(kExecutorsKey, is_list ? Msgpack(list) : "\xc1");
+    ReplaceLeader(cell);
+    BOOST_TEST(cell.executors.starts() == 2);  // once its lease has expired
+  }
+}
+
 BOOST_AUTO_TEST_CASE(KeepsTheOtherRowsOfTheListOfExecutors) {
   CellFixture cell;
   const StoreItem* stored = cell.store.Find(kExecutorsKey);
