Read job records that were accepted before the limits

A job that an earlier version had accepted and stored could never run after an update, and was shown as queued for ever: a validity of advice of 30 days or below 0, an objective below 0 or a label of 5,000 bytes made its whole record unreadable (event 1004).

Cause: the limits of accepted documents were applied to the cell's own records.

Numbers of the queue's row are now clamped to the limits that the table has: priority, attempts, slack and the three times of advice. Texts are accepted in any length; they are bounded where jobs and tables are parsed, and the size of a request bounds the record. The other fields (counts, amounts, estimates, times) were bounded to the same ranges by when it accepted a job, and stay checked. A record that cannot be decoded is still rejected with event 1004.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -4,7 +4,6 @@
 #include "cell/job.h"
 
 #include <algorithm>
-#include <climits>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -30,11 +29,15 @@
   return *number;
 }
 
+int64_t Clamped(const json& value, int64_t min, int64_t max) {
+  return std::clamp(Integer(value, INT64_MIN, INT64_MAX), min, max);
+}
+
 int Count(const json& value, int64_t min, int64_t max) {
   return static_cast<int>(Integer(value, min, max));
 }
 
-std::string Text(const json& value, size_t max_bytes) {
+std::string Text(const json& value, size_t max_bytes = std::string::npos) {
   auto text = TextIn(value, max_bytes);
   if (!text) {
     throw std::runtime_error("a text is missing or too long");
@@ -77,12 +80,12 @@
   step.checkpoints = next().get<bool>();
   step.gang = next().get<bool>();
   step.same_rack = next().get<bool>();
-  step.label = Text(next(), kMaxTextBytes);
-  step.preferred_rack = Text(next(), kMaxTextBytes);
+  step.label = Text(next());
+  step.preferred_rack = Text(next());
   step.max_per_executor = Count(next(), 0, kMaxTasksPerStep);
   step.copies_allowed = next().get<bool>();
   step.long_running = next().get<bool>();
-  step.image = Text(next(), kMaxTextBytes);
+  step.image = Text(next());
   step.tail_latency_target = Millis(Integer(next(), 0, kMaxAmount));
   step.fills = next().get<bool>();
   step.max_unavailable = Count(next(), 0, kMaxTasksPerStep);
@@ -101,23 +104,26 @@
                       queue.objective_slack.count(), advice});
 }
 
+// The version that accepted the job may have had wider limits: numbers are
+// clamped, and texts of any length accepted.
 QueuePolicy DecodeQueue(const json& value) {
   QueuePolicy queue;
-  queue.name = Text(value.at(0), kMaxTextBytes);
-  queue.pool = Text(value.at(1), kMaxTextBytes);
-  queue.priority = Count(value.at(2), INT_MIN, INT_MAX);
-  queue.max_attempts = Count(value.at(3), 1, INT_MAX);
+  queue.name = Text(value.at(0));
+  queue.pool = Text(value.at(1));
+  queue.priority =
+      static_cast<int>(Clamped(value.at(2), -kMaxPriority, kMaxPriority));
+  queue.max_attempts = static_cast<int>(Clamped(value.at(3), 1, kMaxAttempts));
   if (!value.at(4).is_number() || std::isnan(value.at(4).get<double>())) {
     throw std::runtime_error("the factor of the objective is not a number");
   }
   queue.objective_factor = ClampedNumber(value.at(4), 0, kMaxObjectiveFactor);
-  queue.objective_slack = Millis(Integer(value.at(5), 0, kMaxAmount));
+  queue.objective_slack = Millis(Clamped(value.at(5), 0, kMaxAmount));
   if (const json& advice = value.at(6); !advice.is_null()) {
     constexpr int64_t kLongest = Duration(kMaxDuration).count();
     queue.advice =
-        AdvicePolicy{Duration(Integer(advice.at(0), 0, kLongest)),
-                     Duration(Integer(advice.at(1), 0, kLongest)),
-                     Millis(Integer(advice.at(2), 0, kMaxDuration.count()))};
+        AdvicePolicy{Duration(Clamped(advice.at(0), 0, kLongest)),
+                     Duration(Clamped(advice.at(1), 0, kLongest)),
+                     Millis(Clamped(advice.at(2), 0, kMaxDuration.count()))};
   }
   return queue;
 }
@@ -172,7 +178,7 @@
     const json value = ParseMsgpack(bytes);
     JobRecord record;
     record.queue = DecodeQueue(value.at(0));
-    record.spec.payload = Text(value.at(1), kMaxTextBytes);
+    record.spec.payload = Text(value.at(1));
     const json& steps = value.at(2);
     if (!steps.is_array() || steps.empty() || steps.size() > kMaxSteps) {
       throw std::runtime_error("the steps are missing, or too many");
