Let an unreadable row of an executor cost only that row

One row of `running` or `finished` that could not be read made the whole answer of an executor to a hold call unknown. As ends are listed again each time, the executor stayed silent for ever: its leases expired, its tasks were started elsewhere, and no log line named the row.

Now the other rows are used, and the new event 1311 (executor_row_rejected) names the first row that is skipped, once while it lasts.

- An unreadable row of `running` may be any task.
Runs that the leader knows of stay, although they are not listed.
A new leader does not count such an answer until its predecessor's leases have expired, so that a task it cannot name runs out before it is started again; nor does a leader that finds a new incarnation while it knows of runs there.
Rows without a task, so far skipped in silence, are treated alike.
- An unreadable end is acknowledged by its number.
Without one, it is not, and the executor is called every 500 ms rather than every 30 ms.

What it can cost: a task whose end is unreadable is started again, also if it was done, and a failure is not counted; with an unreadable row of `running`, a run that is lost without an end stays in the leader's list, with its room, until that row is gone; a takeover with such a row ends all runs of that executor that outlast their leases, and leaves it unused for about 5 s.

The guard for a new incarnation is not tested.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -114,6 +114,7 @@
   TimePoint last_answer{};         // to a hold call
   TimePoint answered_hold_sent{};  // when that call was sent
   TimePoint next_hold{};
+  std::string unreadable_row;  // of its last answer, already logged
   bool cordoned = false;  // gets no new task because its VM is due for upkeep
 
  private:
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -248,6 +248,7 @@
               TimePoint sent,
               int64_t ends_sent,
               const HoldReply& reply);
+  bool MayHideRun(const Executor& executor, const HoldReply& reply) const;
   void ApplyEnds(Executor& executor, const std::vector<EndedTask>& ends);
   void ApplyEnd(Executor& executor, const EndedTask& end);
   void ApplyRunning(Executor& executor, const HoldReply& reply, TimePoint sent);
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -134,7 +134,15 @@
     RequestSchedulingPass();
     return;
   }
-  if (reply.result != OrderResult::kOk) {
+  if (reply.result == OrderResult::kOk &&
+      reply.unreadable_row != executor.unreadable_row) {
+    executor.unreadable_row = reply.unreadable_row;
+    if (!reply.unreadable_row.empty()) {
+      context_.log.Write(Event::kExecutorRowRejected,
+                         {{"executor", id}, {"row", reply.unreadable_row}});
+    }
+  }
+  if (reply.result != OrderResult::kOk || MayHideRun(executor, reply)) {
     ++executor.missed_holds;
     if (executor.missed_holds == 2) {
       context_.log.Write(
@@ -195,11 +203,28 @@
     ScheduleHold(executor, now + kUnstoredEndsHoldDelay);
     Flush();
   } else {
-    ScheduleHold(executor, now + kMinHoldInterval);
+    // An end without a number is never acknowledged, so that the next call also
+    // returns immediately.
+    ScheduleHold(executor,
+                 now + (reply.unreadable_row.empty() ? kMinHoldInterval
+                                                     : kUnstoredEndsHoldDelay));
   }
   RequestSchedulingPass();
 }
 
+// Whether the executor may run a task that neither the answer lists nor this
+// leader knows of. Such an answer does not count as one, so that the leases
+// there are not renewed and expire.
+bool CellLeader::MayHideRun(const Executor& executor,
+                            const HoldReply& reply) const {
+  const bool new_incarnation = reply.incarnation != 0 &&
+                               executor.incarnation != 0 &&
+                               reply.incarnation != executor.incarnation;
+  return !reply.running_complete &&
+         ((new_incarnation && !executor.runs().empty()) ||
+          (!executor.adopted && !PredecessorLeasesExpired()));
+}
+
 void CellLeader::ApplyEnds(Executor& executor,
                            const std::vector<EndedTask>& ends) {
   for (const EndedTask& end : ends) {
@@ -207,8 +232,10 @@
       continue;
     }
     executor.ends_read = end.number;
-    ++counts_.ends;
-    ApplyEnd(executor, end);
+    if (!end.task.empty()) {
+      ++counts_.ends;
+      ApplyEnd(executor, end);
+    }
   }
 }
 
@@ -349,8 +376,9 @@
 void CellLeader::DropMissingRuns(Executor& executor,
                                  const HoldReply& reply,
                                  TimePoint sent) {
-  // The missing runs may be among the ends beyond the first page.
-  if (reply.ended.size() >= kMaxEndsPerReply) {
+  // The missing runs may be among the ends beyond the first page, or in the
+  // rows that could not be read.
+  if (reply.ended.size() >= kMaxEndsPerReply || !reply.running_complete) {
     return;
   }
   std::set<std::string> listed;
--- a/cell/ports.h
+++ b/cell/ports.h
@@ -151,7 +151,7 @@
 
 struct EndedTask {
   int64_t number = 0;
-  std::string task;
+  std::string task;  // empty if unreadable: only acknowledged
   int64_t run = 0;
   RunEnd end = RunEnd::kStopped;
   std::string checkpoint;
@@ -162,7 +162,10 @@
   Millis executor_clock{0};
   int64_t incarnation = 0;
   std::vector<RunningTask> running;
+  // False if a row was skipped: an unknown run, perhaps a task of this cell.
+  bool running_complete = true;
   std::vector<EndedTask> ended;
+  std::string unreadable_row;  // which one, the first if there are several
 };
 
 class ExecutorPort {
--- a/cell/testing/cell_test.cc
+++ b/cell/testing/cell_test.cc
@@ -1,6 +1,7 @@
 // Tests of a cell under single faults: which part fails, which member takes
 // over and how long that takes. Includes a regression test for each failure
 // found by the benchmarks.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "cell/status_page.h"
@@ -123,6 +124,30 @@
   BOOST_TEST((cell.StateOf(kJobId) == JobState::kRunning));
 }
 
+BOOST_AUTO_TEST_CASE(StartsNothingThatAnUnreadableRowMayHide) {
+  CellFixture cell;
+  // Leaves an empty executor that a second start would prefer.
+  cell.Submit("a", "00000000000000bb", MakeJobSpec(1, Millis(400), 32'000),
+              "q0");
+  cell.RunFor(Millis(100));
+  cell.Submit("a", kJobId, MakeJobSpec(1, Millis(20'000), 32'000), "q0");
+  cell.RunFor(Millis(600));
+  cell.executors.change_hold = [](HoldReply& reply) {
+    if (!reply.running.empty()) {
+      reply.running.clear();
+      reply.running_complete = false;
+      reply.unreadable_row = "running: 7";
+    }
+  };
+  cell.RunFor(Millis(6'000));
+  const std::string lines = cell.log.Lines("executor_row_rejected");
+  BOOST_TEST(std::count(lines.begin(), lines.end(), '\n') == 1);
+  BOOST_TEST(cell.executors.starts() == 2);
+  cell.Kill(cell.LeaderName());
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.executors.starts() == 3);  // once its lease has expired
+}
+
 BOOST_AUTO_TEST_SUITE(WhoseLeaderFails)
 
 BOOST_AUTO_TEST_CASE(StartsTasksWithinASecondOfTheFailure) {
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -569,6 +569,9 @@
     reply.running.push_back(row);
   }
   reply.ended = state.ended;
+  if (change_hold) {
+    change_hold(reply);
+  }
   return reply;
 }
 
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -95,6 +95,8 @@
   std::map<std::string, LinkFaults> member_links;
   std::function<Duration(const TaskName&, const StepSpec&)> run_time;
   std::function<bool(const TaskName&, const ExecutorId&)> fails;
+  // Changes each answer to a hold call.
+  std::function<void(HoldReply&)> change_hold;
   // Result of each start; a start is not executed unless this is kOk.
   std::function<OrderResult(const StartOrder&)> start_result;
   Millis longest_lease{10'000};
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -74,6 +74,7 @@
       {Event::kExecutorsUnread, "executors_unread", L::kInfo},
       {Event::kExecutorsUnreadEnd, "executors_unread_end", L::kInfo},
       {Event::kExecutorEntryRejected, "executor_entry_rejected", L::kWarning},
+      {Event::kExecutorRowRejected, "executor_row_rejected", L::kError},
       {Event::kAdviceReceived, "advice_received", L::kInfo},
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -88,6 +88,7 @@
   kExecutorsUnread = 1308,
   kExecutorsUnreadEnd = 1309,
   kExecutorEntryRejected = 1310,
+  kExecutorRowRejected = 1311,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
