--- a/cell/ports.h
+++ b/cell/ports.h
@@ -66,8 +66,10 @@
   using OnRead = std::function<void(StoreRead)>;
   using OnWrite = std::function<void(StoreWriteReply)>;
   virtual ~StorePort() = default;
+  // `timeout`: until the whole response has arrived.
   virtual void Read(const std::string& key, Millis timeout, OnRead done) = 0;
-  // Lists all items under the prefix, reading as many pages as needed.
+  // Lists all items under the prefix, reading as many pages as needed. Each
+  // page may arrive for longer than `timeout` while data arrives.
   virtual void List(const std::string& prefix, Millis timeout, OnRead done) = 0;
   // Returns the changes under the prefix after the revision `after`. Waits up
   // to `wait` for the first one, and `margin` more for the response to begin
