Receive large responses for up to 60 s

With a limit of 10 s the reads of a table failed and began again for ever once the copies of all members of a region needed longer than that over their link; the limit only has to end a response that never does.

--- a/chivedale/http_client.h
+++ b/chivedale/http_client.h
@@ -59,7 +59,7 @@
     size_t max_body_bytes = size_t{64} << 20;
     // From the first byte of a response to the last one, for calls with a
     // stall_timeout.
-    Millis max_receive_time{10'000};
+    Millis max_receive_time{60'000};
     // Shorter than the idle timeout of servers, so that the client closes
     // first.
     Millis idle_timeout{30'000};
