--- a/cell/decode.h
+++ b/cell/decode.h
@@ -20,13 +20,13 @@
 // The library copies, writes and, from MessagePack, parses nested values
 // recursively.
 inline constexpr size_t kMaxNesting = 64;
-// Of a resource, or of a duration in milliseconds.
+// Limit of amounts of a resource, and of durations in milliseconds.
 inline constexpr int64_t kMaxAmount = int64_t{1} << 40;
-// Of durations that are multiplied by factors or by a number of tasks.
+// Limit of durations that are multiplied by factors or by a number of tasks.
 inline constexpr Millis kMaxDuration{int64_t{1} << 31};
-// Of a clock. Differences of two clocks fit in 64 bits of nanoseconds.
+// Limit of clocks. Differences of two clocks fit in 64 bits of nanoseconds.
 inline constexpr Millis kMaxClock{int64_t{1} << 42};
-// Of a counter, such as a revision or a run.
+// Limit of counters, such as revisions and run numbers.
 inline constexpr int64_t kMaxNumber = int64_t{1} << 53;
 inline constexpr size_t kMaxSteps = 1'000;
 inline constexpr int64_t kMaxTasksPerStep = 10'000;
@@ -34,12 +34,13 @@
 inline constexpr int kMaxPriority = 1'000'000;
 inline constexpr int kMaxAttempts = 1'000'000;
 inline constexpr double kMaxObjectiveFactor = 1'000;
-// Of IDs, names and labels.
+// Limit of IDs, names and labels.
 inline constexpr size_t kMaxNameBytes = 256;
-// Of payloads and of names in the operators' documents.
+// Limit of payloads and of names in the operators' documents.
 inline constexpr size_t kMaxTextBytes = 4'096;
-// Of what executors and the advice service issue, whose length the platform
-// does not limit: a running task whose row cannot be read would seem lost.
+// Limit of what executors and the advice service issue, whose length the
+// platform does not limit: a running task whose row cannot be read would seem
+// lost.
 inline constexpr size_t kMaxTokenBytes = 65'536;
 
 // Return a discarded value if the bytes are malformed or nested more than
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -304,8 +304,9 @@
   void RunWave(WaveState& state);
   void ListVms();
   bool PickVm(WaveState& state);
-  // Whether a VM that was ordered down is up again, or was never taken down.
-  bool IsUpkeepOver(const std::string& vm, const VmUpkeep& upkeep);
+  // Applies what a VM that was ordered down and its executor show. Returns true
+  // if the VM is up again, or was never taken down.
+  bool ObserveUpkeep(const std::string& vm, const VmUpkeep& upkeep);
   void ClearVm(WaveState& state, const std::string& vm, VmUpkeep& upkeep);
   void OrderUpkeep(int64_t number, const std::string& vm);
   void OnUpkeep(int64_t number, const std::string& vm, VmOrderResult result);
@@ -383,8 +384,8 @@
   int64_t NextRunNumber(const Task& task) const;
 
   // leader_waits.cc: what steps wait for, for operators.
-  // The run is known to have begun.
-  void OnRunning(const Run& run, const Executor& executor);
+  // Ends the wait of the run's step, and its report if there was one.
+  void OnRunBegan(const Run& run, const Executor& executor);
   std::pair<WaitReason, TimePoint> ReasonOf(const Step& step) const;
   StepView ViewOf(const Step& step) const;
   // Logs steps that wait long or are left out of the scheduling passes.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -248,7 +248,7 @@
     took = now - (run->running_since == TimePoint() ? run->start_sent
                                                     : run->running_since);
     if (run->IsStartUnconfirmed()) {
-      OnRunning(*run, executor);
+      OnRunBegan(*run, executor);
     }
     executor.RemoveRun(end.task);
   }
@@ -332,7 +332,7 @@
     if (run->IsStartUnconfirmed()) {
       run->phase = RunPhase::kRunning;
       run->running_since = context_.clock.Now();
-      OnRunning(*run, executor);
+      OnRunBegan(*run, executor);
     }
     run->checkpoint = row.checkpoint;
     run->pace_percent = row.pace_percent;
@@ -369,7 +369,7 @@
   if (!wanted) {
     StopRun(executor, run, "run not needed");
   } else {
-    OnRunning(run, executor);
+    OnRunBegan(run, executor);
   }
 }
 
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -92,7 +92,7 @@
         run->running_since == TimePoint() ? now : run->running_since;
     if (run->IsStartUnconfirmed()) {
       run->phase = RunPhase::kRunning;
-      OnRunning(*run, executor);
+      OnRunBegan(*run, executor);
     }
     if (!executor.hold_in_flight) {
       ScheduleHold(executor, now);
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-void CellLeader::OnRunning(const Run& run, const Executor& executor) {
+void CellLeader::OnRunBegan(const Run& run, const Executor& executor) {
   Step& step = *run.step;
   if (step.spec->gang && ++step.gang_running < step.spec->count) {
     return;
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -115,7 +115,7 @@
   }
   for (auto it = state.upkeeps.begin(); it != state.upkeeps.end();) {
     VmUpkeep& upkeep = it->second;
-    if (upkeep.phase == VmPhase::kDown && IsUpkeepOver(it->first, upkeep)) {
+    if (upkeep.phase == VmPhase::kDown && ObserveUpkeep(it->first, upkeep)) {
       it = state.upkeeps.erase(it);
       continue;
     }
@@ -144,10 +144,11 @@
   }
 }
 
-// An order is answered with kOk also if the upkeep is already done, perhaps on
-// the order of a predecessor. Only what the VM and its executor do afterwards
-// shows which it was.
-bool CellLeader::IsUpkeepOver(const std::string& vm, const VmUpkeep& upkeep) {
+// Applies what the VM and its executor show; returns true if the upkeep is
+// over. An order is answered with kOk also if the upkeep is already done,
+// perhaps on the order of a predecessor. Only what the VM and its executor do
+// afterwards shows which it was.
+bool CellLeader::ObserveUpkeep(const std::string& vm, const VmUpkeep& upkeep) {
   const auto info = vms_.find(vm);
   if (info == vms_.end()) {
     return true;
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -24,9 +24,9 @@
 constexpr double kBaselineFailureRate = 0.1;
 // Cost per task of the same long-running step already on the executor.
 constexpr double kSpreadCost = 0.5;
-// Limit of the wait for a better rack while nothing of the step runs. The
-// users' contract lets such a step wait 3 s, which also have to cover the
-// interval between two passes and the start itself.
+// Limit of the wait for a better rack while nothing of the step runs. Such a
+// step must start within 3 s, including the interval between two passes and the
+// start itself.
 constexpr Duration kMaxIdleRackWait = std::chrono::milliseconds(2'000);
 
 double Fraction(int64_t part, int64_t whole) {
@@ -103,7 +103,7 @@
 Duration Placer::MaxRackWait(const Step& step) const {
   const auto worthwhile = std::chrono::duration_cast<Duration>(
       step.spec->estimate * (options_.remote_rack_factor - 1) / 2);
-  // The contract counts each long-running task by itself.
+  // The limit of 3 s holds for each long-running task by itself.
   const bool idle = step.live_on.empty() || step.spec->long_running;
   return idle ? std::min(worthwhile, kMaxIdleRackWait) : worthwhile;
 }
--- a/cell/step_wait.cc
+++ b/cell/step_wait.cc
@@ -10,7 +10,7 @@
     "the next scheduling pass",
     "its retry time",
     "room, behind more urgent steps",
-    "executors whose runs this leader does not know yet",
+    "executors that have not listed their runs to this leader",
     "room beyond the headroom for urgent jobs",
     "a usable executor that matches its label and size",
     "advice, or executors it allows",
--- a/cell/testing/leader_waits_test.cc
+++ b/cell/testing/leader_waits_test.cc
@@ -344,7 +344,7 @@
   cell.RunFor(Millis(3'500));
   BOOST_REQUIRE(cell.leader() != nullptr);
   BOOST_TEST(cell.View().waits_for ==
-             "executors whose runs this leader does not know yet");
+             "executors that have not listed their runs to this leader");
   BOOST_TEST(cell.Count("1308 executors_unread") == 1);
   const std::string line = cell.log.Lines("1308 executors_unread");
   BOOST_TEST(
