Stop an unanswered start if its executor restarted

The deadline is on the executor's clock, which begins anew when it restarts: if the leader had ordered the start before it found out, the task waited until the new clock passed the old time, or ran twice, as the start arrived late and was executed. Evidence: found by review; StartsATaskAgainWhoseStartWasLost (not completed after 5 s) and RunsATaskOnceWhoseStartArrivesLate ("running on two executors" for each of four tasks) failed before. Change: a start that is unanswered when the leader reads a new life of its executor is stopped, which makes the executor reject it, and its deadline no longer counts. Both tests pass, with the other tests of the cell.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -46,6 +46,9 @@
   Millis start_until{0};      // executor clock; not started later
   bool start_answered = true;
   bool start_pending = false;  // the start call has not returned
+  // The executor restarted since the order. `start_until` was on its earlier
+  // clock, so that it may begin the run at any time until it is stopped.
+  bool may_start_late = false;
   std::string checkpoint;
   int pace_percent = 100;     // speed limit reported by the executor
   int64_t load_figure = 0;    // see RunningTask
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -377,6 +377,9 @@
                  const std::string& task,
                  int64_t number,
                  const OrderReply& reply);
+  // Stops a run, or its gang, whose start may still be executed after a restart
+  // of the executor.
+  void StopUnansweredStart(Executor& executor, const std::string& task);
   void StopGang(Step& step, int64_t number, const char* reason);
   void StopCopies(Step& step, int task);
   // Starts second runs of overdue tasks whose step allows copies.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -161,17 +161,25 @@
       listed.insert(row.task);
     }
     std::vector<std::string> lost;
-    for (const auto& [name, run] : executor.runs()) {
+    std::vector<std::string> may_start;
+    for (auto& [name, run] : executor.runs()) {
       const bool started_after_request =
           run.running_since != TimePoint() && run.running_since >= sent;
-      if (listed.count(name) == 0 && !run.start_pending &&
-          !started_after_request) {
-        lost.push_back(name);
+      if (listed.count(name) > 0 || started_after_request) {
+        continue;
       }
+      run.may_start_late = run.may_start_late || run.IsStartUnconfirmed();
+      if (run.start_pending) {
+        continue;
+      }
+      (run.may_start_late ? may_start : lost).push_back(name);
     }
     for (const std::string& name : lost) {
       MarkRunLost(executor, name, "executor restarted");
     }
+    for (const std::string& name : may_start) {
+      StopUnansweredStart(executor, name);
+    }
     executor.OnNewIncarnation(reply.incarnation);
     context_.log.Write(
         Event::kExecutorNewLife,
@@ -395,6 +403,7 @@
     const bool stopped = run.stop_confirmed && run.stop_confirmed_at < sent;
     // A start that was not executed by its deadline never will be.
     const bool too_late = run.phase != RunPhase::kRunning &&
+                          !run.may_start_late &&
                           run.running_since == TimePoint() &&
                           reply.executor_clock > run.start_until;
     if (was_running || stopped || too_late) {
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -122,6 +122,9 @@
     }
     if (step.spec->gang) {
       StopGang(step, number, "a gang member's start was not answered");
+    } else if (run->may_start_late &&
+               run->phase == RunPhase::kStartUnconfirmed) {
+      StopUnansweredStart(executor, task);
     }
     return;
   }
@@ -172,6 +175,17 @@
   RetryStops(executor);
 }
 
+void CellLeader::StopUnansweredStart(Executor& executor,
+                                     const std::string& task) {
+  Run& run = *executor.FindRun(task);
+  constexpr char kReason[] = "the executor restarted before it answered";
+  if (run.step != nullptr && run.step->spec->gang) {
+    StopGang(*run.step, run.number, kReason);
+  } else {
+    StopRun(executor, run, kReason);
+  }
+}
+
 void CellLeader::OnStopped(const ExecutorId& id,
                            const std::string& task,
                            int64_t number,
--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -170,6 +170,59 @@
   BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
 }
 
+// Executors restart and begin a new clock, and the leader orders starts before
+// it has found that out.
+BOOST_AUTO_TEST_SUITE(ThatRestartsBeforeAStart)
+
+void RestartAll(CellFixture& cell) {
+  for (const ExecutorEntry& entry : cell.executors.Entries()) {
+    cell.executors.Crash(entry.id);
+    cell.executors.Restart(entry.id);
+  }
+}
+
+void SetLateOrders(CellFixture& cell, double share) {
+  for (const char* name : {"a", "b", "c"}) {
+    cell.executors.member_links[name].late_orders = share;
+  }
+}
+
+// Guards against a task that waits for ever: the deadline of its lost start was
+// on the earlier clock, so that no answer of the executor showed that it had
+// passed.
+BOOST_AUTO_TEST_CASE(StartsATaskAgainWhoseStartWasLost) {
+  CellFixture cell;
+  cell.RunFor(Millis(300'000));
+  RestartAll(cell);
+  SetLateOrders(cell, 0.5);
+  cell.Submit("a", kJobId, MakeJobSpec(16, Millis(100)), "q0");
+  cell.RunFor(Millis(40));
+  cell.executors.member_links.clear();
+  cell.RunFor(Millis(500));
+  cell.executors.start_result = [](const StartOrder& order) {
+    return order.run == 1 ? OrderResult::kRejected : OrderResult::kOk;
+  };
+  cell.RunFor(Millis(5'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+}
+
+// Guards against a task that runs twice: a start that arrived late was executed
+// by the restarted executor after the task had been started elsewhere.
+BOOST_AUTO_TEST_CASE(RunsATaskOnceWhoseStartArrivesLate) {
+  CellFixture cell;
+  cell.RunFor(Millis(60'000));
+  RestartAll(cell);
+  SetLateOrders(cell, 1);
+  cell.Submit("a", kJobId, MakeJobSpec(4, Millis(20'000)), "q0");
+  cell.RunFor(Millis(300));
+  cell.executors.member_links.clear();
+  cell.executors.Drain("e1");
+  cell.RunFor(Millis(60'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Regression (random history): a restarted executor was granted a lease on the
 // clock of its earlier life, kept its tasks long after the leader had given
 // them up, and they ran twice.
