Keep giving a repeated read more time after many failed ones

The limits of failed reads were kept for the first 1,024 keys whose read failed; reads of callers' job ids that are never repeated could fill that for good, and a repeated read of the table then had no more time than the first. Evidence: found by review; ReadsAKeyAtTheSecondAttemptAfterManyFailedReads failed before. Change: all are forgotten when there are too many; a read that is repeated is entered again. The test passes.

--- a/chivedale/store_client.cc
+++ b/chivedale/store_client.cc
@@ -70,9 +70,13 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     if (succeeded) {
       limits_.erase(read);
-    } else if (limits_.size() < kMaxFailedReads) {
-      limits_[read].OnRead(false);
+      return;
     }
+    // Reads that are not repeated stay here; those that are come back.
+    if (limits_.size() >= kMaxFailedReads) {
+      limits_.clear();
+    }
+    limits_[read].OnRead(false);
   }
 
  private:
--- a/chivedale/testing/store_client_test.cc
+++ b/chivedale/testing/store_client_test.cc
@@ -87,6 +87,25 @@
   BOOST_TEST((late.bench.Watch() == StoreStatus::kOk));
 }
 
+// Guards against a table that is never read because many other reads failed
+// before.
+BOOST_AUTO_TEST_CASE(ReadsAKeyAtTheSecondAttemptAfterManyFailedReads) {
+  constexpr int kFailedReads = 1'100;
+  LateStore late(Millis(600));
+  StoreStandin::Faults down;
+  down.down = true;
+  late.standin.SetFaults(down);
+  for (int i = 0; i < kFailedReads; ++i) {
+    BOOST_REQUIRE((late.bench.Get("job-" + std::to_string(i)) ==
+                   StoreStatus::kUnavailable));
+  }
+  StoreStandin::Faults slow;
+  slow.slow = Millis(600);
+  late.standin.SetFaults(slow);
+  BOOST_TEST((late.bench.Get() == StoreStatus::kUnavailable));
+  BOOST_TEST((late.bench.Get() == StoreStatus::kOk));
+}
+
 // Guards against a first read of one key that waits longer because of another.
 BOOST_AUTO_TEST_CASE(KeepsTheLimitOfOtherKeys) {
   LateStore late(Millis(600));
