Let the test of a closing server not depend on its linger time

The connection was to be open still when the threads stop; with the default linger of 200 ms a slow machine could close it before. The checks are the same.

--- a/chivedale/testing/http_server_test.cc
+++ b/chivedale/testing/http_server_test.cc
@@ -329,8 +329,10 @@
   const std::weak_ptr<int> handler = held;
   {
     ThreadedIoContext threads(2);
+    HttpServer::Options options;
+    options.close_linger = kWaitTimeout;
     HttpServer server(
-        threads.io(), {},
+        threads.io(), options,
         [held = std::move(held)](const HttpRequest&, const HttpResponder&) {});
     RawConnection caller(server.port());
     BOOST_REQUIRE(WaitUntil([&] { return server.counts().connections == 1; }));
