--- a/util/testing/port_allocator_test.cc
+++ b/util/testing/port_allocator_test.cc
@@ -36,7 +36,7 @@
     seen.insert(allocator.Next());
     seen.insert(other.Next());
   }
-  BOOST_TEST(seen.size() == size_t{2 * kPorts});
+  BOOST_TEST(seen.size() == size_t{2} * kPorts);
 }
 
 BOOST_AUTO_TEST_CASE(AreGivenAgainAfterTheTestThatHadThem) {
