--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -220,9 +220,9 @@
   RequestSchedulingPass();
 }
 
-// Whether the executor may run a task that neither the answer lists nor this
-// leader knows of. Such an answer does not count as one, so that the leases
-// there are not renewed and expire.
+// Whether the executor may run a task that is neither in the answer nor among
+// the runs that this leader keeps for it. The answer is then treated as
+// missing, so that the leases there are not renewed and expire.
 bool CellLeader::MayHideRun(const Executor& executor,
                             const HoldReply& reply) const {
   const bool new_incarnation = reply.incarnation != 0 &&
