Store progress oldest change first, in up to four writes at a time

Cause: one write of progress holds 29 jobs. Change: ProgressQueue keeps the changes in order and divides full batches among four lanes, each with a sequence key of its own. An end is acknowledged once all changes up to it are stored. Ruled out: several writes with one sequence key, as the second one would need the revision of the first.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -29,6 +29,11 @@
 // Maximum rate of this clock relative to an executor's clock.
 constexpr double kClockDriftFactor = 1.03;
 constexpr Millis kSweepInterval{500};
+// Progress writes in flight at a time.
+constexpr size_t kProgressLanes = 4;
+// Jobs in one progress write, which also contains two conditions and the
+// sequence key.
+constexpr size_t kMaxWrittenJobs = kMaxWriteEntries - 3;
 // Jobs removed in one write; each job has 3 keys.
 constexpr size_t kMaxRemovedJobs = 10;
 
@@ -57,7 +62,9 @@
       predecessor_revision_limit_(leadership.predecessor_gone
                                       ? leadership.fence
                                       : std::numeric_limits<int64_t>::max()),
-      table_(std::make_shared<QueueTable>()) {}
+      table_(std::make_shared<QueueTable>()),
+      progress_queue_(kProgressLanes, kMaxWrittenJobs),
+      lanes_(kProgressLanes) {}
 
 CellLeader::~CellLeader() = default;
 
@@ -118,7 +125,7 @@
     ReadPredecessorRevisionLimit();
   }
   SendAdviceCalls();
-  if (!dirty_jobs_.empty() && now >= next_flush_) {
+  if (progress_queue_.waiting()) {
     Flush();
   }
   if (now >= next_sweep_) {
@@ -208,15 +215,14 @@
 }
 
 void CellLeader::LoadProgress(const StoreRead& jobs) {
-  context_.store.Read(kProgressSequenceKey, jobs_limit_.Of(kReadTimeout),
+  context_.store.List(kProgressSequencePrefix, jobs_limit_.Of(kReadTimeout),
                       Guard([this, jobs](const StoreRead& sequence) {
-                        if (sequence.status != StoreStatus::kOk &&
-                            sequence.status != StoreStatus::kNotFound) {
+                        if (sequence.status != StoreStatus::kOk) {
                           LoadJobsLater();
                           return;
                         }
-                        if (!sequence.items.empty() && !loaded_) {
-                          sequence_revision_ = sequence.items[0].revision;
+                        if (!loaded_) {
+                          ReadSequences(sequence.items);
                         }
                         context_.store.List(
                             kProgressPrefix, jobs_limit_.Of(kReadTimeout),
@@ -231,6 +237,16 @@
                       }));
 }
 
+void CellLeader::ReadSequences(const std::vector<StoreItem>& items) {
+  for (const StoreItem& item : items) {
+    for (size_t lane = 0; lane < lanes_.size(); ++lane) {
+      if (item.key == ProgressSequenceKey(lane)) {
+        lanes_[lane].sequence_revision = item.revision;
+      }
+    }
+  }
+}
+
 void CellLeader::OnJobsListed(const StoreRead& jobs,
                               const StoreRead& progress) {
   std::unordered_map<JobId, const std::string*> stored;
@@ -462,7 +478,7 @@
     if (removed.size() >= kMaxRemovedJobs) {
       break;
     }
-    bool live = dirty_jobs_.count(id) > 0;
+    bool live = progress_queue_.Contains(id);
     for (const auto& [number, occurrence] : job->open()) {
       for (const Step& step : occurrence.steps) {
         live = live || !step.live_on.empty();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -15,6 +15,7 @@
 #define CELL_LEADER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,7 @@
 #include "cell/job.h"
 #include "cell/placer.h"
 #include "cell/ports.h"
+#include "cell/progress_queue.h"
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/metrics.h"
@@ -65,13 +67,15 @@
 inline constexpr char kLeaderKey[] = "c/leader";
 inline constexpr char kMemberPrefix[] = "c/m/";  // c/m/NODE
 inline constexpr char kExecutorsKey[] = "c/executors";
-// Written with every progress update. A delayed write finds a different
-// revision of this key and has no effect.
-inline constexpr char kProgressSequenceKey[] = "f";
+// Prefix of the sequence keys, one for each lane of ProgressQueue. A lane's key
+// is written with each of its progress updates. A delayed write finds a
+// different revision of the key and has no effect.
+inline constexpr char kProgressSequencePrefix[] = "f";
 
 std::string JobKey(const JobId& id);
 std::string CancelKey(const JobId& id);
 std::string ProgressKey(const JobId& id);
+std::string ProgressSequenceKey(size_t lane);
 
 // Runs a function after a delay on the control thread.
 using RunAfter = std::function<void(Millis, std::function<void()>)>;
@@ -209,6 +213,8 @@
   // Reads the jobs again after a failed read.
   void LoadJobsLater();
   void LoadProgress(const StoreRead& jobs);
+  // Reads the revisions of the lanes' sequence keys.
+  void ReadSequences(const std::vector<StoreItem>& items);
   void OnJobsListed(const StoreRead& jobs, const StoreRead& progress);
   void WatchJobs();
   void OnJobEvents(const StoreRead& read);
@@ -407,10 +413,16 @@
 
   // leader_progress.cc: stored progress.
   void MarkDirty(Job& job);
+  // Records that the ends read from the executor may be acknowledged once all
+  // changes of progress so far are stored.
+  void AddUnstoredEnds(const Executor& executor);
+  // Writes changed progress in each lane that may write now.
   void Flush();
-  void OnFlushed(const StoreWriteReply& reply,
-                 const std::map<JobId, JobState>& written,
-                 const std::map<ExecutorId, std::pair<int64_t, int64_t>>& ends);
+  void FlushLane(size_t lane);
+  void OnFlushed(size_t lane,
+                 const StoreWriteReply& reply,
+                 const std::map<JobId, JobState>& written);
+  void ShowStored(const JobId& id, JobState state);
   void AcknowledgeEnds();
 
   void OnFenced(const std::string& reason);
@@ -495,11 +507,21 @@
   size_t next_number_ = 0;
   TimePoint next_sweep_{};
 
-  std::set<JobId> dirty_jobs_;
-  int64_t sequence_revision_ = 0;   // of kProgressSequenceKey
+  ProgressQueue progress_queue_;
+  struct LaneState {
+    int64_t sequence_revision = 0;  // of the lane's sequence key
+    TimePoint next_flush{};
+  };
+  std::vector<LaneState> lanes_;
+  struct UnstoredEnds {
+    ExecutorId executor;
+    int64_t incarnation = 0;
+    int64_t last_end = 0;  // highest end number
+    int64_t change = 0;    // acknowledged once this change is stored
+  };
+  // In the order of `change`.
+  std::deque<UnstoredEnds> unstored_ends_;
   int64_t executors_revision_ = 0;  // of kExecutorsKey
-  bool flush_in_flight_ = false;
-  TimePoint next_flush_{};
 };
 
 }  // namespace chivedale::cell
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -205,7 +205,11 @@
                         {"ended", std::to_string(reply.ended.size())},
                         {"fence", std::to_string(leadership_.fence)}});
   }
+  const int64_t ends_before = executor.ends_read;
   ApplyEnds(executor, reply.ended);
+  if (executor.ends_read > ends_before) {
+    AddUnstoredEnds(executor);
+  }
   ApplyRunning(executor, reply, sent);
   if (executor.ends_read > executor.ends_stored) {
     ScheduleHold(executor, now + kUnstoredEndsHoldDelay);
