Replace a silent leader only if other members do not hear it either

Ruled out: a longer timeout for new members alone, since a member whose link to the leader fails replaces it as well.

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -1,6 +1,9 @@
 // The leader key has no lease. A leader that cannot reach the store continues
 // as long as no other member can write either. A failed leader is replaced as
 // soon as its missing heartbeats are noticed rather than when a lease expires.
+// A member that alone misses them, because its link fails or because the leader
+// does not know it yet, must not replace a leader that the others follow. So it
+// asks some of them before its candidacy.
 #include "cell/election.h"
 
 #include <boost/msm/back/state_machine.hpp>
@@ -41,6 +44,7 @@
 using Role = msm::back::state_machine<RoleDef>;
 
 // State IDs, in the order of the transition table.
+constexpr int kFollower = 0;
 constexpr int kCandidate = 1;
 constexpr int kLeading = 2;
 
@@ -116,13 +120,40 @@
   } else if (leader_->node == self_.node && leader_->boot_id != self_.boot_id) {
     Suspect("leader was an earlier process of this VM", true);
   } else if (now - last_beat_ > options_.beat_timeout) {
-    Suspect("silent", false);
+    CheckSilence();
   }
   if (suspected_ && now >= next_candidacy_) {
     StartCandidacy();
   }
 }
 
+void Election::CheckSilence() {
+  const TimePoint now = clock_.Now();
+  if (asked_at_ == TimePoint()) {
+    asked_at_ = now;
+    if (!callbacks_.ask_members(leader_->term)) {
+      Suspect("silent", false);
+    }
+  } else if (now - asked_at_ > options_.confirm_time) {
+    Suspect("silent", false);
+  }
+}
+
+void Election::OnLeaderHeard(int64_t term) {
+  if (!leader_ || leader_->term != term || asked_at_ == TimePoint() ||
+      machine_->state() != kFollower) {
+    return;
+  }
+  asked_at_ = TimePoint();
+  suspected_ = false;
+  last_beat_ = clock_.Now() - options_.beat_timeout + options_.confirm_interval;
+}
+
+bool Election::HearsLeader(int64_t term) const {
+  return leader_ && leader_->term == term &&
+         (leading() || clock_.Now() - last_heard_ < options_.heard_time);
+}
+
 void Election::Suspect(const std::string& reason, bool gone) {
   leader_gone_ = leader_gone_ || gone;
   if (suspected_ || leading() || leaving_) {
@@ -173,6 +204,8 @@
   leader_ = record;
   revision_ = revision;
   last_beat_ = clock_.Now();
+  last_heard_ = TimePoint();
+  asked_at_ = TimePoint();
   suspected_ = false;
   const bool predecessor_gone = std::exchange(leader_gone_, false);
   const bool is_self =
@@ -200,6 +233,8 @@
   if (leader_ && leader_->node == node && leader_->boot_id == boot_id &&
       leader_->term == term) {
     last_beat_ = clock_.Now();
+    last_heard_ = last_beat_;
+    asked_at_ = TimePoint();
     suspected_ = false;
   }
 }
@@ -211,6 +246,8 @@
   // Keep the old revision, so that a write that expects it fails as it should.
   leader_ = record;
   last_beat_ = clock_.Now();
+  last_heard_ = last_beat_;
+  asked_at_ = TimePoint();
   suspected_ = false;
   leader_gone_ = false;
   StepDown("another member leads in a later term");
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -10,6 +10,10 @@
 
 constexpr Millis kCellTimeout{1'000};
 constexpr Millis kCellRetry{100};
+// Callers may be shown counts of pending jobs of this age.
+constexpr Millis kMaxPendingAge{2'000};
+// Members asked whether they hear a leader that is silent to this one.
+constexpr size_t kMembersAsked = 3;
 // Heartbeat interval; several fit in ElectionOptions::beat_timeout.
 constexpr Millis kBeatInterval{200};
 // A member is used for advice calls if a heartbeat of it arrived within this
@@ -67,6 +71,9 @@
     OnNotLeading(reason);
   };
   callbacks.on_pause = [this](Duration gap) { OnPause(gap); };
+  callbacks.ask_members = [this](int64_t term) {
+    return AskMembersForLeader(term);
+  };
   callbacks.candidacy_delay = [this] { return CandidacyDelay(); };
   callbacks.on_suspect = [this](const std::string& reason) {
     context_.log.Write(Event::kLeaderSuspected, {{"reason", reason}});
@@ -237,7 +244,8 @@
   beat.leaving = stopping_ || ShouldYield();
   beat.store_ok = store_.failing_for() < kStoreHandoverDelay;
   beat.term = election_->leader() ? election_->leader()->term : 0;
-  if (leader_ != nullptr && leader_->loaded()) {
+  beat.pending_known = leader_ != nullptr && leader_->loaded();
+  if (beat.pending_known) {
     for (const auto& [queue, jobs] : leader_->Pending()) {
       beat.pending.push_back({queue, jobs});
     }
@@ -256,10 +264,7 @@
     for (const auto& [node, member] : members_) {
       context_.peers.SendToAddress(member.address, beat);
     }
-    pending_.clear();
-    for (const QueuePending& queue : beat.pending) {
-      pending_[queue.queue] = queue.jobs;
-    }
+    ApplyPending(beat);
     return;
   }
   const auto& leader = election_->leader();
@@ -268,6 +273,43 @@
   }
 }
 
+// A leader that has not read the jobs yet does not know how many wait. The
+// counts of its predecessor hold for kMaxPendingAge.
+void CellNode::ApplyPending(const CellBeat& beat) {
+  if (!beat.pending_known) {
+    return;
+  }
+  pending_at_ = context_.clock.Now();
+  pending_.clear();
+  for (const QueuePending& queue : beat.pending) {
+    pending_[queue.queue] = queue.jobs;
+  }
+}
+
+bool CellNode::AskMembersForLeader(int64_t term) {
+  std::vector<const Member*> others;
+  const auto& leader = election_->leader();
+  for (const auto& [node, member] : members_) {
+    if (!leader || node != leader->node) {
+      others.push_back(&member);
+    }
+  }
+  const size_t asked = std::min(others.size(), kMembersAsked);
+  for (size_t i = 0; i < asked; ++i) {
+    std::swap(others[i],
+              others[i + context_.random.UniformInt(others.size() - i)]);
+    context_.peers.SendToAddress(others[i]->address,
+                                 LeaderQuery{options_.address, term});
+  }
+  return asked > 0;
+}
+
+void CellNode::OnLeaderQuery(const LeaderQuery& query) {
+  if (election_->HearsLeader(query.term)) {
+    context_.peers.SendToAddress(query.address, LeaderHeard{query.term});
+  }
+}
+
 // Reads the leader key while store calls fail, to notice the recovery; a
 // pending watch shows it only when it ends.
 void CellNode::ProbeStore() {
@@ -309,10 +351,7 @@
   leader_last_heard_ = context_.clock.Now();
   leader_store_ok_ = beat.store_ok;
   strongest_ = std::max(beat.max_strength, options_.strength);
-  pending_.clear();
-  for (const QueuePending& queue : beat.pending) {
-    pending_[queue.queue] = queue.jobs;
-  }
+  ApplyPending(beat);
   if (beat.leaving) {
     election_->Suspect("leader is stopping or yields to a stronger member",
                        false);
@@ -419,7 +458,11 @@
           ShouldStoreAtLeader());
 }
 
-int64_t CellNode::Pending(const std::string& queue) const {
+std::optional<int64_t> CellNode::Pending(const std::string& queue) const {
+  if (pending_at_ == TimePoint() ||
+      context_.clock.Now() - pending_at_ > kMaxPendingAge) {
+    return std::nullopt;
+  }
   const auto found = pending_.find(queue);
   return found == pending_.end() ? 0 : found->second;
 }
@@ -512,6 +555,10 @@
                         [this](const JobStoreAnswer& m) { OnStoreAnswer(m); },
                         [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
                         [this](const JobNotice& m) { OnJobNotice(m); },
+                        [this](const LeaderQuery& m) { OnLeaderQuery(m); },
+                        [this](const LeaderHeard& m) {
+                          election_->OnLeaderHeard(m.term);
+                        },
                         [](const auto&) {}},
              message);
 }
--- a/cell/node.h
+++ b/cell/node.h
@@ -100,7 +100,8 @@
   // Queries.
   const std::shared_ptr<const QueueTable>& table() const { return table_; }
   // Jobs of the queue without a started task, as last reported by the leader.
-  int64_t Pending(const std::string& queue) const;
+  // Returns nullopt if no leader that has read the jobs reported it recently.
+  std::optional<int64_t> Pending(const std::string& queue) const;
   // True if this member has a table, has read the leader key, is not stopping,
   // and leads or can store jobs, directly or through the leader.
   bool ready() const;
@@ -132,6 +133,11 @@
   void OnPause(Duration gap);
   void VerifyLeadership(TimePoint since);
   void SendBeats();
+  void ApplyPending(const CellBeat& beat);
+  // Asks some members whether they hear the leader. Returns false if there are
+  // none.
+  bool AskMembersForLeader(int64_t term);
+  void OnLeaderQuery(const LeaderQuery& query);
   void OnBeat(const CellBeat& beat);
   void ProbeStore();
   void CheckStoreForLeader();
@@ -182,7 +188,8 @@
   std::unique_ptr<CellLeader> leader_;
   std::shared_ptr<const QueueTable> table_;
   std::map<std::string, int64_t> pending_;  // from the leader's heartbeats
-  std::map<std::string, Member> members_;   // by node, excluding this one
+  TimePoint pending_at_{};  // of the heartbeat with pending_; zero: none yet
+  std::map<std::string, Member> members_;  // by node, excluding this one
   // Revisions of logged records of members that cannot be read, by node.
   std::map<std::string, int64_t> rejected_members_;
   int64_t cell_revision_ = 0;
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -218,6 +218,16 @@
   });
 }
 
+void FakeCell::CutLink(const std::string& from,
+                       const std::string& to,
+                       bool cut) {
+  if (cut) {
+    cut_links_.emplace(from, to);
+  } else {
+    cut_links_.erase({from, to});
+  }
+}
+
 void FakeCell::Deliver(const std::string& from,
                        const std::string& address,
                        const Message& message) {
@@ -233,6 +243,7 @@
         }
       } else if (!host->peers_cut && !sender.peers_cut &&
                  side_.count(name) == side_.count(sender.name) &&
+                 cut_links_.count({sender.name, name}) == 0 &&
                  loop.clock().Now() >= host->frozen_until) {
         host->node->OnMessage(MemberId(sender.name), message);
       }
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cell/node.h"
@@ -60,6 +61,8 @@
   // Drops messages between the members listed and all others; an empty set
   // reconnects them.
   void Partition(const std::set<std::string>& members) { side_ = members; }
+  // Drops the messages that one member sends to another, or no longer.
+  void CutLink(const std::string& from, const std::string& to, bool cut);
   // Removes the executor and adds one of the same kind after a delay.
   void ReplaceExecutor(const ExecutorId& id, Duration delay);
   void Submit(const std::string& name,
@@ -119,6 +122,7 @@
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::shared_ptr<QueueTable> table_;
   std::set<std::string> side_;
+  std::set<std::pair<std::string, std::string>> cut_links_;  // from, to
   std::map<int64_t, UpkeepWave> waves_;
   std::set<JobId> accepted_;
   std::set<JobId> refused_;
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -374,6 +374,18 @@
   // From a leader: the highest election strength of any member.
   double max_strength = 0;
   std::vector<QueuePending> pending;  // from a leader
+  bool pending_known = false;  // false: the leader has not read the jobs yet
+};
+
+// To a member: whether it hears the leader of this term.
+struct LeaderQuery {
+  std::string address;  // where to send the reply
+  int64_t term = 0;
+};
+
+// Sent only if the member hears the leader of this term.
+struct LeaderHeard {
+  int64_t term = 0;
 };
 
 // To the leader: asks for the state of a job.
@@ -469,7 +481,9 @@
                              AdviceAnswer,
                              JobStoreCall,
                              JobStoreAnswer,
-                             JobNotice>;
+                             JobNotice,
+                             LeaderQuery,
+                             LeaderHeard>;
 
 }  // namespace chivedale
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -160,7 +160,10 @@
                  m.store_ok,
                  m.term,
                  m.pending,
-                 m.max_strength);
+                 m.max_strength,
+                 m.pending_known);
+CHIVEDALE_FIELDS(LeaderQuery, m.address, m.term);
+CHIVEDALE_FIELDS(LeaderHeard, m.term);
 CHIVEDALE_FIELDS(JobStateCall, m.call, m.address, m.job);
 CHIVEDALE_FIELDS(JobStateAnswer, m.call, m.is_leader, m.found, m.state);
 CHIVEDALE_FIELDS(AdviceCall, m.call, m.address, m.step, m.executors, m.timeout);
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -312,6 +312,8 @@
   void operator()(const JobStoreCall&) {}
   void operator()(const JobStoreAnswer&) {}
   void operator()(const JobNotice&) {}
+  void operator()(const LeaderQuery&) {}
+  void operator()(const LeaderHeard&) {}
   void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
   void operator()(const JobQuery& m) { parts_.owner.OnJobQuery(m); }
   void operator()(const JobQueryReply& m) {
