Look only at executors that a pass or a hold call is about

Cause: each pass walked the tree of all executors and compared the names of their pools, each step built lists of its whole pool and measured its free resources, and each tick looked for due hold calls at all executors.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -118,6 +118,7 @@
   TimePoint answered_hold_sent{};  // when that call was sent
   TimePoint next_hold{};
   std::string unreadable_row;  // of its last answer, already logged
+  int64_t usable_in_pass = 0;  // latest scheduling pass that could use it
   bool cordoned = false;  // gets no new task because its VM is due for upkeep
 
  private:
--- a/cell/job.h
+++ b/cell/job.h
@@ -53,34 +53,40 @@
 
 class Job;
 
-// Whether an executor may run a step, with the ticket if it may.
-struct ExecutorAdvice {
-  enum class Kind { kUnknown, kBad, kGood };
-  Kind kind = Kind::kUnknown;
+// Permission to run a step on an executor.
+struct StepTicket {
+  size_t executor = 0;  // its number
   std::string ticket;
   TimePoint expires{};
 };
 
-// Advice on a step, indexed by executor number.
+// Advice on which executors, by their numbers, may run a step.
 class StepAdvice {
  public:
-  const ExecutorAdvice& Of(size_t executor) const {
-    static const ExecutorAdvice none;
-    return executor < entries_.size() ? entries_[executor] : none;
-  }
-  ExecutorAdvice& At(size_t executor) {
-    if (executor >= entries_.size()) {
-      entries_.resize(executor + 1);
-    }
-    return entries_[executor];
+  enum class Kind : uint8_t { kUnknown, kBad, kGood };
+
+  void SetGood(StepTicket ticket);
+  void SetBad(size_t executor);
+  // Discards the advice on the executor.
+  void Forget(size_t executor);
+
+  Kind KindOf(size_t executor) const {
+    return executor < kinds_.size() ? kinds_[executor] : Kind::kUnknown;
   }
+  // Tickets of all executors that may run the step, in order of their numbers.
+  const std::vector<StepTicket>& good() const { return good_; }
+  // Null unless the executor may run the step.
+  const StepTicket* TicketOf(size_t executor) const;
 
   bool call_in_flight = false;  // a call is queued or in flight
   bool answered = false;
   TimePoint next_call{};  // earliest, after a failed call
 
  private:
-  std::vector<ExecutorAdvice> entries_;
+  void SetKind(size_t executor, Kind kind);
+
+  std::vector<Kind> kinds_;  // by executor number
+  std::vector<StepTicket> good_;
 };
 
 struct Step {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <queue>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -201,6 +202,18 @@
  private:
   friend class testing::CellLeaderPeer;
 
+  // Usable executors of a pool and their resources in the current pass.
+  struct PoolState {
+    std::vector<Executor*> usable;
+    Resources capacity;  // of all usable executors
+    Resources free;
+    // Maximum free amount of each resource on any single executor. An upper
+    // bound if it is stale.
+    Resources max_free;
+    bool max_free_stale = false;
+    int reserving_steps = 0;  // steps with reserved executors
+  };
+
   struct StepOrder {
     int priority;
     bool late;  // past its objective
@@ -241,6 +254,9 @@
   Executor* FindExecutor(const ExecutorId& id);
 
   // leader_entries.cc: discovery of executors.
+  Executor& AddExecutor(const ExecutorEntry& entry);
+  // Updates by_number_ and by_pool_ after a change of executors_.
+  void IndexExecutors();
   void PollExecutors();
   // `begin`: when the list began; the entries may be as old as that.
   void OnEntries(TimePoint begin,
@@ -257,6 +273,8 @@
 
   // leader_executors.cc: hold calls and the runs and ends they list.
   void SendDueHolds();
+  void CheckExecutors();
+  void HoldIfDue(Executor& executor);
   void Hold(Executor& executor);
   void OnHold(const ExecutorId& id,
               TimePoint sent,
@@ -322,10 +340,14 @@
   Duration GracePeriodOf(const WaveState& state) const;
 
   // leader_advice.cc
-  // Returns the executors of `eligible` that hold a valid ticket for the step.
-  // Requests or renews advice if needed.
-  std::vector<Executor*> FilterByAdvice(Step& step,
-                                        const std::vector<Executor*>& eligible);
+  // Returns the executors of `eligible` that hold a valid ticket for the step;
+  // all of them if its queue needs none. Renews advice if needed.
+  std::vector<Executor*> WithValidTicket(Step& step,
+                                         const std::vector<Executor*>& eligible,
+                                         const PoolState& pool);
+  // Requests advice on executors of the pool if the step needs it now.
+  // `room_expired`: an executor with room for it has an expired ticket.
+  void RenewAdvice(Step& step, const PoolState& pool, bool room_expired);
   void RequestAdvice(Step& step, const std::vector<Executor*>& executors);
   void OnAdvice(const TaskName& step,
                 const std::vector<ExecutorId>& asked,
@@ -351,17 +373,12 @@
   // Whether an executor that the predecessor may have used, and whose leases
   // may not have expired, has not been read.
   bool HasUnreadExecutors() const;
-  // Usable executors of a pool and their resources in the current pass.
-  struct PoolState {
-    std::vector<Executor*> usable;
-    Resources capacity;  // of all usable executors
-    Resources free;
-    // Maximum free amount of each resource on any single executor.
-    Resources max_free;
-    int reserving_steps = 0;  // steps with reserved executors
-  };
   PoolState& PoolStateOf(const std::string& pool);
-  static void UpdateFreeResources(PoolState& pool);
+  static void MeasureFree(PoolState& pool);
+  // Whether the executor has the step's label and is large enough for a task.
+  static bool IsEligible(const Step& step, const Executor& executor);
+  static bool HasEligibleExecutor(const Step& step, const PoolState& pool);
+  // Usable executors that may run the step, as far as its advice is known.
   std::vector<Executor*> EligibleFor(const Step& step, const PoolState& pool);
   void Preempt(Step& step, const std::vector<Executor*>& candidates);
   // Reserves executors for the step, which less urgent steps then cannot use.
@@ -472,6 +489,13 @@
   std::set<std::pair<Step*, int>> overdue_copies_;
 
   std::map<ExecutorId, std::unique_ptr<Executor>> executors_;
+  // Executors by number; null if forgotten.
+  std::vector<Executor*> by_number_;
+  std::map<std::string, std::vector<Executor*>> by_pool_;
+  // Earliest next hold calls and the numbers of their executors. May contain
+  // times that have changed since.
+  using DueHold = std::pair<TimePoint, size_t>;
+  std::priority_queue<DueHold, std::vector<DueHold>, std::greater<>> due_holds_;
   // Executors that an earlier leader may have used and that have not answered a
   // hold call of this leader, so their runs are unknown.
   std::set<ExecutorId> unread_executors_;
@@ -504,7 +528,6 @@
   std::map<std::string, PoolState> pool_states_;
   TimePoint next_pass_{};
   TimePoint next_check_{};
-  size_t next_number_ = 0;
   TimePoint next_sweep_{};
 
   ProgressQueue progress_queue_;
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -68,47 +68,59 @@
 
 }  // namespace
 
-std::vector<Executor*> CellLeader::FilterByAdvice(
+std::vector<Executor*> CellLeader::WithValidTicket(
     Step& step,
-    const std::vector<Executor*>& eligible) {
-  const QueuePolicy& policy = PolicyOf(*step.job);
-  if (!policy.advice) {
+    const std::vector<Executor*>& eligible,
+    const PoolState& pool) {
+  if (!PolicyOf(*step.job).advice) {
     return eligible;
   }
-  using Kind = ExecutorAdvice::Kind;
   const TimePoint now = context_.clock.Now();
   const Resources size = ResourcesFor(*step.spec);
-  const Duration refresh_before = policy.advice->call_time + kAdviceRoundTrip;
   std::vector<Executor*> usable;
-  std::vector<Executor*> requested;
+  usable.reserve(eligible.size());
   bool room_expired = false;
   for (Executor* executor : eligible) {
-    const ExecutorAdvice& advice = step.advice.Of(executor->number);
-    if (advice.kind != Kind::kGood) {
-      // Executors without advice are included in the next call.
-      if (advice.kind == Kind::kUnknown) {
-        requested.push_back(executor);
-      }
-      continue;
-    }
-    const Duration left = advice.expires - now;
-    if (left > kTicketMargin) {
+    const StepTicket& ticket = *step.advice.TicketOf(executor->number);
+    if (ticket.expires - now > kTicketMargin) {
       usable.push_back(executor);
     } else if (size.FitsIn(executor->Free())) {
       room_expired = true;
     }
-    if (left < refresh_before + kTicketMargin) {
-      requested.push_back(executor);
-    }
   }
-  if (step.advice.call_in_flight || now < step.advice.next_call) {
-    return usable;
+  RenewAdvice(step, pool, room_expired);
+  return usable;
+}
+
+void CellLeader::RenewAdvice(Step& step,
+                             const PoolState& pool,
+                             bool room_expired) {
+  const std::optional<AdvicePolicy>& policy = PolicyOf(*step.job).advice;
+  const TimePoint now = context_.clock.Now();
+  if (!policy || step.advice.call_in_flight || now < step.advice.next_call) {
+    return;
   }
   const bool dispatcher_idle = advice_dispatcher_.waiting() == 0;
-  if (!step.advice.answered || room_expired || dispatcher_idle) {
-    RequestAdvice(step, requested);
+  if (step.advice.answered && !room_expired && !dispatcher_idle) {
+    return;
   }
-  return usable;
+  // Executors without advice, and those whose ticket expires before the next
+  // call would end.
+  const Duration refresh_before = policy->call_time + kAdviceRoundTrip;
+  std::vector<Executor*> requested;
+  for (Executor* executor : pool.usable) {
+    using Kind = StepAdvice::Kind;
+    const Kind kind = step.advice.KindOf(executor->number);
+    if (kind == Kind::kBad || !IsEligible(step, *executor)) {
+      continue;
+    }
+    if (kind == Kind::kUnknown ||
+        step.advice.TicketOf(executor->number)->expires - now <
+            refresh_before + kTicketMargin) {
+      requested.push_back(executor);
+    }
+  }
+  RequestAdvice(step, requested);
 }
 
 void CellLeader::RequestAdvice(Step& step,
@@ -168,13 +180,13 @@
   advice.answered = true;
   for (const ExecutorId& id : asked) {
     if (const Executor* executor = FindExecutor(id)) {
-      advice.At(executor->number).kind = ExecutorAdvice::Kind::kBad;
+      advice.SetBad(executor->number);
     }
   }
   for (const auto& [id, ticket] : reply.allowed) {
     if (const Executor* executor = FindExecutor(id)) {
-      advice.At(executor->number) = {ExecutorAdvice::Kind::kGood, ticket,
-                                     now + reply.validity - kAdviceRoundTrip};
+      advice.SetGood(
+          {executor->number, ticket, now + reply.validity - kAdviceRoundTrip});
     }
   }
   context_.log.Write(Event::kAdviceReceived,
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -75,19 +75,35 @@
                DecodeKnownExecutors(read.items[0].value)) {
             unread_executors_.insert(entry.id);
             if (executors_.count(entry.id) == 0) {
-              auto executor = std::make_unique<Executor>(entry, next_number_++);
-              executor->listed = false;
-              executor->unlisted_since = context_.clock.Now();
-              executors_.emplace(entry.id, std::move(executor));
+              Executor& executor = AddExecutor(entry);
+              executor.listed = false;
+              executor.unlisted_since = context_.clock.Now();
             }
             executors_.at(entry.id)->stored = true;
           }
+          IndexExecutors();
         }
         known_executors_loaded_ = true;
         done();
       }));
 }
 
+Executor& CellLeader::AddExecutor(const ExecutorEntry& entry) {
+  auto executor = std::make_unique<Executor>(entry, by_number_.size());
+  by_number_.push_back(executor.get());
+  return *executors_.emplace(entry.id, std::move(executor)).first->second;
+}
+
+// An executor may change its pool when it is started again.
+void CellLeader::IndexExecutors() {
+  by_pool_.clear();
+  for (Executor* executor : by_number_) {
+    if (executor != nullptr) {
+      by_pool_[executor->entry.pool].push_back(executor);
+    }
+  }
+}
+
 void CellLeader::PollExecutors() {
   if (poll_in_flight_) {
     return;
@@ -123,9 +139,9 @@
   bool changed = false;
   for (ExecutorEntry& entry : entries) {
     seen.insert(entry.id);
-    auto& executor = executors_[entry.id];
+    Executor* executor = FindExecutor(entry.id);
     if (executor == nullptr) {
-      executor = std::make_unique<Executor>(entry, next_number_++);
+      executor = &AddExecutor(entry);
       context_.log.Write(Event::kExecutorFound, {{"executor", entry.id},
                                                  {"pool", entry.pool},
                                                  {"address", entry.address}});
@@ -178,12 +194,14 @@
         (unread_executors_.count(it->first) == 0 || PredecessorLeasesExpired());
     if (forget) {
       unread_executors_.erase(it->first);
+      by_number_[executor.number] = nullptr;
       it = executors_.erase(it);
       changed = true;
     } else {
       ++it;
     }
   }
+  IndexExecutors();
   for (const auto& [id, executor] : executors_) {
     changed = changed || executor->stored == IsRetired(*executor);
   }
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -41,6 +41,7 @@
 
 void CellLeader::ScheduleHold(Executor& executor, TimePoint at) {
   executor.next_hold = at;
+  due_holds_.emplace(at, executor.number);
 }
 
 void CellLeader::SendDueHolds() {
@@ -48,24 +49,39 @@
     return;
   }
   const TimePoint now = context_.clock.Now();
-  const bool check = now >= next_check_;
-  if (check) {
+  while (!due_holds_.empty() && due_holds_.top().first <= now) {
+    Executor* executor = by_number_[due_holds_.top().second];
+    due_holds_.pop();
+    if (executor != nullptr) {
+      HoldIfDue(*executor);
+    }
+  }
+  if (now >= next_check_) {
     next_check_ = now + kCheckInterval;
+    CheckExecutors();
   }
-  for (auto& [id, executor] : executors_) {
-    if (check) {
+}
+
+void CellLeader::CheckExecutors() {
+  for (Executor* executor : by_number_) {
+    if (executor != nullptr) {
       RetryStops(*executor);
       CheckUnresponsive(*executor);
       CheckOverdue(*executor);
+      HoldIfDue(*executor);
     }
-    // An executor that missed a call is called until it answers; it gets no
-    // starts before that.
-    const bool needed = !executor->adopted || executor->missed_holds > 0 ||
-                        !executor->runs().empty() ||
-                        executor->ends_read > executor->ends_confirmed;
-    if (needed && !executor->hold_in_flight && now >= executor->next_hold) {
-      Hold(*executor);
-    }
+  }
+}
+
+void CellLeader::HoldIfDue(Executor& executor) {
+  // An executor that missed a call is called until it answers; it gets no
+  // starts before that.
+  const bool needed = !executor.adopted || executor.missed_holds > 0 ||
+                      !executor.runs().empty() ||
+                      executor.ends_read > executor.ends_confirmed;
+  if (needed && !executor.hold_in_flight &&
+      context_.clock.Now() >= executor.next_hold) {
+    Hold(executor);
   }
 }
 
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -32,6 +32,10 @@
   run.start_pending = true;
   run.checkpoint = task.checkpoint;
   executor.OnDeadlineSent(run.start_until);
+  // An executor without runs is not called.
+  if (!executor.hold_in_flight) {
+    ScheduleHold(executor, std::max(now, executor.next_hold));
+  }
   task.started = now;
   if (task.live == 1) {
     step.wait.OnStartSent();
@@ -50,7 +54,9 @@
   order.start_deadline = run.start_until;
   order.fence = leadership_.fence;
   order.checkpoint = task.checkpoint;
-  order.ticket = step.advice.Of(executor.number).ticket;
+  if (const StepTicket* ticket = step.advice.TicketOf(executor.number)) {
+    order.ticket = ticket->ticket;
+  }
   ++counts_.starts;
   context_.log.Write(Event::kTaskStarted,
                      {{"task", order.task},
@@ -140,7 +146,7 @@
       break;
     case OrderResult::kBadTicket:
       // The executor may have restarted; request new advice on it.
-      step.advice.At(executor.number) = ExecutorAdvice();
+      step.advice.Forget(executor.number);
       break;
     case OrderResult::kStaleRun:
       ++record.last_run;
@@ -253,9 +259,9 @@
     if (task.done || task.live != 1 || step->job->terminal()) {
       continue;
     }
-    const std::vector<Executor*> eligible =
-        EligibleFor(*step, PoolStateOf(PolicyOf(*step->job).pool));
-    std::vector<Executor*> candidates = FilterByAdvice(*step, eligible);
+    const PoolState& pool = PoolStateOf(PolicyOf(*step->job).pool);
+    std::vector<Executor*> candidates =
+        WithValidTicket(*step, EligibleFor(*step, pool), pool);
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                     [&](const Executor* executor) {
                                       return reserved_.count(executor) > 0 ||
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -101,22 +101,26 @@
 CellLeader::PoolState& CellLeader::PoolStateOf(const std::string& name) {
   const auto [found, added] = pool_states_.try_emplace(name);
   PoolState& pool = found->second;
-  if (added) {
+  const auto executors = by_pool_.find(name);
+  if (added && executors != by_pool_.end()) {
     const TimePoint now = context_.clock.Now();
-    for (const auto& [id, executor] : executors_) {
-      if (executor->entry.pool == name && IsUsable(*executor) &&
-          !executor->health.avoided(now) && !executor->has_unknown_run()) {
-        pool.usable.push_back(executor.get());
+    pool.usable.reserve(executors->second.size());
+    for (Executor* executor : executors->second) {
+      if (IsUsable(*executor) && !executor->health.avoided(now) &&
+          !executor->has_unknown_run()) {
+        executor->usable_in_pass = counts_.passes;
+        pool.usable.push_back(executor);
         pool.capacity += executor->entry.capacity;
       }
     }
-    UpdateFreeResources(pool);
+    MeasureFree(pool);
   }
   return pool;
 }
 
-void CellLeader::UpdateFreeResources(PoolState& pool) {
+void CellLeader::MeasureFree(PoolState& pool) {
   pool.max_free = Resources();
+  pool.max_free_stale = false;
   pool.free = Resources();
   for (const Executor* executor : pool.usable) {
     const Resources free = executor->Free();
@@ -128,15 +132,32 @@
   }
 }
 
+bool CellLeader::IsEligible(const Step& step, const Executor& executor) {
+  const StepSpec& spec = *step.spec;
+  return (spec.label.empty() || executor.HasLabel(spec.label)) &&
+         ResourcesFor(spec).FitsIn(executor.entry.capacity);
+}
+
+// A step with advice may run on about a hundred executors, so the others of its
+// pool are not looked at.
 std::vector<Executor*> CellLeader::EligibleFor(const Step& step,
                                                const PoolState& pool) {
-  const StepSpec& spec = *step.spec;
-  const Resources size = ResourcesFor(spec);
+  const QueuePolicy& policy = PolicyOf(*step.job);
   std::vector<Executor*> eligible;
-  eligible.reserve(pool.usable.size());
-  for (Executor* executor : pool.usable) {
-    if ((spec.label.empty() || executor->HasLabel(spec.label)) &&
-        size.FitsIn(executor->entry.capacity)) {
+  if (!policy.advice) {
+    eligible.reserve(pool.usable.size());
+    for (Executor* executor : pool.usable) {
+      if (IsEligible(step, *executor)) {
+        eligible.push_back(executor);
+      }
+    }
+    return eligible;
+  }
+  eligible.reserve(step.advice.good().size());
+  for (const StepTicket& ticket : step.advice.good()) {
+    Executor* executor = by_number_[ticket.executor];
+    if (executor != nullptr && executor->usable_in_pass == counts_.passes &&
+        executor->entry.pool == policy.pool && IsEligible(step, *executor)) {
       eligible.push_back(executor);
     }
   }
@@ -146,30 +167,34 @@
 void CellLeader::ScheduleStep(Step& step) {
   const TimePoint now = context_.clock.Now();
   const QueuePolicy& policy = PolicyOf(*step.job);
+  const Resources size = ResourcesFor(*step.spec);
   PoolState& pool = PoolStateOf(policy.pool);
   step.wait.OnConsidered(counts_.passes, now);
   // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
   // have reserved executors, unless it still needs its first advice call.
-  const bool blocked = pool.reserving_steps >= kMaxReservingSteps &&
-                       !ResourcesFor(*step.spec).FitsIn(pool.max_free) &&
-                       (!policy.advice || step.advice.answered);
+  const bool may_be_blocked = pool.reserving_steps >= kMaxReservingSteps &&
+                              (!policy.advice || step.advice.answered);
+  if (may_be_blocked && pool.max_free_stale) {
+    MeasureFree(pool);
+  }
+  const bool blocked = may_be_blocked && !size.FitsIn(pool.max_free);
   if (blocked || step.retry_at > now) {
     step.wait.SetReason(
         blocked ? WaitReason::kMoreUrgentSteps : WaitReason::kRetryTime, now);
     return;
   }
-  std::vector<Executor*> eligible = EligibleFor(step, pool);
   if (MayRunOnUnreadExecutor(step)) {
     step.wait.SetReason(WaitReason::kUnreadExecutors, now);
     ReportUnreadExecutors();
     // Request the first advice already, so that it is there when the step may
     // start.
     if (!step.advice.answered) {
-      FilterByAdvice(step, eligible);
+      RenewAdvice(step, pool, false);
     }
     return;
   }
-  std::vector<Executor*> candidates = FilterByAdvice(step, eligible);
+  std::vector<Executor*> eligible = EligibleFor(step, pool);
+  std::vector<Executor*> candidates = WithValidTicket(step, eligible, pool);
   const auto remove_reserved = [&](std::vector<Executor*>& executors) {
     executors.erase(std::remove_if(executors.begin(), executors.end(),
                                    [&](const Executor* executor) {
@@ -186,14 +211,19 @@
     step.wait.SetReason(WaitReason::kHeadroom, now);
     return;
   }
+  const int64_t starts_before = counts_.starts;
   const bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                       : PlaceTasks(step, candidates, most);
-  UpdateFreeResources(pool);
+  for (int64_t i = starts_before; i < counts_.starts; ++i) {
+    pool.free -= size;
+    pool.max_free_stale = true;
+  }
   if (placed) {
     step.wait.SetReason(ReasonOfRest(step, now), now);
     return;
   }
-  step.wait.SetReason(eligible.empty()     ? WaitReason::kNoMatchingExecutor
+  step.wait.SetReason(!HasEligibleExecutor(step, pool)
+                          ? WaitReason::kNoMatchingExecutor
                       : candidates.empty() ? WaitReason::kAdvice
                                            : WaitReason::kRoom,
                       now);
@@ -201,19 +231,16 @@
     Preempt(step, candidates);
   }
   // Executors stay reserved while their ticket is being renewed.
-  if (policy.advice) {
-    eligible.erase(
-        std::remove_if(eligible.begin(), eligible.end(),
-                       [&](const Executor* executor) {
-                         return step.advice.Of(executor->number).kind !=
-                                ExecutorAdvice::Kind::kGood;
-                       }),
-        eligible.end());
-  }
   remove_reserved(eligible);
   ReserveExecutors(step, eligible, pool);
 }
 
+bool CellLeader::HasEligibleExecutor(const Step& step, const PoolState& pool) {
+  return std::any_of(
+      pool.usable.begin(), pool.usable.end(),
+      [&](const Executor* executor) { return IsEligible(step, *executor); });
+}
+
 bool CellLeader::PlaceTasks(Step& step,
                             const std::vector<Executor*>& candidates,
                             int most) {
