--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -572,8 +572,8 @@
 }
 
 Executor* CellLeader::FindExecutor(const ExecutorId& id) {
-  const auto found = executors_.find(id);
-  return found == executors_.end() ? nullptr : found->second.get();
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
 }
 
 }  // namespace chivedale::cell
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -255,7 +255,7 @@
 
   // leader_entries.cc: discovery of executors.
   Executor& AddExecutor(const ExecutorEntry& entry);
-  // Updates by_number_ and by_pool_ after a change of executors_.
+  // Updates by_pool_ after a change of the executors or of their pools.
   void IndexExecutors();
   void PollExecutors();
   // `begin`: when the list began; the entries may be as old as that.
@@ -489,6 +489,7 @@
   std::set<std::pair<Step*, int>> overdue_copies_;
 
   std::map<ExecutorId, std::unique_ptr<Executor>> executors_;
+  std::unordered_map<ExecutorId, Executor*> by_id_;
   // Executors by number; null if forgotten.
   std::vector<Executor*> by_number_;
   std::map<std::string, std::vector<Executor*>> by_pool_;
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -21,6 +21,8 @@
 constexpr size_t kMinExecutorsPerCall = 30;
 constexpr size_t kExecutorsPerTask = 4;
 constexpr Millis kAdviceRetry{150};
+// Executors to ask for are looked for at this interval while there are none.
+constexpr Millis kAdviceSearchInterval{20};
 
 // Selects executors for a call, those that can run a task now first. Selecting
 // them in name order would direct all steps to the same executors.
@@ -120,14 +122,15 @@
       requested.push_back(executor);
     }
   }
+  if (requested.empty()) {
+    step.advice.next_call = now + kAdviceSearchInterval;
+    return;
+  }
   RequestAdvice(step, requested);
 }
 
 void CellLeader::RequestAdvice(Step& step,
                                const std::vector<Executor*>& executors) {
-  if (executors.empty()) {
-    return;
-  }
   const AdvicePolicy& policy = *PolicyOf(*step.job).advice;
   AdviceRequest request;
   request.step = step.NameOf(0).StepText();
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -91,6 +91,7 @@
 Executor& CellLeader::AddExecutor(const ExecutorEntry& entry) {
   auto executor = std::make_unique<Executor>(entry, by_number_.size());
   by_number_.push_back(executor.get());
+  by_id_.emplace(entry.id, executor.get());
   return *executors_.emplace(entry.id, std::move(executor)).first->second;
 }
 
@@ -195,6 +196,7 @@
     if (forget) {
       unread_executors_.erase(it->first);
       by_number_[executor.number] = nullptr;
+      by_id_.erase(it->first);
       it = executors_.erase(it);
       changed = true;
     } else {
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -131,11 +131,11 @@
                         TimePoint sent,
                         int64_t ends_sent,
                         const HoldReply& reply) {
-  const auto found = executors_.find(id);
-  if (found == executors_.end()) {
+  Executor* const found = FindExecutor(id);
+  if (found == nullptr) {
     return;
   }
-  Executor& executor = *found->second;
+  Executor& executor = *found;
   executor.hold_in_flight = false;
   const TimePoint now = context_.clock.Now();
   if (reply.result == OrderResult::kFenced) {
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -79,11 +79,11 @@
     OnFenced("executor " + id + " has seen a newer leader");
     return;
   }
-  const auto found = executors_.find(id);
-  if (found == executors_.end()) {
+  Executor* const found = FindExecutor(id);
+  if (found == nullptr) {
     return;
   }
-  Executor& executor = *found->second;
+  Executor& executor = *found;
   const TimePoint now = context_.clock.Now();
   if (reply.executor_clock) {
     executor.OnClock(*reply.executor_clock, now);
@@ -200,11 +200,11 @@
     OnFenced("executor " + id + " has seen a newer leader");
     return;
   }
-  const auto found = executors_.find(id);
-  if (found == executors_.end()) {
+  Executor* const found = FindExecutor(id);
+  if (found == nullptr) {
     return;
   }
-  Executor& executor = *found->second;
+  Executor& executor = *found;
   Run* run = executor.FindRun(task);
   if (run == nullptr || run->number != number) {
     return;
