Suspend a leader that reaches neither the store nor any other member

Cause: such a leader went on renewing the leases of the executors on its side. Change: a leader that hears no member for 600 ms reads the leader key; if the store does not answer either, it gives no orders until it reaches one of them. A member whose address refuses connections is not expected. Ruled out: suspending without either one alone, which would stop a cell whose store is down, or whose other members are. Measured: cell_partition_test failed before ("running on two executors") and passes; cell_history_test and cell_liveness_test pass.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -12,6 +12,9 @@
 constexpr Millis kCellRetry{100};
 // Callers may be shown counts of pending jobs of this age.
 constexpr Millis kMaxPendingAge{2'000};
+// A leader that hears no other member for this time, three heartbeats, checks
+// whether it reaches the store.
+constexpr Millis kIsolationTime{600};
 // Members asked whether they hear a leader that is silent to this one.
 constexpr size_t kMembersAsked = 3;
 // Heartbeat interval; several fit in ElectionOptions::beat_timeout.
@@ -160,6 +163,7 @@
 void CellNode::OnNotLeading(const std::string& reason) {
   context_.log.Write(Event::kCellNotLeading, {{"reason", reason}});
   leader_.reset();
+  isolated_ = false;
   leader_store_lost_since_ = TimePoint();
   pending_advice_calls_.clear();
 }
@@ -186,13 +190,15 @@
         }
         if (read.status == StoreStatus::kOk) {
           ApplyCellItem(read.items[0]);
-          if (leader_ != nullptr) {
+          if (leader_ != nullptr && !isolated_) {
             leader_->Resume();
           }
           return;
         }
         if (context_.clock.Now() - since > kVerifyTimeout) {
-          leader_->Resume();
+          if (!isolated_) {
+            leader_->Resume();
+          }
           return;
         }
         context_.run_after(kCellRetry,
@@ -200,6 +206,58 @@
       }));
 }
 
+// The other members elect a successor, which starts the tasks again once the
+// leases that its predecessor may have granted have expired. So an isolated
+// leader must not renew them. It cannot tell that case from an outage of the
+// store in which all other VMs fail as well, except if these refuse
+// connections.
+void CellNode::CheckIsolation() {
+  const TimePoint now = context_.clock.Now();
+  if (leader_ == nullptr || now < next_isolation_check_ ||
+      checking_isolation_) {
+    return;
+  }
+  next_isolation_check_ = now + kBeatInterval;
+  if (!HearsNoMember()) {
+    SetIsolated(false);
+    return;
+  }
+  checking_isolation_ = true;
+  store_.Read(kLeaderKey, kBeatInterval, Guard([this](const StoreRead& read) {
+                checking_isolation_ = false;
+                if (read.status == StoreStatus::kOk) {
+                  ApplyCellItem(read.items[0]);
+                }
+                SetIsolated(read.status != StoreStatus::kOk && HearsNoMember());
+              }));
+}
+
+bool CellNode::HearsNoMember() const {
+  const TimePoint now = context_.clock.Now();
+  bool expects_members = false;
+  for (const auto& [node, member] : members_) {
+    if (now - member.last_heard < kIsolationTime) {
+      return false;
+    }
+    expects_members = expects_members || !member.gone;
+  }
+  return expects_members && now - leading_since_ > kIsolationTime;
+}
+
+void CellNode::SetIsolated(bool isolated) {
+  if (leader_ == nullptr || isolated == isolated_) {
+    return;
+  }
+  isolated_ = isolated;
+  context_.log.Write(Event::kLeaderIsolated,
+                     {{"isolated", isolated ? "yes" : "no"}});
+  if (isolated) {
+    leader_->Suspend();
+  } else {
+    leader_->Resume();
+  }
+}
+
 void CellNode::StartShutdown() {
   if (stopping_) {
     return;
@@ -333,6 +391,7 @@
     member.last_heard = context_.clock.Now();
     member.boot_id = beat.boot_id;
     member.address = beat.address;
+    member.gone = false;
   }
   const auto& leader = election_->leader();
   if (!beat.is_leader) {
@@ -386,6 +445,11 @@
 }
 
 void CellNode::OnPeerDisconnected(const std::string& address, bool refused) {
+  for (auto& [node, member] : members_) {
+    if (refused && member.address == address) {
+      member.gone = true;
+    }
+  }
   const auto& leader = election_->leader();
   if (!leader || leader->address != address || leader_ != nullptr) {
     return;
@@ -416,6 +480,7 @@
 
 void CellNode::Tick() {
   election_->Tick();
+  CheckIsolation();
   const TimePoint now = context_.clock.Now();
   if (now >= next_beat_) {
     SendBeats();
--- a/cell/node.h
+++ b/cell/node.h
@@ -118,6 +118,7 @@
     std::string address;
     double strength = 0;
     TimePoint last_heard{};
+    bool gone = false;  // its address refuses connections
   };
 
   void ListCell();
@@ -132,6 +133,10 @@
   void OnNotLeading(const std::string& reason);
   void OnPause(Duration gap);
   void VerifyLeadership(TimePoint since);
+  // Suspends a leader that reaches neither the store nor any other member.
+  void CheckIsolation();
+  bool HearsNoMember() const;
+  void SetIsolated(bool isolated);
   void SendBeats();
   void ApplyPending(const CellBeat& beat);
   // Asks some members whether they hear the leader. Returns false if there are
@@ -200,6 +205,10 @@
   bool stopping_ = false;
   bool checking_store_ = false;
   bool probing_store_ = false;
+  // The leader reaches neither the store nor any other member.
+  bool isolated_ = false;
+  bool checking_isolation_ = false;
+  TimePoint next_isolation_check_{};
   TimePoint leader_last_heard_{};  // latest heartbeat of the leader
   bool leader_store_ok_ = false;   // as reported in that heartbeat
   // Time since which the store answers this member but not the leader.
--- a/cell/testing/cell_partition_test.cc
+++ b/cell/testing/cell_partition_test.cc
@@ -38,6 +38,38 @@
   cell.RunFor(Millis(15'000));
 }
 
+// A member whose process has ended will not elect another leader.
+BOOST_AUTO_TEST_CASE(KeepsItsTasksIfTheOtherMembersHaveEnded) {
+  CellFixture cell;
+  cell.Submit("a", kJobId, MakeJobSpec(4, Millis(20'000), 20'000), "q0");
+  cell.RunFor(Millis(300));
+  const std::string leader = cell.LeaderName();
+  for (const std::string name : {"a", "b", "c"}) {
+    if (name != leader) {
+      cell.Kill(name);
+    }
+  }
+  cell.store.faults.unresponsive = true;
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.executors.running() == 4);
+  BOOST_TEST(cell.executors.starts() == 4);
+}
+
+// The leader goes on once it reaches the other members again.
+BOOST_AUTO_TEST_CASE(StartsTasksAgainAfterAShortCut) {
+  CellFixture cell;
+  const std::string leader = cell.LeaderName();
+  cell.store.faults_of[leader].unresponsive = true;
+  cell.Partition({leader});
+  cell.RunFor(Millis(1'000));
+  cell.Partition({});
+  cell.store.faults_of.clear();
+  cell.RunFor(Millis(1'500));
+  cell.Submit(cell.NonLeaderName(), kJobId, MakeJobSpec(4, Millis(300)), "q0");
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -67,6 +67,7 @@
   kCellBadRecord = 1004,
   kCellPaused = 1005,
   kLeaderSuspected = 1006,
+  kLeaderIsolated = 1007,
   kJobAccepted = 1101,
   kJobNotAccepted = 1102,
   kJobCancelled = 1103,
