Send unknown pending counts in a heartbeat that earlier versions accept

Cause: the codec rejects a message with fewer fields than it expects, so that a member with the new field of CellBeat closed the connection of each heartbeat of an earlier version: in a rolling upgrade it would have replaced the leader. Change: a leader that has not read the jobs sends one count without a name. What decides who is reachable is in node_reachability.cc; wording.

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -2,8 +2,8 @@
 // as long as no other member can write either. A failed leader is replaced as
 // soon as its missing heartbeats are noticed rather than when a lease expires.
 // A member that alone misses them, because its link fails or because the leader
-// does not know it yet, must not replace a leader that the others follow. So it
-// asks some of them before its candidacy.
+// has not listed it yet, must not replace a leader that the others follow. So
+// it asks some of them before its candidacy.
 #include "cell/election.h"
 
 #include <boost/msm/back/state_machine.hpp>
--- a/cell/election.h
+++ b/cell/election.h
@@ -33,13 +33,12 @@
   // The leader is suspected after this time without a heartbeat. Spans several
   // heartbeats and is well below the executors' lease time.
   Millis beat_timeout{900};
-  // Time for other members to report that they hear a leader that is silent to
-  // this one.
+  // Time for other members to report that a leader is not silent to them.
   Millis confirm_time{150};
   // They are asked again after this time if the leader stays silent.
   Millis confirm_interval{300};
-  // A member hears the leader if a heartbeat arrived within this time, which
-  // spans two heartbeats.
+  // The leader is not silent to a member that has received a heartbeat within
+  // this time, which spans two heartbeats.
   Millis heard_time{500};
   // Upper bound of the random delay before a candidacy, so that two members
   // that suspect the leader at once seldom write within the same few
@@ -70,8 +69,8 @@
     // This process was paused for the given time.
     std::function<void(Duration)> on_pause;
     std::function<void(const std::string& reason)> on_suspect;
-    // Asks other members whether they hear the leader of this term. Returns
-    // false if there are none.
+    // Asks other members whether they receive heartbeats from the leader of
+    // this term. Returns false if there are none.
     std::function<bool(int64_t term)> ask_members;
     // Delay before this member's candidacy; longer for members with a lower
     // NodeOptions::strength, so that the others are elected first.
@@ -93,7 +92,7 @@
   void OnBeat(const std::string& node,
               const std::string& boot_id,
               int64_t term);
-  // Another member hears the leader of this term.
+  // Another member receives heartbeats from the leader of this term.
   void OnLeaderHeard(int64_t term);
   // Follows the leader that sent a heartbeat if its term is later than the one
   // known here. Needed while the store is unreachable and the leader key cannot
@@ -113,7 +112,7 @@
   const std::optional<LeaderRecord>& leader() const { return leader_; }
   int64_t revision() const { return revision_; }
   bool known() const { return record_read_; }
-  // True if this member is the leader of this term or hears it.
+  // True if this member leads in this term or receives the leader's heartbeats.
   bool HearsLeader(int64_t term) const;
 
  private:
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -12,11 +12,8 @@
 constexpr Millis kCellRetry{100};
 // Callers may be shown counts of pending jobs of this age.
 constexpr Millis kMaxPendingAge{2'000};
-// A leader that hears no other member for this time, three heartbeats, checks
-// whether it reaches the store.
-constexpr Millis kIsolationTime{600};
-// Members asked whether they hear a leader that is silent to this one.
-constexpr size_t kMembersAsked = 3;
+// See CellBeat::pending.
+const QueuePending kPendingUnknown{"", 0};
 // Heartbeat interval; several fit in ElectionOptions::beat_timeout.
 constexpr Millis kBeatInterval{200};
 // A member is used for advice calls if a heartbeat of it arrived within this
@@ -206,58 +203,6 @@
       }));
 }
 
-// The other members elect a successor, which starts the tasks again once the
-// leases that its predecessor may have granted have expired. So an isolated
-// leader must not renew them. It cannot tell that case from an outage of the
-// store in which all other VMs fail as well, except if these refuse
-// connections.
-void CellNode::CheckIsolation() {
-  const TimePoint now = context_.clock.Now();
-  if (leader_ == nullptr || now < next_isolation_check_ ||
-      checking_isolation_) {
-    return;
-  }
-  next_isolation_check_ = now + kBeatInterval;
-  if (!HearsNoMember()) {
-    SetIsolated(false);
-    return;
-  }
-  checking_isolation_ = true;
-  store_.Read(kLeaderKey, kBeatInterval, Guard([this](const StoreRead& read) {
-                checking_isolation_ = false;
-                if (read.status == StoreStatus::kOk) {
-                  ApplyCellItem(read.items[0]);
-                }
-                SetIsolated(read.status != StoreStatus::kOk && HearsNoMember());
-              }));
-}
-
-bool CellNode::HearsNoMember() const {
-  const TimePoint now = context_.clock.Now();
-  bool expects_members = false;
-  for (const auto& [node, member] : members_) {
-    if (now - member.last_heard < kIsolationTime) {
-      return false;
-    }
-    expects_members = expects_members || !member.gone;
-  }
-  return expects_members && now - leading_since_ > kIsolationTime;
-}
-
-void CellNode::SetIsolated(bool isolated) {
-  if (leader_ == nullptr || isolated == isolated_) {
-    return;
-  }
-  isolated_ = isolated;
-  context_.log.Write(Event::kLeaderIsolated,
-                     {{"isolated", isolated ? "yes" : "no"}});
-  if (isolated) {
-    leader_->Suspend();
-  } else {
-    leader_->Resume();
-  }
-}
-
 void CellNode::StartShutdown() {
   if (stopping_) {
     return;
@@ -302,8 +247,9 @@
   beat.leaving = stopping_ || ShouldYield();
   beat.store_ok = store_.failing_for() < kStoreHandoverDelay;
   beat.term = election_->leader() ? election_->leader()->term : 0;
-  beat.pending_known = leader_ != nullptr && leader_->loaded();
-  if (beat.pending_known) {
+  if (leader_ != nullptr && !leader_->loaded()) {
+    beat.pending.push_back(kPendingUnknown);
+  } else if (leader_ != nullptr) {
     for (const auto& [queue, jobs] : leader_->Pending()) {
       beat.pending.push_back({queue, jobs});
     }
@@ -331,10 +277,10 @@
   }
 }
 
-// A leader that has not read the jobs yet does not know how many wait. The
-// counts of its predecessor hold for kMaxPendingAge.
+// A leader that has not read the jobs yet cannot count those that wait. The
+// counts of its predecessor are used for kMaxPendingAge.
 void CellNode::ApplyPending(const CellBeat& beat) {
-  if (!beat.pending_known) {
+  if (!beat.pending.empty() && beat.pending[0].queue == kPendingUnknown.queue) {
     return;
   }
   pending_at_ = context_.clock.Now();
@@ -344,30 +290,6 @@
   }
 }
 
-bool CellNode::AskMembersForLeader(int64_t term) {
-  std::vector<const Member*> others;
-  const auto& leader = election_->leader();
-  for (const auto& [node, member] : members_) {
-    if (!leader || node != leader->node) {
-      others.push_back(&member);
-    }
-  }
-  const size_t asked = std::min(others.size(), kMembersAsked);
-  for (size_t i = 0; i < asked; ++i) {
-    std::swap(others[i],
-              others[i + context_.random.UniformInt(others.size() - i)]);
-    context_.peers.SendToAddress(others[i]->address,
-                                 LeaderQuery{options_.address, term});
-  }
-  return asked > 0;
-}
-
-void CellNode::OnLeaderQuery(const LeaderQuery& query) {
-  if (election_->HearsLeader(query.term)) {
-    context_.peers.SendToAddress(query.address, LeaderHeard{query.term});
-  }
-}
-
 // Reads the leader key while store calls fail, to notice the recovery; a
 // pending watch shows it only when it ends.
 void CellNode::ProbeStore() {
--- a/cell/node.h
+++ b/cell/node.h
@@ -133,16 +133,8 @@
   void OnNotLeading(const std::string& reason);
   void OnPause(Duration gap);
   void VerifyLeadership(TimePoint since);
-  // Suspends a leader that reaches neither the store nor any other member.
-  void CheckIsolation();
-  bool HearsNoMember() const;
-  void SetIsolated(bool isolated);
   void SendBeats();
   void ApplyPending(const CellBeat& beat);
-  // Asks some members whether they hear the leader. Returns false if there are
-  // none.
-  bool AskMembersForLeader(int64_t term);
-  void OnLeaderQuery(const LeaderQuery& query);
   void OnBeat(const CellBeat& beat);
   void ProbeStore();
   void CheckStoreForLeader();
@@ -153,6 +145,16 @@
   // True if a much stronger member is alive and should lead.
   bool ShouldYield() const;
 
+  // node_reachability.cc
+  // Asks some members whether they receive the leader's heartbeats. Returns
+  // false if there are no other members.
+  bool AskMembersForLeader(int64_t term);
+  void OnLeaderQuery(const LeaderQuery& query);
+  // Suspends a leader that reaches neither the store nor any other member.
+  void CheckIsolation();
+  bool ReceivesNoBeats() const;
+  void SetIsolated(bool isolated);
+
   // node_calls.cc
   void OnStateCall(const JobStateCall& call);
   void OnStateAnswer(const JobStateAnswer& answer);
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -373,17 +373,18 @@
   int64_t term = 0;      // latest leadership term known to the sender
   // From a leader: the highest election strength of any member.
   double max_strength = 0;
-  std::vector<QueuePending> pending;  // from a leader
-  bool pending_known = false;  // false: the leader has not read the jobs yet
+  // From a leader. A single entry without a name if it has not read the jobs
+  // yet: members of an earlier version reject a heartbeat with more fields.
+  std::vector<QueuePending> pending;
 };
 
-// To a member: whether it hears the leader of this term.
+// To a member: whether it receives heartbeats from the leader of this term.
 struct LeaderQuery {
   std::string address;  // where to send the reply
   int64_t term = 0;
 };
 
-// Sent only if the member hears the leader of this term.
+// Sent only by a member that receives them.
 struct LeaderHeard {
   int64_t term = 0;
 };
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -160,8 +160,7 @@
                  m.store_ok,
                  m.term,
                  m.pending,
-                 m.max_strength,
-                 m.pending_known);
+                 m.max_strength);
 CHIVEDALE_FIELDS(LeaderQuery, m.address, m.term);
 CHIVEDALE_FIELDS(LeaderHeard, m.term);
 CHIVEDALE_FIELDS(JobStateCall, m.call, m.address, m.job);
