--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -9,6 +9,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <string>
+#include <vector>
 
 #include "cell/decode.h"
 #include "cell/testing/odd_values.h"
@@ -374,6 +376,37 @@
   }
 }
 
+// A scheduling pass looks only at the executors in the list of the allowed.
+BOOST_AUTO_TEST_SUITE(WithAdviceOnAStep)
+
+BOOST_AUTO_TEST_CASE(ListsTheAllowedExecutorsInOrder) {
+  StepAdvice advice;
+  for (const size_t executor : {7, 2, 9, 2}) {
+    advice.SetGood({executor, "t-" + std::to_string(executor), {}});
+  }
+  std::vector<size_t> allowed;
+  for (const StepTicket& ticket : advice.good()) {
+    allowed.push_back(ticket.executor);
+  }
+  BOOST_TEST((allowed == std::vector<size_t>{2, 7, 9}));
+  BOOST_TEST(advice.TicketOf(7)->ticket == "t-7");
+}
+
+BOOST_AUTO_TEST_CASE(KeepsNoTicketOfAnExecutorThatIsNotAllowed) {
+  StepAdvice advice;
+  advice.SetGood({3, "t", {}});
+  advice.SetGood({4, "t", {}});
+  advice.SetBad(3);
+  advice.Forget(4);
+  BOOST_TEST(advice.good().empty());
+  BOOST_TEST((advice.TicketOf(3) == nullptr));
+  BOOST_TEST((advice.KindOf(3) == StepAdvice::Kind::kBad));
+  BOOST_TEST((advice.KindOf(4) == StepAdvice::Kind::kUnknown));
+  BOOST_TEST((advice.KindOf(100) == StepAdvice::Kind::kUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/chivedale/testing/peer_codec_test.cc
+++ b/chivedale/testing/peer_codec_test.cc
@@ -194,6 +194,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(EarlierVersions)
+
+// Guards against a field added to the heartbeat: members of the version before
+// would be taken for silent during an upgrade.
+BOOST_AUTO_TEST_CASE(HeartbeatsOfMembersAreAccepted) {
+  BOOST_TEST((DecodeFault(EncodeFrame(
+                  TypeOf(CellBeat()), 1, "vm-1", "boot", "10.0.0.1:80", true,
+                  false, true, 1, std::vector<int>(), 0.5)) == std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(MessagesKeepTheirTypeNumbers) {
+  BOOST_TEST(TypeOf(LeaderQuery()) == TypeOf(JobNotice()) + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(LaterVersions)
 
 BOOST_AUTO_TEST_CASE(FieldsAddedAtTheEndAreSkipped) {
