--- a/cell/node.cc
+++ b/cell/node.cc
@@ -12,8 +12,8 @@
 constexpr Millis kCellRetry{100};
 // Callers may be shown counts of pending jobs of this age.
 constexpr Millis kMaxPendingAge{2'000};
-// See CellBeat::pending.
-const QueuePending kPendingUnknown{"", 0};
+// Name of the only entry of CellBeat::pending if the counts are unknown.
+constexpr char kPendingUnknown[] = "";
 // Heartbeat interval; several fit in ElectionOptions::beat_timeout.
 constexpr Millis kBeatInterval{200};
 // A member is used for advice calls if a heartbeat of it arrived within this
@@ -248,7 +248,7 @@
   beat.store_ok = store_.failing_for() < kStoreHandoverDelay;
   beat.term = election_->leader() ? election_->leader()->term : 0;
   if (leader_ != nullptr && !leader_->loaded()) {
-    beat.pending.push_back(kPendingUnknown);
+    beat.pending.push_back({kPendingUnknown, 0});
   } else if (leader_ != nullptr) {
     for (const auto& [queue, jobs] : leader_->Pending()) {
       beat.pending.push_back({queue, jobs});
@@ -280,7 +280,7 @@
 // A leader that has not read the jobs yet cannot count those that wait. The
 // counts of its predecessor are used for kMaxPendingAge.
 void CellNode::ApplyPending(const CellBeat& beat) {
-  if (!beat.pending.empty() && beat.pending[0].queue == kPendingUnknown.queue) {
+  if (!beat.pending.empty() && beat.pending[0].queue == kPendingUnknown) {
     return;
   }
   pending_at_ = context_.clock.Now();
