--- a/cell/node_reachability.cc
+++ b/cell/node_reachability.cc
@@ -45,9 +45,8 @@
 
 // The other members elect a successor, which starts the tasks again once the
 // leases that its predecessor may have granted have expired. So an isolated
-// leader must not renew them. It cannot tell that case from an outage of the
-// store in which all other VMs fail as well, except if these refuse
-// connections.
+// leader must not renew them. An outage of the store in which all other VMs
+// fail as well looks the same, except if these refuse connections.
 void CellNode::CheckIsolation() {
   const TimePoint now = context_.clock.Now();
   if (leader_ == nullptr || now < next_isolation_check_ ||
--- a/cell/testing/leader_silence_test.cc
+++ b/cell/testing/leader_silence_test.cc
@@ -1,5 +1,5 @@
-// Tests of a cell with a leader that some members do not hear, and of what the
-// members report before a new leader has read the jobs.
+// Tests of a cell in which the leader's heartbeats do not reach some members,
+// and of what the members report before a new leader has read the jobs.
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -14,9 +14,9 @@
 
 BOOST_AUTO_TEST_SUITE(ACell)
 
-// Regression (kowa-consult-large): VMs that were added did not hear the leader
-// within their first second, one of them was elected, and it was too weak to
-// lead.
+// Regression (kowa-consult-large): VMs that were added received no heartbeat of
+// the leader within their first second, one of them was elected, and it was too
+// weak to lead.
 BOOST_AUTO_TEST_SUITE(WithALeaderThatOneMemberDoesNotHear)
 
 BOOST_AUTO_TEST_CASE(KeepsItsLeader) {
