Keep runs and ends of jobs that a new leader has not read yet

Cause: a leader that the store turns away starts tasks of jobs stored after its successor has listed the jobs. The successor took a job it did not know for one that nobody wants: it stopped the runs and acknowledged the ends, then read the job and started its tasks again.

Events 1209 and 1210 and chivedale_unread_jobs show what the leader does not know.

Change: the record of such a job is read from the store. A job is stored before its first task starts, so that this read decides. Until then the run goes on and the end is not acknowledged; then they are adopted, or stopped and dropped. Likewise for an occurrence that is not due yet by this leader's clock, and an upkeep waits for a run of an unknown job.

--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -34,21 +34,25 @@
   run = Run();
   run.name = name;
   run.number = number;
-  run.step = step;
   run.start_sent = now;
+  ++unknown_runs_;
   if (step != nullptr) {
-    run.size = CommittedResources(*step->spec);
-    committed_ += run.size;
-    Task& task = step->tasks[static_cast<size_t>(name.index)];
-    ++task.live;
-    task.last_run = std::max(task.last_run, number);
-    ++step->live_on[entry.id];
-  } else {
-    ++unknown_runs_;
+    SetStep(run, *step);
   }
   return run;
 }
 
+void Executor::SetStep(Run& run, Step& step) {
+  --unknown_runs_;
+  run.step = &step;
+  run.size = CommittedResources(*step.spec);
+  committed_ += run.size;
+  Task& task = step.tasks[static_cast<size_t>(run.name.index)];
+  ++task.live;
+  task.last_run = std::max(task.last_run, run.number);
+  ++step.live_on[entry.id];
+}
+
 void Executor::RemoveRun(const std::string& text) {
   const auto found = runs_.find(text);
   if (found == runs_.end()) {
@@ -89,6 +93,7 @@
   ends_read = 0;
   ends_stored = 0;
   ends_confirmed = 0;
+  withheld_ends.clear();
   missed_holds = 0;
   clock_known_ = false;
   max_deadline_ = Millis(0);
@@ -109,6 +114,12 @@
          kExpiryMargin;
 }
 
+int64_t Executor::ends_settled() const {
+  return withheld_ends.empty()
+             ? ends_read
+             : std::min(ends_read, *withheld_ends.begin() - 1);
+}
+
 bool Executor::HasLabel(const std::string& label) const {
   return std::find(entry.labels.begin(), entry.labels.end(), label) !=
          entry.labels.end();
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "cell/executor_health.h"
@@ -38,8 +39,10 @@
 
   TaskName name;
   int64_t number = 0;
-  Step* step = nullptr;  // null if the job is unknown; the run is stopped
-  Resources size;        // committed on the executor
+  // Null if the job is not known; the run is then stopped, unless the job may
+  // only not have been read yet.
+  Step* step = nullptr;
+  Resources size;  // committed on the executor
   RunPhase phase = RunPhase::kStartSent;
   TimePoint start_sent{};
   TimePoint running_since{};  // first confirmation that it runs
@@ -68,6 +71,8 @@
 
   // Commands.
   Run& AddRun(const TaskName& name, int64_t number, Step* step, TimePoint now);
+  // Assigns the step of a run whose job was unknown.
+  void SetStep(Run& run, Step& step);
   // Releases the run's resources and updates the counts of its step.
   void RemoveRun(const std::string& task);
   void OnClock(Millis clock, TimePoint now);
@@ -93,6 +98,8 @@
   // slowest permitted clock.
   TimePoint LeasesExpiredBy() const;
   bool HasLabel(const std::string& label) const;
+  // Highest end number processed such that no end up to it is withheld.
+  int64_t ends_settled() const;
 
   const size_t number;
   ExecutorEntry entry;
@@ -107,6 +114,8 @@
   int64_t ends_read = 0;  // highest end number processed
   // Highest end number whose effect on job progress is stored.
   int64_t ends_stored = 0;
+  // Numbers of ends whose job has not been read yet.
+  std::set<int64_t> withheld_ends;
   // Highest end number whose acknowledgement the executor has received.
   int64_t ends_confirmed = 0;
   // Consecutive unanswered holds. Also set to at least 1 where the executor
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -320,6 +320,20 @@
   return opened;
 }
 
+bool Job::OpenStartedOccurrence(int number, WallTime wall_now, TimePoint now) {
+  if (!recurring() || terminal() || number < next_occurrence_ ||
+      number >= record_.spec.occurrences ||
+      record_.spec.first_start + number * record_.spec.interval >
+          wall_now + kMaxClockLead) {
+    return false;
+  }
+  while (next_occurrence_ <= number) {
+    Open(next_occurrence_++, now);
+  }
+  UpdateReady(now);
+  return true;
+}
+
 void Job::UpdateReady(TimePoint now) {
   for (auto& entry : open_) {
     Occurrence& occurrence = entry.second;
--- a/cell/job.h
+++ b/cell/job.h
@@ -135,6 +135,9 @@
   // Commands.
   // Creates the occurrences that are due. Returns true if any was created.
   bool OpenDueOccurrences(WallTime wall_now, TimePoint now);
+  // Creates the occurrences up to one that a predecessor has started, whose
+  // clock may have been ahead. Returns true if any was created.
+  bool OpenStartedOccurrence(int number, WallTime wall_now, TimePoint now);
   // Marks steps whose dependencies are done as ready.
   void UpdateReady(TimePoint now);
   // Marks the task, or all tasks of a gang, as done. Returns false if it
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -358,8 +358,7 @@
   }
 }
 
-void CellLeader::OpenJob(Job& job) {
-  job.OpenDueOccurrences(context_.clock.WallNow(), context_.clock.Now());
+void CellLeader::QueueWaitingSteps(Job& job) {
   for (auto& [number, occurrence] : job.open()) {
     for (Step& step : occurrence.steps) {
       AddIfWaiting(step);
@@ -367,6 +366,12 @@
   }
 }
 
+void CellLeader::OpenJob(Job& job) {
+  job.OpenDueOccurrences(context_.clock.WallNow(), context_.clock.Now());
+  QueueWaitingSteps(job);
+  SettleUnreadJob(job.id());
+}
+
 void CellLeader::ApplyJobItem(const StoreItem& item) {
   std::string id = item.key.substr(sizeof kJobPrefix - 1);
   const size_t suffix = id.find(kCancelSuffix);
@@ -458,15 +463,10 @@
   const WallTime wall = context_.clock.WallNow();
   for (const JobId& id : recurring_jobs_) {
     Job& job = *jobs_.at(id);
-    if (!job.OpenDueOccurrences(wall, context_.clock.Now())) {
-      continue;
-    }
-    for (auto& [number, occurrence] : job.open()) {
-      for (Step& step : occurrence.steps) {
-        AddIfWaiting(step);
-      }
+    if (job.OpenDueOccurrences(wall, context_.clock.Now())) {
+      QueueWaitingSteps(job);
+      RequestSchedulingPass();
     }
-    RequestSchedulingPass();
   }
 }
 
@@ -571,6 +571,19 @@
   return step;
 }
 
+Step* CellLeader::OpenStepOf(const TaskName& name) {
+  const auto found = jobs_.find(name.job);
+  if (found == jobs_.end()) {
+    return nullptr;
+  }
+  Job& job = *found->second;
+  if (job.OpenStartedOccurrence(name.occurrence, context_.clock.WallNow(),
+                                context_.clock.Now())) {
+    QueueWaitingSteps(job);
+  }
+  return StepOf(name);
+}
+
 Executor* CellLeader::FindExecutor(const ExecutorId& id) {
   const auto found = by_id_.find(id);
   return found == by_id_.end() ? nullptr : found->second;
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -192,6 +192,9 @@
   const LeaderCounts& counts() const { return counts_; }
   const WaitCounts& wait_counts() const { return wait_counts_; }
   size_t jobs() const { return jobs_.size(); }
+  // Jobs of which an executor lists runs or ends and whose record is being
+  // read.
+  size_t unread_jobs() const { return unread_jobs_.size(); }
   const std::map<ExecutorId, std::unique_ptr<Executor>>& executors() const {
     return executors_;
   }
@@ -237,6 +240,7 @@
                    const std::string& record,
                    int64_t revision);
   void OpenJob(Job& job);
+  void QueueWaitingSteps(Job& job);
   void AddJob(const JobId& id, const JobRecord& record, int64_t revision);
   void CancelJob(Job& job);
   void EndJob(Job& job);
@@ -251,6 +255,9 @@
   TimePoint ObjectiveOf(const Step& step) const;
   // Null if there is none.
   Step* StepOf(const TaskName& name);
+  // Likewise, for a task that a predecessor may have started: opens its
+  // occurrence if that is not open yet.
+  Step* OpenStepOf(const TaskName& name);
   Executor* FindExecutor(const ExecutorId& id);
 
   // leader_entries.cc: discovery of executors.
@@ -283,8 +290,14 @@
   bool MayHideRun(const Executor& executor, const HoldReply& reply) const;
   void ApplyEnds(Executor& executor, const std::vector<EndedTask>& ends);
   void ApplyEnd(Executor& executor, const EndedTask& end);
+  // `took`: run time, 0 if unknown.
+  void ApplyEndToTask(Executor& executor,
+                      const EndedTask& end,
+                      const TaskName& name,
+                      Duration took);
   void ApplyRunning(Executor& executor, const HoldReply& reply, TimePoint sent);
   void AdoptRun(Executor& executor, const RunningTask& row);
+  void StopUnlessWanted(Executor& executor, Run& run);
   void DropMissingRuns(Executor& executor,
                        const HoldReply& reply,
                        TimePoint sent);
@@ -296,6 +309,29 @@
   void ScheduleHold(Executor& executor, TimePoint at);
   bool IsUsable(const Executor& executor) const;
 
+  // leader_unread_jobs.cc: runs and ends of jobs that were not read yet.
+  struct WithheldEnd {
+    ExecutorId executor;
+    int64_t incarnation = 0;
+    EndedTask end;
+  };
+  struct UnreadJob {
+    TimePoint since{};
+    std::set<ExecutorId> executors;  // with runs of the job
+    std::vector<WithheldEnd> ends;   // in the order they were listed
+  };
+  // Whether the job may be stored although this leader does not know it.
+  bool IsUnread(const JobId& id) const;
+  // Reads the job's record, unless that is under way.
+  UnreadJob& ReadUnreadJob(const JobId& id);
+  void ReadUnreadJobs();
+  void OnUnreadJobRead(const JobId& id, const StoreRead& read);
+  // Keeps an end unacknowledged until its job has been read.
+  void WithholdEnd(Executor& executor, const EndedTask& end, const JobId& id);
+  // Applies the runs and ends of a job that has been read, or that is not
+  // stored. No effect if the job was not an unread one.
+  void SettleUnreadJob(const JobId& id);
+
   // leader_health.cc: unresponsive, slow and draining executors.
   void CheckUnresponsive(Executor& executor);
   void CheckOverdue(Executor& executor);
@@ -485,6 +521,9 @@
   // Cancellations whose job has not been read yet.
   std::set<JobId> unmatched_cancels_;
   std::set<JobId> recurring_jobs_;
+  std::unordered_map<JobId, UnreadJob> unread_jobs_;
+  std::deque<JobId> unread_queue_;  // whose records are to be read
+  size_t unread_reads_ = 0;         // in flight
   std::set<Step*, std::less<>> waiting_;
   // Overdue tasks that may get a second run: step and task index.
   std::set<std::pair<Step*, int>> overdue_copies_;
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -190,6 +190,7 @@
     }
     const bool forget =
         !executor.listed && executor.runs().empty() &&
+        executor.withheld_ends.empty() &&
         now - executor.unlisted_since > kForgetDelay &&
         !executor.hold_in_flight &&
         (unread_executors_.count(it->first) == 0 || PredecessorLeasesExpired());
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -268,13 +268,13 @@
 }
 
 void CellLeader::ApplyEnd(Executor& executor, const EndedTask& end) {
-  const TimePoint now = context_.clock.Now();
   const std::optional<TaskName> name = TaskName::Parse(end.task);
   Run* run = executor.FindRun(end.task);
   Duration took{0};
   if (run != nullptr && run->number == end.run) {
-    took = now - (run->running_since == TimePoint() ? run->start_sent
-                                                    : run->running_since);
+    took = context_.clock.Now() - (run->running_since == TimePoint()
+                                       ? run->start_sent
+                                       : run->running_since);
     if (run->IsStartUnconfirmed()) {
       OnRunBegan(*run, executor);
     }
@@ -285,12 +285,27 @@
                       {"run", std::to_string(end.run)},
                       {"executor", executor.entry.id},
                       {"end", std::string(RunEndName(end.end))}});
-  Step* step = name ? StepOf(*name) : nullptr;
+  if (!name) {
+    return;
+  }
+  if (IsUnread(name->job)) {
+    WithholdEnd(executor, end, name->job);
+    return;
+  }
+  ApplyEndToTask(executor, end, *name, took);
+}
+
+void CellLeader::ApplyEndToTask(Executor& executor,
+                                const EndedTask& end,
+                                const TaskName& name,
+                                Duration took) {
+  const TimePoint now = context_.clock.Now();
+  Step* step = OpenStepOf(name);
   if (step == nullptr) {
     return;
   }
   Job& job = *step->job;
-  Task& task = step->tasks[static_cast<size_t>(name->index)];
+  Task& task = step->tasks[static_cast<size_t>(name.index)];
   task.last_run = std::max(task.last_run, end.run);
   job.set_any_started();
   if (!end.checkpoint.empty() && step->spec->checkpoints && !task.done) {
@@ -316,18 +331,14 @@
           std::chrono::duration<double>(step->spec->estimate);
       ++step->run_time_ratio_count;
     }
-    if (job.OnDone(*step, name->index)) {
+    if (job.OnDone(*step, name.index)) {
       MarkDirty(job);
-      StopCopies(*step, name->index);
+      StopCopies(*step, name.index);
       if (job.terminal()) {
         EndJob(job);
       } else if (step->Finished()) {
         job.UpdateReady(now);
-        for (auto& [number, occurrence] : job.open()) {
-          for (Step& next : occurrence.steps) {
-            AddIfWaiting(next);
-          }
-        }
+        QueueWaitingSteps(job);
       }
     }
     return;
@@ -338,7 +349,7 @@
                          {{"executor", executor.entry.id}});
     }
     MarkDirty(job);
-    if (job.OnFailed(*step, name->index, end.run, executor.entry.id)) {
+    if (job.OnFailed(*step, name.index, end.run, executor.entry.id)) {
       EndJob(job);
     }
   }
@@ -373,7 +384,6 @@
 void CellLeader::AdoptRun(Executor& executor, const RunningTask& row) {
   const TimePoint now = context_.clock.Now();
   const std::optional<TaskName> name = TaskName::Parse(row.task);
-  Step* step = name ? StepOf(*name) : nullptr;
   if (!name || executor.FindRun(row.task) != nullptr) {
     // Not a task of this cell, or a run that was given up before the current
     // one was ordered.
@@ -381,17 +391,27 @@
                             row.run, leadership_.fence, [](OrderReply) {});
     return;
   }
-  Run& run = executor.AddRun(*name, row.run, step, now);
+  Run& run = executor.AddRun(*name, row.run, OpenStepOf(*name), now);
   run.phase = RunPhase::kRunning;
   run.running_since = now;
   run.checkpoint = row.checkpoint;
   run.pace_percent = row.pace_percent;
-  bool wanted = step != nullptr && !step->job->terminal() &&
-                !step->tasks[static_cast<size_t>(name->index)].done;
+  if (IsUnread(name->job)) {
+    ReadUnreadJob(name->job).executors.insert(executor.entry.id);
+  } else {
+    StopUnlessWanted(executor, run);
+  }
+}
+
+void CellLeader::StopUnlessWanted(Executor& executor, Run& run) {
+  Step* step = run.step;
+  const auto index = static_cast<size_t>(run.name.index);
+  bool wanted =
+      step != nullptr && !step->job->terminal() && !step->tasks[index].done;
   if (wanted) {
     step->job->set_any_started();
-    step->gang_run = std::max(step->gang_run, row.run);
-    const Task& task = step->tasks[static_cast<size_t>(name->index)];
+    step->gang_run = std::max(step->gang_run, run.number);
+    const Task& task = step->tasks[index];
     wanted = task.live <= 1 || step->spec->copies_allowed;
   }
   if (!wanted) {
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -29,7 +29,8 @@
 
 void CellLeader::AddUnstoredEnds(const Executor& executor) {
   unstored_ends_.push_back({executor.entry.id, executor.incarnation,
-                            executor.ends_read, progress_queue_.last_change()});
+                            executor.ends_settled(),
+                            progress_queue_.last_change()});
 }
 
 void CellLeader::AcknowledgeEnds() {
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -253,6 +253,7 @@
         context_.clock.Now() - upkeep.since < GracePeriodOf(state);
     for (auto& [name, run] : executor->runs()) {
       if (run.step == nullptr) {
+        clear = clear && run.phase == RunPhase::kStopping;
         continue;
       }
       const StepSpec& spec = *run.step->spec;
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -35,6 +35,7 @@
         << "chivedale_progress_writes_total " << counts.progress_writes << "\n"
         << "chivedale_steps_waiting " << waits.waiting << "\n"
         << "chivedale_steps_waiting_long " << waits.waiting_long << "\n"
+        << "chivedale_unread_jobs " << leader->unread_jobs() << "\n"
         << "chivedale_steps_not_queued " << waits.not_queued << "\n";
   }
   out << node.metrics().PrometheusText();
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -65,6 +65,8 @@
       {Event::kStepWaiting, "step_waiting", L::kWarning},
       {Event::kStepWaitEnded, "step_wait_ended", L::kInfo},
       {Event::kStepNotQueued, "step_not_queued", L::kError},
+      {Event::kUnreadJob, "unread_job", L::kInfo},
+      {Event::kUnreadJobSettled, "unread_job_settled", L::kInfo},
       {Event::kExecutorFound, "executor_found", L::kInfo},
       {Event::kExecutorAdopted, "executor_adopted", L::kInfo},
       {Event::kExecutorNewLife, "executor_new_life", L::kWarning},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -79,6 +79,8 @@
   kStepWaiting = 1206,
   kStepWaitEnded = 1207,
   kStepNotQueued = 1208,
+  kUnreadJob = 1209,
+  kUnreadJobSettled = 1210,
   kExecutorFound = 1301,
   kExecutorAdopted = 1302,
   kExecutorNewLife = 1303,
