--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -93,7 +93,7 @@
   ends_read = 0;
   ends_stored = 0;
   ends_confirmed = 0;
-  withheld_ends.clear();
+  unstored_ends.clear();
   missed_holds = 0;
   clock_known_ = false;
   max_deadline_ = Millis(0);
@@ -114,12 +114,6 @@
          kExpiryMargin;
 }
 
-int64_t Executor::ends_settled() const {
-  return withheld_ends.empty()
-             ? ends_read
-             : std::min(ends_read, *withheld_ends.begin() - 1);
-}
-
 bool Executor::HasLabel(const std::string& label) const {
   return std::find(entry.labels.begin(), entry.labels.end(), label) !=
          entry.labels.end();
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -12,8 +12,8 @@
 #define CELL_EXECUTOR_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
 
 #include "cell/executor_health.h"
@@ -64,6 +64,14 @@
   bool stop_in_flight = false;
 };
 
+// An end that must not be acknowledged before its effect on its job's progress
+// is stored.
+struct UnstoredEnd {
+  int64_t number = 0;
+  JobId job;           // empty: no effect
+  int64_t change = 0;  // see ProgressQueue
+};
+
 class Executor {
  public:
   // `number` is unique among the executors of one leader.
@@ -98,9 +106,6 @@
   // slowest permitted clock.
   TimePoint LeasesExpiredBy() const;
   bool HasLabel(const std::string& label) const;
-  // Highest end number processed such that no end up to it is withheld.
-  int64_t ends_settled() const;
-
   const size_t number;
   ExecutorEntry entry;
   ExecutorHealth health;
@@ -114,8 +119,8 @@
   int64_t ends_read = 0;  // highest end number processed
   // Highest end number whose effect on job progress is stored.
   int64_t ends_stored = 0;
-  // Numbers of ends whose job has not been read yet.
-  std::set<int64_t> withheld_ends;
+  // Ends that have been processed and whose effect may not be stored, in order.
+  std::deque<UnstoredEnd> unstored_ends;
   // Highest end number whose acknowledgement the executor has received.
   int64_t ends_confirmed = 0;
   // Consecutive unanswered holds. Also set to at least 1 where the executor
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -1,6 +1,7 @@
 // Stored progress contains only what a new leader cannot read from the
 // executors: acknowledged ends, failed runs and checkpoints. Active runs are
-// not stored because each executor lists its own.
+// not stored because each executor lists its own. Of a recurring job, it lists
+// the open occurrences; all others up to the latest opened one are finished.
 #include "cell/job.h"
 
 #include <algorithm>
@@ -18,6 +19,15 @@
 
 // An earlier leader's clock may have been ahead of this one by this time.
 constexpr Millis kMaxClockLead = std::chrono::hours(24);
+// Finished occurrences that are listed all the same, for leaders of the version
+// that opens each one that is not listed.
+constexpr int kMaxListedFinished = 256;
+constexpr int64_t kMaxListedTasks = 16'384;
+// Upper bounds of the encoded progress of a job, an occurrence and a step
+// beside that of their tasks.
+constexpr size_t kJobBytes = 64;
+constexpr size_t kOccurrenceBytes = 16;
+constexpr size_t kStepBytes = 8;
 // Of a wall clock's time since its epoch.
 constexpr int64_t kMaxWallMillis = int64_t{1} << 52;
 
@@ -270,6 +280,11 @@
       [](const Task& task) { return !task.done && task.live == 0; }));
 }
 
+bool Occurrence::HasRuns() const {
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const Step& step) { return !step.live_on.empty(); });
+}
+
 bool Occurrence::Finished() const {
   return std::all_of(steps.begin(), steps.end(),
                      [](const Step& step) { return step.Finished(); });
@@ -293,6 +308,7 @@
     step.occurrence = number;
     step.index = static_cast<int>(i);
     step.tasks.resize(static_cast<size_t>(step.spec->count));
+    open_tasks_ += step.spec->count;
     step.ready_since = now;
   }
   return occurrence;
@@ -310,9 +326,12 @@
 
 bool Job::OpenDueOccurrences(WallTime wall_now, TimePoint now) {
   bool opened = false;
-  while (NextDue() <= wall_now) {
-    Open(next_occurrence_++, now);
-    opened = true;
+  while (NextDue() <= wall_now && open_tasks_ < kMaxOpenTasks) {
+    const int number = next_occurrence_++;
+    if (open_.count(number) == 0) {
+      Open(number, now);
+      opened = true;
+    }
   }
   if (opened) {
     UpdateReady(now);
@@ -322,18 +341,45 @@
 
 bool Job::OpenStartedOccurrence(int number, WallTime wall_now, TimePoint now) {
   if (!recurring() || terminal() || number < next_occurrence_ ||
-      number >= record_.spec.occurrences ||
-      record_.spec.first_start + number * record_.spec.interval >
-          wall_now + kMaxClockLead) {
+      open_.count(number) > 0 || number >= record_.spec.occurrences ||
+      IsFarFromDue(number, wall_now)) {
     return false;
   }
-  while (next_occurrence_ <= number) {
-    Open(next_occurrence_++, now);
-  }
+  Open(number, now);
   UpdateReady(now);
   return true;
 }
 
+bool Job::IsFarFromDue(int number, WallTime wall_now) const {
+  return recurring() &&
+         record_.spec.first_start + number * record_.spec.interval >
+             wall_now + kMaxClockLead;
+}
+
+bool Job::ListsFinished() const {
+  int64_t tasks = 0;
+  for (const StepSpec& step : record_.spec.steps) {
+    tasks += step.count;
+  }
+  return next_occurrence_ <= kMaxListedFinished &&
+         next_occurrence_ * tasks <= kMaxListedTasks;
+}
+
+std::vector<int> Job::RemovableOccurrences() const {
+  std::vector<int> removable;
+  for (const auto& [number, occurrence] : open_) {
+    if (recurring() && number < next_occurrence_ && occurrence.Finished() &&
+        !occurrence.HasRuns()) {
+      removable.push_back(number);
+    }
+  }
+  return removable;
+}
+
+void Job::RemoveOccurrence(int number) {
+  open_.erase(number);
+}
+
 void Job::UpdateReady(TimePoint now) {
   for (auto& entry : open_) {
     Occurrence& occurrence = entry.second;
@@ -357,6 +403,7 @@
   if (step.tasks[static_cast<size_t>(task)].done || step.spec->long_running) {
     return false;
   }
+  const int done_before = step.done;
   if (step.spec->gang) {
     for (Task& member : step.tasks) {
       member.done = true;
@@ -366,6 +413,7 @@
     step.tasks[static_cast<size_t>(task)].done = true;
     ++step.done;
   }
+  open_tasks_ -= step.done - done_before;
   const auto occurrence = open_.find(step.occurrence);
   const int total = recurring() ? record_.spec.occurrences : 1;
   const bool all_done =
@@ -384,6 +432,10 @@
                    const ExecutorId& executor) {
   Task& failed = step.tasks[static_cast<size_t>(task)];
   failed.failed_on.insert(executor);
+  // A long-running task may fail any number of times.
+  if (step.spec->long_running) {
+    return false;
+  }
   failed.failed_runs.insert(run);
   // The members of a gang share a run number, so that a run in which several
   // members fail counts as one failure.
@@ -393,8 +445,7 @@
     }
   }
   const auto failures = static_cast<int>(failed.failed_runs.size());
-  if (step.spec->long_running || terminal() || failed.done ||
-      failures < record_.queue.max_attempts) {
+  if (terminal() || failed.done || failures < record_.queue.max_attempts) {
     return false;
   }
   state_ = JobState::kFailed;
@@ -429,8 +480,47 @@
   return &found->second.steps[static_cast<size_t>(step)];
 }
 
-std::string Job::EncodeProgress() const {
+std::string Job::EncodeProgress(size_t max_bytes) const {
+  std::string bytes;
+  for (const ProgressDetail detail :
+       {ProgressDetail::kAll, ProgressDetail::kNoCheckpoints,
+        ProgressDetail::kDoneOnly}) {
+    bytes = Encode(detail);
+    if (bytes.size() <= max_bytes) {
+      break;
+    }
+  }
+  return bytes;
+}
+
+size_t Job::MaxBareProgressBytes(const JobSpec& spec) {
+  // One occurrence, and as many others as may be open beside it.
+  constexpr size_t kTaskBytes = kOccurrenceBytes + kStepBytes + 1;
+  size_t bytes = spec.occurrences > 0 ? kMaxOpenTasks * kTaskBytes : 0;
+  for (const StepSpec& step : spec.steps) {
+    bytes += static_cast<size_t>(step.count) + kStepBytes;
+  }
+  return bytes + kOccurrenceBytes + kJobBytes;
+}
+
+std::string Job::Encode(ProgressDetail detail) const {
+  const std::string state(JobStateName(state_));
+  if (terminal()) {
+    return ToMsgpack(json::array({state, any_started_, json::array(), 0}));
+  }
   json occurrences = json::array();
+  if (ListsFinished()) {
+    json finished = json::array();
+    for (const StepSpec& step : record_.spec.steps) {
+      finished.push_back(json::array(
+          {std::string(static_cast<size_t>(step.count), '1'), json::array()}));
+    }
+    for (int number = 0; number < next_occurrence_; ++number) {
+      if (open_.count(number) == 0) {
+        occurrences.push_back(json::array({number, finished}));
+      }
+    }
+  }
   for (const auto& [number, occurrence] : open_) {
     json steps = json::array();
     for (const Step& step : occurrence.steps) {
@@ -439,19 +529,21 @@
       for (size_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
         done[i] = task.done ? '1' : '0';
-        if (!task.done &&
-            (!task.failed_runs.empty() || !task.checkpoint.empty())) {
-          unfinished.push_back(
-              json::array({i, task.failed_runs, task.checkpoint}));
+        const bool has_detail =
+            !task.failed_runs.empty() ||
+            (detail == ProgressDetail::kAll && !task.checkpoint.empty());
+        if (!task.done && has_detail && detail != ProgressDetail::kDoneOnly) {
+          unfinished.push_back(json::array(
+              {i, task.failed_runs,
+               detail == ProgressDetail::kAll ? task.checkpoint : ""}));
         }
       }
       steps.push_back(json::array({done, std::move(unfinished)}));
     }
     occurrences.push_back(json::array({number, std::move(steps)}));
   }
-  return ToMsgpack(
-      json::array({std::string(JobStateName(state_)), any_started_,
-                   terminal() ? json::array() : std::move(occurrences)}));
+  return ToMsgpack(json::array(
+      {state, any_started_, std::move(occurrences), next_occurrence_}));
 }
 
 void Job::DecodeProgress(const std::string& bytes,
@@ -471,50 +563,64 @@
       stored_state_ = *state;
       return;
     }
-    OpenDueOccurrences(wall_now, now);
     const json& occurrences = value.at(2);
     if (!occurrences.is_array()) {
       throw std::runtime_error("the occurrences are not a list");
     }
-    const int total = recurring() ? record_.spec.occurrences : 1;
     for (const json& stored : occurrences) {
-      const int number = Count(stored.at(0), 0, total - 1);
-      if (recurring() &&
-          record_.spec.first_start + number * record_.spec.interval >
-              wall_now + kMaxClockLead) {
-        throw std::runtime_error("an occurrence is not due yet");
-      }
-      while (next_occurrence_ <= number) {
-        Open(next_occurrence_++, now);
-      }
-      size_t index = 0;
-      for (const json& stored_step : stored.at(1)) {
-        Step& step = open_.at(number).steps.at(index++);
-        const std::string done =
-            Text(stored_step.at(0), static_cast<size_t>(kMaxTasksPerStep));
-        for (size_t i = 0; i < step.tasks.size() && i < done.size(); ++i) {
-          step.tasks[i].done = done[i] == '1';
-        }
-        step.done = static_cast<int>(
-            std::count_if(step.tasks.begin(), step.tasks.end(),
-                          [](const Task& task) { return task.done; }));
-        for (const json& unfinished_task : stored_step.at(1)) {
-          const auto index_of_task = static_cast<size_t>(
-              Integer(unfinished_task.at(0), 0, kMaxTasksPerStep));
-          Task& task = step.tasks.at(index_of_task);
-          std::set<int64_t> failed_runs;
-          for (const json& run : unfinished_task.at(1)) {
-            failed_runs.insert(Integer(run, 0, kMaxNumber));
-          }
-          task.checkpoint = Text(unfinished_task.at(2), kMaxTokenBytes);
-          task.failed_runs = std::move(failed_runs);
-        }
-      }
+      DecodeOccurrence(stored, wall_now, now);
+    }
+    // An earlier version lists all occurrences that it has opened.
+    const int total = recurring() ? record_.spec.occurrences : 1;
+    const int listed = open_.empty() ? 0 : open_.rbegin()->first + 1;
+    const int next = value.size() > 3 ? Count(value.at(3), 0, total) : listed;
+    if (next > 0 && IsFarFromDue(next - 1, wall_now)) {
+      throw std::runtime_error("an occurrence is not due yet");
     }
+    next_occurrence_ = next;
+    OpenDueOccurrences(wall_now, now);
     UpdateReady(now);
   } catch (const std::exception& error) {
     throw std::runtime_error(std::string("job progress: ") + error.what());
   }
 }
 
+void Job::DecodeOccurrence(const json& stored,
+                           WallTime wall_now,
+                           TimePoint now) {
+  const int total = recurring() ? record_.spec.occurrences : 1;
+  const int number = Count(stored.at(0), 0, total - 1);
+  if (IsFarFromDue(number, wall_now)) {
+    throw std::runtime_error("an occurrence is not due yet");
+  }
+  if (open_.count(number) > 0) {
+    throw std::runtime_error("an occurrence is listed twice");
+  }
+  Occurrence& occurrence = Open(number, now);
+  size_t index = 0;
+  for (const json& stored_step : stored.at(1)) {
+    Step& step = occurrence.steps.at(index++);
+    const std::string done =
+        Text(stored_step.at(0), static_cast<size_t>(kMaxTasksPerStep));
+    for (size_t i = 0; i < step.tasks.size() && i < done.size(); ++i) {
+      step.tasks[i].done = done[i] == '1';
+    }
+    step.done = static_cast<int>(
+        std::count_if(step.tasks.begin(), step.tasks.end(),
+                      [](const Task& task) { return task.done; }));
+    open_tasks_ -= step.done;
+    for (const json& unfinished_task : stored_step.at(1)) {
+      const auto index_of_task = static_cast<size_t>(
+          Integer(unfinished_task.at(0), 0, kMaxTasksPerStep));
+      Task& task = step.tasks.at(index_of_task);
+      std::set<int64_t> failed_runs;
+      for (const json& run : unfinished_task.at(1)) {
+        failed_runs.insert(Integer(run, 0, kMaxNumber));
+      }
+      task.checkpoint = Text(unfinished_task.at(2), kMaxTokenBytes);
+      task.failed_runs = std::move(failed_runs);
+    }
+  }
+}
+
 }  // namespace chivedale::cell
--- a/cell/job.h
+++ b/cell/job.h
@@ -15,10 +15,12 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "cell/ports.h"
 #include "cell/step_wait.h"
 #include "cell/types.h"
 
@@ -123,8 +125,14 @@
   WallTime due{};
   std::vector<Step> steps;
   bool Finished() const;
+  bool HasRuns() const;
 };
 
+// Open occurrences of a recurring job with as many tasks that are not done keep
+// later ones from being opened: neither the leader's memory nor the stored
+// progress grows with the number that is due.
+inline constexpr int kMaxOpenTasks = 2'000;
+
 class Job {
  public:
   // `revision`: store revision at which the job was accepted.
@@ -133,11 +141,14 @@
   Job& operator=(const Job&) = delete;
 
   // Commands.
-  // Creates the occurrences that are due. Returns true if any was created.
+  // Creates the occurrences that are due, as long as the open ones have fewer
+  // than kMaxOpenTasks tasks to do. Returns true if any was created.
   bool OpenDueOccurrences(WallTime wall_now, TimePoint now);
-  // Creates the occurrences up to one that a predecessor has started, whose
-  // clock may have been ahead. Returns true if any was created.
+  // Creates an occurrence that a predecessor has started: its clock may have
+  // been ahead, or its progress not be stored. Returns true if it was created.
   bool OpenStartedOccurrence(int number, WallTime wall_now, TimePoint now);
+  // Forgets a finished occurrence. Requires that no run refers to its steps.
+  void RemoveOccurrence(int number);
   // Marks steps whose dependencies are done as ready.
   void UpdateReady(TimePoint now);
   // Marks the task, or all tasks of a gang, as done. Returns false if it
@@ -182,14 +193,30 @@
   const std::map<int, Occurrence>& open() const { return open_; }
   // Null if the occurrence is not open.
   Step* FindStep(int occurrence, int step);
-  std::string EncodeProgress() const;
+  // Returns the progress to store, in at most `max_bytes` if possible: without
+  // the checkpoints, then without the failed runs if there are too many.
+  std::string EncodeProgress(size_t max_bytes = kDefaultMaxValueBytes) const;
+  // Upper bound of the size without both.
+  static size_t MaxBareProgressBytes(const JobSpec& spec);
+  // Finished occurrences of a recurring job without runs.
+  std::vector<int> RemovableOccurrences() const;
   // Due time of the next occurrence; WallTime::max() if there is none.
   WallTime NextDue() const;
   // Declared run time of the critical path of steps.
   Millis ChainEstimate() const { return chain_estimate_; }
 
  private:
+  enum class ProgressDetail { kAll, kNoCheckpoints, kDoneOnly };
+
   Occurrence& Open(int number, TimePoint now);
+  // Whether not even a predecessor whose clock was ahead can have opened it.
+  bool IsFarFromDue(int number, WallTime wall_now) const;
+  // Whether the progress lists the occurrences that are finished.
+  bool ListsFinished() const;
+  std::string Encode(ProgressDetail detail) const;
+  void DecodeOccurrence(const nlohmann::json& stored,
+                        WallTime wall_now,
+                        TimePoint now);
 
   const JobId id_;
   const JobRecord record_;
@@ -200,8 +227,10 @@
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
+  // Those below were opened; they are finished if they are not in open_.
   int next_occurrence_ = 0;
   std::map<int, Occurrence> open_;  // by occurrence number
+  int open_tasks_ = 0;              // tasks in open_ that are not done
   Millis chain_estimate_{0};
   TimePoint ended_{};
 };
--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -26,7 +26,8 @@
     : clock_(clock),
       store_(store),
       run_after_(std::move(run_after)),
-      store_down_(std::move(store_down)) {}
+      store_down_(std::move(store_down)),
+      max_batch_(kMaxBatch) {}
 
 JobIntake::~JobIntake() = default;
 
@@ -110,7 +111,7 @@
   std::vector<Entry> batch;
   StoreWrite write;
   std::set<std::string> keys;
-  for (size_t i = 0; i < queue_.size() && batch.size() < kMaxBatch;) {
+  for (size_t i = 0; i < queue_.size() && batch.size() < max_batch_;) {
     // A key may occur only once in a write.
     if ((down && queue_[i].CanRefuse()) || !keys.insert(queue_[i].key).second) {
       ++i;
@@ -143,6 +144,7 @@
   switch (reply.status) {
     case StoreStatus::kOk:
       last_answer_ = clock_.Now();
+      max_batch_ = std::min(kMaxBatch, 2 * max_batch_);
       for (const Entry& entry : batch) {
         entry.done(SubmitResult::kAccepted, reply.revision);
       }
@@ -165,10 +167,19 @@
           rest.push_back(std::move(entry));
         }
       }
-      // Requeue at the front, in order, without delay.
-      for (auto it = rest.rbegin(); it != rest.rend(); ++it) {
-        queue_.push_front(std::move(*it));
+      ReturnToQueue(std::move(rest));
+      return;
+    }
+    case StoreStatus::kInvalid: {
+      last_answer_ = clock_.Now();
+      max_batch_ = std::max<size_t>(1, batch.size() / 2);
+      if (batch.size() > 1) {
+        ReturnToQueue(std::move(batch));
+        return;
       }
+      const Entry& entry = batch.front();
+      entry.done(
+          entry.uncertain ? SubmitResult::kUnknown : SubmitResult::kInvalid, 0);
       return;
     }
     default:
@@ -177,11 +188,17 @@
   }
 }
 
-void JobIntake::Requeue(std::vector<Entry> batch, bool uncertain) {
-  for (auto it = batch.rbegin(); it != batch.rend(); ++it) {
-    it->uncertain = it->uncertain || uncertain;
+void JobIntake::ReturnToQueue(std::vector<Entry> entries) {
+  for (auto it = entries.rbegin(); it != entries.rend(); ++it) {
     queue_.push_front(std::move(*it));
   }
+}
+
+void JobIntake::Requeue(std::vector<Entry> batch, bool uncertain) {
+  for (Entry& entry : batch) {
+    entry.uncertain = entry.uncertain || uncertain;
+  }
+  ReturnToQueue(std::move(batch));
   ExpireEntries();
   RetryLater();
 }
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -29,6 +29,7 @@
   kAccepted,
   kNotStored,  // definite: this submission does not store the job
   kUnknown,
+  kInvalid,  // definite, and so would be any other submission of the job
 };
 enum class CancelResult { kCancelled, kNoSuchJob, kUnavailable };
 
@@ -77,6 +78,9 @@
   void Enqueue(Entry entry);
   void WriteNext();
   void OnWritten(std::vector<Entry> batch, const StoreWriteReply& reply);
+  // Puts the entries at the front of the queue, in order.
+  void ReturnToQueue(std::vector<Entry> entries);
+  // Likewise after a failed write, to be repeated after a delay.
   void Requeue(std::vector<Entry> batch, bool uncertain);
   void RetryLater();
   void ExpireEntries();
@@ -97,6 +101,9 @@
   std::deque<Entry> queue_;
   bool write_in_flight_ = false;
   bool retry_pending_ = false;
+  // Entries of the next write; fewer after a write was rejected as invalid, so
+  // that an entry that cannot be stored does not hold up the others.
+  size_t max_batch_ = 0;
   TimePoint last_answer_{};
 };
 
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -130,7 +130,9 @@
   }
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
+    RemoveFinishedOccurrences();
     RemoveExpiredJobs();
+    RetryRejectedProgress();
     ReportWaitingSteps();
     RequestSchedulingPass();
   }
@@ -434,15 +436,19 @@
   recurring_jobs_.erase(job.id());
   for (auto& [number, occurrence] : job.open()) {
     for (Step& step : occurrence.steps) {
-      waiting_.erase(&step);
-      for (size_t i = 0; i < step.tasks.size(); ++i) {
-        overdue_copies_.erase({&step, static_cast<int>(i)});
-      }
+      ForgetStep(step);
     }
   }
   StopAll(job);
 }
 
+void CellLeader::ForgetStep(Step& step) {
+  waiting_.erase(&step);
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    overdue_copies_.erase({&step, static_cast<int>(i)});
+  }
+}
+
 void CellLeader::StopAll(Job& job) {
   for (auto& [number, occurrence] : job.open()) {
     for (Step& step : occurrence.steps) {
@@ -470,6 +476,18 @@
   }
 }
 
+void CellLeader::RemoveFinishedOccurrences() {
+  for (const JobId& id : recurring_jobs_) {
+    Job& job = *jobs_.at(id);
+    for (const int number : job.RemovableOccurrences()) {
+      for (Step& step : job.open().at(number).steps) {
+        ForgetStep(step);
+      }
+      job.RemoveOccurrence(number);
+    }
+  }
+}
+
 void CellLeader::RemoveExpiredJobs() {
   StoreWrite write;
   std::vector<JobId> removed;
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -49,6 +49,7 @@
   Millis restore_time{600};   // to resume from a checkpoint
   Millis upkeep_time{2'000};  // duration of a VM's upkeep
   Millis status_retention{120'000};
+  size_t max_value_bytes = kDefaultMaxValueBytes;  // of the store
   PlacerOptions placer;
 };
 
@@ -118,6 +119,7 @@
   int64_t preempted = 0;
   int64_t advice = 0;  // advice calls
   int64_t progress_writes = 0;
+  int64_t rejected_writes = 0;  // of progress, rejected as invalid
 };
 
 // Steps with waiting tasks, as of the last periodic check.
@@ -244,8 +246,11 @@
   void AddJob(const JobId& id, const JobRecord& record, int64_t revision);
   void CancelJob(Job& job);
   void EndJob(Job& job);
+  // Removes the step from the scheduling passes.
+  void ForgetStep(Step& step);
   void StopAll(Job& job);
   void OpenDueRecurringJobs();
+  void RemoveFinishedOccurrences();
   void RemoveExpiredJobs();
   // Forgets the removed jobs that no later read of the watch can show.
   void ForgetRemovedJobs();
@@ -289,7 +294,9 @@
               const HoldReply& reply);
   bool MayHideRun(const Executor& executor, const HoldReply& reply) const;
   void ApplyEnds(Executor& executor, const std::vector<EndedTask>& ends);
-  void ApplyEnd(Executor& executor, const EndedTask& end);
+  void ApplyEnd(Executor& executor,
+                const EndedTask& end,
+                UnstoredEnd& unstored);
   // `took`: run time, 0 if unknown.
   void ApplyEndToTask(Executor& executor,
                       const EndedTask& end,
@@ -326,8 +333,6 @@
   UnreadJob& ReadUnreadJob(const JobId& id);
   void ReadUnreadJobs();
   void OnUnreadJobRead(const JobId& id, const StoreRead& read);
-  // Keeps an end unacknowledged until its job has been read.
-  void WithholdEnd(Executor& executor, const EndedTask& end, const JobId& id);
   // Applies the runs and ends of a job that has been read, or that is not
   // stored. No effect if the job was not an unread one.
   void SettleUnreadJob(const JobId& id);
@@ -467,9 +472,6 @@
 
   // leader_progress.cc: stored progress.
   void MarkDirty(Job& job);
-  // Records that the ends read from the executor may be acknowledged once all
-  // changes of progress so far are stored.
-  void AddUnstoredEnds(const Executor& executor);
   // Writes changed progress in each lane that may write now.
   void Flush();
   void FlushLane(size_t lane);
@@ -477,7 +479,13 @@
                  const StoreWriteReply& reply,
                  const std::map<JobId, JobState>& written);
   void ShowStored(const JobId& id, JobState state);
+  // Acknowledges the ends, in order, whose effect is stored.
   void AcknowledgeEnds();
+  void AcknowledgeEnds(Executor& executor);
+  // Whether the end's job has been read and its progress is stored.
+  bool IsStored(const UnstoredEnd& end) const;
+  // Lets progress be written again that the store has rejected as invalid.
+  void RetryRejectedProgress();
 
   void OnFenced(const std::string& reason);
   // Wraps a callback so that it does nothing once the leader is destroyed.
@@ -577,14 +585,9 @@
     TimePoint next_flush{};
   };
   std::vector<LaneState> lanes_;
-  struct UnstoredEnds {
-    ExecutorId executor;
-    int64_t incarnation = 0;
-    int64_t last_end = 0;  // highest end number
-    int64_t change = 0;    // acknowledged once this change is stored
-  };
-  // In the order of `change`.
-  std::deque<UnstoredEnds> unstored_ends_;
+  TimePoint next_rejected_retry_{};
+  // Numbers of the executors with unstored ends.
+  std::set<size_t> executors_with_unstored_ends_;
   int64_t executors_revision_ = 0;  // of kExecutorsKey
 };
 
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -190,7 +190,7 @@
     }
     const bool forget =
         !executor.listed && executor.runs().empty() &&
-        executor.withheld_ends.empty() &&
+        executor.unstored_ends.empty() &&
         now - executor.unlisted_since > kForgetDelay &&
         !executor.hold_in_flight &&
         (unread_executors_.count(it->first) == 0 || PredecessorLeasesExpired());
@@ -265,6 +265,11 @@
     }
     return;  // retried by the next poll
   }
+  if (reply.status == StoreStatus::kInvalid) {
+    context_.log.Write(
+        Event::kStoreWriteRejected,
+        {{"key", kExecutorsKey}, {"executors", std::to_string(ids.size())}});
+  }
   if (reply.status != StoreStatus::kOk) {
     return;
   }
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -221,11 +221,7 @@
                         {"ended", std::to_string(reply.ended.size())},
                         {"fence", std::to_string(leadership_.fence)}});
   }
-  const int64_t ends_before = executor.ends_read;
   ApplyEnds(executor, reply.ended);
-  if (executor.ends_read > ends_before) {
-    AddUnstoredEnds(executor);
-  }
   ApplyRunning(executor, reply, sent);
   if (executor.ends_read > executor.ends_stored) {
     ScheduleHold(executor, now + kUnstoredEndsHoldDelay);
@@ -260,14 +256,23 @@
       continue;
     }
     executor.ends_read = end.number;
+    UnstoredEnd& unstored = executor.unstored_ends.emplace_back();
+    unstored.number = end.number;
     if (!end.task.empty()) {
       ++counts_.ends;
-      ApplyEnd(executor, end);
+      ApplyEnd(executor, end, unstored);
     }
   }
+  // Ends that changed no job need no write.
+  AcknowledgeEnds(executor);
+  if (!executor.unstored_ends.empty()) {
+    executors_with_unstored_ends_.insert(executor.number);
+  }
 }
 
-void CellLeader::ApplyEnd(Executor& executor, const EndedTask& end) {
+void CellLeader::ApplyEnd(Executor& executor,
+                          const EndedTask& end,
+                          UnstoredEnd& unstored) {
   const std::optional<TaskName> name = TaskName::Parse(end.task);
   Run* run = executor.FindRun(end.task);
   Duration took{0};
@@ -288,11 +293,14 @@
   if (!name) {
     return;
   }
+  unstored.job = name->job;
   if (IsUnread(name->job)) {
-    WithholdEnd(executor, end, name->job);
+    ReadUnreadJob(name->job).ends.push_back(
+        {executor.entry.id, executor.incarnation, end});
     return;
   }
   ApplyEndToTask(executor, end, *name, took);
+  unstored.change = progress_queue_.LastChangeOf(name->job);
 }
 
 void CellLeader::ApplyEndToTask(Executor& executor,
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -4,6 +4,7 @@
 // leader cannot write, and on its lane's sequence key, so that an unanswered
 // write that takes effect seconds later does not overwrite newer progress.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "cell/leader.h"
@@ -15,6 +16,10 @@
 constexpr Millis kFlushInterval{25};
 constexpr Millis kFlushTimeout{1'000};
 constexpr Millis kFlushRetry{250};
+// Time after which progress that the store has rejected is written again.
+constexpr Millis kRejectedRetry{5'000};
+// A write with more bytes of progress than this takes no further job.
+constexpr size_t kMaxWriteBytes = size_t{1} << 20;
 
 }  // namespace
 
@@ -27,24 +32,40 @@
   progress_queue_.Add(job.id());
 }
 
-void CellLeader::AddUnstoredEnds(const Executor& executor) {
-  unstored_ends_.push_back({executor.entry.id, executor.incarnation,
-                            executor.ends_settled(),
-                            progress_queue_.last_change()});
+bool CellLeader::IsStored(const UnstoredEnd& end) const {
+  return unread_jobs_.count(end.job) == 0 &&
+         progress_queue_.IsStored(end.job, end.change);
+}
+
+void CellLeader::AcknowledgeEnds(Executor& executor) {
+  const int64_t before = executor.ends_stored;
+  std::deque<UnstoredEnd>& ends = executor.unstored_ends;
+  while (!ends.empty() && IsStored(ends.front())) {
+    executor.ends_stored = std::max(executor.ends_stored, ends.front().number);
+    ends.pop_front();
+  }
+  if (executor.ends_stored > before) {
+    ScheduleHold(executor, context_.clock.Now());
+  }
 }
 
 void CellLeader::AcknowledgeEnds() {
-  const TimePoint now = context_.clock.Now();
-  const int64_t stored = progress_queue_.stored_change();
-  while (!unstored_ends_.empty() && unstored_ends_.front().change <= stored) {
-    const UnstoredEnds& ends = unstored_ends_.front();
-    Executor* executor = FindExecutor(ends.executor);
-    if (executor != nullptr && executor->incarnation == ends.incarnation &&
-        executor->ends_stored < ends.last_end) {
-      executor->ends_stored = ends.last_end;
-      ScheduleHold(*executor, now);
+  for (auto it = executors_with_unstored_ends_.begin();
+       it != executors_with_unstored_ends_.end();) {
+    Executor* executor = by_number_[*it];
+    if (executor != nullptr) {
+      AcknowledgeEnds(*executor);
     }
-    unstored_ends_.pop_front();
+    const bool all = executor == nullptr || executor->unstored_ends.empty();
+    it = all ? executors_with_unstored_ends_.erase(it) : std::next(it);
+  }
+}
+
+void CellLeader::RetryRejectedProgress() {
+  const TimePoint now = context_.clock.Now();
+  if (now >= next_rejected_retry_) {
+    next_rejected_retry_ = now + kRejectedRetry;
+    progress_queue_.RetryRejected();
   }
 }
 
@@ -58,8 +79,6 @@
       FlushLane(lane);
     }
   }
-  // Ends that changed no job need no write.
-  AcknowledgeEnds();
 }
 
 void CellLeader::FlushLane(size_t lane) {
@@ -70,16 +89,28 @@
   write.conditions.emplace_back(sequence_key, state.sequence_revision);
   write.puts.emplace_back(sequence_key, std::to_string(leadership_.fence));
   std::map<JobId, JobState> written;
-  for (const JobId& id : progress_queue_.Take(lane)) {
+  size_t bytes = 0;
+  progress_queue_.Take(lane, [&](const JobId& id) {
     const Job& job = *jobs_.at(id);
-    write.puts.emplace_back(ProgressKey(id), job.EncodeProgress());
+    std::string progress = job.EncodeProgress(options_.max_value_bytes);
+    bytes += progress.size();
+    write.puts.emplace_back(ProgressKey(id), std::move(progress));
     written[id] = job.state();
-  }
+    return bytes < kMaxWriteBytes;
+  });
   state.next_flush = context_.clock.Now() + kFlushInterval;
   ++counts_.progress_writes;
   context_.store.Write(write, kFlushTimeout,
-                       Guard([this, lane, written = std::move(written)](
-                                 const StoreWriteReply& reply) {
+                       Guard([this, lane, written = std::move(written),
+                              bytes](const StoreWriteReply& reply) {
+                         if (reply.status == StoreStatus::kInvalid) {
+                           ++counts_.rejected_writes;
+                           context_.log.Write(
+                               Event::kStoreWriteRejected,
+                               {{"job", written.begin()->first},
+                                {"jobs", std::to_string(written.size())},
+                                {"bytes", std::to_string(bytes)}});
+                         }
                          OnFlushed(lane, reply, written);
                        }));
 }
@@ -89,7 +120,10 @@
                            const std::map<JobId, JobState>& written) {
   LaneState& state = lanes_[lane];
   const TimePoint now = context_.clock.Now();
-  progress_queue_.OnWritten(lane, reply.status == StoreStatus::kOk);
+  progress_queue_.OnWritten(
+      lane, reply.status == StoreStatus::kOk        ? WriteResult::kStored
+            : reply.status == StoreStatus::kInvalid ? WriteResult::kRejected
+                                                    : WriteResult::kFailed);
   if (reply.status == StoreStatus::kConflict) {
     bool leading = false;
     for (const StoreItem& item : reply.items) {
--- a/cell/leader_unread_jobs.cc
+++ b/cell/leader_unread_jobs.cc
@@ -72,14 +72,6 @@
   ReadUnreadJobs();
 }
 
-void CellLeader::WithholdEnd(Executor& executor,
-                             const EndedTask& end,
-                             const JobId& id) {
-  executor.withheld_ends.insert(end.number);
-  ReadUnreadJob(id).ends.push_back(
-      {executor.entry.id, executor.incarnation, end});
-}
-
 void CellLeader::SettleUnreadJob(const JobId& id) {
   const auto found = unread_jobs_.find(id);
   if (found == unread_jobs_.end()) {
@@ -101,12 +93,17 @@
     if (executor == nullptr) {
       continue;
     }
-    if (executor->incarnation == incarnation) {
-      executor->withheld_ends.erase(end.number);
-    }
     ApplyEndToTask(*executor, end, *TaskName::Parse(end.task), Duration(0));
-    AddUnstoredEnds(*executor);
+    if (executor->incarnation != incarnation) {
+      continue;  // the number is that of another end
+    }
+    for (UnstoredEnd& unstored : executor->unstored_ends) {
+      if (unstored.number == end.number) {
+        unstored.change = progress_queue_.LastChangeOf(id);
+      }
+    }
   }
+  AcknowledgeEnds();
   for (const ExecutorId& executor_id : unread.executors) {
     Executor* executor = FindExecutor(executor_id);
     if (executor == nullptr) {
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -114,6 +114,7 @@
             done(Election::Outcome::kLost, 0);
             return;
           case StoreStatus::kRefused:
+          case StoreStatus::kInvalid:
             done(Election::Outcome::kLost, 0);
             return;
           default:
@@ -472,13 +473,20 @@
           Event::kJobNotAccepted,
           {{"job", id},
            {"queue", name},
-           {"result",
-            result == SubmitResult::kUnknown ? "unknown" : "not_stored"}});
+           {"result", result == SubmitResult::kUnknown   ? "unknown"
+                      : result == SubmitResult::kInvalid ? "too large"
+                                                         : "not_stored"}});
     }
     done(result, revision);
   };
   const Body bytes =
       std::make_shared<const std::string>(EncodeJobRecord(record));
+  const size_t max_bytes = options_.leader.max_value_bytes;
+  if (bytes->size() > max_bytes ||
+      Job::MaxBareProgressBytes(spec) > max_bytes) {
+    finish(SubmitResult::kInvalid, 0);
+    return;
+  }
   if (!ShouldStoreAtLeader()) {
     intake_.Submit(
         id, *bytes, deadline,
--- a/cell/node_calls.cc
+++ b/cell/node_calls.cc
@@ -73,9 +73,9 @@
         if (revision > 0) {
           NotifyLeader(id, record, revision);
         }
-        answer(result == SubmitResult::kAccepted    ? JobStoreResult::kStored
-               : result == SubmitResult::kNotStored ? JobStoreResult::kNotStored
-                                                    : JobStoreResult::kUnknown);
+        answer(result == SubmitResult::kAccepted  ? JobStoreResult::kStored
+               : result == SubmitResult::kUnknown ? JobStoreResult::kUnknown
+                                                  : JobStoreResult::kNotStored);
       });
 }
 
--- a/cell/ports.h
+++ b/cell/ports.h
@@ -22,6 +22,7 @@
   kConflict,   // a condition did not hold; nothing was written
   kNotFound,   // the key is absent
   kRefused,    // not executed: unavailable to this VM, or rate limited
+  kInvalid,    // of a write: not executed, and not to be repeated unchanged
   kCompacted,  // the watch's history is gone; list again
   kUnknown,    // no answer; a write may take effect now, later or never
 };
@@ -57,6 +58,9 @@
 // Maximum total of conditions, puts and removals in one write.
 inline constexpr size_t kMaxWriteEntries = 32;
 
+// Maximum bytes of a value, unless the settings name another limit.
+inline constexpr size_t kDefaultMaxValueBytes = size_t{1} << 20;
+
 // Time for the response of a watch to begin after its wait. Short, because only
 // this limit detects the loss of a connection without a reset.
 inline constexpr Millis kWatchMargin{700};
--- a/cell/progress_queue.cc
+++ b/cell/progress_queue.cc
@@ -5,6 +5,13 @@
 
 namespace chivedale::cell {
 
+ProgressQueue::ProgressQueue(size_t lanes, size_t jobs_per_write)
+    : lanes_(lanes), jobs_per_write_(jobs_per_write) {
+  for (Lane& lane : lanes_) {
+    lane.max_jobs = jobs_per_write;
+  }
+}
+
 // A job that is being written changes again in the lane of that write: until
 // the write has an answer, another lane could be overtaken by it.
 void ProgressQueue::Add(const JobId& id) {
@@ -19,46 +26,64 @@
   place.jobs->emplace(last_change_, id);
 }
 
-std::vector<JobId> ProgressQueue::Take(size_t index) {
+void ProgressQueue::Take(size_t index, const AddToWrite& add) {
   Lane& lane = lanes_[index];
-  std::vector<JobId> taken;
+  lane.in_flight = true;
+  bool full = false;
   for (Jobs* jobs : {&lane.kept, &waiting_}) {
-    while (!jobs->empty() && taken.size() < jobs_per_write_) {
+    while (!full && !jobs->empty()) {
       const auto first = jobs->begin();
-      Place& place = places_.at(first->second);
+      const JobId& id = first->second;
+      Place& place = places_.at(id);
       place.jobs = nullptr;
       place.written_by = &lane;
-      taken.push_back(first->second);
+      place.written_change = first->first;
+      full = !add(id) || lane.written.size() + 1 >= lane.max_jobs;
       lane.written.insert(jobs->extract(first));
     }
   }
-  lane.in_flight = true;
-  return taken;
 }
 
-void ProgressQueue::OnWritten(size_t index, bool stored) {
+void ProgressQueue::Keep(Place& place, Jobs& jobs, const JobId& id) {
+  if (place.jobs != nullptr) {
+    place.jobs->erase(place.change);
+  }
+  place.jobs = &jobs;
+  place.change = place.written_change;
+  jobs.emplace(place.change, id);
+}
+
+void ProgressQueue::OnWritten(size_t index, WriteResult result) {
   Lane& lane = lanes_[index];
   lane.in_flight = false;
   const Jobs written = std::exchange(lane.written, {});
+  if (result == WriteResult::kStored) {
+    lane.max_jobs = std::min(jobs_per_write_, 2 * lane.max_jobs);
+  } else if (result == WriteResult::kRejected) {
+    lane.max_jobs = std::max<size_t>(1, written.size() / 2);
+  }
+  const bool left_out = result == WriteResult::kRejected && written.size() == 1;
   for (const auto& [change, id] : written) {
     Place& place = places_.at(id);
     place.written_by = nullptr;
-    if (stored) {
-      if (place.jobs == nullptr) {
-        places_.erase(id);
-      } else {
-        // Changed again meanwhile; now any lane may write it.
-        waiting_.insert(place.jobs->extract(place.change));
-        place.jobs = &waiting_;
-      }
-      continue;
+    if (result != WriteResult::kStored) {
+      Keep(place, left_out ? lane.rejected : lane.kept, id);
+    } else if (place.jobs == nullptr) {
+      places_.erase(id);
+    } else {
+      // Changed again meanwhile; now any lane may write it.
+      waiting_.insert(place.jobs->extract(place.change));
+      place.jobs = &waiting_;
     }
-    if (place.jobs != nullptr) {
-      place.jobs->erase(place.change);
+  }
+}
+
+void ProgressQueue::RetryRejected() {
+  for (Lane& lane : lanes_) {
+    for (const auto& [change, id] : lane.rejected) {
+      places_.at(id).jobs = &lane.kept;
     }
-    place.jobs = &lane.kept;
-    place.change = change;
-    lane.kept.emplace(change, id);
+    lane.kept.merge(lane.rejected);
   }
 }
 
@@ -78,19 +103,24 @@
   return places_.count(id) > 0;
 }
 
-int64_t ProgressQueue::stored_change() const {
-  int64_t stored = last_change_;
-  const auto exclude = [&](const Jobs& jobs) {
-    if (!jobs.empty()) {
-      stored = std::min(stored, jobs.begin()->first - 1);
-    }
-  };
-  exclude(waiting_);
-  for (const Lane& lane : lanes_) {
-    exclude(lane.kept);
-    exclude(lane.written);
+int64_t ProgressQueue::LastChangeOf(const JobId& id) const {
+  const auto found = places_.find(id);
+  if (found == places_.end()) {
+    return 0;
+  }
+  const Place& place = found->second;
+  return place.jobs != nullptr ? place.change : place.written_change;
+}
+
+bool ProgressQueue::IsStored(const JobId& id, int64_t change) const {
+  const auto found = places_.find(id);
+  if (found == places_.end()) {
+    return true;
   }
-  return stored;
+  const Place& place = found->second;
+  const int64_t oldest =
+      place.written_by != nullptr ? place.written_change : place.change;
+  return oldest > change;
 }
 
 }  // namespace chivedale::cell
--- a/cell/settings.cc
+++ b/cell/settings.cc
@@ -18,6 +18,9 @@
 
 // Above the value of any site; catches values in the wrong unit.
 constexpr double kMaxMillis = 3'600'000;
+// Bounds of the store's limit of a value.
+constexpr int64_t kMinValueBytes = 16'384;
+constexpr int64_t kMaxValueBytes = int64_t{1} << 30;
 
 [[noreturn]] void ThrowBadSetting(const std::string& key,
                                   const std::string& what) {
@@ -101,6 +104,17 @@
       {"gang_timeout_ms", MillisSetter(&CellSettings::gang_timeout)},
       {"restore_ms", MillisSetter(&CellSettings::restore_time)},
       {"status_retention_ms", MillisSetter(&CellSettings::status_retention)},
+      {"store_value_bytes",
+       [](CellSettings& s, const std::string& key, const json& value) {
+         const auto bytes = IntegerIn(value, kMinValueBytes, kMaxValueBytes);
+         if (!bytes) {
+           ThrowBadSetting(key, "must be a number from " +
+                                    std::to_string(kMinValueBytes) + " to " +
+                                    std::to_string(kMaxValueBytes) + ", got " +
+                                    value.dump());
+         }
+         s.store_value_bytes = static_cast<size_t>(*bytes);
+       }},
       {"upkeep_time_ms", MillisSetter(&CellSettings::upkeep_time)},
       {"stop_grace_ms", MillisSetter(&CellSettings::stop_grace_period)},
       {"cpu_share", PositiveNumberSetter(&CellSettings::cpu_share)},
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/ports.h"
 #include "cell/types.h"
 
 namespace chivedale::cell {
@@ -35,6 +36,7 @@
   Millis gang_timeout{3'000};
   Millis restore_time{600};  // to resume from a checkpoint
   Millis status_retention{120'000};
+  size_t store_value_bytes = kDefaultMaxValueBytes;  // the store's limit
   Millis upkeep_time{2'000};        // duration of a VM's upkeep
   Millis stop_grace_period{6'000};  // from SIGTERM to SIGKILL
   double remote_rack_factor = 3;    // see PlacerOptions
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -33,6 +33,8 @@
         << "chivedale_passes_total " << counts.passes << "\n"
         << "chivedale_advice_calls_total " << counts.advice << "\n"
         << "chivedale_progress_writes_total " << counts.progress_writes << "\n"
+        << "chivedale_progress_writes_rejected_total " << counts.rejected_writes
+        << "\n"
         << "chivedale_steps_waiting " << waits.waiting << "\n"
         << "chivedale_steps_waiting_long " << waits.waiting_long << "\n"
         << "chivedale_unread_jobs " << leader->unread_jobs() << "\n"
--- a/cell/testing/cell_settings_test.cc
+++ b/cell/testing/cell_settings_test.cc
@@ -39,6 +39,8 @@
       {R"({"stop_time_ms":-1})", "stop_time_ms"},
       {R"({"cpu_share":0})", "cpu_share"},
       {R"({"far_factor":0.5})", "far_factor"},
+      {R"({"store_value_bytes":100})", "store_value_bytes"},
+      {R"({"store_value_bytes":"1 MB"})", "store_value_bytes"},
       {R"({"seeds":"x"})", "seeds"},
   };
   for (const auto& [text, key] : cases) {
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -78,6 +78,8 @@
 
   // Executors that are up, with the resources in use there.
   std::vector<std::pair<const ExecutorEntry*, Resources>> Use() const;
+  // Ends that executors still list: they were not acknowledged.
+  size_t listed_ends() const;
   // Whether a run of the job is on an executor that is up.
   bool RunsAnyOf(const JobId& id) const;
   // Whether the end `done` of the task, or of any member of its gang, was
--- a/cell/testing/fake_executors_queries.cc
+++ b/cell/testing/fake_executors_queries.cc
@@ -38,6 +38,14 @@
   return use;
 }
 
+size_t FakeExecutors::listed_ends() const {
+  size_t ends = 0;
+  for (const auto& [id, state] : states_) {
+    ends += state.up ? state.ended.size() : 0;
+  }
+  return ends;
+}
+
 bool FakeExecutors::RunsAnyOf(const JobId& id) const {
   return std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
     const auto& runs = entry.second.runs;
--- a/cell/testing/fake_store.cc
+++ b/cell/testing/fake_store.cc
@@ -121,6 +121,19 @@
     store_.loop_.After(timeout, [done] { done({}); });
     return;
   }
+  const bool too_large =
+      std::any_of(write.puts.begin(), write.puts.end(), [&](const auto& put) {
+        return put.second.size() > faults.max_value_bytes;
+      });
+  if (too_large) {
+    ++store_.rejected_writes_;
+    store_.loop_.After(faults.latency, [done] {
+      StoreWriteReply reply;
+      reply.status = StoreStatus::kInvalid;
+      done(reply);
+    });
+    return;
+  }
   if (store_.random_.UniformReal() < faults.late_writes) {
     store_.loop_.After(faults.late_by, [this, write] { store_.Apply(write); });
     store_.loop_.After(timeout, [done] { done({}); });
--- a/cell/testing/fake_store.h
+++ b/cell/testing/fake_store.h
@@ -25,6 +25,8 @@
   double lost_answers = 0;  // share of writes executed without an answer
   double late_writes = 0;   // share executed after late_by, without an answer
   Duration late_by = std::chrono::seconds(3);
+  // Writes with a larger value are answered with kInvalid.
+  size_t max_value_bytes = kDefaultMaxValueBytes;
   // Watches wait for their full time and end without an answer.
   bool watches_hang = false;
   Duration latency = std::chrono::milliseconds(2);
@@ -54,6 +56,7 @@
   std::vector<StoreItem> ListItems(const std::string& prefix) const;
   int64_t revision() const { return revision_; }
   int64_t writes() const { return writes_; }
+  int64_t rejected_writes() const { return rejected_writes_; }
 
   StoreFaults faults;  // for all members
   // Faults by member; they override `faults`.
@@ -87,6 +90,7 @@
   int64_t revision_ = 100;
   int64_t forgotten_ = 0;
   int64_t writes_ = 0;
+  int64_t rejected_writes_ = 0;  // as invalid
   std::map<std::string, StoreItem> items_;
   std::vector<StoreItem> history_;
   std::map<uint64_t, Watcher> watchers_;
--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -4,9 +4,11 @@
 
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <climits>
 #include <cmath>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
@@ -139,6 +141,118 @@
 
 BOOST_AUTO_TEST_SUITE(ThatRecurs)
 
+// A job of one task a second, all of them due.
+struct OverdueJob {
+  explicit OverdueJob(int occurrences)
+      : record(MakeRecord(occurrences)), job("0123456789abcdef", record) {
+    job.OpenDueOccurrences(clock.WallNow(), clock.Now());
+  }
+  JobRecord MakeRecord(int occurrences) {
+    JobRecord overdue = MakeTwoStepRecord(1, 1);
+    overdue.spec.steps.pop_back();
+    overdue.spec.occurrences = occurrences;
+    overdue.spec.interval = Millis(1'000);
+    overdue.spec.first_start =
+        clock.WallNow() - occurrences * overdue.spec.interval;
+    return overdue;
+  }
+  // Completes and removes the first open occurrences.
+  void Complete(int occurrences) {
+    for (int i = 0; i < occurrences; ++i) {
+      job.OnDone(job.open().begin()->second.steps[0], 0);
+      for (const int number : job.RemovableOccurrences()) {
+        job.RemoveOccurrence(number);
+      }
+    }
+    job.OpenDueOccurrences(clock.WallNow(), clock.Now());
+  }
+  // The job as a new leader knows it.
+  std::unique_ptr<Job> Restored() const {
+    auto restored = std::make_unique<Job>("0123456789abcdef", record);
+    restored->DecodeProgress(job.EncodeProgress(), clock.WallNow(),
+                             clock.Now());
+    return restored;
+  }
+
+  chivedale::testing::FakeClock clock;
+  const JobRecord record;
+  Job job;
+};
+
+// Regression (review/5, Acks): the progress listed each occurrence that was
+// ever due, and was larger than a value of the store.
+BOOST_AUTO_TEST_CASE(KeepsItsProgressWithinAValueOfTheStore) {
+  OverdueJob overdue(120'000);
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(overdue.job.open().size() == 2'000U);
+    BOOST_TEST(overdue.job.EncodeProgress().size() < kDefaultMaxValueBytes / 4);
+    overdue.Complete(1'000);
+  }
+  BOOST_TEST(overdue.job.open().begin()->first == 5'000);
+}
+
+BOOST_AUTO_TEST_CASE(CompletesAfterItsLastOccurrence) {
+  OverdueJob overdue(4'100);
+  overdue.Complete(2'000);
+  overdue.Complete(2'000);
+  BOOST_TEST((overdue.job.state() == JobState::kQueued));
+  overdue.Complete(100);
+  BOOST_TEST((overdue.job.state() == JobState::kCompleted));
+  BOOST_TEST((overdue.Restored()->state() == JobState::kCompleted));
+}
+
+// A finished occurrence must not be run again by a new leader, whether or not
+// the progress lists it.
+BOOST_AUTO_TEST_CASE(DoesNotOpenAFinishedOccurrenceAgain) {
+  for (const int finished : {100, 3'000}) {
+    OverdueJob overdue(5'000);
+    overdue.Complete(std::min(finished, 2'000));
+    overdue.Complete(finished - std::min(finished, 2'000));
+    const std::unique_ptr<Job> restored = overdue.Restored();
+    int open = 0;
+    for (const auto& [number, occurrence] : restored->open()) {
+      BOOST_TEST((number >= finished || occurrence.Finished()));
+      open += occurrence.Finished() ? 0 : 1;
+    }
+    BOOST_TEST(open == 2'000);
+    BOOST_TEST(!restored->OpenStartedOccurrence(
+        finished - 1, overdue.clock.WallNow(), overdue.clock.Now()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadsProgressOfTheVersionThatListsAllOccurrences) {
+  OverdueJob overdue(100);
+  overdue.Complete(40);
+  json value = json::from_msgpack(overdue.job.EncodeProgress());
+  value.erase(3);
+  std::string earlier;
+  json::to_msgpack(value, earlier);
+  Job restored("0123456789abcdef", overdue.record);
+  restored.DecodeProgress(earlier, overdue.clock.WallNow(),
+                          overdue.clock.Now());
+  BOOST_TEST(restored.open().size() == 100U);
+  BOOST_TEST(restored.RemovableOccurrences().size() == 40U);
+}
+
+// What a predecessor opened and did not store is opened by itself: those
+// between may be finished or not, and are opened in their turn.
+BOOST_AUTO_TEST_CASE(OpensOneOccurrenceThatAPredecessorStarted) {
+  OverdueJob overdue(5'000);
+  BOOST_TEST(overdue.job.OpenStartedOccurrence(3'500, overdue.clock.WallNow(),
+                                               overdue.clock.Now()));
+  BOOST_TEST(overdue.job.open().size() == 2'001U);
+  overdue.job.OnDone(*overdue.job.FindStep(3'500, 0), 0);
+  BOOST_TEST(overdue.job.RemovableOccurrences().empty());
+  const std::unique_ptr<Job> restored = overdue.Restored();
+  BOOST_REQUIRE(restored->FindStep(3'500, 0) != nullptr);
+  BOOST_TEST(restored->FindStep(3'500, 0)->Finished());
+  overdue.Complete(2'000);
+  overdue.Complete(1'000);
+  BOOST_TEST(overdue.job.RemovableOccurrences().empty());
+  overdue.Complete(1'000);
+  BOOST_TEST(overdue.job.FindStep(3'500, 0) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(OpensEachOccurrenceWhenItIsDue) {
   chivedale::testing::FakeClock clock;
   JobRecord record = MakeTwoStepRecord(1, 1);
@@ -305,6 +419,45 @@
                     std::runtime_error);
 }
 
+// Regression (found with review/5): neither may keep the progress from being
+// stored.
+BOOST_AUTO_TEST_CASE(LeavesOutCheckpointsAndFailedRunsThatDoNotFit) {
+  JobRecord record = MakeTwoStepRecord(100, 1);
+  record.queue.max_attempts = 1'000;
+  OpenedJob opened(record);
+  Step& step = opened.step(0);
+  opened.job.OnDone(step, 0);
+  for (int i = 1; i < 100; ++i) {
+    step.tasks[static_cast<size_t>(i)].checkpoint = std::string(1'000, 'c');
+    opened.job.OnFailed(step, i, 1'001, "e1");
+  }
+  for (const size_t max_bytes : {200'000, 10'000, 500}) {
+    const std::string progress = opened.job.EncodeProgress(max_bytes);
+    BOOST_TEST(progress.size() <= max_bytes);
+    Job restored("0123456789abcdef", record);
+    restored.DecodeProgress(progress, opened.clock.WallNow(),
+                            opened.clock.Now());
+    const Step& read = *restored.FindStep(0, 0);
+    BOOST_TEST(read.done == 1);
+    BOOST_TEST(read.tasks[9].checkpoint.empty() == (max_bytes < 200'000));
+    BOOST_TEST(read.tasks[9].failed_runs.empty() == (max_bytes < 10'000));
+  }
+  BOOST_TEST(Job::MaxBareProgressBytes(record.spec) <= 500U);
+}
+
+// Regression (found with review/5): the stored progress of a long-running task
+// grew with each of its failures.
+BOOST_AUTO_TEST_CASE(DoesNotGrowWithTheFailuresOfALongRunningTask) {
+  JobRecord record = MakeTwoStepRecord(1, 1);
+  record.spec.steps[0].long_running = true;
+  OpenedJob opened(record);
+  const size_t before = opened.job.EncodeProgress().size();
+  for (int run = 1; run < 100; ++run) {
+    opened.job.OnFailed(opened.step(0), 0, run, "e1");
+  }
+  BOOST_TEST(opened.job.EncodeProgress().size() == before);
+}
+
 RC_BOOST_PROP(DecodesToWhatWasEncoded, (uint64_t seed)) {
   util::Random random(seed);
   JobRecord record =
--- a/cell/testing/progress_queue_test.cc
+++ b/cell/testing/progress_queue_test.cc
@@ -4,6 +4,7 @@
 
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <string>
@@ -40,7 +41,7 @@
   void Change(const JobId& id) {
     progress[id] = ++changes;
     queue.Add(id);
-    marks[changes] = {id, queue.last_change()};
+    marks[changes] = {id, queue.LastChangeOf(id)};
   }
 
   void Send(size_t lane) {
@@ -48,9 +49,10 @@
       return;
     }
     SentWrite write{lane, known_sequence[lane], {}};
-    for (const JobId& id : queue.Take(lane)) {
+    queue.Take(lane, [&](const JobId& id) {
       write.progress[id] = progress.at(id);
-    }
+      return true;
+    });
     RC_ASSERT(write.progress.size() <= kJobsPerWrite);
     in_flight[lane] = write;
   }
@@ -79,7 +81,8 @@
     if (fate == 0) {
       const bool executed = Execute(write);
       known_sequence[lane] = sequence[lane];
-      queue.OnWritten(lane, executed);
+      queue.OnWritten(lane,
+                      executed ? WriteResult::kStored : WriteResult::kFailed);
       return;
     }
     if (fate == 1) {
@@ -87,18 +90,35 @@
     } else if (fate == 2) {
       delayed.push_back(write);
     }
-    queue.OnWritten(lane, false);
+    queue.OnWritten(lane, WriteResult::kFailed);
   }
 
   void Check() const {
     for (const auto& [change, mark] : marks) {
-      if (mark.second <= queue.stored_change()) {
+      if (queue.IsStored(mark.first, mark.second)) {
         RC_ASSERT(stored.at(mark.first) >= change);
       }
     }
   }
+
+  // Whether all changes are reported as stored.
+  bool AllStored() const {
+    return std::all_of(marks.begin(), marks.end(), [&](const auto& entry) {
+      const auto& [id, change] = entry.second;
+      return queue.IsStored(id, change);
+    });
+  }
 };
 
+std::vector<JobId> Taken(ProgressQueue& queue, size_t lane) {
+  std::vector<JobId> jobs;
+  queue.Take(lane, [&](const JobId& id) {
+    jobs.push_back(id);
+    return true;
+  });
+  return jobs;
+}
+
 BOOST_AUTO_TEST_SUITE(AProgressQueue)
 
 RC_BOOST_PROP(ReportsOnlyStoredChanges, ()) {
@@ -122,15 +142,13 @@
     world.Check();
   }
   // Once writes are answered, everything is stored.
-  for (int i = 0;
-       i < 100 && world.queue.stored_change() < world.queue.last_change();
-       ++i) {
+  for (int i = 0; i < 100 && !world.AllStored(); ++i) {
     for (size_t lane = 0; lane < kLanes; ++lane) {
       world.Send(lane);
       world.Answer(lane, 0);
     }
   }
-  RC_ASSERT(world.queue.stored_change() == world.queue.last_change());
+  RC_ASSERT(world.AllStored());
   RC_ASSERT(world.stored == world.progress);
   RC_ASSERT(!world.queue.waiting());
 }
@@ -140,7 +158,38 @@
   for (const char* id : {"c", "b", "a", "c"}) {
     queue.Add(id);
   }
-  BOOST_TEST((queue.Take(0) == std::vector<JobId>{"c", "b"}));
+  BOOST_TEST((Taken(queue, 0) == std::vector<JobId>{"c", "b"}));
+}
+
+// Regression (review/5, Acks): a job whose progress the store rejects kept the
+// progress of all jobs from being stored.
+BOOST_AUTO_TEST_CASE(StoresTheOtherJobsOfARejectedWrite) {
+  constexpr char kInvalid[] = "invalid";
+  ProgressQueue queue(1, 4);
+  for (const char* id : {"a", "b", kInvalid, "c", "d", "e"}) {
+    queue.Add(id);
+  }
+  int writes = 0;
+  while (queue.MayWrite(0) && writes < 20) {
+    ++writes;
+    const std::vector<JobId> jobs = Taken(queue, 0);
+    const bool rejected =
+        std::find(jobs.begin(), jobs.end(), kInvalid) != jobs.end();
+    queue.OnWritten(0,
+                    rejected ? WriteResult::kRejected : WriteResult::kStored);
+  }
+  BOOST_TEST(writes < 10);
+  for (const char* id : {"a", "b", "c", "d", "e"}) {
+    BOOST_TEST(!queue.Contains(id));
+  }
+  BOOST_TEST(queue.LastChangeOf(kInvalid) == 3);
+  BOOST_TEST(!queue.IsStored(kInvalid, 3));
+  BOOST_TEST(!queue.waiting());
+  queue.RetryRejected();
+  BOOST_TEST(queue.waiting());
+  BOOST_TEST((Taken(queue, 0) == std::vector<JobId>{kInvalid}));
+  queue.OnWritten(0, WriteResult::kStored);
+  BOOST_TEST(queue.IsStored(kInvalid, 3));
 }
 
 // A cell with few changes makes as few writes as with one lane.
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -67,6 +67,7 @@
       {Event::kStepNotQueued, "step_not_queued", L::kError},
       {Event::kUnreadJob, "unread_job", L::kInfo},
       {Event::kUnreadJobSettled, "unread_job_settled", L::kInfo},
+      {Event::kStoreWriteRejected, "store_write_rejected", L::kError},
       {Event::kExecutorFound, "executor_found", L::kInfo},
       {Event::kExecutorAdopted, "executor_adopted", L::kInfo},
       {Event::kExecutorNewLife, "executor_new_life", L::kWarning},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -81,6 +81,7 @@
   kStepNotQueued = 1208,
   kUnreadJob = 1209,
   kUnreadJobSettled = 1210,
+  kStoreWriteRejected = 1211,
   kExecutorFound = 1301,
   kExecutorAdopted = 1302,
   kExecutorNewLife = 1303,
