Test a successor that reads the progress long after the jobs

The record shows all ends of a job on two executors acknowledged in the same millisecond, a second after they ended, as ends of an unknown job were and stored ones are not. It is cut short: the cause is inferred and reproduced, not read off it.

--- a/cell/testing/unread_jobs_test.cc
+++ b/cell/testing/unread_jobs_test.cc
@@ -17,11 +17,12 @@
 // message tells it that another member was elected. The new leader's reads of
 // the jobs show the past, as their answers arrive late.
 struct Handover : CellFixture {
-  explicit Handover(Duration late_by) {
+  explicit Handover(Duration late_by, Duration progress_late_by = {}) {
     store.faults_of[old_leader].refuses = true;
     for (const std::string name : {"a", "b", "c"}) {
       if (name != old_leader) {
-        store.faults_of[name].late_reads = {{kJobPrefix, late_by}};
+        store.faults_of[name].late_reads = {
+            {kJobPrefix, late_by}, {kProgressPrefix, progress_late_by}};
       }
     }
     const TimePoint give_up = loop.clock().Now() + Millis(5'000);
@@ -111,6 +112,26 @@
   BOOST_TEST(cell.executors.starts() == 6);
 }
 
+// Regression (caminho-agua and kowa-consult on real processes, TWICE): the new
+// leader read the jobs at once and their progress 1.4 s later. It called the
+// executors only then, and acknowledged all ends of a job that had run in
+// between.
+BOOST_AUTO_TEST_CASE(KeepsEndsThatItReadsLongAfterTheListOfJobs) {
+  Handover cell(Millis(60), Millis(1'400));
+  cell.executors.run_time = [](const TaskName& name, const StepSpec&) {
+    return Duration(Millis(200 + 10 * name.index));
+  };
+  cell.SubmitToOldLeader(MakeJobSpec(18, Millis(250)));
+  cell.RunFor(Millis(1'200));
+  BOOST_REQUIRE(cell.executors.listed_ends() == 18U);
+  cell.RunFor(Millis(1'000));
+  cell.EndFaults();
+  cell.RunFor(Millis(2'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(cell.executors.starts() == 18);
+  BOOST_TEST(cell.executors.listed_ends() == 0U);
+}
+
 // Regression (review/1, BUDGET): a new leader acknowledged failed ends of a job
 // that it had not read yet, and counted none of them.
 BOOST_AUTO_TEST_CASE(CountsItsFailedRuns) {
