Count a job as pending until one of its tasks is known to have begun

Change: a job counts as started, and is shown as running, once a run is known to have begun. After 2 s without an answer to the watch the counts are reported as unknown, unless the store fails for all calls and no job can be accepted.

--- a/cell/job.h
+++ b/cell/job.h
@@ -187,6 +187,8 @@
   JobState visible_state() const;
   bool terminal() const;
   bool recurring() const { return record_.spec.occurrences > 0; }
+  // Whether a run is known to have begun. A start order alone does not count:
+  // the executor may reject it.
   bool any_started() const { return any_started_; }
   TimePoint ended() const { return ended_; }
   std::map<int, Occurrence>& open() { return open_; }
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -23,6 +23,8 @@
 constexpr Millis kReadTimeout{2'000};
 constexpr Millis kReadRetryDelay{100};
 constexpr Millis kWatchWait{1'200};
+// Time without an answer to a watch after which new jobs may have been missed.
+constexpr Millis kMaxJobsAge{2'000};
 // Time in which a predecessor learns that it is fenced: one hold call to any
 // executor.
 constexpr Millis kFencingDelay{1'500};
@@ -285,6 +287,7 @@
   }
   const bool first = !loaded_;
   loaded_ = true;
+  jobs_read_at_ = now;
   jobs_revision_ = std::max(jobs_revision_, jobs.revision);
   context_.log.Write(Event::kCellLoaded,
                      {{"jobs", std::to_string(jobs_.size())},
@@ -307,6 +310,7 @@
                            read.status == StoreStatus::kCompacted);
         if (read.status == StoreStatus::kOk) {
           OnJobEvents(read);
+          jobs_read_at_ = context_.clock.Now();
           jobs_revision_ = std::max(jobs_revision_, read.revision);
           ForgetRemovedJobs();
           WatchJobs();
@@ -576,6 +580,10 @@
   return pending;
 }
 
+bool CellLeader::pending_known() const {
+  return loaded_ && context_.clock.Now() - jobs_read_at_ <= kMaxJobsAge;
+}
+
 Step* CellLeader::StepOf(const TaskName& name) {
   const auto found = jobs_.find(name.job);
   if (found == jobs_.end()) {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -190,6 +190,9 @@
   std::vector<StepView> DescribeSteps(const JobId& id) const;
   // Number of accepted jobs without a started task, by queue.
   std::map<std::string, int64_t> Pending() const;
+  // False if jobs that were accepted a while ago may not have been read, so
+  // that Pending() may be too low.
+  bool pending_known() const;
   const Leadership& leadership() const { return leadership_; }
   const LeaderCounts& counts() const { return counts_; }
   const WaitCounts& wait_counts() const { return wait_counts_; }
@@ -521,6 +524,7 @@
   util::ReadLimit known_executors_limit_;
   util::ReadLimit jobs_limit_;  // also of their progress and of the watch
   int64_t jobs_revision_ = 0;
+  TimePoint jobs_read_at_{};  // when the last watch of the jobs was answered
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
   // Jobs that this leader has removed, and the revisions of their removals,
   // until the watch has passed them: a read that began before may still show
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -40,11 +40,6 @@
   if (task.live == 1) {
     step.wait.OnStartSent();
   }
-  if (!step.job->any_started() && !step.job->recurring()) {
-    context_.metrics.Observe(Timer::kWait, step.job->queue().name,
-                             AgeOf(*step.job));
-  }
-  step.job->set_any_started();
   StartOrder order;
   order.address = executor.entry.address;
   order.executor = executor.entry.id;
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -28,6 +28,11 @@
 
 void CellLeader::OnRunBegan(const Run& run, const Executor& executor) {
   Step& step = *run.step;
+  Job& job = *step.job;
+  if (!job.any_started() && !job.recurring()) {
+    context_.metrics.Observe(Timer::kWait, job.queue().name, AgeOf(job));
+  }
+  job.set_any_started();
   if (step.spec->gang && ++step.gang_running < step.spec->count) {
     return;
   }
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -248,7 +248,10 @@
   beat.leaving = stopping_ || ShouldYield();
   beat.store_ok = store_.failing_for() < kStoreHandoverDelay;
   beat.term = election_->leader() ? election_->leader()->term : 0;
-  if (leader_ != nullptr && !leader_->loaded()) {
+  // While the store answers nobody, no job is accepted, and the counts hold.
+  const bool store_fails = store_.failing_for() > kStoreDown;
+  if (leader_ != nullptr && (!leader_->loaded() ||
+                             (!leader_->pending_known() && !store_fails))) {
     beat.pending.push_back({kPendingUnknown, 0});
   } else if (leader_ != nullptr) {
     for (const auto& [queue, jobs] : leader_->Pending()) {
@@ -278,8 +281,8 @@
   }
 }
 
-// A leader that has not read the jobs yet cannot count those that wait. The
-// counts of its predecessor are used for kMaxPendingAge.
+// A leader that has not read the jobs cannot count those that wait. Earlier
+// counts are used for kMaxPendingAge.
 void CellNode::ApplyPending(const CellBeat& beat) {
   if (!beat.pending.empty() && beat.pending[0].queue == kPendingUnknown) {
     return;
