--- a/cell/leader.h
+++ b/cell/leader.h
@@ -332,8 +332,8 @@
   };
   // Whether the job may be stored although this leader does not know it.
   bool IsUnread(const JobId& id) const;
-  // Reads the job's record, unless that is under way.
-  UnreadJob& ReadUnreadJob(const JobId& id);
+  // Returns the entry of the job. A new one has its record read.
+  UnreadJob& AddUnreadJob(const JobId& id);
   void ReadUnreadJobs();
   void OnUnreadJobRead(const JobId& id, const StoreRead& read);
   // Applies the runs and ends of a job that has been read, or that is not
@@ -524,7 +524,7 @@
   util::ReadLimit known_executors_limit_;
   util::ReadLimit jobs_limit_;  // also of their progress and of the watch
   int64_t jobs_revision_ = 0;
-  TimePoint jobs_read_at_{};  // when the last watch of the jobs was answered
+  TimePoint jobs_read_at_{};  // last answer to a list or watch of the jobs
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
   // Jobs that this leader has removed, and the revisions of their removals,
   // until the watch has passed them: a read that began before may still show
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -295,7 +295,7 @@
   }
   unstored.job = name->job;
   if (IsUnread(name->job)) {
-    ReadUnreadJob(name->job).ends.push_back(
+    AddUnreadJob(name->job).ends.push_back(
         {executor.entry.id, executor.incarnation, end});
     return;
   }
@@ -405,7 +405,7 @@
   run.checkpoint = row.checkpoint;
   run.pace_percent = row.pace_percent;
   if (IsUnread(name->job)) {
-    ReadUnreadJob(name->job).executors.insert(executor.entry.id);
+    AddUnreadJob(name->job).executors.insert(executor.entry.id);
   } else {
     StopUnlessWanted(executor, run);
   }
--- a/cell/leader_unread_jobs.cc
+++ b/cell/leader_unread_jobs.cc
@@ -26,7 +26,7 @@
   return jobs_.count(id) == 0 && removed_jobs_.count(id) == 0;
 }
 
-CellLeader::UnreadJob& CellLeader::ReadUnreadJob(const JobId& id) {
+CellLeader::UnreadJob& CellLeader::AddUnreadJob(const JobId& id) {
   const auto [found, added] = unread_jobs_.try_emplace(id);
   if (added) {
     found->second.since = context_.clock.Now();
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -250,8 +250,8 @@
   beat.term = election_->leader() ? election_->leader()->term : 0;
   // While the store answers nobody, no job is accepted, and the counts hold.
   const bool store_fails = store_.failing_for() > kStoreDown;
-  if (leader_ != nullptr && (!leader_->loaded() ||
-                             (!leader_->pending_known() && !store_fails))) {
+  if (leader_ != nullptr &&
+      (!leader_->loaded() || (!leader_->pending_known() && !store_fails))) {
     beat.pending.push_back({kPendingUnknown, 0});
   } else if (leader_ != nullptr) {
     for (const auto& [queue, jobs] : leader_->Pending()) {
--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -234,6 +234,17 @@
   BOOST_TEST(restored.RemovableOccurrences().size() == 40U);
 }
 
+// A copy of its task may still be running, and refers to it.
+BOOST_AUTO_TEST_CASE(KeepsAFinishedOccurrenceThatHasRuns) {
+  OverdueJob overdue(10);
+  Step& step = overdue.job.open().at(0).steps[0];
+  step.live_on["e1"] = 1;
+  overdue.job.OnDone(step, 0);
+  BOOST_TEST(overdue.job.RemovableOccurrences().empty());
+  step.live_on.clear();
+  BOOST_TEST((overdue.job.RemovableOccurrences() == std::vector<int>{0}));
+}
+
 // What a predecessor opened and did not store is opened by itself: those
 // between may be finished or not, and are opened in their turn.
 BOOST_AUTO_TEST_CASE(OpensOneOccurrenceThatAPredecessorStarted) {
--- a/cell/testing/pending_count_test.cc
+++ b/cell/testing/pending_count_test.cc
@@ -70,8 +70,7 @@
   for (int i = 0; i < 20; ++i) {
     cell.RunFor(Millis(200));
     for (const char* name : {"a", "b", "c"}) {
-      BOOST_TEST(cell.node(name)->Pending("q0").value_or(kWaiting) ==
-                 kWaiting);
+      BOOST_TEST(cell.node(name)->Pending("q0").value_or(kWaiting) == kWaiting);
     }
   }
   cell.store.faults_of.clear();
--- a/cell/testing/unread_jobs_test.cc
+++ b/cell/testing/unread_jobs_test.cc
@@ -161,6 +161,7 @@
   BOOST_TEST(cell.executors.starts() == 6);
   BOOST_TEST(cell.executors.running() == 0);
   BOOST_TEST(cell.node(cell.successor)->leader()->unread_jobs() == 1U);
+  BOOST_TEST(cell.executors.listed_ends() == 6U);
   cell.EndFaults();
   cell.RunFor(Millis(3'500));
   BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
