--- a/cell/leader.h
+++ b/cell/leader.h
@@ -330,7 +330,7 @@
     std::set<ExecutorId> executors;  // with runs of the job
     std::vector<WithheldEnd> ends;   // in the order they were listed
   };
-  // Whether the job may be stored although this leader does not know it.
+  // Whether the job may be stored although this leader has not read it.
   bool IsUnread(const JobId& id) const;
   // Returns the entry of the job. A new one has its record read.
   UnreadJob& AddUnreadJob(const JobId& id);
--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -166,7 +166,7 @@
     }
     job.OpenDueOccurrences(clock.WallNow(), clock.Now());
   }
-  // The job as a new leader knows it.
+  // The job as a new leader restores it.
   std::unique_ptr<Job> Restored() const {
     auto restored = std::make_unique<Job>("0123456789abcdef", record);
     restored->DecodeProgress(job.EncodeProgress(), clock.WallNow(),
--- a/cell/testing/unread_jobs_test.cc
+++ b/cell/testing/unread_jobs_test.cc
@@ -14,7 +14,7 @@
 using testing::MakeJobSpec;
 
 // A handover in which the old leader acts on: the store turns it away, and no
-// message tells it that another member was elected. The new leader's reads of
+// message reports the election to it. The new leader's reads of
 // the jobs show the past, as their answers arrive late.
 struct Handover : CellFixture {
   explicit Handover(Duration late_by, Duration progress_late_by = {}) {
