Log what the leader is busy with, and how late a job ended

Event 1008 leader_load says so once a second, and 702 job_ended carries the time past the objective.

No decision changes.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -65,6 +65,7 @@
                                       ? leadership.fence
                                       : std::numeric_limits<int64_t>::max()),
       table_(std::make_shared<QueueTable>()),
+      load_(context.log),
       progress_queue_(kProgressLanes, kMaxWrittenJobs),
       lanes_(kProgressLanes) {}
 
@@ -119,6 +120,10 @@
   if (suspended_) {
     return;
   }
+  load_.OnTick(now);
+  if (load_.IsReportDue(now)) {
+    ReportLoad(now);
+  }
   SendDueHolds();
   OpenDueRecurringJobs();
   RunWaves();
@@ -548,12 +553,11 @@
                       context_.clock.WallNow() - job.record().accepted));
 }
 
-TimePoint CellLeader::ObjectiveOf(const Step& step) const {
-  const Job& job = *step.job;
+TimePoint CellLeader::ObjectiveOf(const Job& job, int occurrence) const {
   WallTime from = job.record().accepted;
   if (job.recurring()) {
-    from = job.record().spec.first_start +
-           step.occurrence * job.record().spec.interval;
+    from =
+        job.record().spec.first_start + occurrence * job.record().spec.interval;
   }
   const Duration age = context_.clock.WallNow() - from;
   const auto allowed = std::chrono::duration_cast<Duration>(
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -29,6 +29,7 @@
 #include "cell/advice_dispatcher.h"
 #include "cell/executor.h"
 #include "cell/job.h"
+#include "cell/leader_load.h"
 #include "cell/placer.h"
 #include "cell/ports.h"
 #include "cell/progress_queue.h"
@@ -260,7 +261,7 @@
   const QueuePolicy& PolicyOf(const Job& job) const;
   // Time since acceptance, by the VMs' wall clocks.
   Duration AgeOf(const Job& job) const;
-  TimePoint ObjectiveOf(const Step& step) const;
+  TimePoint ObjectiveOf(const Job& job, int occurrence) const;
   // Null if there is none.
   Step* StepOf(const TaskName& name);
   // Likewise, for a task that a predecessor may have started: opens its
@@ -462,6 +463,7 @@
   // Logs steps that wait long or are left out of the scheduling passes.
   void ReportWaitingSteps();
   void ReportWait(const Step& step, Event event);
+  void ReportLoad(TimePoint now);
   void ReportUnreadExecutors();
   void ReportUnreadExecutorsEnd();
 
@@ -515,6 +517,7 @@
   uint64_t table_count_ = 1;  // sequence number of table_
   LeaderCounts counts_;
   WaitCounts wait_counts_;
+  LeaderLoad load_;
 
   bool loaded_ = false;
   bool suspended_ = false;
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -167,13 +167,17 @@
   if (state != JobState::kCompleted && state != JobState::kFailed) {
     return;
   }
+  LogFields fields = {{"job", id},
+                      {"queue", job.queue().name},
+                      {"state", std::string(JobStateName(state))}};
   if (!job.recurring()) {
     context_.metrics.Observe(Timer::kTotal, job.queue().name, AgeOf(job));
+    const Duration late = context_.clock.Now() - ObjectiveOf(job, 0);
+    fields.emplace_back(
+        "late_ms",
+        std::to_string(std::chrono::duration_cast<Millis>(late).count()));
   }
-  context_.log.Write(Event::kJobEnded,
-                     {{"job", id},
-                      {"queue", job.queue().name},
-                      {"state", std::string(JobStateName(state))}});
+  context_.log.Write(Event::kJobEnded, fields);
 }
 
 }  // namespace chivedale::cell
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -77,7 +77,7 @@
       continue;
     }
     if (step.objective == TimePoint()) {
-      step.objective = ObjectiveOf(step);
+      step.objective = ObjectiveOf(*step.job, step.occurrence);
     }
     orders.push_back({PolicyOf(*step.job).priority, step.objective < now,
                       step.objective, &step});
@@ -97,9 +97,12 @@
   StartCopies();
   SendAdviceCalls();
   // Passes are slow under load, so events are batched into the next one.
-  const Duration took = context_.clock.Now() - now;
-  context_.metrics.Observe(Timer::kDecision, "pass", took);
-  next_pass_ = context_.clock.Now() + kPassIdleFactor * took;
+  const TimePoint end = context_.clock.Now();
+  context_.metrics.Observe(Timer::kDecision, "pass", end - now);
+  next_pass_ = end + kPassIdleFactor * (end - now);
+  const auto late = std::count_if(orders.begin(), orders.end(),
+                                  [](const StepOrder& o) { return o.late; });
+  load_.OnPass(now, end, {orders.size(), static_cast<size_t>(late)});
 }
 
 CellLeader::PoolState& CellLeader::PoolStateOf(const std::string& name) {
@@ -173,6 +176,9 @@
   const QueuePolicy& policy = PolicyOf(*step.job);
   const Resources size = ResourcesFor(*step.spec);
   PoolState& pool = PoolStateOf(policy.pool);
+  if (step.wait.pass() == 0) {
+    load_.OnFirstConsidered(policy.priority, now - step.ready_since);
+  }
   step.wait.OnConsidered(counts_.passes, now);
   // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
   // have reserved executors, unless it still needs its first advice call.
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -197,6 +197,15 @@
   context_.log.Write(event, fields);
 }
 
+void CellLeader::ReportLoad(TimePoint now) {
+  load_.Report(now, {{"starts", counts_.starts},
+                     {"ends", counts_.ends},
+                     {"holds", counts_.holds},
+                     {"stops", counts_.stops},
+                     {"preempted", counts_.preempted},
+                     {"advice_calls", counts_.advice}});
+}
+
 void CellLeader::ReportUnreadExecutors() {
   if (unread_executors_reported_ ||
       context_.clock.Now() - begin_time_ < kUnreadReportDelay) {
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -68,6 +68,7 @@
   kCellPaused = 1005,
   kLeaderSuspected = 1006,
   kLeaderIsolated = 1007,
+  kLeaderLoad = 1008,
   kJobAccepted = 1101,
   kJobNotAccepted = 1102,
   kJobCancelled = 1103,
