--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -22,6 +22,7 @@
       : all_(all), member_(std::move(member)) {}
 
   void Start(const StartOrder& order, OnOrder done) override {
+    all_.loop_.Spend(all_.start_cost);
     Order(order.address, order.executor, done,
           [this, order](FakeExecutors::State& state) {
             return all_.DoStart(state, order);
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -104,6 +104,7 @@
   std::function<void(HoldReply&)> change_hold;
   // Result of each start; a start is not executed unless this is kOk.
   std::function<OrderResult(const StartOrder&)> start_result;
+  Duration start_cost{0};  // processor time of the member for each start
   Millis longest_lease{10'000};
   Millis stop_time{100};
   Millis gang_timeout{3'000};
--- a/cell/testing/fake_loop.h
+++ b/cell/testing/fake_loop.h
@@ -33,8 +33,12 @@
       events_.erase(first);
       run();
     }
-    clock_.Advance(end - clock_.Now());
+    if (end > clock_.Now()) {
+      clock_.Advance(end - clock_.Now());
+    }
   }
+  // Processor time used by the event that runs: all later ones are delayed.
+  void Spend(Duration time) { clock_.Advance(time); }
   const chivedale::testing::FakeClock& clock() const { return clock_; }
 
  private:
--- /dev/null
+++ b/cell/testing/leader_backlog_test.cc
@@ -0,0 +1,147 @@
+// Tests of a leader that has more work to start than it can start at once, or
+// than its executors can run.
+#include <boost/test/unit_test.hpp>
+#include <iomanip>
+#include <map>
+#include <sstream>
+#include <string>
+
+#include "cell/testing/cell_fixture.h"
+
+namespace chivedale::cell {
+namespace {
+
+using testing::CellFixture;
+using testing::MakeJobSpec;
+
+JobId IdOf(char kind, int number) {
+  std::ostringstream id;
+  id << kind << std::setw(15) << std::setfill('0') << number;
+  return id.str();
+}
+
+// A cell whose urgent jobs are watched until they complete.
+struct WatchedCell : CellFixture {
+  static constexpr Millis kRunTime{600};
+  // Objective of MakeQueue() for a job of one step.
+  static constexpr Millis kObjective{900 + 300};
+
+  void SubmitUrgent(int tasks) {
+    const JobId id = IdOf('a', submitted++);
+    Submit("b", id, MakeJobSpec(tasks, kRunTime), "q0");
+    open[id] = loop.clock().Now();
+  }
+
+  // Submits an urgent job at each interval for a time.
+  void SubmitUrgentEvery(Millis interval, Millis time, int tasks) {
+    const TimePoint end = loop.clock().Now() + time;
+    while (loop.clock().Now() < end) {
+      SubmitUrgent(tasks);
+      const TimePoint next = loop.clock().Now() + interval;
+      while (loop.clock().Now() < next) {
+        RunAndWatch(Millis(10));
+      }
+    }
+  }
+
+  void RunAndWatch(Millis time) {
+    RunFor(time);
+    for (auto it = open.begin(); it != open.end();) {
+      if (StateOf(it->first) != JobState::kCompleted) {
+        ++it;
+        continue;
+      }
+      const Duration took = loop.clock().Now() - it->second;
+      in_time += took <= kObjective ? 1 : 0;
+      longest = std::max(longest, took);
+      it = open.erase(it);
+    }
+  }
+
+  int submitted = 0;
+  int in_time = 0;
+  Duration longest{0};
+  std::map<JobId, TimePoint> open;  // not completed, since when
+};
+
+// A large pool, and a leader that can order 10,000 starts a second if it does
+// nothing else.
+struct BusyCell : WatchedCell {
+  static constexpr int kJobs = 40;
+  static constexpr int kTasks = 50;
+
+  BusyCell() {
+    AddExecutors("pool", 300, {32'000, 64'000, 0, 0});
+    RunFor(Millis(2'000));
+    executors.start_cost = std::chrono::microseconds(100);
+  }
+
+  void SubmitBacklog() {
+    for (int i = 0; i < kJobs; ++i) {
+      Submit("a", IdOf('b', i), MakeJobSpec(kTasks, Millis(30'000)), "q2");
+    }
+  }
+
+  int StartedOfBacklog() const {
+    int started = 0;
+    for (int i = 0; i < kJobs; ++i) {
+      for (int task = 0; task < kTasks; ++task) {
+        const std::string name = IdOf('b', i) + ".0.0." + std::to_string(task);
+        started += executors.EverStarted(name) ? 1 : 0;
+      }
+    }
+    return started;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(ALeaderWithABacklog)
+
+BOOST_AUTO_TEST_SUITE(OfStarts)
+
+// Regression (kowa-consult-large, SHORT): an urgent job that arrived during a
+// scheduling pass waited until all tasks of all queues had been started, and
+// then three times as long for the next pass.
+BOOST_AUTO_TEST_CASE(ServesUrgentJobsInTime) {
+  BusyCell cell;
+  cell.SubmitBacklog();
+  cell.SubmitUrgentEvery(Millis(20), Millis(1'000), 4);
+  cell.RunAndWatch(Millis(2'000));
+  BOOST_TEST(cell.open.empty());
+  BOOST_TEST(cell.in_time == cell.submitted);
+  BOOST_TEST_MESSAGE("longest "
+                     << std::chrono::duration_cast<Millis>(cell.longest).count()
+                     << " ms");
+}
+
+// Guards against a backlog that waits as long as urgent jobs keep the leader
+// busy: these would need all of the time that it gives to starts.
+BOOST_AUTO_TEST_CASE(StartsTheBacklogBesideUrgentJobs) {
+  BusyCell cell;
+  cell.SubmitBacklog();
+  cell.SubmitUrgentEvery(Millis(10), Millis(3'000), 30);
+  BOOST_TEST(cell.StartedOfBacklog() == BusyCell::kJobs * BusyCell::kTasks);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OfRuns)
+
+// Regression (kowa-consult-large, SHORT): each job waited until it could only
+// be late, because jobs that could not be in time any more had the earliest
+// objectives and so were first.
+BOOST_AUTO_TEST_CASE(RunsJobsThatCanBeInTimeFirst) {
+  WatchedCell cell;
+  // The pool runs 32 tasks, so 53 a second; 80 a second arrive.
+  cell.SubmitUrgentEvery(Millis(100), Millis(8'000), 8);
+  cell.RunAndWatch(Millis(10'000));
+  BOOST_TEST(cell.open.empty());
+  BOOST_TEST(2 * cell.in_time >= cell.submitted,
+             cell.in_time << " of " << cell.submitted << " in time");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
