Check a gang's earlier runs by the step's live runs

The step already counts its live runs by executor. The two differ only for runs of unknown jobs, and an executor with such a run gets no task.

--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -208,10 +208,7 @@
       ++places;
     }
     // An earlier run of a task of this step has not ended here yet.
-    bool busy = false;
-    for (int i = 0; i < spec.count; ++i) {
-      busy = busy || executor->FindRun(step.NameOf(i).Text()) != nullptr;
-    }
+    const bool busy = LiveRunsOn(step, executor->entry.id) > 0;
     if (places > 0 && !busy) {
       slots.push_back({Cost(step, *executor), executor, places});
     }
