--- a/cell/job.h
+++ b/cell/job.h
@@ -75,8 +75,7 @@
   StepAdvice advice;
   TimePoint ready_since{};  // when its dependencies completed
   bool ready = false;
-  TimePoint retry_at{};   // earliest next start of a gang
-  int64_t last_pass = 0;  // latest scheduling pass that considered it
+  TimePoint retry_at{};  // earliest next start of a gang
   StepWait wait;
   int gang_running = 0;  // members of the latest run that are known to run
 
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -21,9 +21,6 @@
 // Maximum rate of this clock relative to an executor's clock.
 constexpr double kClockDriftFactor = 1.03;
 constexpr Millis kSweepInterval{500};
-// A round over many steps that are not urgent, or late, is made less often, so
-// that the leader has time for its other work.
-constexpr int kRoundPauseFactor = 1;
 // Progress writes in flight at a time.
 constexpr size_t kProgressLanes = 4;
 // Jobs in one progress write, which also contains two conditions and the
@@ -57,8 +54,6 @@
                                       : std::numeric_limits<int64_t>::max()),
       table_(std::make_shared<QueueTable>()),
       load_(context.log),
-      rounds_{SchedulingRound(0), SchedulingRound(kRoundPauseFactor),
-              SchedulingRound(kRoundPauseFactor)},
       progress_queue_(kProgressLanes, kMaxWrittenJobs),
       lanes_(kProgressLanes) {}
 
@@ -73,10 +68,6 @@
 void CellLeader::SetTable(std::shared_ptr<const QueueTable> table) {
   table_ = std::move(table);
   ++table_count_;
-  most_urgent_ = std::numeric_limits<int>::max();
-  for (const QueuePolicy& queue : table_->queues) {
-    most_urgent_ = std::min(most_urgent_, queue.priority);
-  }
   RequestSchedulingPass();
 }
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -14,7 +14,6 @@
 #ifndef CELL_LEADER_H_
 #define CELL_LEADER_H_
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -35,7 +34,6 @@
 #include "cell/placer.h"
 #include "cell/ports.h"
 #include "cell/progress_queue.h"
-#include "cell/scheduling_round.h"
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/metrics.h"
@@ -133,25 +131,15 @@
     // bound if it is stale.
     Resources max_free;
     bool max_free_stale = false;
+    int reserving_steps = 0;  // steps with reserved executors
   };
 
-  // A waiting step, in the order in which a pass considers it.
   struct StepOrder {
     int priority;
-    bool late;   // past its objective
-    bool stale;  // without new advice
+    bool late;  // past its objective
     TimePoint objective;
     Step* step;
   };
-  using StepOrders = std::vector<StepOrder>;
-  // Groups of steps, each with its own rounds and time in a pass. Those before
-  // a group rank higher.
-  enum StepGroup : size_t {
-    kUrgentSteps,  // of the most urgent queues of the table
-    kLateUrgentSteps,
-    kOtherSteps,
-    kStepGroups,
-  };
 
   // leader_jobs.cc
   void LoadJobs();
@@ -326,22 +314,7 @@
   void RequestSchedulingPass();
   void RunSchedulingPass();
   void AddIfWaiting(Step& step);
-  // Returns the steps to consider, the most urgent first.
-  StepOrders OrderWaitingSteps();
-  // Considers the steps of the range that the round has not considered yet,
-  // until `limit` has passed.
-  void ConsiderSteps(StepOrders::const_iterator begin,
-                     StepOrders::const_iterator end,
-                     SchedulingRound& round,
-                     Duration limit);
-  void ScheduleStep(Step& step, SchedulingRound& round);
-  StepGroup GroupOf(const StepOrder& order) const;
-  // Whether a step of this round, or of a group of higher rank, has reserved
-  // the executor. `round` is one of rounds_.
-  bool IsReservedFrom(const SchedulingRound& round,
-                      const Executor& executor) const;
-  int ReservingSteps(const SchedulingRound& round,
-                     const std::string& pool) const;
+  void ScheduleStep(Step& step);
   bool PlaceTasks(Step& step,
                   const std::vector<Executor*>& candidates,
                   int most);
@@ -364,13 +337,11 @@
   // Usable executors that may run the step, as far as its advice is known.
   std::vector<Executor*> EligibleFor(const Step& step, const PoolState& pool);
   bool IsWorthPreempting(const Run& run) const;
-  void Preempt(Step& step,
-               const std::vector<Executor*>& candidates,
-               SchedulingRound& round);
+  void Preempt(Step& step, const std::vector<Executor*>& candidates);
   // Reserves executors for the step, which less urgent steps then cannot use.
   void ReserveExecutors(const Step& step,
                         const std::vector<Executor*>& candidates,
-                        SchedulingRound& round);
+                        PoolState& pool);
   // Whether the candidates would fit the step if they were otherwise empty.
   bool WouldFitIfEmpty(const Step& step,
                        const std::vector<Executor*>& candidates) const;
@@ -514,14 +485,14 @@
   TimePoint next_vm_list_{};
   bool vm_list_in_flight_ = false;
 
-  int most_urgent_ = 0;  // lowest priority number of the table
   std::map<std::string, int> urgent_priority_;   // by pool
   std::map<std::string, Resources> urgent_use_;  // smoothed, by pool
   TimePoint next_measure_{};
 
   bool pass_requested_ = false;
-  std::map<std::string, PoolState> pool_states_;     // in the current pass
-  std::array<SchedulingRound, kStepGroups> rounds_;  // by group
+  // State of the current scheduling pass.
+  std::set<const Executor*> reserved_;
+  std::map<std::string, PoolState> pool_states_;
   TimePoint next_pass_{};
   TimePoint next_check_{};
   TimePoint next_sweep_{};
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -181,7 +181,6 @@
     return;
   }
   advice.answered = true;
-  advice.fresh = true;
   for (const ExecutorId& id : asked) {
     if (const Executor* executor = FindExecutor(id)) {
       advice.SetBad(executor->number);
--- a/cell/leader_headroom.cc
+++ b/cell/leader_headroom.cc
@@ -4,6 +4,7 @@
 // urgent queues of the table have recently used there, because a burst doubles
 // their load. Pools without such queues have no headroom.
 #include <algorithm>
+#include <limits>
 
 #include "cell/leader.h"
 
@@ -44,9 +45,13 @@
   }
   next_measure_ = now + kMeasureInterval;
   urgent_priority_.clear();
+  int most_urgent = std::numeric_limits<int>::max();
   for (const QueuePolicy& queue : table_->queues) {
-    if (queue.priority == most_urgent_) {
-      urgent_priority_[queue.pool] = most_urgent_;
+    most_urgent = std::min(most_urgent, queue.priority);
+  }
+  for (const QueuePolicy& queue : table_->queues) {
+    if (queue.priority == most_urgent) {
+      urgent_priority_[queue.pool] = most_urgent;
     }
   }
   std::map<std::string, Resources> use;
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -259,9 +259,7 @@
         WithValidTicket(*step, EligibleFor(*step, pool), pool);
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                     [&](const Executor* executor) {
-                                      return IsReservedFrom(
-                                                 rounds_[kOtherSteps],
-                                                 *executor) ||
+                                      return reserved_.count(executor) > 0 ||
                                              executor->health.suspect();
                                     }),
                      candidates.end());
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -2,7 +2,6 @@
 // A step that does not fit reserves the executors it needs, so that large tasks
 // and gangs are not starved by smaller, less urgent ones.
 #include <algorithm>
-#include <numeric>
 #include <tuple>
 
 #include "cell/leader.h"
@@ -12,13 +11,8 @@
 
 // Delay before a pass, to batch events.
 constexpr Millis kPassDelay{2};
-// Minimum idle time between passes, as a multiple of the last pass's duration,
-// unless steps are left over from that pass.
+// Minimum idle time between passes, as a multiple of the last pass's duration.
 constexpr int kPassIdleFactor = 3;
-// Time in a pass for the steps of a group: small beside the slack of an urgent
-// step's objective. Late steps get less, as most of their value is lost.
-constexpr Millis kPassTime{10};
-constexpr Millis kLatePassTime{5};
 // Number of steps that may reserve executors in one pass.
 constexpr int kMaxReservingSteps = 4;
 
@@ -74,38 +68,7 @@
   ++counts_.passes;
   const TimePoint now = context_.clock.Now();
   ReportUnreadExecutorsEnd();
-  const StepOrders orders = OrderWaitingSteps();
-  pool_states_.clear();
-  MeasureUrgentUse();
-  auto begin = orders.begin();
-  for (size_t group = 0; group < kStepGroups; ++group) {
-    const auto end = std::find_if(
-        begin, orders.end(),
-        [&](const StepOrder& order) { return GroupOf(order) != group; });
-    ConsiderSteps(begin, end, rounds_[group],
-                  group == kLateUrgentSteps ? kLatePassTime : kPassTime);
-    begin = end;
-  }
-  StartCopies();
-  SendAdviceCalls();
-  const TimePoint end = context_.clock.Now();
-  context_.metrics.Observe(Timer::kDecision, "pass", end - now);
-  const auto late = std::count_if(orders.begin(), orders.end(),
-                                  [](const StepOrder& o) { return o.late; });
-  load_.OnPass(now, end, {orders.size(), static_cast<size_t>(late)});
-  // Events are batched into the next pass.
-  const bool finished =
-      std::all_of(rounds_.begin(), rounds_.end(),
-                  [](const SchedulingRound& r) { return r.finished(); });
-  next_pass_ = end + (finished ? kPassIdleFactor : 1) * (end - now);
-  if (!finished) {
-    RequestSchedulingPass();
-  }
-}
-
-CellLeader::StepOrders CellLeader::OrderWaitingSteps() {
-  const TimePoint now = context_.clock.Now();
-  StepOrders orders;
+  std::vector<StepOrder> orders;
   orders.reserve(waiting_.size());
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     Step& step = **it;
@@ -117,64 +80,29 @@
       step.objective = ObjectiveOf(*step.job, step.occurrence);
     }
     orders.push_back({PolicyOf(*step.job).priority, step.objective < now,
-                      !step.advice.fresh, step.objective, &step});
+                      step.objective, &step});
     ++it;
   }
-  std::sort(
-      orders.begin(), orders.end(), [](const StepOrder& a, const StepOrder& b) {
-        return std::tie(a.priority, a.late, a.stale, a.objective, a.step) <
-               std::tie(b.priority, b.late, b.stale, b.objective, b.step);
-      });
-  return orders;
-}
-
-// A pass that started all tasks that fit would keep urgent steps that become
-// ready meanwhile waiting for it.
-void CellLeader::ConsiderSteps(StepOrders::const_iterator begin,
-                               StepOrders::const_iterator end,
-                               SchedulingRound& round,
-                               Duration limit) {
-  const TimePoint from = context_.clock.Now();
-  if (!round.Resume(counts_.passes, from)) {
-    return;
-  }
-  TimePoint now = from;
-  auto next = begin;
-  for (; next != end && now - from <= limit; ++next) {
-    // A step with new tickets is considered again before they expire.
-    const bool again = round.HasConsidered(*next->step);
-    if (!next->stale || !again) {
-      if (again) {
-        round.Release(*next->step);
-      }
-      ScheduleStep(*next->step, round);
-      now = context_.clock.Now();
-    }
-  }
-  round.OnPassEnd(now, now - from, next == end);
-}
-
-CellLeader::StepGroup CellLeader::GroupOf(const StepOrder& order) const {
-  if (order.priority > most_urgent_) {
-    return kOtherSteps;
+  std::sort(orders.begin(), orders.end(),
+            [](const StepOrder& a, const StepOrder& b) {
+              return std::tie(a.priority, a.late, a.objective, a.step) <
+                     std::tie(b.priority, b.late, b.objective, b.step);
+            });
+  reserved_.clear();
+  pool_states_.clear();
+  MeasureUrgentUse();
+  for (const StepOrder& order : orders) {
+    ScheduleStep(*order.step);
   }
-  return order.late ? kLateUrgentSteps : kUrgentSteps;
-}
-
-bool CellLeader::IsReservedFrom(const SchedulingRound& round,
-                                const Executor& executor) const {
-  return std::any_of(rounds_.data(), &round + 1,
-                     [&](const SchedulingRound& earlier) {
-                       return earlier.IsReserved(executor.number);
-                     });
-}
-
-int CellLeader::ReservingSteps(const SchedulingRound& round,
-                               const std::string& pool) const {
-  return std::accumulate(rounds_.data(), &round + 1, 0,
-                         [&](int steps, const SchedulingRound& earlier) {
-                           return steps + earlier.reserving_steps(pool);
-                         });
+  StartCopies();
+  SendAdviceCalls();
+  // Passes are slow under load, so events are batched into the next one.
+  const TimePoint end = context_.clock.Now();
+  context_.metrics.Observe(Timer::kDecision, "pass", end - now);
+  next_pass_ = end + kPassIdleFactor * (end - now);
+  const auto late = std::count_if(orders.begin(), orders.end(),
+                                  [](const StepOrder& o) { return o.late; });
+  load_.OnPass(now, end, {orders.size(), static_cast<size_t>(late)});
 }
 
 CellLeader::PoolState& CellLeader::PoolStateOf(const std::string& name) {
@@ -243,7 +171,7 @@
   return eligible;
 }
 
-void CellLeader::ScheduleStep(Step& step, SchedulingRound& round) {
+void CellLeader::ScheduleStep(Step& step) {
   const TimePoint now = context_.clock.Now();
   const QueuePolicy& policy = PolicyOf(*step.job);
   const Resources size = ResourcesFor(*step.spec);
@@ -251,13 +179,10 @@
   if (step.wait.pass() == 0) {
     load_.OnFirstConsidered(policy.priority, now - step.ready_since);
   }
-  step.last_pass = counts_.passes;
-  step.advice.fresh = false;
   step.wait.OnConsidered(counts_.passes, now);
-  const int reserving_steps = ReservingSteps(round, policy.pool);
   // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
   // have reserved executors, unless it still needs its first advice call.
-  const bool may_be_blocked = reserving_steps >= kMaxReservingSteps &&
+  const bool may_be_blocked = pool.reserving_steps >= kMaxReservingSteps &&
                               (!policy.advice || step.advice.answered);
   if (may_be_blocked && pool.max_free_stale) {
     MeasureFree(pool);
@@ -283,12 +208,12 @@
   const auto remove_reserved = [&](std::vector<Executor*>& executors) {
     executors.erase(std::remove_if(executors.begin(), executors.end(),
                                    [&](const Executor* executor) {
-                                     return IsReservedFrom(round, *executor);
+                                     return reserved_.count(executor) > 0;
                                    }),
                     executors.end());
   };
   const bool starved = IsStarved(step, pool);
-  if (!starved) {
+  if (!reserved_.empty() && !starved) {
     remove_reserved(candidates);
   }
   const int most = MaxStartsWithinHeadroom(step, pool);
@@ -313,13 +238,11 @@
                                            : WaitReason::kRoom,
                       now);
   if (!candidates.empty()) {
-    Preempt(step, candidates, round);
+    Preempt(step, candidates);
   }
   // Executors stay reserved while their ticket is being renewed.
   remove_reserved(eligible);
-  if (reserving_steps < kMaxReservingSteps) {
-    ReserveExecutors(step, eligible, round);
-  }
+  ReserveExecutors(step, eligible, pool);
 }
 
 bool CellLeader::HasEligibleExecutor(const Step& step, const PoolState& pool) {
@@ -396,11 +319,12 @@
 
 void CellLeader::ReserveExecutors(const Step& step,
                                   const std::vector<Executor*>& candidates,
-                                  SchedulingRound& round) {
-  if (!WouldFitIfEmpty(step, candidates)) {
+                                  PoolState& pool) {
+  if (pool.reserving_steps >= kMaxReservingSteps ||
+      !WouldFitIfEmpty(step, candidates)) {
     return;
   }
-  round.CountReservingStep(step, PolicyOf(*step.job).pool);
+  ++pool.reserving_steps;
   // Executors with the smallest shortage are likely to fit the step first.
   std::vector<Executor*> sorted;
   const Resources size = ResourcesFor(*step.spec);
@@ -426,7 +350,7 @@
   const size_t wanted =
       step.spec->gang ? static_cast<size_t>(step.spec->count) : 1;
   for (size_t i = 0; i < sorted.size() && i < wanted; ++i) {
-    round.Reserve(step, sorted[i]->number);
+    reserved_.insert(sorted[i]);
   }
 }
 
@@ -444,9 +368,7 @@
   return !ends_soon && (task.preemptions == 0 || ran >= kMinRunAfterPreemption);
 }
 
-void CellLeader::Preempt(Step& step,
-                         const std::vector<Executor*>& candidates,
-                         SchedulingRound& round) {
+void CellLeader::Preempt(Step& step, const std::vector<Executor*>& candidates) {
   const int priority = PolicyOf(*step.job).priority;
   const Resources size = ResourcesFor(*step.spec);
   const TimePoint now = context_.clock.Now();
@@ -505,7 +427,7 @@
       room -= size;
       --wanted;
     }
-    round.Reserve(step, executor->number);
+    reserved_.insert(executor);
   }
 }
 
--- a/cell/step_advice.h
+++ b/cell/step_advice.h
@@ -42,7 +42,6 @@
 
   bool call_in_flight = false;  // a call is queued or in flight
   bool answered = false;
-  bool fresh = false;  // answered since a scheduling pass considered the step
   TimePoint next_call{};  // earliest, after a failed call
 
  private:
