--- a/cell/leader_load.h
+++ b/cell/leader_load.h
@@ -1,6 +1,6 @@
 // What the leader was busy with since the last report, logged once a second.
-// Tells a leader that is short of processor time, whose ticks are late, from
-// one whose scheduling passes are long or far apart.
+// Late ticks indicate a lack of processor time; passes that are long or far
+// apart with few late ticks indicate many waiting steps.
 //
 //   LeaderLoad load(log);
 //   load.OnTick(now);
