Log a leader that goes on without the store

The log could not tell whether a second run was started by the successor of a leader that still renews, or by the old leader beside a successor that renews. Event 1009 says when a leader goes on without an answer of the store and which members are silent to it; the fake executors name the fences of both runs and the last one seen by the other executor. No decision is changed.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -407,6 +407,7 @@
 void CellNode::Tick() {
   election_->Tick();
   CheckIsolation();
+  ReportUnconfirmed();
   const TimePoint now = context_.clock.Now();
   if (now >= next_beat_) {
     SendBeats();
--- a/cell/node.h
+++ b/cell/node.h
@@ -154,6 +154,7 @@
   void CheckIsolation();
   bool ReceivesNoBeats() const;
   void SetIsolated(bool isolated);
+  void ReportUnconfirmed();
 
   // node_calls.cc
   void OnStateCall(const JobStateCall& call);
@@ -209,6 +210,7 @@
   bool probing_store_ = false;
   // The leader reaches neither the store nor any other member.
   bool isolated_ = false;
+  bool unconfirmed_reported_ = false;
   bool checking_isolation_ = false;
   TimePoint next_isolation_check_{};
   TimePoint leader_last_heard_{};  // latest heartbeat of the leader
--- a/cell/node_reachability.cc
+++ b/cell/node_reachability.cc
@@ -16,6 +16,9 @@
 constexpr Millis kIsolationTime{600};
 // Interval of that check, and its time limit.
 constexpr Millis kIsolationCheckInterval{200};
+// A leader without an answer of the store for this time reports it, and the
+// members without a heartbeat for this time.
+constexpr Millis kUnconfirmedTime{1'000};
 
 }  // namespace
 
@@ -95,4 +98,24 @@
   }
 }
 
+void CellNode::ReportUnconfirmed() {
+  if (leader_ == nullptr || store_.failing_for() < kUnconfirmedTime) {
+    unconfirmed_reported_ = false;
+    return;
+  }
+  if (std::exchange(unconfirmed_reported_, true)) {
+    return;
+  }
+  std::string silent;
+  for (const auto& [node, member] : members_) {
+    if (context_.clock.Now() - member.last_heard > kUnconfirmedTime) {
+      silent += silent.empty() ? node : "," + node;
+    }
+  }
+  context_.log.Write(Event::kLeaderUnconfirmed,
+                     {{"term", std::to_string(leader_->leadership().term)},
+                      {"members", std::to_string(members_.size())},
+                      {"silent", silent}});
+}
+
 }  // namespace chivedale::cell
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -311,11 +311,15 @@
         std::string what = "running on two executors: " + where;
         what += " and on ";
         what += id;
+        what += ", fences " + std::to_string(order.fence) + " and " +
+                std::to_string(other.runs.at(text).fence) + ", renewed by " +
+                std::to_string(other.fence);
         AddViolation(what);
       }
     }
     if (done_stored_.count(text) > 0) {
-      AddViolation("started after its end was stored: " + where);
+      AddViolation("started after its end was stored: " + where + ", fence " +
+                   std::to_string(order.fence));
     }
   }
   for (const int earlier : spec->depends_on) {
@@ -364,6 +368,7 @@
   Run run;
   run.name = TaskName::Parse(order.task).value();
   run.number = order.run;
+  run.fence = order.fence;
   run.checkpoint = order.checkpoint;
   run.serial = next_serial_++;
   if (const StepSpec* spec = SpecOf(run.name)) {
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -115,6 +115,7 @@
   struct Run {
     TaskName name;
     int64_t number = 0;
+    int64_t fence = 0;  // of the leader that started it
     std::string checkpoint;
     TimePoint began{};
     bool working = false;  // false while a gang waits for its members
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -55,6 +55,7 @@
       {Event::kLeaderSuspected, "leader_suspected", L::kWarning},
       {Event::kLeaderIsolated, "leader_isolated", L::kWarning},
       {Event::kLeaderLoad, "leader_load", L::kInfo},
+      {Event::kLeaderUnconfirmed, "leader_unconfirmed", L::kWarning},
       {Event::kJobAccepted, "job_accepted", L::kInfo},
       {Event::kJobNotAccepted, "job_not_accepted", L::kInfo},
       {Event::kJobCancelled, "job_cancelled", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -69,6 +69,7 @@
   kLeaderSuspected = 1006,
   kLeaderIsolated = 1007,
   kLeaderLoad = 1008,
+  kLeaderUnconfirmed = 1009,
   kJobAccepted = 1101,
   kJobNotAccepted = 1102,
   kJobCancelled = 1103,
