Reproduce two leaders at work in a cell that is cut in two

What callers saw: tasks run twice on real processes. Seven members and six executors, with some of both cut off from the others: with one member or a data centre on the leader's side, with all members but one, with a pause of the leader, and with orders that are carried out late.

--- /dev/null
+++ b/cell/testing/data_centre_cut_test.cc
@@ -0,0 +1,339 @@
+// Tests of a cell of seven members and six executors while some of both are cut
+// off from the others: the leader's side, the other one, and which of them
+// reaches the store. The fake executors report a task that runs twice.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "cell/testing/cell_fixture.h"
+
+namespace chivedale::cell {
+namespace {
+
+using testing::FakeCell;
+using testing::kJobId;
+using testing::MakeJobSpec;
+using testing::MakeQueue;
+
+constexpr Millis kCutTime{15'000};
+constexpr Millis kRecoveryTime{25'000};
+constexpr int64_t kHalfExecutor = 16'000;
+
+struct LargeCell : FakeCell {
+  explicit LargeCell(uint64_t seed = 1) : FakeCell(seed) {
+    for (const std::string& name : names) {
+      AddNode(name);
+    }
+    AddExecutors("pool", 6, {32'000, 64'000, 0, 0});
+    SetQueue(MakeQueue(0));
+    SetQueue(MakeQueue(2));
+    RunFor(Millis(2'000));
+  }
+  ~LargeCell() {
+    for (const std::string& what : executors.violations()) {
+      BOOST_ERROR(what);
+    }
+  }
+  std::string LeaderName() {
+    for (const std::string& name : names) {
+      if (node(name) != nullptr && node(name)->leading()) {
+        return name;
+      }
+    }
+    return "";
+  }
+  // The leader and `count` other members.
+  std::set<std::string> LeaderAnd(size_t count) {
+    std::set<std::string> members = {LeaderName()};
+    for (size_t i = 0; members.size() <= count; ++i) {
+      members.insert(names[i]);
+    }
+    return members;
+  }
+  std::string MemberOutside(const std::set<std::string>& members) const {
+    return *std::find_if(
+        names.begin(), names.end(),
+        [&](const std::string& name) { return members.count(name) == 0; });
+  }
+  // Long tasks on half of each executor, and short ones for the rest.
+  void SubmitJobs() {
+    Submit(LeaderName(), kJobId, MakeJobSpec(6, Millis(30'000), kHalfExecutor),
+           "q2");
+    RunFor(Millis(200));
+    SubmitShortJob(LeaderName());
+    RunFor(Millis(200));
+  }
+  JobId SubmitShortJob(const std::string& member) {
+    const std::string number = std::to_string(++short_jobs);
+    const JobId id = std::string(16 - number.size(), '0') + number;
+    Submit(member, id, MakeJobSpec(4, Millis(1'500), 2'000), "q0");
+    return id;
+  }
+  // Submits a job a second to a member of each side.
+  void RunCut(const std::set<std::string>& side, Millis time) {
+    for (Millis passed{0}; passed < time; passed += Millis(1'000)) {
+      SubmitShortJob(*side.begin());
+      SubmitShortJob(MemberOutside(side));
+      RunFor(Millis(1'000));
+    }
+  }
+  void ExpectAllJobsToEnd() {
+    RunFor(kRecoveryTime);
+    for (int i = 0; i < 40 && executors.running() > 0; ++i) {
+      RunFor(Millis(1'000));
+    }
+    RunFor(Millis(1'000));
+    BOOST_TEST(accepted().count(kJobId) == 1u);
+    for (const JobId& id : accepted()) {
+      BOOST_TEST((StateOf(id) == JobState::kCompleted), id);
+    }
+  }
+
+  const std::vector<std::string> names = {"a", "b", "c", "d", "e", "f", "g"};
+  int short_jobs = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(ACellThatIsCutInTwo)
+
+BOOST_AUTO_TEST_SUITE(WithTheStoreOutOfTheLeadersReach)
+
+// Regression (incident of real processes): a leader that received heartbeats of
+// one other member renewed its leases and started tasks beside its successor.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfOneMemberIsOnTheLeadersSide) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  const std::set<std::string> side = cell.LeaderAnd(1);
+  cell.CutOff(side, {"e1", "e2"});
+  cell.RunCut(side, kCutTime);
+  cell.Reconnect();
+  cell.ExpectAllJobsToEnd();
+}
+
+// Regression (incident of real processes): likewise for a whole data centre.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfADataCentreIsOnTheLeadersSide) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  const std::set<std::string> side = cell.LeaderAnd(2);
+  cell.CutOff(side, {"e1", "e2"});
+  cell.RunCut(side, kCutTime);
+  cell.Reconnect();
+  cell.ExpectAllJobsToEnd();
+}
+
+// Regression (trials of the incident): the leader and most members lost the
+// store to one that kept it and was elected.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfAllMembersButOneAreOnTheLeadersSide) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  const std::set<std::string> side = cell.LeaderAnd(5);
+  cell.CutOff(side, {"e1", "e2", "e3", "e4"});
+  cell.RunCut(side, kCutTime);
+  cell.Reconnect();
+  cell.ExpectAllJobsToEnd();
+}
+
+// Guards against a leader that resumes after a pause as if nobody had been
+// elected meanwhile.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfTheLeaderStandsStillMeanwhile) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  const std::set<std::string> side = cell.LeaderAnd(2);
+  const std::string leader = cell.LeaderName();
+  cell.CutOff(side, {"e1", "e2"});
+  cell.RunCut(side, Millis(2'000));
+  cell.Freeze(leader, Millis(4'000));
+  cell.RunCut(side, kCutTime);
+  cell.Reconnect();
+  cell.ExpectAllJobsToEnd();
+}
+
+// Guards against orders that executors carry out seconds after a successor has
+// begun.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfOrdersAreCarriedOutLate) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  const std::set<std::string> side = cell.LeaderAnd(2);
+  testing::LinkFaults late;
+  late.late_orders = 0.3;
+  late.lost_answers = 0.2;
+  for (const std::string& name : cell.names) {
+    cell.executors.member_links[name] = late;
+  }
+  cell.RunFor(Millis(2'000));
+  cell.CutOff(side, {"e1", "e2"});
+  cell.RunCut(side, kCutTime);
+  cell.Reconnect();
+  cell.executors.member_links.clear();
+  cell.ExpectAllJobsToEnd();
+}
+
+// Guards against a second cut that begins before the first successor has
+// waited for the leases of its predecessor.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceInTwoCutsInARow) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  for (int i = 0; i < 3; ++i) {
+    const std::set<std::string> side = cell.LeaderAnd(2);
+    cell.CutOff(side, i % 2 == 0 ? std::set<ExecutorId>{"e1", "e2"}
+                                 : std::set<ExecutorId>{"e2", "e3"});
+    cell.RunCut(side, Millis(4'000));
+    cell.Reconnect();
+    cell.RunFor(Millis(100));
+  }
+  cell.ExpectAllJobsToEnd();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithTheStoreOnTheLeadersSide)
+
+BOOST_AUTO_TEST_CASE(KeepsItsLeaderAndRunsNoTaskTwice) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  const std::string leader = cell.LeaderName();
+  const std::set<std::string> side = cell.LeaderAnd(2);
+  cell.CutOff(side, {"e1", "e2"}, true);
+  cell.RunCut(side, kCutTime);
+  BOOST_TEST(cell.LeaderName() == leader);
+  cell.Reconnect();
+  cell.ExpectAllJobsToEnd();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ACellWhoseStoreIsDown)
+
+struct LargeCellWithoutStore : LargeCell {
+  LargeCellWithoutStore() { SubmitJobs(); }
+  void StopStore() {
+    store.faults.unresponsive = true;
+    entries_down = true;
+  }
+  void RestoreStore() {
+    store.faults = testing::StoreFaults();
+    entries_down = false;
+  }
+};
+
+// The store is not needed to run what was accepted, for any length of time.
+BOOST_AUTO_TEST_CASE(GoesOnWhileAllMembersAreThere) {
+  LargeCellWithoutStore cell;
+  // More tasks than fit at a time.
+  cell.Submit("a", "00000000000000bb", MakeJobSpec(24, Millis(5'000), 16'000),
+              "q0");
+  cell.RunFor(Millis(200));
+  const int64_t before = cell.executors.starts();
+  const std::string leader = cell.LeaderName();
+  cell.StopStore();
+  cell.RunFor(Millis(29'000));
+  BOOST_TEST(cell.LeaderName() == leader);
+  BOOST_TEST(cell.executors.starts() > before);
+  BOOST_TEST(cell.executors.starts() == 6 + 4 + 24);
+  cell.RestoreStore();
+  cell.ExpectAllJobsToEnd();
+  BOOST_TEST(cell.executors.starts() == 6 + 4 + 24);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnWhileProcessesOfOtherMembersEndAndStart) {
+  LargeCellWithoutStore cell;
+  const std::string leader = cell.LeaderName();
+  cell.StopStore();
+  cell.RunFor(Millis(2'000));
+  for (const std::string& name : cell.names) {
+    if (name != leader) {
+      cell.Kill(name);
+      cell.RunFor(Millis(700));
+    }
+  }
+  cell.RunFor(Millis(5'000));
+  for (const std::string& name : cell.names) {
+    cell.Restart(name);
+  }
+  cell.RunFor(Millis(5'000));
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.RestoreStore();
+  cell.ExpectAllJobsToEnd();
+  BOOST_TEST(cell.executors.starts() == 6 + 4);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnIfAMemberHasBeenWithoutPowerForLong) {
+  LargeCellWithoutStore cell;
+  const std::string leader = cell.LeaderName();
+  cell.PowerOff(leader == "g" ? "f" : "g");
+  cell.RunFor(Millis(13'000));
+  cell.StopStore();
+  cell.RunFor(Millis(12'000));
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.RestoreStore();
+  cell.ExpectAllJobsToEnd();
+  BOOST_TEST(cell.executors.starts() == 6 + 4);
+}
+
+// A member that loses its power during the outage may as well be cut off with
+// the store, so the leader stops; accepted jobs end once the store is back.
+BOOST_AUTO_TEST_CASE(LosesNoJobIfAMemberLosesItsPowerMeanwhile) {
+  LargeCellWithoutStore cell;
+  const std::string leader = cell.LeaderName();
+  cell.StopStore();
+  cell.RunFor(Millis(2'000));
+  cell.PowerOff(leader == "g" ? "f" : "g");
+  cell.RunFor(Millis(10'000));
+  cell.RestoreStore();
+  cell.ExpectAllJobsToEnd();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ACellThatLosesMembers)
+
+// Any number of members may lose their power while the store is there.
+BOOST_AUTO_TEST_CASE(GoesOnWithTheLastMember) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  while (true) {
+    const std::string leader = cell.LeaderName();
+    int alive = 0;
+    for (const std::string& name : cell.names) {
+      alive += cell.node(name) != nullptr ? 1 : 0;
+    }
+    if (alive == 1) {
+      break;
+    }
+    cell.PowerOff(leader);
+    cell.RunFor(Millis(2'500));
+    BOOST_TEST(cell.LeaderName() != "");
+    cell.SubmitShortJob(cell.LeaderName());
+  }
+  cell.ExpectAllJobsToEnd();
+}
+
+// All lose their power at once, and executors stay out of reach; the time until
+// their tasks start again is that of a single lost leader.
+BOOST_AUTO_TEST_CASE(
+    StartsTasksOfUnreachableExecutorsAgainSoonAfterALossOfAll) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  cell.RunFor(Millis(12'000));
+  const std::string leader = cell.LeaderName();
+  for (const std::string& name : cell.names) {
+    cell.PowerOff(name);
+  }
+  cell.executors.Crash("e1");
+  cell.RunFor(Millis(2'000));
+  for (const std::string& name : cell.names) {
+    if (name != leader) {
+      cell.Restart(name);
+    }
+  }
+  cell.RunFor(Millis(8'500));
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.ExpectAllJobsToEnd();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -109,6 +109,7 @@
   std::string address;
   double strength = 1;
   uint64_t life = 0;
+  bool powered = true;
   bool peers_cut = false;
   TimePoint frozen_until{};
   std::unique_ptr<StorePort> store;
@@ -156,8 +157,8 @@
       *host.advice,
       *host.vms,
       *host.peers,
-      [this](auto done) {
-        if (entries_down) {
+      [this, name](auto done) {
+        if (entries_down || cut_store_.count(name) > 0) {
           loop.After(entries_time, [done] { done(StoreStatus::kUnknown, {}); });
           return;
         }
@@ -228,6 +229,41 @@
   }
 }
 
+void FakeCell::CutOff(const std::set<std::string>& members,
+                      const std::set<ExecutorId>& cut_executors,
+                      bool with_store) {
+  Partition(members);
+  LinkFaults cut;
+  cut.cut = true;
+  StoreFaults silent;
+  silent.unresponsive = true;
+  for (const auto& [name, host] : hosts_) {
+    const bool inside = members.count(name) > 0;
+    for (const ExecutorEntry& entry : executors.Entries()) {
+      if (inside != (cut_executors.count(entry.id) > 0)) {
+        executors.links[{name, entry.id}] = cut;
+        cut_executor_links_.emplace(name, entry.id);
+      }
+    }
+    if (inside != with_store) {
+      store.faults_of[name] = silent;
+      cut_store_.insert(name);
+    }
+  }
+}
+
+void FakeCell::Reconnect() {
+  Partition({});
+  for (const auto& link : cut_executor_links_) {
+    executors.links.erase(link);
+  }
+  for (const std::string& name : cut_store_) {
+    store.faults_of.erase(name);
+  }
+  cut_executor_links_.clear();
+  cut_store_.clear();
+}
+
 void FakeCell::Deliver(const std::string& from,
                        const std::string& address,
                        const Message& message) {
@@ -238,7 +274,8 @@
         continue;
       }
       if (host->node == nullptr) {
-        if (sender.node != nullptr && !sender.peers_cut) {
+        if (sender.node != nullptr && !sender.peers_cut && host->powered &&
+            side_.count(name) == side_.count(sender.name)) {
           sender.node->OnPeerDisconnected(address, true);
         }
       } else if (!host->peers_cut && !sender.peers_cut &&
@@ -344,8 +381,14 @@
   host.node.reset();
 }
 
+void FakeCell::PowerOff(const std::string& name) {
+  Kill(name);
+  hosts_.at(name)->powered = false;
+}
+
 void FakeCell::Restart(const std::string& name) {
   Host& host = *hosts_.at(name);
+  host.powered = true;
   if (host.node == nullptr) {
     StartNode(host);
   }
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -52,6 +52,9 @@
   void RunFor(Duration time);
   // Ends the member's process immediately; Restart() starts a new one.
   void Kill(const std::string& name);
+  // Likewise, but its VM has no power: connections to it are not refused, they
+  // get no answer.
+  void PowerOff(const std::string& name);
   void Restart(const std::string& name);
   // Pauses the member's process. Its timers run late; messages sent to it
   // meanwhile are lost.
@@ -61,6 +64,12 @@
   // Drops messages between the members listed and all others; an empty set
   // reconnects them.
   void Partition(const std::set<std::string>& members) { side_ = members; }
+  // Cuts the members and executors listed off from all others; the store stays
+  // on the other side, unless `with_store`. Reconnect() ends it.
+  void CutOff(const std::set<std::string>& members,
+              const std::set<ExecutorId>& executors,
+              bool with_store = false);
+  void Reconnect();
   // Drops the messages that one member sends to another, or no longer.
   void CutLink(const std::string& from, const std::string& to, bool cut);
   // Removes the executor and adds one of the same kind after a delay.
@@ -123,6 +132,9 @@
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::shared_ptr<QueueTable> table_;
   std::set<std::string> side_;
+  // Changes made by CutOff().
+  std::set<std::pair<std::string, ExecutorId>> cut_executor_links_;
+  std::set<std::string> cut_store_;
   std::set<std::pair<std::string, std::string>> cut_links_;  // from, to
   std::map<int64_t, UpkeepWave> waves_;
   std::set<JobId> accepted_;
