Let a leader act only while no other member can have been elected

Cause: a leader was replaced by a write to the store that it may not learn of. It went on as long as it received heartbeats of any member, or for 0.6 s after a pause as if nobody had been elected, and its successor took its leases as expired 5.1 s after the election. Both then started tasks that the other one renewed or had acknowledged.

Change: a leader renews leases and starts tasks only for 1.4 s after evidence that nobody was elected: an answer of the store to a read of its key, or, while the store does not answer, an answer of every member on the roster, which is stored in c/roster and changed only by the leader. Evidence counts from when the call was sent; starts and leases from the end of the authority if that has passed, so that a pause between check and send grants nothing. A process that was started since counts only if it follows within 1.4 s on earlier evidence. A new leader that is on the roster waits as before (1.5 s and the leases); one that is not, 620 s, unless the leader that stored the roster has ended; so a leader goes on for at most 10 minutes without the store. Answers about jobs and readiness follow the authority too. Upkeeps wait for the end of the predecessor's authority.

Why it works: whoever is elected has stopped answering before, so that the old leader's authority ends at most 1.4 s after the successor's begin, for which the successor waits.

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -154,6 +154,13 @@
          (leading() || clock_.Now() - last_heard_ < options_.heard_time);
 }
 
+// A member that stops is never elected again. One that suspects the leader may
+// be elected at any time, also by an earlier write that takes effect late.
+bool Election::MayFollow(int64_t term) const {
+  return (!leader_ || leader_->term <= term) &&
+         machine_->state() == kFollower && (!suspected_ || leaving_);
+}
+
 void Election::Suspect(const std::string& reason, bool gone) {
   leader_gone_ = leader_gone_ || gone;
   if (suspected_ || leading() || leaving_) {
@@ -201,7 +208,7 @@
     return;
   }
   record_read_ = true;
-  leader_ = record;
+  predecessor_ = std::exchange(leader_, record);
   revision_ = revision;
   last_beat_ = clock_.Now();
   last_heard_ = TimePoint();
--- a/cell/election.h
+++ b/cell/election.h
@@ -114,6 +114,12 @@
   bool known() const { return record_read_; }
   // True if this member leads in this term or receives the leader's heartbeats.
   bool HearsLeader(int64_t term) const;
+  // True if this member knows of no later term and does not try to be elected.
+  bool MayFollow(int64_t term) const;
+  // The leader key before the current one, as far as it was read.
+  const std::optional<LeaderRecord>& predecessor() const {
+    return predecessor_;
+  }
 
  private:
   struct Machine;
@@ -132,6 +138,7 @@
 
   bool record_read_ = false;  // the leader key has been read
   std::optional<LeaderRecord> leader_;
+  std::optional<LeaderRecord> predecessor_;
   int64_t revision_ = 0;
   TimePoint last_beat_{};   // or when the leader became known
   TimePoint last_heard_{};  // last heartbeat of the leader
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -15,9 +15,6 @@
 namespace chivedale::cell {
 namespace {
 
-// Time in which a predecessor learns that it is fenced: one hold call to any
-// executor.
-constexpr Millis kFencingDelay{1'500};
 // Maximum rate of this clock relative to an executor's clock.
 constexpr double kClockDriftFactor = 1.03;
 constexpr Millis kSweepInterval{500};
@@ -61,6 +58,8 @@
 
 void CellLeader::Begin() {
   begin_time_ = context_.clock.Now();
+  predecessor_authority_end_ =
+      std::min(predecessor_authority_end_, begin_time_ + kUnlistedFencingDelay);
   LoadKnownExecutors([this] { LoadJobs(); });
   PollExecutors();
 }
@@ -88,6 +87,11 @@
   RequestSchedulingPass();
 }
 
+void CellLeader::LimitPredecessorAuthority(TimePoint end) {
+  predecessor_authority_end_ = std::min(predecessor_authority_end_, end);
+  RequestSchedulingPass();
+}
+
 void CellLeader::OnFenced(const std::string& reason) {
   if (fenced_) {
     return;
@@ -114,8 +118,11 @@
   }
   SendDueHolds();
   OpenDueRecurringJobs();
-  RunWaves();
-  if (now - begin_time_ > kFencingDelay && now >= next_limit_read_ &&
+  // Until then a predecessor may order upkeeps of other VMs.
+  if (now >= predecessor_authority_end_ || leadership_.predecessor_gone) {
+    RunWaves();
+  }
+  if (now > predecessor_authority_end_ && now >= next_limit_read_ &&
       HasUnreadExecutors()) {
     ReadPredecessorRevisionLimit();
   }
@@ -138,12 +145,16 @@
       suspended_) {
     return false;
   }
-  return true;
+  return context_.authority_end() > context_.clock.Now();
+}
+
+TimePoint CellLeader::GrantTime(TimePoint now) const {
+  return std::min(now, context_.authority_end());
 }
 
 TimePoint CellLeader::PredecessorLeasesEnd() const {
-  return begin_time_ + std::chrono::duration_cast<Duration>(
-                           options_.lease * kClockDriftFactor + kFencingDelay);
+  return predecessor_authority_end_ + std::chrono::duration_cast<Duration>(
+                                          options_.lease * kClockDriftFactor);
 }
 
 bool CellLeader::PredecessorLeasesExpired() const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -29,6 +29,7 @@
 #include "cell/advice_dispatcher.h"
 #include "cell/executor.h"
 #include "cell/job.h"
+#include "cell/leader_authority.h"
 #include "cell/leader_context.h"
 #include "cell/leader_load.h"
 #include "cell/placer.h"
@@ -67,9 +68,12 @@
   void OnCancelStored(const JobId& id);
   // Adds a wave, or updates one that was announced before.
   void AddWave(const UpkeepWave& wave);
-  // Stops giving orders, after a pause of this process or once fenced.
+  // Stops giving orders, without authority or once fenced.
   void Suspend();
   void Resume();
+  // The authority of earlier leaders ends at this time at the latest. Without
+  // this call it ends kUnlistedFencingDelay after Begin().
+  void LimitPredecessorAuthority(TimePoint end);
 
   // Queries.
   bool loaded() const { return loaded_; }
@@ -116,7 +120,7 @@
     return executors_;
   }
   // True once everything a start depends on has been read, except executors
-  // that are unreachable, and the leader is not suspended.
+  // that are unreachable, and the leader has authority.
   bool may_start() const;
 
  private:
@@ -323,6 +327,10 @@
   // that this leader has not read yet.
   bool MayRunOnUnreadExecutor(const Step& step) const;
   void ReadPredecessorRevisionLimit();
+  // The time from which leases and the validity of starts count: now, or the
+  // end of the authority if that has passed, so that a process which was paused
+  // after its last check grants nothing.
+  TimePoint GrantTime(TimePoint now) const;
   // Time by which all leases that the predecessor may have granted expire.
   TimePoint PredecessorLeasesEnd() const;
   bool PredecessorLeasesExpired() const;
@@ -435,6 +443,7 @@
   TimePoint suspended_at_{};
   bool fenced_ = false;
   TimePoint begin_time_{};
+  TimePoint predecessor_authority_end_ = TimePoint::max();
   util::ReadLimit known_executors_limit_;
   util::ReadLimit jobs_limit_;  // also of their progress and of the watch
   int64_t jobs_revision_ = 0;
--- /dev/null
+++ b/cell/leader_authority.cc
@@ -0,0 +1,98 @@
+#include "cell/leader_authority.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivedale::cell {
+
+void LeaderAuthority::OnStoreConfirmed(TimePoint sent) {
+  confirmed_ = std::max(confirmed_, sent);
+}
+
+void LeaderAuthority::OnRosterSent(const std::set<std::string>& members) {
+  sent_roster_.insert(members.begin(), members.end());
+  last_sent_roster_ = members;
+}
+
+void LeaderAuthority::OnRosterStored() {
+  stored_roster_ = std::exchange(last_sent_roster_, {});
+  // Each write is conditional on the roster's revision, so that earlier ones
+  // without an answer no longer take effect.
+  sent_roster_.clear();
+}
+
+void LeaderAuthority::OnFollowed(const std::string& member,
+                                 const std::string& boot_id,
+                                 TimePoint sent) {
+  Member& record = members_[member];
+  const bool same_process =
+      !record.boot_id.empty() && record.boot_id == boot_id;
+  if (sent > clock_.Now() ||
+      (!same_process && sent - EvidenceOf(member) > kAuthorityTime)) {
+    return;
+  }
+  record.boot_id = boot_id;
+  record.followed = std::max(record.followed, sent);
+}
+
+void LeaderAuthority::OnEnded(const std::string& member) {
+  const TimePoint now = clock_.Now();
+  Member& record = members_[member];
+  if (now - EvidenceOf(member) > kAuthorityTime) {
+    return;
+  }
+  record.boot_id.clear();
+  record.followed = now;
+}
+
+TimePoint LeaderAuthority::EvidenceOf(const std::string& member) const {
+  const auto found = members_.find(member);
+  return found == members_.end() ? confirmed_
+                                 : std::max(confirmed_, found->second.followed);
+}
+
+std::set<std::string> LeaderAuthority::required() const {
+  std::set<std::string> members = sent_roster_;
+  if (stored_roster_) {
+    members.insert(stored_roster_->begin(), stored_roster_->end());
+  }
+  return members;
+}
+
+TimePoint LeaderAuthority::MembersValidUntil() const {
+  if (!stored_roster_ || confirmed_ == TimePoint()) {
+    return TimePoint();
+  }
+  TimePoint until = confirmed_ + kMaxUnconfirmedTime;
+  for (const std::string& member : required()) {
+    until = std::min(until, EvidenceOf(member) + kAuthorityTime);
+  }
+  return until;
+}
+
+TimePoint LeaderAuthority::valid_until() const {
+  if (confirmed_ == TimePoint()) {
+    return TimePoint();
+  }
+  return std::max(confirmed_ + kAuthorityTime, MembersValidUntil());
+}
+
+LeaderAuthority::Basis LeaderAuthority::basis() const {
+  const TimePoint now = clock_.Now();
+  if (confirmed_ != TimePoint() && confirmed_ + kAuthorityTime > now) {
+    return Basis::kStore;
+  }
+  return MembersValidUntil() > now ? Basis::kMembers : Basis::kNone;
+}
+
+std::string LeaderAuthority::Silent() const {
+  std::string silent;
+  for (const std::string& member : required()) {
+    if (EvidenceOf(member) + kAuthorityTime <= clock_.Now()) {
+      silent += silent.empty() ? member : "," + member;
+    }
+  }
+  return silent;
+}
+
+}  // namespace chivedale::cell
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -48,6 +48,7 @@
 inline constexpr char kLeaderKey[] = "c/leader";
 inline constexpr char kMemberPrefix[] = "c/m/";  // c/m/NODE
 inline constexpr char kExecutorsKey[] = "c/executors";
+inline constexpr char kRosterKey[] = "c/roster";
 // Prefix of the sequence keys, one for each lane of ProgressQueue. A lane's key
 // is written with each of its progress updates. A delayed write finds a
 // different revision of the key and has no effect.
@@ -83,6 +84,8 @@
   WaveStatusWriter write_wave_status;
   MemberAdviceCaller call_member_for_advice;
   RunAfter run_after;
+  // Time until which the leader may renew leases and start tasks.
+  std::function<TimePoint()> authority_end;
   // Called when a newer leader exists. Must not destroy the leader within the
   // call.
   std::function<void(const std::string& reason)> on_fenced;
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -215,7 +215,7 @@
 }
 
 void CellLeader::StoreExecutors() {
-  if (executors_write_in_flight_ || !known_executors_loaded_ || suspended_) {
+  if (executors_write_in_flight_ || !known_executors_loaded_ || fenced_) {
     return;
   }
   // A successor elected before then must find the unreadable rows too.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -102,7 +102,7 @@
   // life.
   if (executor.adopted && executor.clock_known() &&
       executor.missed_holds == 0) {
-    request.lease_until = executor.ClockAt(now) + options_.lease;
+    request.lease_until = executor.ClockAt(GrantTime(now)) + options_.lease;
     executor.OnDeadlineSent(*request.lease_until);
   }
   const bool may_wait = executor.adopted && executor.clock_known() &&
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -28,7 +28,7 @@
   Task& task = step.tasks[static_cast<size_t>(index)];
   const TaskName name = step.NameOf(index);
   Run& run = executor.AddRun(name, number, &step, now);
-  run.start_until = executor.ClockAt(now) + kStartValidity;
+  run.start_until = executor.ClockAt(GrantTime(now)) + kStartValidity;
   run.start_pending = true;
   run.checkpoint = task.checkpoint;
   executor.OnDeadlineSent(run.start_until);
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -32,9 +32,6 @@
 // The leader is suspected if the store answers this member but not the leader
 // for this time, just under two heartbeats.
 constexpr Millis kLeaderStoreTimeout{350};
-// After a pause the leader waits this long for the store to confirm its
-// leadership. Then it resumes anyway, since executors reject stale orders.
-constexpr Millis kVerifyTimeout{600};
 constexpr Millis kMemberRelistDelay{500};
 // Maximum delay with which weaker members let stronger ones win an election.
 constexpr Millis kMaxCandidacyDelay{300};
@@ -141,27 +138,31 @@
         RequestAdviceFromMember(member, request, std::move(done));
       },
       context_.run_after,
+      [this] { return authority_->valid_until(); },
       [this](const std::string& reason) {
         // Deferred: must not destroy the leader within its call.
         context_.run_after(
             Millis(0), Guard([this, reason] { election_->StepDown(reason); }));
       }};
   leader_ = std::make_unique<CellLeader>(context, options_.leader, leadership);
+  leader_->Suspend();
+  members_listed_ = false;
   leader_->SetTable(table_);
   for (const auto& [number, wave] : waves_) {
     leader_->AddWave(wave);
   }
   ListMembers();
   UpdateAdviceMembers();
-  leader_->Begin();
   next_beat_ = context_.clock.Now();
   leading_since_ = next_beat_;
+  BeginAuthority();
+  KeepAuthority();
+  leader_->Begin();
 }
 
 void CellNode::OnNotLeading(const std::string& reason) {
   context_.log.Write(Event::kCellNotLeading, {{"reason", reason}});
   leader_.reset();
-  isolated_ = false;
   leader_store_lost_since_ = TimePoint();
   pending_advice_calls_.clear();
 }
@@ -171,37 +172,6 @@
       Event::kCellPaused,
       {{"ms",
         std::to_string(std::chrono::duration_cast<Millis>(gap).count())}});
-  if (leader_ != nullptr) {
-    leader_->Suspend();
-    VerifyLeadership(context_.clock.Now());
-  }
-}
-
-void CellNode::VerifyLeadership(TimePoint since) {
-  if (leader_ == nullptr) {
-    return;
-  }
-  store_.Read(
-      kLeaderKey, kVerifyTimeout, Guard([this, since](const StoreRead& read) {
-        if (leader_ == nullptr) {
-          return;
-        }
-        if (read.status == StoreStatus::kOk) {
-          ApplyCellItem(read.items[0]);
-          if (leader_ != nullptr && !isolated_) {
-            leader_->Resume();
-          }
-          return;
-        }
-        if (context_.clock.Now() - since > kVerifyTimeout) {
-          if (!isolated_) {
-            leader_->Resume();
-          }
-          return;
-        }
-        context_.run_after(kCellRetry,
-                           Guard([this, since] { VerifyLeadership(since); }));
-      }));
 }
 
 void CellNode::StartShutdown() {
@@ -273,6 +243,7 @@
       context_.peers.SendToAddress(member.address, beat);
     }
     ApplyPending(beat);
+    WriteRoster();
     return;
   }
   const auto& leader = election_->leader();
@@ -301,12 +272,8 @@
     return;
   }
   probing_store_ = true;
-  store_.Read(kLeaderKey, kBeatInterval, Guard([this](const StoreRead& read) {
-                probing_store_ = false;
-                if (read.status == StoreStatus::kOk) {
-                  ApplyCellItem(read.items[0]);
-                }
-              }));
+  ReadLeaderKey(kBeatInterval,
+                [this](const StoreRead&) { probing_store_ = false; });
 }
 
 void CellNode::OnBeat(const CellBeat& beat) {
@@ -317,7 +284,10 @@
     member.last_heard = context_.clock.Now();
     member.boot_id = beat.boot_id;
     member.address = beat.address;
-    member.gone = false;
+  }
+  if (roster_ && roster_->node == beat.node &&
+      roster_->boot_id != beat.boot_id) {
+    OnRosterAuthorEnded();
   }
   const auto& leader = election_->leader();
   if (!beat.is_leader) {
@@ -352,28 +322,31 @@
     return;
   }
   checking_store_ = true;
-  store_.Read(
-      kLeaderKey, kCellTimeout, Guard([this](const StoreRead& read) {
-        checking_store_ = false;
-        if (read.status != StoreStatus::kOk) {
-          return;
-        }
-        ApplyCellItem(read.items[0]);
-        // When the store recovers, some member gets an answer first.
-        // Do not replace a leader that gets one a moment later.
-        const TimePoint now = context_.clock.Now();
-        if (leader_store_lost_since_ == TimePoint()) {
-          leader_store_lost_since_ = now;
-        } else if (now - leader_store_lost_since_ > kLeaderStoreTimeout) {
-          election_->Suspect("store does not answer the leader", false);
-        }
-      }));
+  ReadLeaderKey(kCellTimeout, [this](const StoreRead& read) {
+    checking_store_ = false;
+    if (read.status != StoreStatus::kOk) {
+      return;
+    }
+    // When the store recovers, some member gets an answer first.
+    // Do not replace a leader that gets one a moment later.
+    const TimePoint now = context_.clock.Now();
+    if (leader_store_lost_since_ == TimePoint()) {
+      leader_store_lost_since_ = now;
+    } else if (now - leader_store_lost_since_ > kLeaderStoreTimeout) {
+      election_->Suspect("store does not answer the leader", false);
+    }
+  });
 }
 
 void CellNode::OnPeerDisconnected(const std::string& address, bool refused) {
-  for (auto& [node, member] : members_) {
-    if (refused && member.address == address) {
-      member.gone = true;
+  if (refused && leader_ != nullptr) {
+    for (const auto& [node, member] : members_) {
+      if (member.address == address) {
+        authority_->OnEnded(node);
+      }
+    }
+    if (roster_ && roster_->address == address) {
+      OnRosterAuthorEnded();
     }
   }
   const auto& leader = election_->leader();
@@ -406,8 +379,7 @@
 
 void CellNode::Tick() {
   election_->Tick();
-  CheckIsolation();
-  ReportUnconfirmed();
+  KeepAuthority();
   const TimePoint now = context_.clock.Now();
   if (now >= next_beat_) {
     SendBeats();
@@ -446,7 +418,7 @@
 
 bool CellNode::ready() const {
   return table_->version > 0 && !stopping_ && cell_listed_ &&
-         (store_.failing_for() < kNotReadyDelay || leader_ != nullptr ||
+         (store_.failing_for() < kNotReadyDelay || HasAuthority() ||
           ShouldStoreAtLeader());
 }
 
@@ -555,6 +527,8 @@
                         [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
                         [this](const JobNotice& m) { OnJobNotice(m); },
                         [this](const LeaderQuery& m) { OnLeaderQuery(m); },
+                        [this](const FollowCall& m) { OnFollowCall(m); },
+                        [this](const FollowAnswer& m) { OnFollowAnswer(m); },
                         [this](const LeaderHeard& m) {
                           election_->OnLeaderHeard(m.term);
                         },
--- a/cell/node.h
+++ b/cell/node.h
@@ -21,6 +21,7 @@
 #include "cell/election.h"
 #include "cell/job_intake.h"
 #include "cell/leader.h"
+#include "cell/leader_authority.h"
 #include "cell/ports.h"
 #include "cell/store_monitor.h"
 #include "cell/types.h"
@@ -62,6 +63,17 @@
   RunAfter run_after;
 };
 
+// Value of kRosterKey: the members whose word a leader needs while the store
+// does not answer it, and the leader that stored them.
+struct Roster {
+  std::string node;
+  std::string boot_id;
+  std::string address;
+  std::set<std::string> members;
+};
+std::string EncodeRoster(const Roster& roster);
+std::optional<Roster> DecodeRoster(const std::string& bytes);
+
 // Answer to a query for the state of a job.
 struct JobAnswer {
   enum class Kind { kFound, kNoSuchJob, kUnavailable };
@@ -118,7 +130,6 @@
     std::string address;
     double strength = 0;
     TimePoint last_heard{};
-    bool gone = false;  // its address refuses connections
   };
 
   void ListCell();
@@ -132,7 +143,6 @@
   void OnLeading(const Leadership& leadership);
   void OnNotLeading(const std::string& reason);
   void OnPause(Duration gap);
-  void VerifyLeadership(TimePoint since);
   void SendBeats();
   void ApplyPending(const CellBeat& beat);
   void OnBeat(const CellBeat& beat);
@@ -150,11 +160,28 @@
   // false if there are no other members.
   bool AskMembersForLeader(int64_t term);
   void OnLeaderQuery(const LeaderQuery& query);
-  // Suspends a leader that reaches neither the store nor any other member.
-  void CheckIsolation();
-  bool ReceivesNoBeats() const;
-  void SetIsolated(bool isolated);
-  void ReportUnconfirmed();
+
+  // node_authority.cc
+  // Reads the leader key and applies it; it may confirm this leader.
+  void ReadLeaderKey(Millis timeout,
+                     std::function<void(const StoreRead&)> done);
+  void BeginAuthority();
+  // Gathers evidence for the leader's authority.
+  void KeepAuthority();
+  // Suspends a leader without authority, and resumes one that has it again.
+  void ApplyAuthority();
+  void AskRoster();
+  void OnFollowCall(const FollowCall& call);
+  void OnFollowAnswer(const FollowAnswer& answer);
+  void ReadRoster();
+  void OnRoster(const StoreRead& read);
+  void EndPredecessorAuthority();
+  // The process that stored the roster has ended.
+  void OnRosterAuthorEnded();
+  void WriteRoster();
+  void OnRosterWritten(const Roster& roster, const StoreWriteReply& reply);
+  // Whether this member leads and no other one has been elected.
+  bool HasAuthority() const;
 
   // node_calls.cc
   void OnStateCall(const JobStateCall& call);
@@ -208,11 +235,15 @@
   bool stopping_ = false;
   bool checking_store_ = false;
   bool probing_store_ = false;
-  // The leader reaches neither the store nor any other member.
-  bool isolated_ = false;
-  bool unconfirmed_reported_ = false;
-  bool checking_isolation_ = false;
-  TimePoint next_isolation_check_{};
+  std::unique_ptr<LeaderAuthority> authority_;  // of leader_
+  LeaderAuthority::Basis authority_basis_ = LeaderAuthority::Basis::kNone;
+  TimePoint next_confirm_{};
+  TimePoint next_ask_{};
+  std::optional<Roster> roster_;  // as last read or written
+  int64_t roster_revision_ = 0;
+  bool roster_in_flight_ = false;
+  bool may_write_roster_ = false;
+  bool members_listed_ = false;    // since this member leads
   TimePoint leader_last_heard_{};  // latest heartbeat of the leader
   bool leader_store_ok_ = false;   // as reported in that heartbeat
   // Time since which the store answers this member but not the leader.
--- a/cell/node_calls.cc
+++ b/cell/node_calls.cc
@@ -116,7 +116,7 @@
 }
 
 void CellNode::FindJob(const JobId& id, TimePoint deadline, OnJob done) {
-  if (leader_ != nullptr && leader_->loaded()) {
+  if (HasAuthority() && leader_->loaded()) {
     if (const auto state = leader_->Find(id)) {
       done({JobAnswer::Kind::kFound, *state});
       return;
@@ -142,7 +142,7 @@
 void CellNode::OnStateCall(const JobStateCall& call) {
   JobStateAnswer answer;
   answer.call = call.call;
-  if (leader_ != nullptr && leader_->loaded()) {
+  if (HasAuthority() && leader_->loaded()) {
     answer.is_leader = true;
     if (const auto state = leader_->Find(call.job)) {
       answer.found = true;
--- a/cell/node_members.cc
+++ b/cell/node_members.cc
@@ -128,6 +128,7 @@
                 if (read.status != StoreStatus::kOk) {
                   return;  // listed again after kMembersInterval
                 }
+                members_listed_ = true;
                 std::map<std::string, Member> before;
                 before.swap(members_);
                 strongest_ = options_.strength;
@@ -139,7 +140,6 @@
                   const auto listed = members_.find(node);
                   if (listed != members_.end()) {
                     listed->second.last_heard = known.last_heard;
-                    listed->second.gone = known.gone;
                   } else if (now - known.last_heard < kRecentlyHeard) {
                     members_[node] = known;
                   }
--- a/cell/testing/data_centre_cut_test.cc
+++ b/cell/testing/data_centre_cut_test.cc
@@ -184,6 +184,46 @@
   cell.ExpectAllJobsToEnd();
 }
 
+// Guards against a pause between the check of a leader's authority and its
+// starts: they count from the end of the authority and arrive too late.
+BOOST_AUTO_TEST_CASE(StartsNothingInAPassThatOutlastsItsAuthority) {
+  LargeCell cell;
+  const std::string leader = cell.LeaderName();
+  cell.Submit(leader, kJobId, MakeJobSpec(4, Millis(20'000)), "q0");
+  // The last of four starts is ordered 2.1 s after the pass has begun, and
+  // arrives less than the validity of a start later.
+  cell.executors.start_cost = Millis(700);
+  cell.RunFor(Millis(20));
+  cell.executors.start_cost = Duration(0);
+  BOOST_TEST(cell.node(leader)->leader()->counts().starts == 4);
+  cell.RunFor(Millis(5));
+  BOOST_TEST(cell.executors.starts() == 0);
+  cell.ExpectAllJobsToEnd();
+}
+
+// A member that joined after the leader had lost the store is elected by the
+// store, and the leader cannot ask it.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfANewMemberIsElected) {
+  LargeCell cell;
+  cell.SubmitJobs();
+  std::set<std::string> side(cell.names.begin(), cell.names.end());
+  const std::string leader = cell.LeaderName();
+  cell.CutOff(side, {"e1", "e2", "e3", "e4"});
+  cell.AddNode("new");
+  cell.executors.links[{"new", "e1"}].cut = true;
+  cell.executors.links[{"new", "e2"}].cut = true;
+  cell.executors.links[{"new", "e3"}].cut = true;
+  cell.executors.links[{"new", "e4"}].cut = true;
+  cell.RunFor(kCutTime);
+  BOOST_TEST(cell.node("new")->leading());
+  BOOST_TEST(cell.node(leader)->leading());
+  // Its predecessor goes on, as all members that it knows follow it.
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.Reconnect();
+  cell.executors.links.clear();
+  cell.ExpectAllJobsToEnd();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WithTheStoreOnTheLeadersSide)
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -389,6 +389,22 @@
   int64_t term = 0;
 };
 
+// From a leader that the store does not answer: whether the member follows it.
+struct FollowCall {
+  std::string address;  // where to send the reply
+  int64_t term = 0;
+  Millis sent{0};  // on the leader's clock; returned in the answer
+};
+
+// Sent only by a member that follows the leader of this term and has not been
+// elected since.
+struct FollowAnswer {
+  std::string node;
+  std::string boot_id;
+  int64_t term = 0;
+  Millis sent{0};
+};
+
 // To the leader: asks for the state of a job.
 struct JobStateCall {
   uint64_t call = 0;
@@ -484,7 +500,9 @@
                              JobStoreAnswer,
                              JobNotice,
                              LeaderQuery,
-                             LeaderHeard>;
+                             LeaderHeard,
+                             FollowCall,
+                             FollowAnswer>;
 
 }  // namespace chivedale
 
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -314,6 +314,8 @@
   void operator()(const JobNotice&) {}
   void operator()(const LeaderQuery&) {}
   void operator()(const LeaderHeard&) {}
+  void operator()(const FollowCall&) {}
+  void operator()(const FollowAnswer&) {}
   void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
   void operator()(const JobQuery& m) { parts_.owner.OnJobQuery(m); }
   void operator()(const JobQueryReply& m) {
