Name the members of the roster by address

A member that starts again at another address while its name is on the roster could be elected with the short wait, although the leader took the refused connections at the old address for the end of its process. Found by reading, not shown by a run. An address that refuses has no process, and one at an address that is not listed waits longer.

--- a/cell/leader_authority.h
+++ b/cell/leader_authority.h
@@ -8,8 +8,9 @@
 //
 //   LeaderAuthority authority(clock);
 //   authority.OnStoreConfirmed(sent);       // the leader key is still its own
-//   authority.OnRosterStored({"b", "c"});   // members that may be elected
-//   authority.OnFollowed("b", "b-1", sent);
+//   authority.OnRosterSent({"10.0.0.2:7000"});  // members that may be elected
+//   authority.OnRosterStored();
+//   authority.OnFollowed("10.0.0.2:7000", boot_id, sent);
 //   if (authority.valid_until() > now) ...
 #ifndef CELL_LEADER_AUTHORITY_H_
 #define CELL_LEADER_AUTHORITY_H_
@@ -44,9 +45,9 @@
   // Commands.
   // The store has answered a call sent at this time that the key is held.
   void OnStoreConfirmed(TimePoint sent);
-  // These members are being stored as the roster; the write may take effect
-  // from now on. Only members of the stored roster are elected without
-  // kUnlistedFencingDelay.
+  // The members at these addresses are being stored as the roster; the write
+  // may take effect from now on. Only members of the stored roster are elected
+  // without kUnlistedFencingDelay.
   void OnRosterSent(const std::set<std::string>& members);
   // The roster sent last has been stored.
   void OnRosterStored();
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -339,11 +339,7 @@
 
 void CellNode::OnPeerDisconnected(const std::string& address, bool refused) {
   if (refused && leader_ != nullptr) {
-    for (const auto& [node, member] : members_) {
-      if (member.address == address) {
-        authority_->OnEnded(node);
-      }
-    }
+    authority_->OnEnded(address);
     if (roster_ && roster_->address == address) {
       OnRosterAuthorEnded();
     }
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -1,7 +1,8 @@
 // What a leader does to keep its authority (leader_authority.h): it reads the
 // leader key, has the members that may be elected stored as the roster, and
-// asks them while the store does not answer. A new leader reads the roster to
-// find out how long its predecessor may have gone on.
+// asks them while the store does not answer. Members are named by address: a
+// refused connection shows that no process is there. A new leader reads the
+// roster to find out how long its predecessor may have gone on.
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -146,11 +147,8 @@
   call.address = options_.address;
   call.term = leader_->leadership().term;
   call.sent = std::chrono::duration_cast<Millis>(since_epoch);
-  for (const std::string& node : authority_->required()) {
-    const auto member = members_.find(node);
-    if (member != members_.end()) {
-      context_.peers.SendToAddress(member->second.address, call);
-    }
+  for (const std::string& address : authority_->required()) {
+    context_.peers.SendToAddress(address, call);
   }
 }
 
@@ -159,7 +157,7 @@
     return;
   }
   FollowAnswer answer;
-  answer.node = options_.node;
+  answer.address = options_.address;
   answer.boot_id = options_.boot_id;
   answer.term = call.term;
   answer.sent = call.sent;
@@ -169,7 +167,7 @@
 void CellNode::OnFollowAnswer(const FollowAnswer& answer) {
   if (leader_ != nullptr && leader_->leadership().term == answer.term &&
       answer.sent >= Millis(0) && answer.sent <= kMaxClock) {
-    authority_->OnFollowed(answer.node, answer.boot_id,
+    authority_->OnFollowed(answer.address, answer.boot_id,
                            TimePoint() + answer.sent);
     ApplyAuthority();
   }
@@ -207,8 +205,8 @@
     roster_ = DecodeRoster(read.items[0].value);
     if (roster_) {
       const auto& before = election_->predecessor();
-      listed = roster_->members.count(options_.node) > 0 ||
-               roster_->node == options_.node ||
+      listed = roster_->members.count(options_.address) > 0 ||
+               roster_->address == options_.address ||
                (leader_->leadership().predecessor_gone && before &&
                 before->boot_id == roster_->boot_id);
     } else {
@@ -249,7 +247,7 @@
   for (const auto& [node, member] : members_) {
     const TimePoint heard = std::max(member.last_heard, leading_since_);
     if (now - heard < kRosterTimeToLive) {
-      roster.members.insert(node);
+      roster.members.insert(member.address);
     }
   }
   if (roster_ && roster_->boot_id == roster.boot_id &&
--- a/cell/testing/odd_messages_test.cc
+++ b/cell/testing/odd_messages_test.cc
@@ -72,7 +72,7 @@
           advised,
           JobNotice{kOtherJob, JobBytes(), 200},
           FollowCall{"a:1", 1, Millis(500)},
-          FollowAnswer{"b", "b-1", 1, Millis(500)}};
+          FollowAnswer{"b:1", "b-1", 1, Millis(500)}};
 }
 
 // Delivers the frame to all members, as a link would.
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -399,7 +399,7 @@
 // Sent only by a member that follows the leader of this term and has not been
 // elected since.
 struct FollowAnswer {
-  std::string node;
+  std::string address;  // of the sender
   std::string boot_id;
   int64_t term = 0;
   Millis sent{0};
