Keep members following a leader that yields or stops in an outage of the store

A weak leader tells the members that it yields, and one that is stopped that it leaves. While the store does not answer, they then no longer followed it, could elect nobody, and its tasks lapsed. DoesNotYieldToAStrongerMember failed before (0 of 4 tasks running, 8 starts). Both now wait for the store.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -142,7 +142,7 @@
 
 bool CellLeader::may_start() const {
   if (!loaded_ || !known_executors_loaded_ || !executor_entries_read_ ||
-      suspended_) {
+      suspended_ || fenced_) {
     return false;
   }
   return context_.authority_end() > context_.clock.Now();
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -214,7 +214,12 @@
   beat.address = options_.address;
   beat.is_leader = leader_ != nullptr;
   beat.max_strength = strongest_;
-  beat.leaving = stopping_ || ShouldYield();
+  // Without the store, members would stop following this leader and could not
+  // elect another one.
+  beat.leaving = leader_ == nullptr
+                     ? stopping_
+                     : authority_basis_ == LeaderAuthority::Basis::kStore &&
+                           (stopping_ || ShouldYield());
   beat.store_ok = store_.failing_for() < kStoreHandoverDelay;
   beat.term = election_->leader() ? election_->leader()->term : 0;
   // While the store answers nobody, no job is accepted, and the counts hold.
--- a/cell/testing/data_centre_cut_test.cc
+++ b/cell/testing/data_centre_cut_test.cc
@@ -312,6 +312,33 @@
   BOOST_TEST(cell.executors.starts() == 6 + 4);
 }
 
+// Guards against members that no longer follow a weak leader, although no
+// stronger one can be elected.
+BOOST_AUTO_TEST_CASE(DoesNotYieldToAStrongerMember) {
+  FakeCell cell(3);
+  cell.AddNode("weak", 0.12);
+  cell.AddExecutors("pool", 4, {32'000, 64'000, 0, 0});
+  cell.SetQueue(MakeQueue(0));
+  cell.RunFor(Millis(2'000));
+  cell.Submit("weak", kJobId, MakeJobSpec(4, Millis(60'000)), "q0");
+  cell.AddNode("strong", 0.5);
+  cell.RunFor(Millis(1'200));
+  BOOST_TEST(cell.executors.running() == 4);
+  cell.store.faults.unresponsive = true;
+  cell.entries_down = true;
+  cell.RunFor(Millis(15'000));
+  BOOST_TEST(cell.executors.running() == 4);
+  cell.store.faults = testing::StoreFaults();
+  cell.entries_down = false;
+  cell.RunFor(Millis(5'000));
+  BOOST_TEST(cell.node("strong")->leading());
+  BOOST_TEST(cell.executors.running() == 4);
+  BOOST_TEST(cell.executors.starts() == 4);
+  for (const std::string& what : cell.executors.violations()) {
+    BOOST_ERROR(what);
+  }
+}
+
 // A member that loses its power during the outage may as well be cut off with
 // the store, so the leader stops; accepted jobs end once the store is back.
 BOOST_AUTO_TEST_CASE(LosesNoJobIfAMemberLosesItsPowerMeanwhile) {
