Let a new leader wait for all earlier ones, not for the last one only

What callers could see: a job runs twice.

Cause: a leader that was elected after the process of the last leader had ended took it that no other one could start jobs stored since its election, and began upkeeps at once. But a leader that was elected and ended within a moment leaves one before it, which acts until its authority ends.

Change: the shortcut is gone. After a crash of the leader, jobs stored within 1.5 s wait so long if an executor of their pool is out of reach.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -46,9 +46,7 @@
       leadership_(leadership),
       placer_(options.placer),
       advice_dispatcher_(context.clock),
-      predecessor_revision_limit_(leadership.predecessor_gone
-                                      ? leadership.fence
-                                      : std::numeric_limits<int64_t>::max()),
+      predecessor_revision_limit_(std::numeric_limits<int64_t>::max()),
       table_(std::make_shared<QueueTable>()),
       load_(context.log),
       progress_queue_(kProgressLanes, kMaxWrittenJobs),
@@ -119,7 +117,7 @@
   SendDueHolds();
   OpenDueRecurringJobs();
   // Until then a predecessor may order upkeeps of other VMs.
-  if (now >= predecessor_authority_end_ || leadership_.predecessor_gone) {
+  if (now >= predecessor_authority_end_) {
     RunWaves();
   }
   if (now > predecessor_authority_end_ && now >= next_limit_read_ &&
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -36,7 +36,8 @@
 struct Leadership {
   int64_t term = 1;   // 1 for the first leader of a cell
   int64_t fence = 0;  // fencing token: revision of the leader key
-  // The previous leader's process is known to have ended.
+  // The process that held the key before is known to have ended. Leaders before
+  // it may still have authority.
   bool predecessor_gone = false;
 };
 
--- a/cell/testing/leader_authority_test.cc
+++ b/cell/testing/leader_authority_test.cc
@@ -214,8 +214,8 @@
     Advance(Millis(*rc::gen::inRange(1, 700)));
   }
 
-  // No process led for longer while the leader had authority. An election that
-  // ends sooner starts nothing that may run elsewhere.
+  // No process led for longer while the leader had authority; sooner, a new
+  // leader starts nothing that earlier ones may start.
   void Check() {
     if (!authority_.valid()) {
       return;
