Read all ends of an executor before tasks there are started again

What callers could see: tasks run again after an end `done`.

Cause: an executor lists 500 ends at a time. A new leader took it as read after its first answer, and started tasks again whose ends are listed later, when the first ones are acknowledged.

Change: an executor is read once it has listed fewer than 500 ends; if it stops answering, when its leases have expired.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -159,9 +159,25 @@
   return context_.clock.Now() > PredecessorLeasesEnd();
 }
 
+// An executor that answers is unread until it has listed all its ends, for as
+// long as its own leases last.
+bool CellLeader::IsUnread(const Executor& executor) const {
+  return unread_executors_.count(executor.entry.id) > 0 &&
+         (!PredecessorLeasesExpired() ||
+          (executor.adopted &&
+           context_.clock.Now() < executor.LeasesExpiredBy()));
+}
+
 bool CellLeader::HasUnreadExecutors() const {
-  return (executor_rows_skipped_ || !unread_executors_.empty()) &&
-         !PredecessorLeasesExpired();
+  if (!PredecessorLeasesExpired()) {
+    return executor_rows_skipped_ || !unread_executors_.empty();
+  }
+  return std::any_of(unread_executors_.begin(), unread_executors_.end(),
+                     [&](const ExecutorId& id) {
+                       const auto found = executors_.find(id);
+                       return found != executors_.end() &&
+                              IsUnread(*found->second);
+                     });
 }
 
 bool CellLeader::MayRunOnUnreadExecutor(const Step& step) const {
@@ -174,7 +190,7 @@
     return false;
   }
   // The pool of a skipped executor is unknown.
-  if (executor_rows_skipped_) {
+  if (executor_rows_skipped_ && !PredecessorLeasesExpired()) {
     return true;
   }
   const std::string& pool = PolicyOf(job).pool;
@@ -182,7 +198,7 @@
       unread_executors_.begin(), unread_executors_.end(),
       [&](const ExecutorId& id) {
         const auto found = executors_.find(id);
-        return found != executors_.end() &&
+        return found != executors_.end() && IsUnread(*found->second) &&
                (found->second->entry.pool == pool || job.queue().pool != pool);
       });
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -334,8 +334,10 @@
   // Time by which all leases that the predecessor may have granted expire.
   TimePoint PredecessorLeasesEnd() const;
   bool PredecessorLeasesExpired() const;
-  // Whether an executor that the predecessor may have used, and whose leases
-  // may not have expired, has not been read.
+  // Whether the runs and ends of an executor that the predecessor may have used
+  // are not all known, and leases there may not have expired.
+  bool IsUnread(const Executor& executor) const;
+  // Whether there is such an executor.
   bool HasUnreadExecutors() const;
   PoolState& PoolStateOf(const std::string& pool);
   static void MeasureFree(PoolState& pool);
@@ -472,8 +474,8 @@
   // times that have changed since.
   using DueHold = std::pair<TimePoint, size_t>;
   std::priority_queue<DueHold, std::vector<DueHold>, std::greater<>> due_holds_;
-  // Executors that an earlier leader may have used and that have not answered a
-  // hold call of this leader, so their runs are unknown.
+  // Executors that an earlier leader may have used and that have not listed all
+  // runs and ends to this leader.
   std::set<ExecutorId> unread_executors_;
   // Part of the list at kExecutorsKey could not be read, so that there may be
   // more unread executors than unread_executors_.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -212,7 +212,6 @@
                                      std::min(ends_sent, executor.ends_read));
   if (!executor.adopted) {
     executor.adopted = true;
-    unread_executors_.erase(id);
     // A predecessor may have granted a full lease just now.
     executor.OnDeadlineSent(reply.executor_clock + options_.lease);
     context_.log.Write(Event::kExecutorAdopted,
@@ -221,6 +220,10 @@
                         {"ended", std::to_string(reply.ended.size())},
                         {"fence", std::to_string(leadership_.fence)}});
   }
+  // A task whose end is not listed yet must not be started again.
+  if (reply.ended.size() < kMaxEndsPerReply) {
+    unread_executors_.erase(id);
+  }
   ApplyEnds(executor, reply.ended);
   ApplyRunning(executor, reply, sent);
   if (executor.ends_read > executor.ends_stored) {
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -6,6 +6,8 @@
 namespace chivedale::cell::testing {
 namespace {
 
+// Ends listed in one answer.
+constexpr size_t kEndsPerReply = 500;
 constexpr Millis kCallTimeout{800};
 constexpr Duration kOneWayLatency = std::chrono::microseconds(500);
 constexpr Millis kCheckpointEvery{500};
@@ -579,7 +581,9 @@
     }
     reply.running.push_back(row);
   }
-  reply.ended = state.ended;
+  const auto listed = std::min(kEndsPerReply, state.ended.size());
+  reply.ended.assign(state.ended.begin(),
+                     state.ended.begin() + static_cast<std::ptrdiff_t>(listed));
   if (change_hold) {
     change_hold(reply);
   }
--- a/cell/testing/successor_test.cc
+++ b/cell/testing/successor_test.cc
@@ -91,6 +91,29 @@
   BOOST_TEST(played > 0);
 }
 
+// Guards against tasks that are started again because their ends are not among
+// those that fit in an executor's first answer.
+BOOST_AUTO_TEST_CASE(ReadsAllEndsBeforeItStartsTasksAgain) {
+  constexpr int kTasks = 1'900;
+  LargeCell cell;
+  for (const char* id : {"e3", "e4", "e5", "e6"}) {
+    cell.executors.Remove(id);
+  }
+  cell.RunFor(Millis(8'000));
+  cell.Submit("a", kJobId, MakeJobSpec(kTasks, Millis(100), 1'000), "q0");
+  cell.RunFor(Millis(100));
+  cell.store.faults.unresponsive = true;
+  cell.entries_down = true;
+  cell.RunFor(Millis(29'000));
+  BOOST_TEST(cell.executors.listed_ends() > 1'000u);
+  cell.Kill(cell.LeaderName());
+  cell.store.faults = testing::StoreFaults();
+  cell.entries_down = false;
+  cell.RunFor(Millis(20'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(cell.executors.starts() == kTasks);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
