Give a leader authority with a slow store, and end the wait of one that was not on the roster

With a store that takes longer than a second to answer, a new leader never got authority: its reads of the key and the roster had a fixed limit, and answers of members whose processes it had not known before did not count. The limits double after a failure, and a process counts that had answered before the store confirmed the leader.

A member whose messages to the leader were lost for 10 s is off the roster. Elected later, it waited 620 s for tasks on executors out of reach. A leader needs the word of every member on its roster, so the wait ends once one of them has followed the new leader longer than evidence counts and a heartbeat may take. The roster has its author's term: a late heartbeat of an earlier process no longer ends its wait.

--- a/cell/leader_authority.cc
+++ b/cell/leader_authority.cc
@@ -24,15 +24,20 @@
 void LeaderAuthority::OnFollowed(const std::string& member,
                                  const std::string& boot_id,
                                  TimePoint sent) {
-  Member& record = members_[member];
-  const bool same_process =
-      !record.boot_id.empty() && record.boot_id == boot_id;
-  if (sent > clock_.Now() ||
-      (!same_process && sent - EvidenceOf(member) > kAuthorityTime)) {
+  const TimePoint now = clock_.Now();
+  if (sent > now) {
     return;
   }
-  record.boot_id = boot_id;
-  record.followed = std::max(record.followed, sent);
+  Member& record = members_[member];
+  if (record.boot_id != boot_id) {
+    record.boot_id = boot_id;
+    record.first_answer = now;
+    record.trusted = sent - EvidenceOf(member) <= kAuthorityTime;
+  }
+  record.trusted = record.trusted || record.first_answer <= confirmed_;
+  if (record.trusted) {
+    record.followed = std::max(record.followed, sent);
+  }
 }
 
 void LeaderAuthority::OnEnded(const std::string& member) {
@@ -42,6 +47,7 @@
     return;
   }
   record.boot_id.clear();
+  record.trusted = false;
   record.followed = now;
 }
 
--- a/cell/leader_authority.h
+++ b/cell/leader_authority.h
@@ -53,8 +53,9 @@
   void OnRosterStored();
   // A process of the member follows this leader and has not been elected, by
   // its answer to a call sent at this time. The answer of a process that was
-  // started in between counts only if it follows closely on earlier evidence:
-  // an earlier process may have been elected before it ended.
+  // not known counts only if it follows closely on earlier evidence, or once
+  // the store has confirmed the leader since its first one: an earlier process
+  // of the member may have been elected before it ended.
   void OnFollowed(const std::string& member,
                   const std::string& boot_id,
                   TimePoint sent);
@@ -74,8 +75,10 @@
 
  private:
   struct Member {
-    std::string boot_id;  // empty: its process had ended
-    TimePoint followed{};
+    std::string boot_id;  // of the process that answered last; empty: it ended
+    TimePoint first_answer{};  // of that process
+    bool trusted = false;      // its answers count
+    TimePoint followed{};      // latest evidence
   };
 
   // Latest time at which the member is known not to have been elected.
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -289,8 +289,12 @@
     member.boot_id = beat.boot_id;
     member.address = beat.address;
   }
+  if (leader_ != nullptr) {
+    OnRosterMemberFollows(beat);
+  }
+  // A heartbeat of an earlier process may arrive late; its term is lower.
   if (roster_ && roster_->node == beat.node &&
-      roster_->boot_id != beat.boot_id) {
+      roster_->boot_id != beat.boot_id && beat.term >= roster_->term) {
     OnRosterAuthorEnded();
   }
   const auto& leader = election_->leader();
--- a/cell/node.h
+++ b/cell/node.h
@@ -69,6 +69,7 @@
   std::string node;
   std::string boot_id;
   std::string address;
+  int64_t term = 0;
   std::set<std::string> members;
 };
 std::string EncodeRoster(const Roster& roster);
@@ -175,7 +176,9 @@
   void OnFollowAnswer(const FollowAnswer& answer);
   void ReadRoster();
   void OnRoster(const StoreRead& read);
-  void EndPredecessorAuthority();
+  // Earlier leaders may not act after this time.
+  void EndPredecessorAuthority(TimePoint end);
+  void OnRosterMemberFollows(const CellBeat& beat);
   // The process that stored the roster has ended.
   void OnRosterAuthorEnded();
   void WriteRoster();
@@ -242,6 +245,14 @@
   std::optional<Roster> roster_;  // as last read or written
   int64_t roster_revision_ = 0;
   bool roster_in_flight_ = false;
+  util::ReadLimit confirm_limit_;
+  util::ReadLimit roster_limit_;
+  struct NewFollower {
+    std::string boot_id;
+    TimePoint since{};  // first heartbeat of that process in this term
+  };
+  // Members of the roster that follow this leader, by address.
+  std::map<std::string, NewFollower> new_followers_;
   bool roster_read_ = false;
   bool may_write_roster_ = false;
   bool members_listed_ = false;    // since this member leads
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -26,6 +26,9 @@
 // A member without a heartbeat for this time is taken off the roster, so that
 // one without power does not stop the leader in a later outage of the store.
 constexpr Millis kRosterTimeToLive{10'000};
+// PeerLink closes a connection whose data is not acknowledged for this time, so
+// that no heartbeat arrives later.
+constexpr Millis kLongestDelivery{2'000};
 
 std::string_view BasisName(LeaderAuthority::Basis basis) {
   switch (basis) {
@@ -44,23 +47,24 @@
 std::string EncodeRoster(const Roster& roster) {
   std::string bytes;
   json::to_msgpack(json::array({roster.node, roster.boot_id, roster.address,
-                                roster.members}),
+                                roster.members, roster.term}),
                    bytes);
   return bytes;
 }
 
 std::optional<Roster> DecodeRoster(const std::string& bytes) {
   const json value = ParseMsgpack(bytes);
-  if (!value.is_array() || value.size() < 4 || !value[3].is_array()) {
+  if (!value.is_array() || value.size() < 5 || !value[3].is_array()) {
     return std::nullopt;
   }
   const auto node = TextIn(value[0], kMaxNameBytes);
   const auto boot_id = TextIn(value[1], kMaxNameBytes);
   const auto address = TextIn(value[2], kMaxNameBytes);
-  if (!node || !boot_id || !address) {
+  const auto term = IntegerIn(value[4], 0, kMaxNumber);
+  if (!node || !boot_id || !address || !term) {
     return std::nullopt;
   }
-  Roster roster{*node, *boot_id, *address, {}};
+  Roster roster{*node, *boot_id, *address, *term, {}};
   for (const json& name : value[3]) {
     if (const auto member = TextIn(name, kMaxNameBytes)) {
       roster.members.insert(*member);
@@ -98,6 +102,7 @@
   roster_in_flight_ = false;
   roster_read_ = false;
   may_write_roster_ = false;
+  new_followers_.clear();
   ReadRoster();
 }
 
@@ -108,7 +113,10 @@
   const TimePoint now = context_.clock.Now();
   if (now >= next_confirm_) {
     next_confirm_ = now + kConfirmInterval;
-    ReadLeaderKey(kConfirmTimeout, [](const StoreRead&) {});
+    ReadLeaderKey(confirm_limit_.Of(kConfirmTimeout),
+                  [this](const StoreRead& read) {
+                    confirm_limit_.OnRead(read.status == StoreStatus::kOk);
+                  });
   }
   if (now - authority_->confirmed() > kAskMembersAfter && now >= next_ask_) {
     next_ask_ = now + kAskMembersInterval;
@@ -177,13 +185,15 @@
 
 void CellNode::ReadRoster() {
   store_.Read(
-      kRosterKey, kRosterTimeout,
+      kRosterKey, roster_limit_.Of(kRosterTimeout),
       Guard([this, fence = leader_->leadership().fence](const StoreRead& read) {
         if (leader_ == nullptr || leader_->leadership().fence != fence) {
           return;
         }
-        if (read.status != StoreStatus::kOk &&
-            read.status != StoreStatus::kNotFound) {
+        const bool answered = read.status == StoreStatus::kOk ||
+                              read.status == StoreStatus::kNotFound;
+        roster_limit_.OnRead(answered);
+        if (!answered) {
           context_.run_after(kRosterRetry, Guard([this, fence] {
                                if (leader_ != nullptr &&
                                    leader_->leadership().fence == fence) {
@@ -215,22 +225,40 @@
     }
   }
   if (listed) {
-    EndPredecessorAuthority();
+    EndPredecessorAuthority(leading_since_ + kFencingDelay);
   }
 }
 
 // A successor of this leader must not be misled by its roster while an earlier
 // leader, which this one was not asked by, may go on.
-void CellNode::EndPredecessorAuthority() {
+void CellNode::EndPredecessorAuthority(TimePoint end) {
   if (!std::exchange(may_write_roster_, true)) {
-    leader_->LimitPredecessorAuthority(context_.clock.Now() + kFencingDelay);
+    leader_->LimitPredecessorAuthority(end);
     WriteRoster();
   }
 }
 
+// The leader that stored the roster needs the word of all its members. One that
+// has followed this leader for longer than evidence counts, without a new
+// process in between, has given its last word before.
+void CellNode::OnRosterMemberFollows(const CellBeat& beat) {
+  if (may_write_roster_ || !roster_ || beat.is_leader ||
+      beat.term != leader_->leadership().term ||
+      roster_->members.count(beat.address) == 0) {
+    return;
+  }
+  const TimePoint now = context_.clock.Now();
+  NewFollower& follower = new_followers_[beat.address];
+  if (follower.boot_id != beat.boot_id) {
+    follower = {beat.boot_id, now};
+  } else if (now - follower.since > kFencingDelay + kLongestDelivery) {
+    EndPredecessorAuthority(now);
+  }
+}
+
 void CellNode::OnRosterAuthorEnded() {
   if (leader_ != nullptr && roster_ && !may_write_roster_) {
-    EndPredecessorAuthority();
+    EndPredecessorAuthority(context_.clock.Now() + kFencingDelay);
   }
 }
 
@@ -243,14 +271,18 @@
       !members_listed_) {
     return;
   }
-  Roster roster{options_.node, options_.boot_id, options_.address, {}};
+  Roster roster{options_.node,
+                options_.boot_id,
+                options_.address,
+                leader_->leadership().term,
+                {}};
   for (const auto& [node, member] : members_) {
     const TimePoint heard = std::max(member.last_heard, leading_since_);
     if (now - heard < kRosterTimeToLive) {
       roster.members.insert(member.address);
     }
   }
-  if (roster_ && roster_->boot_id == roster.boot_id &&
+  if (roster_ && roster_->term == roster.term &&
       roster_->members == roster.members) {
     return;
   }
@@ -261,7 +293,7 @@
   roster_in_flight_ = true;
   authority_->OnRosterSent(roster.members);
   store_.Write(
-      write, kRosterTimeout,
+      write, roster_limit_.Of(kRosterTimeout),
       Guard([this, fence = leader_->leadership().fence,
              roster](const StoreWriteReply& reply) {
         if (leader_ == nullptr || leader_->leadership().fence != fence) {
@@ -274,6 +306,7 @@
 void CellNode::OnRosterWritten(const Roster& roster,
                                const StoreWriteReply& reply) {
   roster_in_flight_ = false;
+  roster_limit_.OnRead(reply.status != StoreStatus::kUnknown);
   if (reply.status == StoreStatus::kOk) {
     roster_ = roster;
     roster_revision_ = reply.revision;
--- a/cell/testing/leader_authority_test.cc
+++ b/cell/testing/leader_authority_test.cc
@@ -145,6 +145,26 @@
   BOOST_TEST(authority.valid());
 }
 
+// Guards against a leader without authority whose store takes longer to answer
+// than an answer counts.
+BOOST_FIXTURE_TEST_CASE(CountsAProcessThatRanWhenTheStoreConfirmed,
+                        Unconfirmed) {
+  clock.Advance(Millis(5'000));
+  authority.OnFollowed("b", "b-2", Now());
+  authority.OnFollowed("c", "c-2", Now());
+  const TimePoint sent = Now();
+  clock.Advance(Millis(1'800));
+  authority.OnStoreConfirmed(sent);
+  BOOST_TEST(!authority.valid());
+  authority.OnFollowed("b", "b-2", Now());
+  authority.OnFollowed("c", "c-2", Now());
+  BOOST_TEST(authority.valid());
+  clock.Advance(Millis(5'000));
+  authority.OnFollowed("b", "b-2", Now());
+  authority.OnFollowed("c", "c-3", Now());
+  BOOST_TEST(!authority.valid());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/cell/testing/stored_records_test.cc
+++ b/cell/testing/stored_records_test.cc
@@ -100,7 +100,7 @@
 BOOST_AUTO_TEST_CASE(StartsWithAnOddRoster) {
   std::vector<std::string> rosters = OddRecords();
   rosters.push_back(
-      Msgpack(json::array({"z", "z-1", "z:1", json::array({7, "", "z"})})));
+      Msgpack(json::array({"z", "z-1", "z:1", json::array({7, "", "z"}), 1})));
   for (const std::string& roster : rosters) {
     CellFixture cell;
     cell.store.Put(kRosterKey, roster);
--- a/cell/testing/successor_test.cc
+++ b/cell/testing/successor_test.cc
@@ -91,6 +91,50 @@
   BOOST_TEST(played > 0);
 }
 
+// Guards against a leader that never gets authority, as the store takes longer
+// to answer than an answer counts.
+BOOST_AUTO_TEST_CASE(GoesOnWithASlowStore) {
+  for (const int ms : {600, 900, 1'100, 1'300, 1'800}) {
+    LargeCell cell;
+    cell.SubmitJobs();
+    for (const char* key :
+         {kLeaderKey, kRosterKey, kMemberPrefix, kExecutorsKey, kJobPrefix,
+          kProgressPrefix, kProgressSequencePrefix}) {
+      cell.store.faults.late_reads[key] = Millis(ms);
+    }
+    cell.RunFor(Millis(3'000));
+    cell.Kill(cell.LeaderName());
+    cell.RunFor(Millis(30'000));
+    BOOST_TEST_CONTEXT(ms) {
+      const bool goes_on = cell.executors.running() > 0 ||
+                           cell.StateOf(kJobId) == JobState::kCompleted;
+      BOOST_TEST(goes_on);
+    }
+  }
+}
+
+// Guards against a long wait of a leader that was not on the roster: its
+// messages to the last leader were lost, so that it was taken off.
+BOOST_AUTO_TEST_CASE(WaitsOnlyUntilAMemberOfTheRosterFollowsIt) {
+  int elected = 0;
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    LargeCell cell(seed);
+    cell.SubmitJobs();
+    const std::string last = cell.LeaderName();
+    const std::string unlisted = last == "a" ? "b" : "a";
+    cell.CutLink(unlisted, last, true);
+    cell.RunFor(Millis(11'500));
+    cell.PowerOff(last);
+    cell.executors.Crash("e1");
+    cell.RunFor(Millis(500));
+    cell.CutLink(unlisted, last, false);
+    cell.RunFor(Millis(12'000));
+    elected += cell.LeaderName() == unlisted ? 1 : 0;
+    BOOST_TEST(cell.executors.running() == 6);
+  }
+  BOOST_TEST(elected > 0);
+}
+
 // Guards against tasks that are started again because their ends are not among
 // those that fit in an executor's first answer.
 BOOST_AUTO_TEST_CASE(ReadsAllEndsBeforeItStartsTasksAgain) {
