Grant no lease on an old reading of an executor's clock

What callers could see: tasks run twice.

Cause: idle executors are not called, so that a start and the first lease after it count on a clock that was read long ago. That of an earlier life is far ahead, and the lease lasts as long as the executor allows, beyond what a successor waits for; the estimate of a clock that is 2% slow is ahead by 3 s after 150 s.

Change: an executor gets starts and leases only if it has answered within 1.5 s or its entry was read within 3 s; otherwise it is called first. Leases count on the slowest permitted clock, and idle executors are called once a minute.

What remains: a restart in the last 3 s that the entries do not show yet.

--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -8,6 +8,7 @@
 
 // Executor clocks may run 2% slow; 1% more covers rounding.
 constexpr double kClockDriftFactor = 1.03;
+constexpr double kMinClockSpeed = 0.98;
 constexpr Millis kExpiryMargin{100};
 
 Resources CommittedResources(const StepSpec& spec) {
@@ -104,6 +105,11 @@
   return clock_ + std::chrono::duration_cast<Millis>(now - clock_at_);
 }
 
+Millis Executor::EarliestClockAt(TimePoint now) const {
+  return clock_ +
+         std::chrono::duration_cast<Millis>((now - clock_at_) * kMinClockSpeed);
+}
+
 TimePoint Executor::LeasesExpiredBy() const {
   if (!clock_known_) {
     return clock_at_;
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -102,6 +102,10 @@
   bool clock_known() const { return clock_known_; }
   // Estimate of the executor's clock.
   Millis ClockAt(TimePoint now) const;
+  // Likewise on the slowest permitted clock.
+  Millis EarliestClockAt(TimePoint now) const;
+  // When an answer last showed the clock.
+  TimePoint clock_read_at() const { return clock_at_; }
   // Time by which every lease and start order sent has expired, even on the
   // slowest permitted clock.
   TimePoint LeasesExpiredBy() const;
@@ -126,6 +130,8 @@
   // Consecutive unanswered holds. Also set to at least 1 where the executor
   // must answer a hold before it gets another start.
   int missed_holds = 0;
+  // Must be called before it gets a start, as it may have restarted.
+  bool check_requested = false;
   bool hold_in_flight = false;
   TimePoint hold_sent{};
   TimePoint last_answer{};         // to a hold call
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -234,6 +234,10 @@
   // Sets the earliest time of the executor's next hold call.
   void ScheduleHold(Executor& executor, TimePoint at);
   bool IsUsable(const Executor& executor) const;
+  // Whether the executor cannot have restarted unnoticed.
+  bool IsSameLife(const Executor& executor) const;
+  // Has the executor called, to notice a restart.
+  void RequestCheck(Executor& executor);
 
   // leader_unread_jobs.cc: runs and ends of jobs that were not read yet.
   struct WithheldEnd {
@@ -484,6 +488,7 @@
   bool unread_executors_end_reported_ = false;
   bool known_executors_loaded_ = false;
   bool executor_entries_read_ = false;
+  TimePoint entries_begin_{};  // when the last successful list of them began
   TimePoint store_recovered_at_{};
   TimePoint next_poll_{};
   bool poll_in_flight_ = false;
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -176,6 +176,7 @@
     }
   }
   executor_entries_read_ = true;
+  entries_begin_ = begin;
   for (auto it = executors_.begin(); it != executors_.end();) {
     Executor& executor = *it->second;
     if (seen.count(it->first) > 0) {
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -24,6 +24,12 @@
 constexpr Millis kMaxMissedHoldRetry{1'000};
 // An executor cannot crash and restart within this time.
 constexpr Millis kMinRestartTime{1'500};
+// Without a call, the entries show a restart if they are not older than this,
+// a few polls.
+constexpr Millis kMaxEntryAge{3'000};
+// An idle executor is called after this time, as the estimate of its clock gets
+// ahead of a slow one; a start would then be valid for too long.
+constexpr Millis kMaxClockAge{60'000};
 // Interval of the checks for stops to retry and unresponsive or slow executors.
 constexpr Millis kCheckInterval{50};
 // Maximum number of ends that an executor lists in one answer.
@@ -76,11 +82,13 @@
 void CellLeader::HoldIfDue(Executor& executor) {
   // An executor that missed a call is called until it answers; it gets no
   // starts before that.
+  const TimePoint now = context_.clock.Now();
   const bool needed = !executor.adopted || executor.missed_holds > 0 ||
                       !executor.runs().empty() ||
-                      executor.ends_read > executor.ends_confirmed;
-  if (needed && !executor.hold_in_flight &&
-      context_.clock.Now() >= executor.next_hold) {
+                      executor.ends_read > executor.ends_confirmed ||
+                      executor.check_requested ||
+                      now - executor.clock_read_at() > kMaxClockAge;
+  if (needed && !executor.hold_in_flight && now >= executor.next_hold) {
     Hold(executor);
   }
 }
@@ -98,15 +106,15 @@
                                 executor.missed_holds == 0 &&
                                 now - executor.last_answer < kMinRestartTime;
   request.ends_stored = same_incarnation ? executor.ends_stored : 0;
-  // The clock of an executor that is not adopted may be that of its earlier
-  // life.
-  if (executor.adopted && executor.clock_known() &&
-      executor.missed_holds == 0) {
-    request.lease_until = executor.ClockAt(GrantTime(now)) + options_.lease;
+  // A clock of an earlier life may be far ahead, and a lease on it long.
+  const bool may_grant = executor.adopted && executor.clock_known() &&
+                         executor.missed_holds == 0 && IsSameLife(executor);
+  if (may_grant) {
+    request.lease_until =
+        executor.EarliestClockAt(GrantTime(now)) + options_.lease;
     executor.OnDeadlineSent(*request.lease_until);
   }
-  const bool may_wait = executor.adopted && executor.clock_known() &&
-                        executor.missed_holds == 0 &&
+  const bool may_wait = may_grant &&
                         executor.ends_read == executor.ends_stored &&
                         !executor.runs().empty();
   request.wait = may_wait ? options_.hold_wait : Millis(0);
@@ -118,6 +126,7 @@
       request.wait = std::clamp(left, Millis(0), request.wait);
     }
   }
+  executor.check_requested = false;
   executor.hold_in_flight = true;
   executor.hold_sent = now;
   ++counts_.holds;
@@ -503,6 +512,19 @@
   RequestSchedulingPass();
 }
 
+bool CellLeader::IsSameLife(const Executor& executor) const {
+  const TimePoint now = context_.clock.Now();
+  return now - executor.last_answer < kMinRestartTime ||
+         now - entries_begin_ < kMaxEntryAge;
+}
+
+void CellLeader::RequestCheck(Executor& executor) {
+  executor.check_requested = true;
+  if (!executor.hold_in_flight) {
+    ScheduleHold(executor, std::max(context_.clock.Now(), executor.next_hold));
+  }
+}
+
 bool CellLeader::IsUsable(const Executor& executor) const {
   return executor.adopted && executor.listed && executor.stored &&
          !executor.entry.draining && !executor.cordoned &&
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -113,8 +113,13 @@
     const TimePoint now = context_.clock.Now();
     pool.usable.reserve(executors->second.size());
     for (Executor* executor : executors->second) {
-      if (IsUsable(*executor) && !executor->health.avoided(now) &&
-          !executor->has_unknown_run()) {
+      if (!IsUsable(*executor) || executor->health.avoided(now) ||
+          executor->has_unknown_run()) {
+        continue;
+      }
+      if (!IsSameLife(*executor)) {
+        RequestCheck(*executor);
+      } else {
         executor->usable_in_pass = counts_.passes;
         pool.usable.push_back(executor);
         pool.capacity += executor->entry.capacity;
--- a/cell/testing/successor_test.cc
+++ b/cell/testing/successor_test.cc
@@ -160,5 +160,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ALeaderWhoseSuccessorWaitsForItsLeases)
+
+// One short task, whose end lets six long ones start.
+JobSpec JobWithASecondStep(Millis first) {
+  JobSpec spec = MakeJobSpec(1, first, 1'000);
+  StepSpec next = MakeJobSpec(6, Millis(30'000), kHalfExecutor).steps[0];
+  next.depends_on = {0};
+  spec.steps.push_back(next);
+  return spec;
+}
+
+// Guards against leases that end later than the successor reckons: the estimate
+// of a slow clock that was not read for long is ahead.
+BOOST_AUTO_TEST_CASE(GrantsNoLongerLeasesOnASlowClock) {
+  for (const int idle_seconds : {2, 150, 300}) {
+    LargeCell cell(1, 0.98);
+    cell.executors.longest_lease = Millis(10'000);
+    for (const std::string& name : cell.names) {
+      cell.executors.member_links[name].delay = Millis(10);
+    }
+    cell.RunFor(std::chrono::seconds(idle_seconds));
+    // The second step starts after the cut has begun.
+    cell.Submit(cell.LeaderName(), kJobId, JobWithASecondStep(Millis(1'250)),
+                "q2");
+    cell.RunFor(Millis(100));
+    cell.CutOff(cell.LeaderAnd(2), {"e1", "e2", "e3", "e4"});
+    cell.RunFor(kCutTime);
+    cell.Reconnect();
+    cell.ExpectAllJobsToEnd();
+  }
+}
+
+// Guards against leases that count on the clock of an executor's earlier life,
+// and so last as long as the executor allows.
+BOOST_AUTO_TEST_CASE(StartsNothingOnAnExecutorThatMayHaveRestarted) {
+  LargeCell cell;
+  cell.executors.longest_lease = Millis(10'000);
+  cell.RunFor(Millis(30'000));
+  cell.Submit(cell.LeaderName(), kJobId, JobWithASecondStep(Millis(4'200)),
+              "q2");
+  cell.RunFor(Millis(100));
+  const TaskName first{kJobId, 0, 0, 0};
+  std::set<ExecutorId> near;
+  std::set<ExecutorId> restarted;
+  for (const char* id : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+    if (cell.executors.RunsOn(first, id)) {
+      near.insert(id);
+    } else if (restarted.size() < 3) {
+      near.insert(id);
+      restarted.insert(id);
+    }
+  }
+  cell.store.faults.unresponsive = true;
+  cell.entries_down = true;
+  cell.RunFor(Millis(500));
+  for (const ExecutorId& id : restarted) {
+    cell.executors.Crash(id);
+  }
+  cell.RunFor(Millis(2'000));
+  for (const ExecutorId& id : restarted) {
+    cell.executors.Restart(id);
+  }
+  cell.RunFor(Millis(800));
+  cell.CutOff(cell.LeaderAnd(2), near);
+  cell.store.faults = testing::StoreFaults();
+  cell.entries_down = false;
+  cell.RunFor(kCutTime);
+  cell.Reconnect();
+  cell.ExpectAllJobsToEnd();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace chivedale::cell
