--- /dev/null
+++ b/cell/testing/cut_history.h
@@ -0,0 +1,88 @@
+// A random history of a cell of five to seven members in two or three data
+// centres that are cut off from each other, together with all other faults.
+// Several faults overlap; the store may be on either side of a cut.
+//
+//   CutHistory history(seed);
+//   history.Run();
+//   history.Check();
+#ifndef CELL_TESTING_CUT_HISTORY_H_
+#define CELL_TESTING_CUT_HISTORY_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/testing/fake_cell.h"
+#include "cell/testing/history_check.h"
+#include "util/random.h"
+
+namespace chivedale::cell::testing {
+
+class CutHistory {
+ public:
+  explicit CutHistory(uint64_t seed)
+      : cell_(seed), random_(seed ^ 0x2545f491) {}
+
+  // Fails the property if a job waits longer than kMaxIdleWait although it
+  // could run, SettleTime() after the last fault. kUnlistedFencingDelay is
+  // added if a member that was not on the roster was elected.
+  void Run();
+
+  // Fails the property if an executor saw a violation, or accepted jobs have
+  // not ended as they should.
+  void Check();
+
+ private:
+  void Build();
+  void Submit();
+  // Runs the cell and notes whether a member that is not on the roster was
+  // elected.
+  void RunFor(Millis time);
+  void EndFaults();
+  void AwaitJobs();
+  void NoteStates();
+  // Maximum time in which all accepted jobs end on a cell without faults, from
+  // the time at which no job waits longer than kMaxIdleWait.
+  Millis WorkTime() const;
+
+  void InjectFault();
+  void InjectMemberFault();
+  void InjectStoreFault();
+  void InjectExecutorFault();
+  void CutDataCentres();
+  void CutLinks();
+  void AddMember();
+  void EndMembers(const std::set<std::string>& members, bool power);
+  // Faults of the links between random members and all or some executors.
+  void FailLinks(const LinkFaults& faults);
+
+  uint64_t Pick(size_t count) { return random_.UniformInt(count); }
+  bool OneIn(size_t count) { return Pick(count) == 0; }
+  Millis PickTime(Millis least, Millis most);
+  std::string PickMember();
+  std::string PickLeader();
+  std::set<std::string> PickMembers();
+  ExecutorId PickExecutor();
+  std::vector<ExecutorId> PickExecutors();
+  void Later(Millis delay, std::function<void()> run) {
+    cell_.loop.After(delay, std::move(run));
+  }
+
+  FakeCell cell_;
+  util::Random random_;
+  RandomWaves waves_{cell_};
+  std::vector<std::string> members_;
+  size_t data_centres_ = 2;
+  int jobs_ = 0;
+  int partitions_ = 0;  // cuts and partitions so far
+  bool narrow_ = false;
+  bool faulty_ = true;  // some runs fail
+  bool unlisted_elected_ = false;
+  std::map<JobId, SeenJob> seen_;
+};
+
+}  // namespace chivedale::cell::testing
+
+#endif  // CELL_TESTING_CUT_HISTORY_H_
--- a/cell/testing/data_centre_cut_test.cc
+++ b/cell/testing/data_centre_cut_test.cc
@@ -13,6 +13,7 @@
 using testing::kCutTime;
 using testing::kHalfExecutor;
 using testing::kJobId;
+using testing::kRecoveryTime;
 using testing::LargeCell;
 using testing::MakeJobSpec;
 using testing::MakeQueue;
@@ -147,6 +148,74 @@
   cell.ExpectAllJobsToEnd();
 }
 
+// Guards against a successor that acknowledges an end while its predecessor,
+// which has lost the executor and does not know of the end, may still start the
+// task again elsewhere.
+BOOST_AUTO_TEST_CASE(StartsNoTaskAfterASuccessorHasAcknowledgedItsEnd) {
+  LargeCell cell;
+  const std::string leader = cell.LeaderName();
+  cell.Submit(leader, kJobId, MakeJobSpec(1, Millis(2'500)), "q0");
+  cell.RunFor(Millis(200));
+  ExecutorId executor;
+  std::set<ExecutorId> others;
+  for (const ExecutorEntry& entry : cell.executors.Entries()) {
+    if (cell.executors.RunsOn({kJobId, 0, 0, 0}, entry.id)) {
+      executor = entry.id;
+    } else {
+      others.insert(entry.id);
+    }
+  }
+  BOOST_TEST(others.size() == 5);
+  cell.executors.links[{leader, executor}].cut = true;
+  // The leader takes the lease as expired 2 s after the begin of the cut.
+  cell.RunFor(Millis(2'800));
+  cell.CutOff({leader}, others);
+  // The store answers the leader until it is about to be replaced.
+  cell.store.faults_of.erase(leader);
+  cell.RunFor(Millis(900));
+  cell.store.faults_of[leader].unresponsive = true;
+  cell.RunFor(kCutTime);
+  cell.Reconnect();
+  cell.executors.links.clear();
+  cell.ExpectAllJobsToEnd();
+}
+
+// Guards against a new leader that takes the end of its predecessor's process
+// as the end of the authority of all earlier leaders. The predecessor led for a
+// few milliseconds only, and the leader before it does not know of either.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfTheFirstSuccessorEndsAtOnce) {
+  LargeCell cell;
+  const std::string leader = cell.LeaderName();
+  cell.CutOff({leader}, {"e1", "e2", "e3", "e4", "e5"});
+  cell.store.faults_of.erase(leader);
+  cell.RunFor(Millis(900));
+  // The leader can store jobs, and does not learn of its successors.
+  for (const char* key : {"c/", kLeaderKey}) {
+    cell.store.faults_of[leader].late_reads[key] = std::chrono::seconds(5);
+  }
+  for (int successors = 0; successors < 2; ++successors) {
+    std::string successor;
+    for (int i = 0; i < 100 && successor.empty(); ++i) {
+      cell.RunFor(Millis(10));
+      for (const std::string& name : cell.names) {
+        if (name != leader && cell.node(name) != nullptr &&
+            cell.node(name)->leading()) {
+          successor = name;
+        }
+      }
+    }
+    BOOST_TEST(successor != "");
+    if (successors == 0) {
+      cell.Kill(successor);
+    }
+  }
+  cell.Submit(leader, kJobId, MakeJobSpec(1, Millis(5'000)), "q0");
+  cell.RunFor(Millis(4'000));
+  cell.Reconnect();
+  cell.store.faults_of.clear();
+  cell.ExpectAllJobsToEnd();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WithTheStoreOnTheLeadersSide)
@@ -262,6 +331,31 @@
   }
 }
 
+// Guards against a leader that was not on the roster when it was elected and
+// has no authority without the store for as long as it leads.
+BOOST_AUTO_TEST_CASE(GoesOnIfItsLeaderWasElectedAsANewMemberLongAgo) {
+  LargeCellWithoutStore cell;
+  const std::set<std::string> all(cell.names.begin(), cell.names.end());
+  cell.CutOff(all, {});
+  cell.AddNode("new");
+  cell.RunFor(Millis(5'000));
+  cell.Reconnect();
+  cell.RunFor(kUnlistedFencingDelay + kRecoveryTime);
+  BOOST_TEST(cell.node("new")->leading());
+  cell.Submit("new", "00000000000000bb",
+              MakeJobSpec(6, Millis(20'000), kHalfExecutor), "q0");
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.executors.running() == 6);
+  const int64_t before = cell.executors.starts();
+  cell.StopStore();
+  cell.RunFor(Millis(12'000));
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.RestoreStore();
+  cell.RunFor(kRecoveryTime);
+  BOOST_TEST(cell.executors.starts() == before);
+  BOOST_TEST((cell.StateOf("00000000000000bb") == JobState::kCompleted));
+}
+
 // A member that loses its power during the outage may as well be cut off with
 // the store, so the leader stops; accepted jobs end once the store is back.
 BOOST_AUTO_TEST_CASE(LosesNoJobIfAMemberLosesItsPowerMeanwhile) {
@@ -300,8 +394,8 @@
   cell.ExpectAllJobsToEnd();
 }
 
-// All lose their power at once, and executors stay out of reach; the time until
-// their tasks start again is that of a single lost leader.
+// All lose their power at once, and executors stay out of reach; the time
+// until their tasks start again is that of a single lost leader.
 BOOST_AUTO_TEST_CASE(
     StartsTasksOfUnreachableExecutorsAgainSoonAfterALossOfAll) {
   LargeCell cell;
--- a/cell/testing/random_history.cc
+++ b/cell/testing/random_history.cc
@@ -6,116 +6,13 @@
 #include <utility>
 #include <vector>
 
+#include "cell/testing/random_jobs.h"
+
 namespace chivedale::cell::testing {
 namespace {
 
-constexpr char kPool[] = "pool";
 const std::vector<std::string> node_names = {"a", "b", "c"};
 
-QueuePolicy UrgentQueue() {
-  QueuePolicy queue;
-  queue.name = "urgent";
-  queue.pool = kPool;
-  queue.priority = 0;
-  queue.max_attempts = 4;
-  queue.objective_factor = 1.5;
-  queue.objective_slack = Millis(300);
-  queue.advice =
-      AdvicePolicy{Millis(10), std::chrono::microseconds(200), Millis(2'000)};
-  return queue;
-}
-
-QueuePolicy HeavyQueue() {
-  QueuePolicy queue = UrgentQueue();
-  queue.name = "heavy";
-  queue.priority = 2;
-  queue.objective_factor = 4;
-  queue.objective_slack = Millis(3'000);
-  return queue;
-}
-
-constexpr Millis kLongestEstimate{6'000};
-constexpr Millis kLongestFault{12'000};
-constexpr Millis kWaveDeadline{10'000};
-// Time until the effects of the last fault are over, as a sum of bounds: an
-// election with one unanswered write, the leases of the predecessor, the
-// longest run (1.5 x the longest estimate), and the longest time for which the
-// leader avoids an executor. Upkeep waves end within it too.
-Millis SettleTime() {
-  const ElectionOptions election;
-  const Millis store_timeout{1'000};   // kCellTimeout in node.cc
-  const Millis fencing_delay{1'500};   // kFencingDelay in leader.cc
-  const Millis longest_avoid{12'000};  // kMaxAvoid in executor_health.cc
-  return election.beat_timeout + election.max_jitter + store_timeout +
-         election.retry + LeaderOptions().lease * 103 / 100 + fencing_delay +
-         kLongestEstimate * 3 / 2 + longest_avoid;
-}
-
-std::string JobIdOf(int number) {
-  std::string id = std::to_string(number);
-  return std::string(16 - id.size(), '0') + id;
-}
-
-// If `narrow`, each step fits on one executor and needs no label, because
-// advice allows only some of the executors.
-JobSpec RandomJob(util::Random& random, bool narrow) {
-  JobSpec spec;
-  spec.payload = "p" + std::to_string(random.UniformInt(1'000));
-  const auto steps = 1 + random.UniformInt(3);
-  for (uint64_t i = 0; i < steps; ++i) {
-    StepSpec step;
-    step.count = 1 + static_cast<int>(random.UniformInt(5));
-    step.size.cpu_milli =
-        1'000 + static_cast<int64_t>(random.UniformInt(9'000));
-    step.size.memory_mb = 500 + static_cast<int64_t>(random.UniformInt(8'000));
-    step.estimate =
-        Millis(200 + static_cast<int64_t>(random.UniformInt(1'500)));
-    if (i > 0 && random.UniformInt(4) > 0) {
-      step.depends_on = {static_cast<int>(i) - 1};
-    }
-    step.checkpoints = random.UniformInt(2) == 0;
-    step.gang = random.UniformInt(5) == 0;
-    step.copies_allowed = !step.gang && random.UniformInt(5) == 0;
-    if (narrow) {
-      step.count = std::min(step.count, 3);
-    } else {
-      step.max_per_executor = random.UniformInt(6) == 0 ? 2 : 0;
-      step.label = random.UniformInt(8) == 0 ? "a" : "";
-    }
-    step.preferred_rack = random.UniformInt(8) == 0 ? "r1" : "";
-    spec.steps.push_back(step);
-  }
-  return spec;
-}
-
-// Adds steps with many tasks, and long and large ones, to those of RandomJob().
-JobSpec RandomWideJob(util::Random& random, bool narrow) {
-  JobSpec spec = RandomJob(random, narrow);
-  for (StepSpec& step : spec.steps) {
-    step.same_rack = step.gang && random.UniformInt(3) == 0;
-    if (random.UniformInt(3) == 0) {
-      step.estimate =
-          Millis(2'000 +
-                 static_cast<int64_t>(random.UniformInt(
-                     static_cast<uint64_t>(kLongestEstimate.count()) - 2'000)));
-      step.count = std::min(step.count, 2);
-    }
-    if (random.UniformInt(4) == 0) {
-      step.size.accelerators = 1 + static_cast<int64_t>(random.UniformInt(2));
-      step.label = "";
-    } else if (random.UniformInt(6) == 0) {
-      step.size = {10'150, 27'840, 0, 0};
-    }
-  }
-  StepSpec& first = spec.steps[0];
-  if (!first.gang && first.estimate < Millis(1'000) &&
-      random.UniformInt(5) == 0) {
-    first.count = 15 + static_cast<int>(random.UniformInt(16));
-    first.size.cpu_milli = 2'800;
-  }
-  return spec;
-}
-
 std::string Name(util::Random& random) {
   return node_names[random.UniformInt(node_names.size())];
 }
@@ -260,7 +157,7 @@
   for (const std::string& name : node_names) {
     cell_.AddNode(name);
   }
-  cell_.AddExecutors(kPool, 8, {32'000, 64'000, 0, 0});
+  cell_.AddExecutors(kRandomPool, 8, {32'000, 64'000, 0, 0});
   cell_.SetQueue(UrgentQueue());
   cell_.SetQueue(HeavyQueue());
   cell_.RunFor(Millis(2'000));
@@ -303,8 +200,8 @@
   for (const std::string& name : node_names) {
     cell_.AddNode(name);
   }
-  cell_.AddExecutors(kPool, 12, {32'000, 64'000, 0, 0});
-  cell_.AddExecutors(kPool, 8, {48'000, 128'000, 4, 0});
+  cell_.AddExecutors(kRandomPool, 12, {32'000, 64'000, 0, 0});
+  cell_.AddExecutors(kRandomPool, 8, {48'000, 128'000, 4, 0});
   cell_.SetQueue(UrgentQueue());
   cell_.SetQueue(HeavyQueue());
   cell_.RunFor(Millis(2'000));
@@ -328,48 +225,11 @@
   if (check.violation()) {
     RC_FAIL(*check.violation());
   }
-  for (int64_t wave = 1; wave <= waves_; ++wave) {
-    if (!cell_.wave_status[wave]) {
-      RC_FAIL("wave " + std::to_string(wave) + " has not completed\n" +
-              cell_.log.Lines(" upkeep_") + cell_.log.Lines(" wave_") +
-              cell_.log.Lines(" cell_"));
-    }
-  }
+  waves_.Check();
 }
 
 void RandomHistory::Check() {
-  for (const std::string& what : cell_.executors.violations()) {
-    const size_t at = what.find(": ");
-    RC_FAIL(what + "\n" + cell_.log.Lines(what.substr(at + 2, 16)) +
-            cell_.log.Lines(" cell_"));
-  }
-  RC_ASSERT(cell_.leader() != nullptr);
-  for (const JobId& id : cell_.accepted()) {
-    const auto state = cell_.StateOf(id);
-    if (!state) {
-      RC_FAIL("accepted job is unknown: " + id + "\n" + cell_.log.Lines(id));
-    }
-    if (wide_ && !LivenessCheck(cell_).FitsOnEmptyPool(id)) {
-      continue;  // advice allows too few executors
-    }
-    const bool cancelled = cell_.cancelled().count(id) > 0;
-    const bool ended = *state == JobState::kCompleted ||
-                       *state == JobState::kFailed ||
-                       *state == JobState::kCancelled;
-    if (!ended || (*state == JobState::kCancelled && !cancelled &&
-                   cell_.store.Find(CancelKey(id)) == nullptr)) {
-      RC_FAIL("job " + id + " is " + std::string(JobStateName(*state)) + "\n" +
-              cell_.log.Lines(id));
-    }
-  }
-  for (const JobId& id : cell_.refused()) {
-    if (cell_.accepted().count(id) == 0 &&
-        cell_.executors.EverStarted(id + ".0.0.0") &&
-        cell_.store.Find(JobKey(id)) == nullptr) {
-      RC_FAIL("refused job was started: " + id);
-    }
-  }
-  RC_ASSERT(cell_.executors.running() == 0);
+  CheckHistory(cell_, wide_);
 }
 
 void RandomHistory::SubmitWide(bool narrow) {
@@ -434,18 +294,11 @@
       cell_.ReplaceExecutor(executor, Millis(1'500));
       return;
     case 5:
-      AnnounceWave();
+      waves_.Announce();
       return;
-    case 6: {
-      QueuePolicy queue =
-          random_.UniformInt(2) == 0 ? UrgentQueue() : HeavyQueue();
-      queue.objective_slack =
-          Millis(static_cast<int64_t>(random_.UniformInt(10'000)));
-      queue.advice->validity =
-          Millis(1'000 + static_cast<int64_t>(random_.UniformInt(3'000)));
-      cell_.SetQueue(queue);
+    case 6:
+      cell_.SetQueue(ChangedQueue(random_));
       return;
-    }
     case 7:
     case 8:
       if (cut_regions) {
@@ -458,20 +311,4 @@
   }
 }
 
-void RandomHistory::AnnounceWave() {
-  UpkeepWave wave;
-  wave.deadline = kWaveDeadline;
-  wave.max_concurrent = 2;
-  for (const auto& [vm, info] : cell_.vms) {
-    if (announced_.count(vm) == 0 && wave.vms.size() < 3) {
-      wave.vms.push_back(vm);
-      announced_.insert(vm);
-    }
-  }
-  if (!wave.vms.empty()) {
-    wave.number = ++waves_;
-    cell_.Announce(wave);
-  }
-}
-
 }  // namespace chivedale::cell::testing
--- a/cell/testing/random_history.h
+++ b/cell/testing/random_history.h
@@ -10,9 +10,9 @@
 #define CELL_TESTING_RANDOM_HISTORY_H_
 
 #include <set>
-#include <string>
 
 #include "cell/testing/fake_cell.h"
+#include "cell/testing/history_check.h"
 #include "cell/testing/liveness_check.h"
 #include "util/random.h"
 
@@ -44,16 +44,13 @@
 
   void InjectWideFault(bool cut_regions);
 
-  void AnnounceWave();
-
   FakeCell cell_;
   util::Random random_;
   bool wide_ = false;  // RunWide() was used
   int jobs_ = 0;
-  int64_t waves_ = 0;
-  std::set<std::string> announced_;  // VMs of the waves
-  std::set<ExecutorId> failing_;     // executors on which all runs fail
-  bool faulty_ = true;               // some runs fail on all executors
+  RandomWaves waves_{cell_};
+  std::set<ExecutorId> failing_;  // executors on which all runs fail
+  bool faulty_ = true;            // some runs fail on all executors
 };
 
 }  // namespace chivedale::cell::testing
