Start a task again, and acknowledge its end, only when no other leader can

What callers could see: a task runs again after its acknowledged end, or on two executors. Found by the histories of cut cells.

Cause: a leader takes the runs of an executor out of its reach as ended when its own leases there have expired; a successor that was elected in the 1.4 s before may have renewed them, or have acknowledged their ends. A leader that was not on the roster may do so for as long as its predecessor goes on.

Change: leases count as expired once evidence that nobody else was elected is younger than their expiry. A successor acknowledges ends when its predecessor's authority has ended; one that was not on the roster also renews leases only then, or when it has read all executors.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -117,7 +117,7 @@
   SendDueHolds();
   OpenDueRecurringJobs();
   // Until then a predecessor may order upkeeps of other VMs.
-  if (now >= predecessor_authority_end_) {
+  if (!PredecessorMayAct()) {
     RunWaves();
   }
   if (now > predecessor_authority_end_ && now >= next_limit_read_ &&
@@ -133,6 +133,7 @@
     RemoveFinishedOccurrences();
     RemoveExpiredJobs();
     RetryRejectedProgress();
+    AcknowledgeEnds();
     ReportWaitingSteps();
     RequestSchedulingPass();
   }
@@ -146,6 +147,11 @@
   return context_.authority_end() > context_.clock.Now();
 }
 
+bool CellLeader::PredecessorMayAct() const {
+  return leadership_.term > 1 &&
+         context_.clock.Now() < predecessor_authority_end_;
+}
+
 TimePoint CellLeader::GrantTime(TimePoint now) const {
   return std::min(now, context_.authority_end());
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -331,6 +331,8 @@
   // that this leader has not read yet.
   bool MayRunOnUnreadExecutor(const Step& step) const;
   void ReadPredecessorRevisionLimit();
+  // Whether an earlier leader may still have authority.
+  bool PredecessorMayAct() const;
   // The time from which leases and the validity of starts count: now, or the
   // end of the authority if that has passed, so that a process which was paused
   // after its last check grants nothing.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -106,9 +106,15 @@
                                 executor.missed_holds == 0 &&
                                 now - executor.last_answer < kMinRestartTime;
   request.ends_stored = same_incarnation ? executor.ends_stored : 0;
+  // A predecessor that need not ask this member may start what runs on an
+  // executor out of its reach again, once its own leases there have expired.
+  const bool may_be_restarted =
+      PredecessorMayAct() && HasUnreadExecutors() &&
+      predecessor_authority_end_ - begin_time_ > kFencingDelay;
   // A clock of an earlier life may be far ahead, and a lease on it long.
   const bool may_grant = executor.adopted && executor.clock_known() &&
-                         executor.missed_holds == 0 && IsSameLife(executor);
+                         executor.missed_holds == 0 && IsSameLife(executor) &&
+                         !may_be_restarted;
   if (may_grant) {
     request.lease_until =
         executor.EarliestClockAt(GrantTime(now)) + options_.lease;
--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -26,9 +26,13 @@
 
 }  // namespace
 
+// A successor may have renewed these leases, unless it was elected after they
+// had expired. So the evidence for the authority must be younger than that.
 void CellLeader::CheckUnresponsive(Executor& executor) {
+  const TimePoint not_replaced_until =
+      std::min(context_.clock.Now(), context_.authority_end() - kAuthorityTime);
   if (executor.runs().empty() || !executor.clock_known() ||
-      context_.clock.Now() < executor.LeasesExpiredBy()) {
+      not_replaced_until < executor.LeasesExpiredBy()) {
     return;
   }
   MarkAllRunsLost(executor, "unresponsive until its leases expired");
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -37,7 +37,12 @@
          progress_queue_.IsStored(end.job, end.change);
 }
 
+// Until the predecessor's authority ends, it may start a task again that has
+// ended on an executor out of its reach.
 void CellLeader::AcknowledgeEnds(Executor& executor) {
+  if (PredecessorMayAct()) {
+    return;
+  }
   const int64_t before = executor.ends_stored;
   std::deque<UnstoredEnd>& ends = executor.unstored_ends;
   while (!ends.empty() && IsStored(ends.front())) {
