Take a roster of an earlier process of the same VM as that of a leader that has ended

A single member that was started again at another port waited 620 s for executors it could not read.

--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -206,7 +206,8 @@
       }));
 }
 
-// Without a roster no predecessor could go on without the store.
+// Without a roster no predecessor could go on without the store. One stored by
+// an earlier process of this VM is of a leader that has ended.
 void CellNode::OnRoster(const StoreRead& read) {
   roster_read_ = true;
   bool listed = read.items.empty();
@@ -216,7 +217,7 @@
     if (roster_) {
       const auto& before = election_->predecessor();
       listed = roster_->members.count(options_.address) > 0 ||
-               roster_->address == options_.address ||
+               roster_->node == options_.node ||
                (leader_->leadership().predecessor_gone && before &&
                 before->boot_id == roster_->boot_id);
     } else {
