Start a long-running task again when its run ends `done`

A task that ended `failed` ran again within milliseconds.

Two runs at once stay forbidden.

Cause: Job::OnDone returned false for such an end, as for the repeated end of a completed task, and ApplyEndToTask then returned before AddIfWaiting, so that no scheduling pass looked at the step.

Change: an end `done` of a long-running task takes the way of all other ends; its checkpoint is kept. Stored progress that names such a task as done is ignored. FakeExecutors::EndRun ends a run in any way; a long-running task is never done there.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -553,7 +553,7 @@
     const std::string done =
         Text(stored_step.at(0), static_cast<size_t>(kMaxTasksPerStep));
     for (size_t i = 0; i < step.tasks.size() && i < done.size(); ++i) {
-      step.tasks[i].done = done[i] == '1';
+      step.tasks[i].done = done[i] == '1' && !step.spec->long_running;
     }
     step.done = static_cast<int>(
         std::count_if(step.tasks.begin(), step.tasks.end(),
--- a/cell/job.h
+++ b/cell/job.h
@@ -43,7 +43,7 @@
 std::optional<JobState> StoredState(const std::string& progress);
 
 struct Task {
-  bool done = false;
+  bool done = false;              // never true for a long-running task
   std::set<int64_t> failed_runs;  // a set, as ends may be listed repeatedly
   int live = 0;          // runs that may be active, including unanswered starts
   int64_t last_run = 0;  // highest run number known to be in use
@@ -117,7 +117,7 @@
   // Marks steps whose dependencies are done as ready.
   void UpdateReady(TimePoint now);
   // Marks the task, or all tasks of a gang, as done. Returns false if it
-  // already was.
+  // already was, or if the step is long-running: such a task is never done.
   bool OnDone(Step& step, int task);
   // Records a failed run. Returns true if the job fails as a result.
   bool OnFailed(Step& step, int task, int64_t run, const ExecutorId& executor);
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -344,7 +344,8 @@
     }
     MarkDirty(job);
   }
-  if (end.end == RunEnd::kDone) {
+  // A long-running task is started again however its run ends.
+  if (end.end == RunEnd::kDone && !step->spec->long_running) {
     // Run times of resumed runs are not comparable to the declared one.
     const Duration whole = task.checkpoint.empty() ? took : Duration(0);
     executor.health.OnDone(whole, step->spec->estimate, now);
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -504,6 +504,15 @@
   Wake(state);
 }
 
+void FakeExecutors::EndRun(const TaskName& name, RunEnd end) {
+  for (auto& [id, state] : states_) {
+    if (state.up && state.runs.count(name.Text()) > 0) {
+      End(state, name.Text(), end);
+      return;
+    }
+  }
+}
+
 OrderReply FakeExecutors::DoStop(State& state,
                                  const std::string& task,
                                  int64_t run,
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -51,6 +51,8 @@
   // Ends the executor like Crash(), but for good.
   void Remove(const ExecutorId& id);
   void Drain(const ExecutorId& id);
+  // Ends the task's run, wherever it is. No effect if it does not run.
+  void EndRun(const TaskName& name, RunEnd end);
   const ExecutorEntry& EntryOf(const ExecutorId& id) const {
     return states_.at(id).entry;
   }
--- a/cell/testing/fake_executors_queries.cc
+++ b/cell/testing/fake_executors_queries.cc
@@ -58,7 +58,7 @@
 
 bool FakeExecutors::IsDone(const TaskName& name) const {
   const StepSpec* spec = SpecOf(name);
-  if (spec == nullptr || done_.count(name.Text()) == 0) {
+  if (spec == nullptr || spec->long_running || done_.count(name.Text()) == 0) {
     return false;
   }
   std::set<std::string> tasks{name.Text()};
--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -469,6 +469,25 @@
   BOOST_TEST(opened.job.EncodeProgress().size() == before);
 }
 
+// Also not by the progress of an earlier leader (found with review/2).
+BOOST_AUTO_TEST_CASE(NeverTakesALongRunningTaskAsDone) {
+  JobRecord record = MakeTwoStepRecord(2, 1);
+  OpenedJob other(record);
+  other.job.OnDone(other.step(0), 1);
+  record.spec.steps[0].long_running = true;
+  Job job("0123456789abcdef", record);
+  job.DecodeProgress(other.job.EncodeProgress(), other.clock.WallNow(),
+                     other.clock.Now());
+  Step& step = *job.FindStep(0, 0);
+  BOOST_TEST(step.done == 0);
+  BOOST_TEST(step.Waiting() == 2);
+  BOOST_TEST(!job.OnDone(step, 0));
+  BOOST_TEST(!job.OnDone(step, 1));
+  BOOST_TEST(!step.Finished());
+  BOOST_TEST(step.Waiting() == 2);
+  BOOST_TEST((job.state() == JobState::kQueued));
+}
+
 RC_BOOST_PROP(DecodesToWhatWasEncoded, (uint64_t seed)) {
   util::Random random(seed);
   JobRecord record =
