Judge a wave of upkeep only by a list of VMs read for it

Cause: the list of VMs is read only while a wave is open, and a check ran the waves before it asked for a new list, so that a new wave met the list that the last one had left behind. PickVm took a VM that it lacks as gone, and noted that for good, in started_vms, which is stored for the next leader too.

Change: a wave waits for a list that was requested after it named its VMs, also when it is announced again with others. A VM that the list lacks is not noted: the wave is completed when the list shows none of its VMs that still needs upkeep. Found with it: the old list could show an executor that was replaced since; its VM was ordered down without being cleared.

Evidence: cell_load_test, DuringAnUpkeepWave, six new cases; five failed before, one each check (TakesDownAVmThatCameSince, TakesDownItsOnlyVmThatCameSince, ClearsAVmWhoseExecutorWasReplacedSince, TakesDownAVmThatIsListedAgain, TakesDownAVmThatTheWaveNamesLater); EndsWithoutAVmThatIsGone passed and has to stay so. Mutation: without the wait for a new list two fail.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -280,7 +280,8 @@
   struct WaveState {
     UpkeepWave wave;
     TimePoint announced{};  // when this leader learned of the wave
-    // VMs that need no further upkeep order in this wave.
+    TimePoint vms_named{};  // likewise, of the present wave.vms
+    // VMs that were ordered down, or whose order was rejected for good.
     std::set<std::string> started_vms;
     std::map<std::string, VmUpkeep> upkeeps;
     bool loaded = false;  // a predecessor's progress has been read
@@ -292,6 +293,8 @@
   void RunWave(WaveState& state);
   void ListVms();
   bool PickVm(WaveState& state);
+  // Whether the VM, named by the wave, is listed and has not been ordered down.
+  bool NeedsUpkeep(const WaveState& state, const std::string& vm) const;
   // Applies what a VM that was ordered down and its executor show. Returns true
   // if the VM is up again, or was never taken down.
   bool ObserveUpkeep(const std::string& vm, const VmUpkeep& upkeep);
@@ -499,6 +502,7 @@
 
   std::map<int64_t, WaveState> waves_;
   std::map<std::string, VmInfo> vms_;  // as last listed
+  TimePoint vms_requested_{};          // when that list was requested
   TimePoint next_wave_check_{};
   TimePoint next_vm_list_{};
   bool vm_list_in_flight_ = false;
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -30,9 +30,14 @@
 
 void CellLeader::AddWave(const UpkeepWave& wave) {
   const auto [found, added] = waves_.try_emplace(wave.number);
-  found->second.wave = wave;
+  WaveState& state = found->second;
+  const TimePoint now = context_.clock.Now();
+  if (added || state.wave.vms != wave.vms) {
+    state.vms_named = now;
+  }
+  state.wave = wave;
   if (added) {
-    found->second.announced = context_.clock.Now();
+    state.announced = now;
     LoadWave(wave.number);
   }
 }
@@ -87,13 +92,15 @@
 
 void CellLeader::ListVms() {
   vm_list_in_flight_ = true;
-  next_vm_list_ = context_.clock.Now() + kVmListInterval;
+  const TimePoint now = context_.clock.Now();
+  next_vm_list_ = now + kVmListInterval;
   context_.vms.List(
-      Guard([this](const std::optional<std::vector<VmInfo>>& list) {
+      Guard([this, now](const std::optional<std::vector<VmInfo>>& list) {
         vm_list_in_flight_ = false;
         if (!list) {
           return;
         }
+        vms_requested_ = now;
         vms_.clear();
         for (const VmInfo& vm : *list) {
           vms_[vm.vm] = vm;
@@ -102,7 +109,9 @@
 }
 
 void CellLeader::RunWave(WaveState& state) {
-  if (vms_.empty()) {
+  // An earlier list, read for another wave, may lack VMs that this one names,
+  // and show executors that are gone.
+  if (vms_.empty() || vms_requested_ <= state.vms_named) {
     return;
   }
   if (!state.running_reported) {
@@ -127,10 +136,10 @@
   while (static_cast<int>(state.upkeeps.size()) < state.wave.max_concurrent &&
          PickVm(state)) {
   }
-  const bool all = std::all_of(
+  const bool any_left = std::any_of(
       state.wave.vms.begin(), state.wave.vms.end(),
-      [&](const std::string& vm) { return state.started_vms.count(vm) > 0; });
-  if (all && state.upkeeps.empty()) {
+      [&](const std::string& vm) { return NeedsUpkeep(state, vm); });
+  if (!any_left && state.upkeeps.empty()) {
     state.completed = true;
     context_.write_wave_status(
         state.wave.number, true,
@@ -178,18 +187,14 @@
   const std::string* best = nullptr;
   size_t best_runs = 0;
   for (const std::string& vm : state.wave.vms) {
-    if (state.started_vms.count(vm) > 0 || state.upkeeps.count(vm) > 0) {
-      continue;
-    }
-    const auto info = vms_.find(vm);
-    if (info == vms_.end()) {
-      state.started_vms.insert(vm);  // the VM is gone and needs no upkeep
+    if (!NeedsUpkeep(state, vm) || state.upkeeps.count(vm) > 0) {
       continue;
     }
-    if (info->second.state != VmState::kUp) {
+    const VmInfo& info = vms_.at(vm);
+    if (info.state != VmState::kUp) {
       continue;
     }
-    const Executor* executor = FindExecutor(info->second.executor);
+    const Executor* executor = FindExecutor(info.executor);
     const size_t runs = executor == nullptr ? 0 : executor->runs().size();
     if (best == nullptr || runs < best_runs) {
       best = &vm;
@@ -208,9 +213,17 @@
   return true;
 }
 
+// A VM that is not listed is gone and needs no upkeep, unless it is listed
+// again before the wave has ended.
+bool CellLeader::NeedsUpkeep(const WaveState& state,
+                             const std::string& vm) const {
+  return state.started_vms.count(vm) == 0 && vms_.count(vm) > 0;
+}
+
 Duration CellLeader::GracePeriodOf(const WaveState& state) const {
-  const auto left =
-      static_cast<int64_t>(state.wave.vms.size() - state.started_vms.size());
+  const int64_t left = std::count_if(
+      state.wave.vms.begin(), state.wave.vms.end(),
+      [&](const std::string& vm) { return NeedsUpkeep(state, vm); });
   const int64_t rounds = std::max<int64_t>(
       1, (left + state.wave.max_concurrent - 1) / state.wave.max_concurrent);
   const Duration time =
--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -2,6 +2,9 @@
 // filling tasks. Includes a regression test for each failure found by the
 // benchmarks.
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "cell/testing/cell_fixture.h"
 
@@ -341,6 +344,123 @@
   BOOST_TEST(cell.wave_status[1]);
 }
 
+BOOST_AUTO_TEST_SUITE(AfterAnEarlierOne)
+
+// Between the waves the list of VMs is not read.
+struct Fixture : CellFixture {
+  Fixture() {
+    Carry(1, {"vm-e1", "vm-e2"});
+    BOOST_REQUIRE(upkeep_done.size() == 2U);
+    RunFor(Millis(3'000));
+  }
+  // Adds a VM with an executor, and waits until the leader knows the executor.
+  // Returns the VM's name.
+  std::string AddVm() {
+    std::set<std::string> before;
+    for (const auto& [vm, info] : vms) {
+      before.insert(vm);
+    }
+    AddExecutors("pool", 1, {32'000, 64'000, 0, 0});
+    RunFor(Millis(3'000));
+    std::string added;
+    for (const auto& [vm, info] : vms) {
+      added = before.count(vm) == 0 ? vm : added;
+    }
+    return added;
+  }
+  // Announces a wave and runs until its end.
+  void Carry(int64_t number, const std::vector<std::string>& names) {
+    UpkeepWave wave;
+    wave.number = number;
+    wave.vms = names;
+    wave.deadline = Millis(20'000);
+    Announce(wave);
+    RunFor(Millis(15'000));
+    BOOST_TEST(wave_status[number]);
+  }
+};
+
+// Regression (review/3, MIXED): a VM that the list of the earlier wave lacks
+// was taken for one that is gone.
+BOOST_FIXTURE_TEST_CASE(TakesDownAVmThatCameSince, Fixture) {
+  const std::string added = AddVm();
+  Carry(2, {"vm-e3", added});
+  BOOST_TEST(upkeep_done.count("vm-e3") == 1U);
+  BOOST_TEST(upkeep_done.count(added) == 1U);
+  BOOST_TEST(max_down == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesDownItsOnlyVmThatCameSince, Fixture) {
+  const std::string added = AddVm();
+  Carry(2, {added});
+  BOOST_TEST(upkeep_done.count(added) == 1U);
+}
+
+// Regression (found with review/3): the list of the earlier wave showed an
+// executor that was gone, so that the VM was not cleared.
+BOOST_FIXTURE_TEST_CASE(ClearsAVmWhoseExecutorWasReplacedSince, Fixture) {
+  ReplaceExecutor("e3", Millis(1'000));
+  RunFor(Millis(3'000));
+  Submit("a", kJobId, MakeJobSpec(4, Millis(3'000), 30'000), "q0");
+  RunFor(Millis(1'000));
+  BOOST_REQUIRE(executors.running() == 4);
+  Carry(2, {"vm-e3"});
+  BOOST_TEST((StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(executors.starts() == 4);
+}
+
+// The end of the wait for VMs that are listed.
+BOOST_FIXTURE_TEST_CASE(EndsWithoutAVmThatIsGone, Fixture) {
+  vms.erase("vm-e4");
+  Carry(2, {"vm-e3", "vm-e4"});
+  BOOST_TEST(upkeep_done.count("vm-e3") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Regression (found with review/3): a VM that one list lacked was taken for
+// gone until the end of the wave.
+BOOST_AUTO_TEST_CASE(TakesDownAVmThatIsListedAgain) {
+  CellFixture cell;
+  const VmInfo info = cell.vms.at("vm-e2");
+  cell.vms.erase("vm-e2");
+  UpkeepWave wave;
+  wave.number = 1;
+  wave.vms = {"vm-e1", "vm-e2"};
+  wave.deadline = Millis(20'000);
+  cell.Announce(wave);
+  for (int i = 0; i < 200 && cell.down_now == 0; ++i) {
+    cell.RunFor(Millis(50));
+  }
+  cell.vms["vm-e2"] = info;
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.wave_status[1]);
+  BOOST_TEST(cell.upkeep_done.size() == 2U);
+}
+
+// Regression (found with review/3): the same for a VM that the wave named after
+// the list was read.
+BOOST_AUTO_TEST_CASE(TakesDownAVmThatTheWaveNamesLater) {
+  CellFixture cell;
+  UpkeepWave wave;
+  wave.number = 1;
+  wave.vms = {"vm-e1"};
+  wave.deadline = Millis(20'000);
+  wave.max_concurrent = 2;
+  cell.Announce(wave);
+  for (int i = 0; i < 200 && cell.down_now == 0; ++i) {
+    cell.RunFor(Millis(50));
+  }
+  cell.vms["vm-late"] = cell.vms.at("vm-e2");
+  cell.vms["vm-late"].vm = "vm-late";
+  cell.vms.erase("vm-e2");
+  wave.vms.emplace_back("vm-late");
+  cell.Announce(wave);
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.wave_status[1]);
+  BOOST_TEST(cell.upkeep_done.count("vm-late") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A predecessor ordered the upkeep of vm-e1, but the store did not get its
