Count the VMs that a predecessor has ordered down

Cause: the VMs counted against max_concurrent were known only to the leader that ordered them. Stored progress named upkeeps that had begun, for not ordering them again; orders in flight were not stored at all.

Change: a VM is named in w/NUMBER before its upkeep is ordered, by a write that fails once another leader is elected. A new leader counts these VMs, repeats their orders, and counts VMs that are listed in upkeep. Only a list requested after the order's answer shows that an upkeep is over. An order is not sent without authority. A VM that is down otherwise gives its slot back after 12 s. The random histories check the limit of each wave; the fake VM service can execute orders late or never.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -271,11 +271,15 @@
   void PaceFillTasks(Executor& executor);
 
   // leader_waves.cc: upkeep of the executors' VMs.
-  enum class VmPhase { kClearing, kOrdering, kDown };
+  enum class VmPhase { kClearing, kStoringOrder, kOrdering, kDown };
   struct VmUpkeep {
     VmPhase phase = VmPhase::kClearing;
+    // The stored progress names the VM as one that may have been ordered down.
+    bool order_stored = false;
     TimePoint since{};
     ExecutorId executor;  // on the VM before the upkeep
+    // Orders that were not answered are executed by then or not at all.
+    TimePoint orders_executed_by{};
   };
   struct WaveState {
     UpkeepWave wave;
@@ -283,8 +287,14 @@
     TimePoint vms_named{};  // likewise, of the present wave.vms
     // VMs that were ordered down, or whose order was rejected for good.
     std::set<std::string> started_vms;
+    // VMs that a predecessor may have ordered down, or whose order may be
+    // executed late.
+    std::set<std::string> inherited_orders;
     std::map<std::string, VmUpkeep> upkeeps;
-    bool loaded = false;  // a predecessor's progress has been read
+    int64_t progress_revision = 0;  // of the stored progress
+    bool progress_write_in_flight = false;
+    bool progress_changed = false;  // since that write was sent
+    bool loaded = false;            // a predecessor's progress has been read
     bool running_reported = false;
     bool completed = false;
   };
@@ -292,6 +302,11 @@
   void RunWaves();
   void RunWave(WaveState& state);
   void ListVms();
+  // Begins the upkeep again of VMs that a predecessor may have ordered down.
+  void ResumeInheritedOrders(WaveState& state);
+  // Number of the wave's VMs that are down, or that may be ordered down.
+  int OccupiedSlots(const WaveState& state) const;
+  bool IsDownWithoutUpkeep(const std::string& vm) const;
   bool PickVm(WaveState& state);
   // Whether the VM, named by the wave, is listed and has not been ordered down.
   bool NeedsUpkeep(const WaveState& state, const std::string& vm) const;
@@ -301,7 +316,11 @@
   void ClearVm(WaveState& state, const std::string& vm, VmUpkeep& upkeep);
   void OrderUpkeep(int64_t number, const std::string& vm);
   void OnUpkeep(int64_t number, const std::string& vm, VmOrderResult result);
-  void StoreWave(const WaveState& state);
+  void StoreWave(WaveState& state);
+  // `orders`: VMs that the written progress names as ordered.
+  void OnWaveStored(int64_t number,
+                    const std::vector<std::string>& orders,
+                    const StoreWriteReply& reply);
   // Whether a planned action may interrupt a task of the step now.
   bool MayInterrupt(const Step& step, int task) const;
   Duration GracePeriodOf(const WaveState& state) const;
@@ -502,7 +521,7 @@
 
   std::map<int64_t, WaveState> waves_;
   std::map<std::string, VmInfo> vms_;  // as last listed
-  TimePoint vms_requested_{};          // when that list was requested
+  TimePoint vm_list_begin_{};          // of that list
   TimePoint next_wave_check_{};
   TimePoint next_vm_list_{};
   bool vm_list_in_flight_ = false;
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -45,7 +45,7 @@
 inline constexpr char kJobPrefix[] = "j/";  // j/ID, and j/ID/x: cancelled
 inline constexpr char kCancelSuffix[] = "/x";
 inline constexpr char kProgressPrefix[] = "p/";      // p/ID
-inline constexpr char kWaveProgressPrefix[] = "w/";  // w/NUMBER: VMs handled
+inline constexpr char kWaveProgressPrefix[] = "w/";  // w/NUMBER
 inline constexpr char kLeaderKey[] = "c/leader";
 inline constexpr char kMemberPrefix[] = "c/m/";  // c/m/NODE
 inline constexpr char kExecutorsKey[] = "c/executors";
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -3,6 +3,14 @@
 // step's max_unavailable allows, or at once if it is 0, and other tasks get a
 // grace period to end. The upkeep order is idempotent, so it is repeated if its
 // answer is lost.
+//
+// The VM is named in the wave's stored progress before its upkeep is ordered. A
+// predecessor's write fails once another leader is elected, so its successor
+// knows all orders that may have been sent, also one that is executed late. It
+// counts these VMs and repeats their orders.
+//
+// Progress of a wave: [VM..., [VM...]], the VMs whose upkeep has begun and
+// those that may have been ordered.
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -19,6 +27,8 @@
 constexpr Millis kVmListInterval{1'000};
 constexpr Millis kWaveTimeout{1'000};
 constexpr Millis kOrderRetry{400};
+// The VM service may execute an order without an answer this late.
+constexpr Millis kMaxOrderDelay{12'000};
 // Bounds of the time in which runs on a VM may end by themselves.
 constexpr Millis kMinGracePeriod{300};
 constexpr Millis kMaxGracePeriod{5'000};
@@ -57,16 +67,23 @@
         if (read.items.empty()) {
           return;
         }
-        const json started_vms = ParseMsgpack(read.items[0].value);
-        if (!started_vms.is_array()) {
+        state.progress_revision = read.items[0].revision;
+        const json progress = ParseMsgpack(read.items[0].value);
+        if (!progress.is_array()) {
           context_.log.Write(
               Event::kCellBadRecord,
               {{"key", read.items[0].key}, {"reason", "not a list of VMs"}});
           return;
         }
-        for (const json& vm : started_vms) {
-          if (auto name = TextIn(vm, kMaxNameBytes)) {
+        for (const json& entry : progress) {
+          if (auto name = TextIn(entry, kMaxNameBytes)) {
             state.started_vms.insert(std::move(*name));
+          } else if (entry.is_array()) {
+            for (const json& vm : entry) {
+              if (auto ordered = TextIn(vm, kMaxNameBytes)) {
+                state.inherited_orders.insert(std::move(*ordered));
+              }
+            }
           }
         }
       }));
@@ -92,26 +109,25 @@
 
 void CellLeader::ListVms() {
   vm_list_in_flight_ = true;
-  const TimePoint now = context_.clock.Now();
-  next_vm_list_ = now + kVmListInterval;
-  context_.vms.List(
-      Guard([this, now](const std::optional<std::vector<VmInfo>>& list) {
-        vm_list_in_flight_ = false;
-        if (!list) {
-          return;
-        }
-        vms_requested_ = now;
-        vms_.clear();
-        for (const VmInfo& vm : *list) {
-          vms_[vm.vm] = vm;
-        }
-      }));
+  next_vm_list_ = context_.clock.Now() + kVmListInterval;
+  context_.vms.List(Guard([this, begin = context_.clock.Now()](
+                              const std::optional<std::vector<VmInfo>>& list) {
+    vm_list_in_flight_ = false;
+    if (!list) {
+      return;
+    }
+    vm_list_begin_ = begin;
+    vms_.clear();
+    for (const VmInfo& vm : *list) {
+      vms_[vm.vm] = vm;
+    }
+  }));
 }
 
 void CellLeader::RunWave(WaveState& state) {
   // An earlier list, read for another wave, may lack VMs that this one names,
   // and show executors that are gone.
-  if (vms_.empty() || vms_requested_ <= state.vms_named) {
+  if (vms_.empty() || vm_list_begin_ <= state.vms_named) {
     return;
   }
   if (!state.running_reported) {
@@ -122,9 +138,12 @@
           waves_.at(number).running_reported = written;
         }));
   }
+  ResumeInheritedOrders(state);
   for (auto it = state.upkeeps.begin(); it != state.upkeeps.end();) {
     VmUpkeep& upkeep = it->second;
-    if (upkeep.phase == VmPhase::kDown && ObserveUpkeep(it->first, upkeep)) {
+    // An earlier list may show the VM as it was before the upkeep.
+    if (upkeep.phase == VmPhase::kDown && vm_list_begin_ > upkeep.since &&
+        ObserveUpkeep(it->first, upkeep)) {
       it = state.upkeeps.erase(it);
       continue;
     }
@@ -133,13 +152,12 @@
     }
     ++it;
   }
-  while (static_cast<int>(state.upkeeps.size()) < state.wave.max_concurrent &&
-         PickVm(state)) {
+  while (OccupiedSlots(state) < state.wave.max_concurrent && PickVm(state)) {
   }
   const bool any_left = std::any_of(
       state.wave.vms.begin(), state.wave.vms.end(),
       [&](const std::string& vm) { return NeedsUpkeep(state, vm); });
-  if (!any_left && state.upkeeps.empty()) {
+  if (!any_left && OccupiedSlots(state) == 0) {
     state.completed = true;
     context_.write_wave_status(
         state.wave.number, true,
@@ -153,6 +171,47 @@
   }
 }
 
+void CellLeader::ResumeInheritedOrders(WaveState& state) {
+  for (const std::string& vm : std::exchange(state.inherited_orders, {})) {
+    if (state.started_vms.count(vm) > 0) {
+      continue;
+    }
+    VmUpkeep& upkeep = state.upkeeps[vm];
+    upkeep.since = context_.clock.Now();
+    upkeep.order_stored = true;
+    upkeep.orders_executed_by = upkeep.since + kMaxOrderDelay;
+    // A VM that is not listed is ordered as well; the answer shows whether it
+    // still exists.
+    const auto info = vms_.find(vm);
+    if (info == vms_.end()) {
+      continue;
+    }
+    upkeep.executor = info->second.executor;
+    Executor* executor = FindExecutor(upkeep.executor);
+    if (executor != nullptr && info->second.state == VmState::kUpkeep) {
+      MarkAllRunsLost(*executor, "upkeep of its VM");
+    }
+  }
+}
+
+// VMs that are down by a predecessor's orders have no entry in `upkeeps`.
+int CellLeader::OccupiedSlots(const WaveState& state) const {
+  const auto down_otherwise = std::count_if(
+      state.wave.vms.begin(), state.wave.vms.end(), [&](const std::string& vm) {
+        const auto info = vms_.find(vm);
+        return info != vms_.end() && info->second.state == VmState::kUpkeep &&
+               state.upkeeps.count(vm) == 0;
+      });
+  return static_cast<int>(state.upkeeps.size()) +
+         static_cast<int>(down_otherwise);
+}
+
+bool CellLeader::IsDownWithoutUpkeep(const std::string& vm) const {
+  const auto info = vms_.find(vm);
+  return info != vms_.end() && info->second.state != VmState::kUp &&
+         info->second.state != VmState::kUpkeep;
+}
+
 // Applies what the VM and its executor show; returns true if the upkeep is
 // over. An order is answered with kOk also if the upkeep is already done,
 // perhaps on the order of a predecessor. Only what the VM and its executor do
@@ -287,13 +346,25 @@
     // Ends that are not stored yet would be lost with the executor.
     clear = clear && executor->ends_read == executor->ends_stored;
   }
-  if (clear) {
+  if (!clear) {
+    return;
+  }
+  if (upkeep.order_stored) {
     upkeep.phase = VmPhase::kOrdering;
     OrderUpkeep(state.wave.number, vm);
+  } else {
+    upkeep.phase = VmPhase::kStoringOrder;
+    StoreWave(state);
   }
 }
 
 void CellLeader::OrderUpkeep(int64_t number, const std::string& vm) {
+  // Authority may have ended since the VM was cleared.
+  if (!may_start()) {
+    context_.run_after(kOrderRetry,
+                       Guard([this, number, vm] { OrderUpkeep(number, vm); }));
+    return;
+  }
   context_.vms.StartUpkeep(vm, number, leadership_.fence,
                            Guard([this, number, vm](VmOrderResult result) {
                              OnUpkeep(number, vm, result);
@@ -332,23 +403,108 @@
       state.upkeeps.erase(found);
       return;
     case VmOrderResult::kBusy:
+      if (IsDownWithoutUpkeep(vm) &&
+          context_.clock.Now() > upkeep.orders_executed_by) {
+        // It is chosen again once it is up; others need not wait for it.
+        if (Executor* executor = FindExecutor(upkeep.executor)) {
+          executor->cordoned = false;
+        }
+        state.upkeeps.erase(found);
+        StoreWave(state);
+        return;
+      }
+      context_.run_after(
+          kOrderRetry, Guard([this, number, vm] { OrderUpkeep(number, vm); }));
+      return;
     case VmOrderResult::kUnknown:
+      upkeep.orders_executed_by = context_.clock.Now() + kMaxOrderDelay;
       context_.run_after(
           kOrderRetry, Guard([this, number, vm] { OrderUpkeep(number, vm); }));
       return;
   }
 }
 
-void CellLeader::StoreWave(const WaveState& state) {
+void CellLeader::StoreWave(WaveState& state) {
+  if (state.progress_write_in_flight) {
+    state.progress_changed = true;
+    return;
+  }
+  std::vector<std::string> orders;
+  for (const auto& [vm, upkeep] : state.upkeeps) {
+    if (upkeep.phase != VmPhase::kDown &&
+        (upkeep.order_stored || upkeep.phase == VmPhase::kStoringOrder)) {
+      orders.push_back(vm);
+    }
+  }
+  json progress(state.started_vms);
+  if (!orders.empty()) {
+    progress.push_back(json(orders));
+  }
   std::string bytes;
-  json::to_msgpack(json(state.started_vms), bytes);
+  json::to_msgpack(progress, bytes);
+  const std::string key =
+      kWaveProgressPrefix + std::to_string(state.wave.number);
   StoreWrite write;
   write.conditions.emplace_back(kLeaderKey, leadership_.fence);
-  write.puts.emplace_back(
-      kWaveProgressPrefix + std::to_string(state.wave.number), bytes);
-  // The result is not checked: a successor that misses the update repeats the
-  // order, which is idempotent.
-  context_.store.Write(write, kWaveTimeout, [](const StoreWriteReply&) {});
+  // An unanswered write must not take effect after a later one.
+  write.conditions.emplace_back(key, state.progress_revision);
+  write.puts.emplace_back(key, bytes);
+  state.progress_write_in_flight = true;
+  state.progress_changed = false;
+  context_.store.Write(write, kWaveTimeout,
+                       Guard([this, number = state.wave.number,
+                              orders](const StoreWriteReply& reply) {
+                         OnWaveStored(number, orders, reply);
+                       }));
+}
+
+void CellLeader::OnWaveStored(int64_t number,
+                              const std::vector<std::string>& orders,
+                              const StoreWriteReply& reply) {
+  const std::string key = kWaveProgressPrefix + std::to_string(number);
+  WaveState& state = waves_.at(number);
+  state.progress_write_in_flight = false;
+  if (reply.status == StoreStatus::kConflict) {
+    bool leading = false;
+    state.progress_revision = 0;
+    for (const StoreItem& item : reply.items) {
+      leading = leading ||
+                (item.key == kLeaderKey && item.revision == leadership_.fence);
+      if (item.key == key) {
+        state.progress_revision = item.revision;
+      }
+    }
+    if (!leading) {
+      OnFenced("another member holds the leader key");
+      return;
+    }
+  }
+  if (reply.status != StoreStatus::kOk &&
+      reply.status != StoreStatus::kInvalid) {
+    context_.run_after(kOrderRetry,
+                       Guard([this, number] { StoreWave(waves_.at(number)); }));
+    return;
+  }
+  if (reply.status == StoreStatus::kOk) {
+    state.progress_revision = reply.revision;
+  } else {
+    // Would be rejected again, and the wave would never be completed.
+    context_.log.Write(Event::kStoreWriteRejected, {{"key", key}});
+  }
+  for (const std::string& vm : orders) {
+    const auto found = state.upkeeps.find(vm);
+    if (found == state.upkeeps.end()) {
+      continue;
+    }
+    found->second.order_stored = true;
+    if (found->second.phase == VmPhase::kStoringOrder) {
+      found->second.phase = VmPhase::kOrdering;
+      OrderUpkeep(number, vm);
+    }
+  }
+  if (state.progress_changed) {
+    StoreWave(state);
+  }
 }
 
 }  // namespace chivedale::cell
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kPeerLatency = std::chrono::microseconds(800);
+constexpr Millis kVmCallTimeout{1'000};
 constexpr size_t kMaxLines = 200'000;
 
 }  // namespace
@@ -89,14 +90,22 @@
                    int64_t,
                    int64_t,
                    OnOrder done) override {
-    cell_.loop.After(Millis(3), [this, vm, done] {
-      if (cell_.vms.at(vm).state != VmState::kUp &&
-          cell_.upkeep_done.count(vm) == 0) {
-        done(VmOrderResult::kBusy);
-        return;
+    ++cell_.upkeep_orders;
+    const std::optional<Duration> time = cell_.upkeep_order_time;
+    const bool answered = time && *time < kVmCallTimeout;
+    if (!answered) {
+      cell_.loop.After(kVmCallTimeout,
+                       [done] { done(VmOrderResult::kUnknown); });
+    }
+    if (!time) {
+      return;
+    }
+    // The VM service outlives the member that sent the order.
+    cell_.loop.After(*time, [&cell = cell_, vm, done, answered] {
+      const VmOrderResult result = cell.ExecuteUpkeepOrder(vm);
+      if (answered) {
+        done(result);
       }
-      cell_.BeginUpkeep(vm);
-      done(VmOrderResult::kOk);
     });
   }
 
@@ -305,11 +314,36 @@
   }
 }
 
+VmOrderResult FakeCell::ExecuteUpkeepOrder(const std::string& vm) {
+  if (vms.count(vm) == 0) {
+    return VmOrderResult::kRejected;
+  }
+  if (vms.at(vm).state != VmState::kUp && upkeep_done.count(vm) == 0) {
+    return VmOrderResult::kBusy;
+  }
+  BeginUpkeep(vm);
+  return VmOrderResult::kOk;
+}
+
 void FakeCell::BeginUpkeep(const std::string& vm) {
   VmInfo& info = vms.at(vm);
   if (!upkeep_done.insert(vm).second) {
     return;  // already done
   }
+  for (const auto& [number, wave] : waves_) {
+    const auto of_wave = std::count_if(
+        wave.vms.begin(), wave.vms.end(), [&](const std::string& other) {
+          const auto found = vms.find(other);
+          return found != vms.end() && found->second.state == VmState::kUpkeep;
+        });
+    if (of_wave >= wave.max_concurrent &&
+        std::count(wave.vms.begin(), wave.vms.end(), vm) > 0) {
+      std::string what = "upkeep of " + vm + " begins while ";
+      what += std::to_string(of_wave) + " VMs of wave ";
+      what += std::to_string(number) + " are down";
+      wave_violations.push_back(what);
+    }
+  }
   max_down = std::max(max_down, ++down_now);
   info.state = VmState::kUpkeep;
   executors.Remove(info.executor);
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -110,9 +110,16 @@
   std::set<ExecutorId> lost_entries;  // not registered
   std::map<std::string, VmInfo> vms;
   std::set<std::string> upkeep_done;
+  // Time until an upkeep order is executed. An order that takes longer than the
+  // limit of a call gets no answer; with nullopt it is never executed.
+  std::optional<Duration> upkeep_order_time = std::chrono::milliseconds(3);
+  int upkeep_orders = 0;                // sent
   std::map<int64_t, bool> wave_status;  // true: completed
   int down_now = 0;                     // VMs in upkeep
   int max_down = 0;                     // maximum of down_now so far
+  // Upkeeps that began while as many VMs of their wave were down for theirs as
+  // it allows.
+  std::vector<std::string> wave_violations;
 
  private:
   struct Host;
@@ -121,6 +128,7 @@
   class Vms;
 
   void StartNode(Host& host);
+  VmOrderResult ExecuteUpkeepOrder(const std::string& vm);
   // Adds an executor of the same kind. Returns its ID.
   ExecutorId AddSuccessorOf(const ExecutorId& id);
   void ScheduleTick(const std::string& name, uint64_t life);
--- a/cell/testing/history_check.cc
+++ b/cell/testing/history_check.cc
@@ -81,6 +81,10 @@
 }
 
 void RandomWaves::Check() const {
+  if (!cell_.wave_violations.empty()) {
+    RC_FAIL(cell_.wave_violations[0] + "\n" + cell_.log.Lines(" upkeep_") +
+            cell_.log.Lines(" cell_"));
+  }
   for (int64_t wave = 1; wave <= waves_; ++wave) {
     if (!cell_.wave_status[wave]) {
       RC_FAIL("wave " + std::to_string(wave) + " has not completed\n" +
