--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -189,12 +189,10 @@
       executor.unlisted_since = now;
       context_.log.Write(Event::kExecutorGone, {{"executor", it->first}});
     }
-    const bool forget =
-        !executor.listed && executor.runs().empty() &&
-        executor.unstored_ends.empty() &&
-        now - executor.unlisted_since > kForgetDelay &&
-        !executor.hold_in_flight &&
-        (unread_executors_.count(it->first) == 0 || PredecessorLeasesExpired());
+    const bool forget = !executor.listed && executor.runs().empty() &&
+                        executor.unstored_ends.empty() &&
+                        now - executor.unlisted_since > kForgetDelay &&
+                        !executor.hold_in_flight && !IsUnread(executor);
     if (forget) {
       unread_executors_.erase(it->first);
       by_number_[executor.number] = nullptr;
