--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -6,8 +6,6 @@
 namespace chivedale::cell::testing {
 namespace {
 
-// Ends listed in one answer.
-constexpr size_t kEndsPerReply = 500;
 constexpr Millis kCallTimeout{800};
 constexpr Duration kOneWayLatency = std::chrono::microseconds(500);
 constexpr Millis kCheckpointEvery{500};
@@ -573,32 +571,6 @@
   return MakeHoldReply(state);
 }
 
-HoldReply FakeExecutors::MakeHoldReply(const State& state) const {
-  HoldReply reply;
-  reply.result = OrderResult::kOk;
-  reply.executor_clock = ClockOf(state);
-  reply.incarnation = state.entry.incarnation;
-  for (const auto& [task, run] : state.runs) {
-    RunningTask row;
-    row.task = task;
-    row.run = run.number;
-    if (const auto figure = figures.find(task); figure != figures.end()) {
-      row.load_figure = figure->second;
-    }
-    if (const auto percent = percents.find(task); percent != percents.end()) {
-      row.pace_percent = percent->second;
-    }
-    reply.running.push_back(row);
-  }
-  const auto listed = std::min(kEndsPerReply, state.ended.size());
-  reply.ended.assign(state.ended.begin(),
-                     state.ended.begin() + static_cast<std::ptrdiff_t>(listed));
-  if (change_hold) {
-    change_hold(reply);
-  }
-  return reply;
-}
-
 void FakeExecutors::Wake(State& state) {
   std::map<uint64_t, std::function<void()>> waiting = state.waiting;
   for (const auto& [wait, finish] : waiting) {
--- a/cell/testing/fake_executors_queries.cc
+++ b/cell/testing/fake_executors_queries.cc
@@ -1,9 +1,16 @@
-// What tests ask of the fake executors.
+// What tests ask of the fake executors, and their answers to hold calls.
 #include <algorithm>
+#include <cstddef>
 
 #include "cell/testing/fake_executors.h"
 
 namespace chivedale::cell::testing {
+namespace {
+
+// Ends listed in one answer.
+constexpr size_t kEndsPerReply = 500;
+
+}  // namespace
 
 std::vector<ExecutorEntry> FakeExecutors::Entries() const {
   std::vector<ExecutorEntry> entries;
@@ -86,4 +93,30 @@
   return found == jobs_.end() ? nullptr : &found->second.spec;
 }
 
+HoldReply FakeExecutors::MakeHoldReply(const State& state) const {
+  HoldReply reply;
+  reply.result = OrderResult::kOk;
+  reply.executor_clock = ClockOf(state);
+  reply.incarnation = state.entry.incarnation;
+  for (const auto& [task, run] : state.runs) {
+    RunningTask row;
+    row.task = task;
+    row.run = run.number;
+    if (const auto figure = figures.find(task); figure != figures.end()) {
+      row.load_figure = figure->second;
+    }
+    if (const auto percent = percents.find(task); percent != percents.end()) {
+      row.pace_percent = percent->second;
+    }
+    reply.running.push_back(row);
+  }
+  const auto listed = std::min(kEndsPerReply, state.ended.size());
+  reply.ended.assign(state.ended.begin(),
+                     state.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+  if (change_hold) {
+    change_hold(reply);
+  }
+  return reply;
+}
+
 }  // namespace chivedale::cell::testing
