--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -1,6 +1,5 @@
 // Tests of a cell under load: bursts, hanging executors and filling tasks.
 // Includes a regression test for each failure found by the benchmarks.
-#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
