--- a/cell/election.h
+++ b/cell/election.h
@@ -114,7 +114,7 @@
   bool known() const { return record_read_; }
   // True if this member leads in this term or receives the leader's heartbeats.
   bool HearsLeader(int64_t term) const;
-  // True if this member knows of no later term and does not try to be elected.
+  // True if this member has seen no later term and is no candidate.
   bool MayFollow(int64_t term) const;
   // The leader key before the current one, as far as it was read.
   const std::optional<LeaderRecord>& predecessor() const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -235,7 +235,7 @@
   void ScheduleHold(Executor& executor, TimePoint at);
   bool IsUsable(const Executor& executor) const;
   // Whether the executor cannot have restarted unnoticed.
-  bool IsSameLife(const Executor& executor) const;
+  bool IsSameIncarnation(const Executor& executor) const;
   // Has the executor called, to notice a restart.
   void RequestCheck(Executor& executor);
 
--- a/cell/leader_authority.h
+++ b/cell/leader_authority.h
@@ -3,7 +3,7 @@
 // A successor takes a predecessor's leases as expired a fixed time after it was
 // elected. So a leader may act only for kAuthorityTime after evidence that no
 // other member had been elected: an answer of the store, or, while the store
-// does not answer, the word of every member that may have been elected without
+// does not answer, an answer of every member that may have been elected without
 // it. Evidence counts from when it was asked for, not from when it arrived.
 //
 //   LeaderAuthority authority(clock);
@@ -68,7 +68,7 @@
   Basis basis() const;
   // The time of the last answer of the store; zero if there was none.
   TimePoint confirmed() const { return confirmed_; }
-  // Members whose word is needed while the store does not answer.
+  // Members whose answers are needed while the store does not answer.
   std::set<std::string> required() const;
   // Those of them without evidence that still counts, separated by commas.
   std::string Silent() const;
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -111,10 +111,11 @@
   const bool may_be_restarted =
       PredecessorMayAct() && HasUnreadExecutors() &&
       predecessor_authority_end_ - begin_time_ > kFencingDelay;
-  // A clock of an earlier life may be far ahead, and a lease on it long.
+  // The clock of an earlier incarnation may be far ahead, and a lease on it
+  // long.
   const bool may_grant = executor.adopted && executor.clock_known() &&
-                         executor.missed_holds == 0 && IsSameLife(executor) &&
-                         !may_be_restarted;
+                         executor.missed_holds == 0 &&
+                         IsSameIncarnation(executor) && !may_be_restarted;
   if (may_grant) {
     request.lease_until =
         executor.EarliestClockAt(GrantTime(now)) + options_.lease;
@@ -522,7 +523,7 @@
   RequestSchedulingPass();
 }
 
-bool CellLeader::IsSameLife(const Executor& executor) const {
+bool CellLeader::IsSameIncarnation(const Executor& executor) const {
   const TimePoint now = context_.clock.Now();
   return now - executor.last_answer < kMinRestartTime ||
          now - entries_begin_ < kMaxEntryAge;
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -6,7 +6,7 @@
 //
 // The VM is named in the wave's stored progress before its upkeep is ordered. A
 // predecessor's write fails once another leader is elected, so its successor
-// knows all orders that may have been sent, also one that is executed late. It
+// finds all orders that may have been sent, also one that is executed late. It
 // counts these VMs and repeats their orders.
 //
 // Progress of a wave: [VM..., [VM...]], the VMs whose upkeep has begun and
--- a/cell/node.h
+++ b/cell/node.h
@@ -63,8 +63,8 @@
   RunAfter run_after;
 };
 
-// Value of kRosterKey: addresses of the members whose word a leader needs while
-// the store does not answer it, and the leader that stored them.
+// Value of kRosterKey: addresses of the members whose answers a leader needs
+// while the store does not answer it, and the leader that stored them.
 struct Roster {
   std::string node;
   std::string boot_id;
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -230,8 +230,9 @@
   }
 }
 
-// A successor of this leader must not be misled by its roster while an earlier
-// leader, which this one was not asked by, may go on.
+// The roster tells a successor which members an earlier leader has to ask. So
+// it is not replaced while an earlier leader that did not ask this one may go
+// on.
 void CellNode::EndPredecessorAuthority(TimePoint end) {
   if (!std::exchange(may_write_roster_, true)) {
     leader_->LimitPredecessorAuthority(end);
@@ -239,9 +240,9 @@
   }
 }
 
-// The leader that stored the roster needs the word of all its members. One that
-// has followed this leader for longer than evidence counts, without a new
-// process in between, has given its last word before.
+// The leader that stored the roster needs answers of all its members. A member
+// that has followed this leader for longer than evidence counts, and was not
+// started again meanwhile, sent its last answer before that.
 void CellNode::OnRosterMemberFollows(const CellBeat& beat) {
   if (may_write_roster_ || !roster_ || beat.is_leader ||
       beat.term != leader_->leadership().term ||
--- a/cell/testing/cell_wave_test.cc
+++ b/cell/testing/cell_wave_test.cc
@@ -68,8 +68,8 @@
     BOOST_REQUIRE(upkeep_done.size() == 2U);
     RunFor(Millis(3'000));
   }
-  // Adds a VM with an executor, and waits until the leader knows the executor.
-  // Returns the VM's name.
+  // Adds a VM with an executor, and waits until the leader has listed the
+  // executor. Returns the VM's name.
   std::string AddVm() {
     std::set<std::string> before;
     for (const auto& [vm, info] : vms) {
@@ -237,7 +237,7 @@
   BOOST_TEST(wave_status[1]);
 }
 
-// A new leader does not know the runs of an executor before it answers.
+// A new leader has not read the runs of an executor before it answers.
 BOOST_FIXTURE_TEST_CASE(StopsNoTaskThatIsNotReadYet, SlowStartFixture) {
   ExecutorId unread;
   ExecutorId crashed;
--- a/cell/testing/successor_test.cc
+++ b/cell/testing/successor_test.cc
@@ -192,7 +192,8 @@
   }
 }
 
-// Guards against leases that count on the clock of an executor's earlier life,
+// Guards against leases that count on the clock of an executor's earlier
+// incarnation,
 // and so last as long as the executor allows.
 BOOST_AUTO_TEST_CASE(StartsNothingOnAnExecutorThatMayHaveRestarted) {
   LargeCell cell;
