Keep the authority's end instead of computing it for each order

Cause: the leader asked for its authority's end at each start, each hold call and each check of an executor, 20 times a second for 1,100 executors, and each time the names of 146 members were copied. Its processor had nothing left.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -205,7 +205,7 @@
   // leader_executors.cc: hold calls and the runs and ends they list.
   void SendDueHolds();
   void CheckExecutors();
-  void HoldIfDue(Executor& executor);
+  void HoldIfDue(Executor& executor, TimePoint now);
   void Hold(Executor& executor);
   void OnHold(const ExecutorId& id,
               TimePoint sent,
@@ -235,7 +235,7 @@
   void ScheduleHold(Executor& executor, TimePoint at);
   bool IsUsable(const Executor& executor) const;
   // Whether the executor cannot have restarted unnoticed.
-  bool IsSameIncarnation(const Executor& executor) const;
+  bool IsSameIncarnation(const Executor& executor, TimePoint now) const;
   // Has the executor called, to notice a restart.
   void RequestCheck(Executor& executor);
 
--- a/cell/leader_authority.cc
+++ b/cell/leader_authority.cc
@@ -7,11 +7,13 @@
 
 void LeaderAuthority::OnStoreConfirmed(TimePoint sent) {
   confirmed_ = std::max(confirmed_, sent);
+  UpdateMembersValidUntil();
 }
 
 void LeaderAuthority::OnRosterSent(const std::set<std::string>& members) {
   sent_roster_.insert(members.begin(), members.end());
   last_sent_roster_ = members;
+  UpdateRequired();
 }
 
 void LeaderAuthority::OnRosterStored() {
@@ -19,6 +21,7 @@
   // Each write is conditional on the roster's revision, so that earlier ones
   // without an answer no longer take effect.
   sent_roster_.clear();
+  UpdateRequired();
 }
 
 void LeaderAuthority::OnFollowed(const std::string& member,
@@ -37,6 +40,7 @@
   record.trusted = record.trusted || record.first_answer <= confirmed_;
   if (record.trusted) {
     record.followed = std::max(record.followed, sent);
+    UpdateMembersValidUntil();
   }
 }
 
@@ -49,6 +53,7 @@
   record.boot_id.clear();
   record.trusted = false;
   record.followed = now;
+  UpdateMembersValidUntil();
 }
 
 TimePoint LeaderAuthority::EvidenceOf(const std::string& member) const {
@@ -57,30 +62,31 @@
                                  : std::max(confirmed_, found->second.followed);
 }
 
-std::set<std::string> LeaderAuthority::required() const {
-  std::set<std::string> members = sent_roster_;
+void LeaderAuthority::UpdateRequired() {
+  required_ = sent_roster_;
   if (stored_roster_) {
-    members.insert(stored_roster_->begin(), stored_roster_->end());
+    required_.insert(stored_roster_->begin(), stored_roster_->end());
   }
-  return members;
+  UpdateMembersValidUntil();
 }
 
-TimePoint LeaderAuthority::MembersValidUntil() const {
+void LeaderAuthority::UpdateMembersValidUntil() {
+  members_valid_until_ = TimePoint();
   if (!stored_roster_ || confirmed_ == TimePoint()) {
-    return TimePoint();
+    return;
   }
-  TimePoint until = confirmed_ + kMaxUnconfirmedTime;
-  for (const std::string& member : required()) {
-    until = std::min(until, EvidenceOf(member) + kAuthorityTime);
+  members_valid_until_ = confirmed_ + kMaxUnconfirmedTime;
+  for (const std::string& member : required_) {
+    members_valid_until_ =
+        std::min(members_valid_until_, EvidenceOf(member) + kAuthorityTime);
   }
-  return until;
 }
 
 TimePoint LeaderAuthority::valid_until() const {
   if (confirmed_ == TimePoint()) {
     return TimePoint();
   }
-  return std::max(confirmed_ + kAuthorityTime, MembersValidUntil());
+  return std::max(confirmed_ + kAuthorityTime, members_valid_until_);
 }
 
 LeaderAuthority::Basis LeaderAuthority::basis() const {
@@ -88,12 +94,12 @@
   if (confirmed_ != TimePoint() && confirmed_ + kAuthorityTime > now) {
     return Basis::kStore;
   }
-  return MembersValidUntil() > now ? Basis::kMembers : Basis::kNone;
+  return members_valid_until_ > now ? Basis::kMembers : Basis::kNone;
 }
 
 std::string LeaderAuthority::Silent() const {
   std::string silent;
-  for (const std::string& member : required()) {
+  for (const std::string& member : required_) {
     if (EvidenceOf(member) + kAuthorityTime <= clock_.Now()) {
       silent += silent.empty() ? member : "," + member;
     }
--- a/cell/leader_authority.h
+++ b/cell/leader_authority.h
@@ -62,14 +62,15 @@
   // No process of the member is running now.
   void OnEnded(const std::string& member);
 
-  // Queries.
+  // Queries. The leader asks for each executor, so that these do not depend on
+  // the number of members.
   TimePoint valid_until() const;
   bool valid() const { return valid_until() > clock_.Now(); }
   Basis basis() const;
   // The time of the last answer of the store; zero if there was none.
   TimePoint confirmed() const { return confirmed_; }
   // Members whose answers are needed while the store does not answer.
-  std::set<std::string> required() const;
+  const std::set<std::string>& required() const { return required_; }
   // Those of them without evidence that still counts, separated by commas.
   std::string Silent() const;
 
@@ -83,7 +84,8 @@
 
   // Latest time at which the member is known not to have been elected.
   TimePoint EvidenceOf(const std::string& member) const;
-  TimePoint MembersValidUntil() const;
+  void UpdateRequired();
+  void UpdateMembersValidUntil();
 
   const Clock& clock_;
   TimePoint confirmed_{};
@@ -91,7 +93,10 @@
   // All rosters sent since the stored one.
   std::set<std::string> sent_roster_;
   std::set<std::string> last_sent_roster_;
+  std::set<std::string> required_;  // the stored and the sent ones
   std::map<std::string, Member> members_;
+  // Until when answers of the members give authority.
+  TimePoint members_valid_until_{};
 };
 
 }  // namespace chivedale::cell
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -59,7 +59,7 @@
     Executor* executor = by_number_[due_holds_.top().second];
     due_holds_.pop();
     if (executor != nullptr) {
-      HoldIfDue(*executor);
+      HoldIfDue(*executor, now);
     }
   }
   if (now >= next_check_) {
@@ -69,20 +69,20 @@
 }
 
 void CellLeader::CheckExecutors() {
+  const TimePoint now = context_.clock.Now();
   for (Executor* executor : by_number_) {
     if (executor != nullptr) {
       RetryStops(*executor);
       CheckUnresponsive(*executor);
       CheckOverdue(*executor);
-      HoldIfDue(*executor);
+      HoldIfDue(*executor, now);
     }
   }
 }
 
-void CellLeader::HoldIfDue(Executor& executor) {
+void CellLeader::HoldIfDue(Executor& executor, TimePoint now) {
   // An executor that missed a call is called until it answers; it gets no
   // starts before that.
-  const TimePoint now = context_.clock.Now();
   const bool needed = !executor.adopted || executor.missed_holds > 0 ||
                       !executor.runs().empty() ||
                       executor.ends_read > executor.ends_confirmed ||
@@ -115,7 +115,7 @@
   // long.
   const bool may_grant = executor.adopted && executor.clock_known() &&
                          executor.missed_holds == 0 &&
-                         IsSameIncarnation(executor) && !may_be_restarted;
+                         IsSameIncarnation(executor, now) && !may_be_restarted;
   if (may_grant) {
     request.lease_until =
         executor.EarliestClockAt(GrantTime(now)) + options_.lease;
@@ -523,8 +523,8 @@
   RequestSchedulingPass();
 }
 
-bool CellLeader::IsSameIncarnation(const Executor& executor) const {
-  const TimePoint now = context_.clock.Now();
+bool CellLeader::IsSameIncarnation(const Executor& executor,
+                                   TimePoint now) const {
   return now - executor.last_answer < kMinRestartTime ||
          now - entries_begin_ < kMaxEntryAge;
 }
--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -29,10 +29,12 @@
 // A successor may have renewed these leases, unless it was elected after they
 // had expired. So the evidence for the authority must be younger than that.
 void CellLeader::CheckUnresponsive(Executor& executor) {
-  const TimePoint not_replaced_until =
-      std::min(context_.clock.Now(), context_.authority_end() - kAuthorityTime);
-  if (executor.runs().empty() || !executor.clock_known() ||
-      not_replaced_until < executor.LeasesExpiredBy()) {
+  if (executor.runs().empty() || !executor.clock_known()) {
+    return;
+  }
+  const TimePoint expired = executor.LeasesExpiredBy();
+  if (context_.clock.Now() < expired ||
+      context_.authority_end() - kAuthorityTime < expired) {
     return;
   }
   MarkAllRunsLost(executor, "unresponsive until its leases expired");
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -117,7 +117,7 @@
           executor->has_unknown_run()) {
         continue;
       }
-      if (!IsSameIncarnation(*executor)) {
+      if (!IsSameIncarnation(*executor, now)) {
         RequestCheck(*executor);
       } else {
         executor->usable_in_pass = counts_.passes;
