--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -95,9 +95,13 @@
 // Events since this leader was elected, for metrics.
 struct LeaderCounts {
   int64_t starts = 0;
+  int64_t copies = 0;      // starts of a second run of a task
+  int64_t rejected = 0;    // starts that executors rejected
+  int64_t unanswered = 0;  // starts that were not answered
   int64_t ends = 0;
   int64_t holds = 0;   // hold calls
   int64_t passes = 0;  // scheduling passes
+  int64_t looks = 0;   // times that a pass considered a step
   int64_t stops = 0;
   int64_t preempted = 0;
   int64_t advice = 0;  // advice calls
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -102,6 +102,8 @@
   }
   Step& step = *run->step;
   const int index = run->name.index;
+  ++(reply.result == OrderResult::kUnknown ? counts_.unanswered
+                                           : counts_.rejected);
   context_.log.Write(Event::kStartRejected,
                      {{"task", task},
                       {"run", std::to_string(number)},
@@ -265,6 +267,7 @@
                      candidates.end());
     placer_.PlaceEach(*step, {index}, candidates, now,
                       [&, at = step, i = index](int, Executor& executor) {
+                        ++counts_.copies;
                         Start(executor, *at, i,
                               NextRunNumber(at->tasks[static_cast<size_t>(i)]));
                       });
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -185,6 +185,7 @@
     load_.OnFirstConsidered(policy.priority, now - step.ready_since);
   }
   step.wait.OnConsidered(counts_.passes, now);
+  ++counts_.looks;
   // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
   // have reserved executors, unless it still needs its first advice call.
   const bool may_be_blocked = pool.reserving_steps >= kMaxReservingSteps &&
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -198,7 +198,12 @@
 }
 
 void CellLeader::ReportLoad(TimePoint now) {
-  load_.Report(now, {{"starts", counts_.starts},
+  load_.Report(now, {{"cpu_ms", context_.clock.ProcessorTime() / Millis(1)},
+                     {"looks", counts_.looks},
+                     {"starts", counts_.starts},
+                     {"copies", counts_.copies},
+                     {"rejected", counts_.rejected},
+                     {"unanswered", counts_.unanswered},
                      {"ends", counts_.ends},
                      {"holds", counts_.holds},
                      {"stops", counts_.stops},
--- a/cell/testing/fake_loop.h
+++ b/cell/testing/fake_loop.h
@@ -28,6 +28,9 @@
       return loop_.clock().Now();
     }
     WallTime WallNow() const override { return loop_.clock().WallNow(); }
+    Duration ProcessorTime() const override {
+      return loop_.clock().ProcessorTime();
+    }
 
    private:
     FakeLoop& loop_;
@@ -55,7 +58,7 @@
     }
   }
   // Processor time used by the event that runs: all later ones are delayed.
-  void Spend(Duration time) { clock_.Advance(time); }
+  void Spend(Duration time) { clock_.Work(time); }
   const chivedale::testing::FakeClock& clock() const { return clock_; }
 
  private:
--- a/chivedale/testing/fake_clock.h
+++ b/chivedale/testing/fake_clock.h
@@ -14,11 +14,18 @@
            std::chrono::duration_cast<std::chrono::milliseconds>(
                now_.time_since_epoch());
   }
+  util::Duration ProcessorTime() const override { return processor_time_; }
   void Advance(util::Duration step) { now_ += step; }
+  // Likewise, and the process is busy meanwhile.
+  void Work(util::Duration step) {
+    now_ += step;
+    processor_time_ += step;
+  }
 
  private:
   // Nonzero, so that a default TimePoint lies in the past.
   util::TimePoint now_{std::chrono::hours(1)};
+  util::Duration processor_time_{0};
 };
 
 }  // namespace chivedale::testing
--- a/util/clock.h
+++ b/util/clock.h
@@ -4,6 +4,7 @@
 #define UTIL_CLOCK_H_
 
 #include <chrono>
+#include <ctime>
 
 namespace chivedale::util {
 
@@ -19,6 +20,8 @@
   virtual ~Clock() = default;
   virtual TimePoint Now() const = 0;
   virtual WallTime WallNow() const = 0;
+  // Processor time that this process has used.
+  virtual Duration ProcessorTime() const = 0;
 };
 
 class SteadyClock final : public Clock {
@@ -31,6 +34,12 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now());
   }
+  Duration ProcessorTime() const override {
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) +
+           std::chrono::nanoseconds(used.tv_nsec);
+  }
 };
 
 }  // namespace chivedale::util
