--- a/chivedale/http_client.h
+++ b/chivedale/http_client.h
@@ -60,6 +60,8 @@
     // From the first byte of a response to the last one, for calls with a
     // stall_timeout.
     Millis max_receive_time{60'000};
+    // If false, HttpResult::headers is empty.
+    bool keep_response_headers = true;
     // Shorter than the idle timeout of servers, so that the client closes
     // first.
     Millis idle_timeout{30'000};
--- a/chivedale/http_connection.cc
+++ b/chivedale/http_connection.cc
@@ -10,6 +10,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -29,6 +30,8 @@
 
 // Size of the receive buffer beyond the largest header; bodies pass through it.
 constexpr size_t kBufferSlack = size_t{64} << 10;
+// Initial size of the receive buffer: most responses arrive in one read.
+constexpr size_t kInitialBuffer = 2'048;
 
 std::string RequestHeader(const HttpCall& call, const HttpAddress& address) {
   std::string out =
@@ -68,7 +71,9 @@
       address_(std::move(address)),
       socket_(asio::make_strand(io)),
       timer_(socket_.get_executor()),
-      buffer_(options.max_header_bytes + kBufferSlack) {}
+      buffer_(options.max_header_bytes + kBufferSlack) {
+  buffer_.reserve(std::min(kInitialBuffer, buffer_.max_size()));
+}
 
 void HttpConnection::Run(PendingCall pending) {
   asio::post(socket_.get_executor(), [self = shared_from_this(),
@@ -202,9 +207,11 @@
   HttpResult result;
   result.status = CallStatus::kAnswered;
   result.http_status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    result.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
+  if (options_.keep_response_headers) {
+    for (const auto& field : message) {
+      result.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
   }
   result.body = std::make_shared<const std::string>(std::move(message.body()));
   FinishCall(std::move(result), reusable);
