--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy git curl jq
   libboost-dev libboost-test-dev liblog4cxx-dev libmsgpack-cxx-dev
-  nlohmann-json3-dev librapidcheck-dev libssl-dev libxxhash-dev)
+  nlohmann-json3-dev libmimalloc-dev librapidcheck-dev libssl-dev libxxhash-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
