--- a/cell/advice_dispatcher.h
+++ b/cell/advice_dispatcher.h
@@ -30,7 +30,8 @@
   int priority = 0;
   TimePoint objective{};  // breaks ties within a priority; earlier first
   std::vector<ExecutorId> executors;
-  Duration expected_duration{0};  // time at the service
+  std::vector<size_t> executor_numbers;  // the leader's, of the same executors
+  Duration expected_duration{0};         // time at the service
 };
 
 class AdviceDispatcher {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -340,7 +340,7 @@
   void RenewAdvice(Step& step, const PoolState& pool, bool room_expired);
   void RequestAdvice(Step& step, const std::vector<Executor*>& executors);
   void OnAdvice(const TaskName& step,
-                const std::vector<ExecutorId>& asked,
+                const std::vector<size_t>& asked,
                 const AdviceReply& reply);
   void SendAdviceCalls();
 
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -138,6 +138,7 @@
   request.objective = step.objective;
   for (const Executor* executor : SelectByFreeResources(step, executors)) {
     request.executors.push_back(executor->entry.id);
+    request.executor_numbers.push_back(executor->number);
   }
   request.expected_duration =
       policy.call_time +
@@ -154,7 +155,8 @@
     context_.call_member_for_advice(
         call->member, call->request,
         Guard([this, id = call->request.id, name = *name,
-               asked = call->request.executors](const AdviceReply& reply) {
+               asked = std::move(call->request.executor_numbers)](
+                  const AdviceReply& reply) {
           advice_dispatcher_.OnAnswer(id);
           OnAdvice(name, asked, reply);
           SendAdviceCalls();
@@ -163,7 +165,7 @@
 }
 
 void CellLeader::OnAdvice(const TaskName& name,
-                          const std::vector<ExecutorId>& asked,
+                          const std::vector<size_t>& asked,
                           const AdviceReply& reply) {
   Step* step = StepOf(name);
   if (step == nullptr) {
@@ -181,17 +183,23 @@
     return;
   }
   advice.answered = true;
-  for (const ExecutorId& id : asked) {
-    if (const Executor* executor = FindExecutor(id)) {
-      advice.SetBad(executor->number);
-    }
-  }
+  // A renewed ticket replaces the one before it in its place.
+  std::vector<size_t> allowed;
+  allowed.reserve(reply.allowed.size());
   for (const auto& [id, ticket] : reply.allowed) {
     if (const Executor* executor = FindExecutor(id)) {
+      allowed.push_back(executor->number);
       advice.SetGood(
           {executor->number, ticket, now + reply.validity - kAdviceRoundTrip});
     }
   }
+  std::sort(allowed.begin(), allowed.end());
+  for (const size_t number : asked) {
+    if (by_number_[number] != nullptr &&
+        !std::binary_search(allowed.begin(), allowed.end(), number)) {
+      advice.SetBad(number);
+    }
+  }
   context_.log.Write(Event::kAdviceReceived,
                      {{"step", name.StepText()},
                       {"asked", std::to_string(asked.size())},
