--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -38,6 +38,11 @@
   return delayed ? WaitReason::kRetryTime : WaitReason::kNextPass;
 }
 
+// Whether no task of the step can be started before its first advice arrives.
+bool WaitsForFirstAdvice(const Step& step, const QueuePolicy& policy) {
+  return policy.advice && !step.advice.answered && step.advice.call_in_flight;
+}
+
 }  // namespace
 
 void CellLeader::RequestSchedulingPass() {
@@ -70,6 +75,7 @@
   ReportUnreadExecutorsEnd();
   std::vector<StepOrder> orders;
   orders.reserve(waiting_.size());
+  size_t late = 0;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     Step& step = **it;
     if (step.job->terminal() || step.Waiting() == 0) {
@@ -79,8 +85,13 @@
     if (step.objective == TimePoint()) {
       step.objective = ObjectiveOf(*step.job, step.occurrence);
     }
-    orders.push_back({PolicyOf(*step.job).priority, step.objective < now,
-                      step.objective, &step});
+    const QueuePolicy& policy = PolicyOf(*step.job);
+    late += step.objective < now ? 1 : 0;
+    // Most of a backlog waits for the advice service.
+    if (!WaitsForFirstAdvice(step, policy)) {
+      orders.push_back(
+          {policy.priority, step.objective < now, step.objective, &step});
+    }
     ++it;
   }
   std::sort(orders.begin(), orders.end(),
@@ -100,9 +111,7 @@
   const TimePoint end = context_.clock.Now();
   context_.metrics.Observe(Timer::kDecision, "pass", end - now);
   next_pass_ = end + kPassIdleFactor * (end - now);
-  const auto late = std::count_if(orders.begin(), orders.end(),
-                                  [](const StepOrder& o) { return o.late; });
-  load_.OnPass(now, end, {orders.size(), static_cast<size_t>(late)});
+  load_.OnPass(now, end, {waiting_.size(), late});
 }
 
 CellLeader::PoolState& CellLeader::PoolStateOf(const std::string& name) {
