--- a/cell/leader.h
+++ b/cell/leader.h
@@ -339,6 +339,7 @@
   // `room_expired`: an executor with room for it has an expired ticket.
   void RenewAdvice(Step& step, const PoolState& pool, bool room_expired);
   void RequestAdvice(Step& step, const std::vector<Executor*>& executors);
+  // `asked`: the numbers of the executors in the call.
   void OnAdvice(const TaskName& step,
                 const std::vector<size_t>& asked,
                 const AdviceReply& reply);
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -183,7 +183,6 @@
     return;
   }
   advice.answered = true;
-  // A renewed ticket replaces the one before it in its place.
   std::vector<size_t> allowed;
   allowed.reserve(reply.allowed.size());
   for (const auto& [id, ticket] : reply.allowed) {
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -116,9 +116,9 @@
   }
   StartCopies();
   SendAdviceCalls();
-  // Looks at steps that cannot be started are batched: the pause follows only
-  // from the time that they took. Tasks that can be started do not wait for it,
-  // or a leader with much to start would do so for a part of its time only.
+  // The pause batches looks at steps that cannot be started. Starts do not
+  // count for it: a leader with much to start would be idle for most of the
+  // time.
   const TimePoint end = context_.clock.Now();
   context_.metrics.Observe(Timer::kDecision, "pass", end - now);
   next_pass_ = end + kPassIdleFactor * (end - now - starting);
--- a/cell/testing/leader_cost_test.cc
+++ b/cell/testing/leader_cost_test.cc
@@ -18,7 +18,7 @@
 constexpr int kUrgentJobs = 50;
 constexpr int kTasks = 4;
 
-// What a start costs in the mean.
+// Mean cost of a start.
 struct StartCost {
   double looks = 0;
   double allocations = 0;  // of the fakes too
