--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -88,7 +88,6 @@
     }
     const QueuePolicy& policy = PolicyOf(*step.job);
     late += step.objective < now ? 1 : 0;
-    // Most of a backlog waits for the advice service.
     if (!WaitsForFirstAdvice(step, policy)) {
       orders.push_back(
           {policy.priority, step.objective < now, step.objective, &step});
