--- a/review/harness-2/review_cell.cc
+++ b/review/harness-2/review_cell.cc
@@ -118,6 +118,7 @@
 
 struct Daemon {
   std::string name;
+  double cpu_share = 0.25;
   std::string caller;
   std::unique_ptr<Process> process;
 };
@@ -276,7 +277,7 @@
             {"store_address", network.StoreAddress(daemon.name)},
             {"advice_address", platform.advice_address()},
             {"vm_address", ""},
-            {"cpu_share", 0.25},
+            {"cpu_share", daemon.cpu_share},
             {"link_mbps", 1000.0},
             {"seeds", seeds},
             {"longest_lease_ms", options.longest_lease.count()},
@@ -295,6 +296,10 @@
       Daemon daemon;
       daemon.name = "d" + std::to_string(i + 1);
       daemon.caller = util::Loopback(ports.Next());
+      const auto index = static_cast<size_t>(i);
+      if (index < options.cpu_shares.size()) {
+        daemon.cpu_share = options.cpu_shares[index];
+      }
       network.AddMember(daemon.name, 0, util::Loopback(ports.Next()));
       daemons.push_back(std::move(daemon));
     }
@@ -498,6 +503,43 @@
       time);
 }
 
+void ReviewCell::CutExecutorFrom(const cell::ExecutorId& id,
+                                 const std::set<std::string>& daemons,
+                                 Millis time) {
+  std::string names;
+  for (const std::string& daemon : daemons) {
+    names += " " + daemon;
+  }
+  Record("DISRUPTION executor " + id + " is cut off from" + names + " for " +
+         std::to_string(time.count()) + " ms and runs on");
+  ProxyFaults faults;
+  faults.drop_from_client = true;
+  faults.drop_from_server = true;
+  impl_->network.Fail(
+      [id, daemons](const SoakNetwork::Link& link) {
+        return link.to == id && daemons.count(link.from) > 0;
+      },
+      faults, time);
+}
+
+void ReviewCell::CutDaemon(const std::string& daemon, Millis time) {
+  Record("DISRUPTION daemon " + daemon +
+         " is cut off from the other daemons and the store for " +
+         std::to_string(time.count()) + " ms; connections are refused");
+  ProxyFaults faults;
+  faults.refuse_new = true;
+  impl_->network.Fail(
+      [daemon](const SoakNetwork::Link& link) {
+        return link.kind != SoakNetwork::LinkKind::kExecutor &&
+               (link.from == daemon || link.to == daemon);
+      },
+      faults, time);
+}
+
+std::string ReviewCell::LeaderName() const {
+  return impl_->LeaderName();
+}
+
 cell::testing::FakeExecutors& ReviewCell::executors() {
   return impl_->executors;
 }
--- a/review/harness-2/review_cell.h
+++ b/review/harness-2/review_cell.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   std::string directory;  // for settings and logs of the daemons
   std::string record;     // path of the record
   int daemons = 3;
+  // Of each daemon; 0.25 for those without one.
+  std::vector<double> cpu_shares;
   cell::Millis longest_lease{10'000};  // hold_max_ms of the site
   cell::Millis stop_time{200};         // stop_ms of the site
 };
@@ -92,6 +95,13 @@
   // Cuts the executor off from all daemons without a sign to either side; it
   // runs on.
   void CutExecutor(const cell::ExecutorId& id, cell::Millis time);
+  // Likewise from these daemons only.
+  void CutExecutorFrom(const cell::ExecutorId& id,
+                       const std::set<std::string>& daemons,
+                       cell::Millis time);
+  // Cuts the daemon off from all others and from the store: its connections are
+  // reset and new ones refused.
+  void CutDaemon(const std::string& daemon, cell::Millis time);
 
   // ---- Queries.
 
@@ -100,6 +110,9 @@
   std::vector<cell::ExecutorId> Running(const cell::TaskName& task) const;
   const std::vector<cell::ExecutorId>& executor_ids() const;
 
+  // The daemon that the store names as the leader.
+  std::string LeaderName() const;
+
   void Record(const std::string& what);
 
  private:
