--- a/review/harness-2/review_cell.cc
+++ b/review/harness-2/review_cell.cc
@@ -94,8 +94,8 @@
     }
     // The process must not outlive a test that is killed.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                         kLogMode);
+    const int log =
+        open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
     if (log >= 0) {
       dup2(log, STDOUT_FILENO);
       dup2(log, STDERR_FILENO);
@@ -183,6 +183,7 @@
              " executor=" + order.executor + " labels=" + labels +
              " until_ms=" + std::to_string(order.start_deadline.count()) +
              " fence=" + std::to_string(order.fence));
+      runs.insert({order.executor, order.task});
       return cell::OrderResult::kOk;
     };
   }
@@ -198,6 +199,24 @@
            << now % 1'000 << "Z " << what << std::endl;
   }
 
+  void RecordEnds() {
+    for (auto run = runs.begin(); run != runs.end();) {
+      const auto& [executor, task] = *run;
+      const auto name = cell::TaskName::Parse(task);
+      if (name && executors.IsUp(executor) &&
+          executors.RunsOn(*name, executor)) {
+        ++run;
+        continue;
+      }
+      std::string line = "end task=";
+      line += task;
+      line += " executor=";
+      line += executor;
+      Record(line);
+      run = runs.erase(run);
+    }
+  }
+
   void Pump() {
     const auto elapsed = std::chrono::steady_clock::now() - began;
     const auto behind = std::chrono::duration_cast<cell::Duration>(elapsed) -
@@ -205,6 +224,7 @@
     if (behind > cell::Duration(0)) {
       loop.RunFor(behind);
     }
+    RecordEnds();
     if (observer) {
       observer();
     }
@@ -349,8 +369,11 @@
             result.status == CallStatus::kAnswered ? result.http_status : 0;
       });
       RunUntil([status] { return *status >= 0; }, 2 * kCallTimeout);
-      Record(method + " job=" + id + " at=" + where +
-             " answer=" + std::to_string(*status));
+      std::string line = method;
+      line += " job=" + id;
+      line += " at=" + where;
+      line += " answer=" + std::to_string(*status);
+      Record(line);
       if (std::find(codes.begin(), codes.end(), *status) != codes.end()) {
         return *status;
       }
@@ -375,6 +398,8 @@
   cell::TimePoint loop_began{};
   std::vector<Daemon> daemons;
   std::vector<cell::ExecutorId> executor_ids;
+  // Started runs that have not been seen to end: executor and task.
+  std::set<std::pair<cell::ExecutorId, std::string>> runs;
   std::function<void()> observer;
   int64_t sequence = 0;
   size_t next_daemon = 0;
