Add case 6: a leader keeps its authority on refused connections

Promise: TWICE, and one leader at a time. Broken by a cut of the leader from the store and the other daemons, which resets and refuses connections, while one executor has lost the path to two other daemons: the old leader counts the members as ended and keeps the executor's lease, and the new one starts the task again.

--- a/review/6/case_main.cc
+++ b/review/6/case_main.cc
@@ -1,8 +1,7 @@
-// Case 6: an idle executor crashes and starts again under its ID. A start that
-// the leader sends before it has read the new entry has a deadline on the clock
-// of the earlier boot, which the new boot takes as a long lease. The leader
-// takes it as one of its usual length, and starts the task again while it runs.
-#include <set>
+// Case 6: the leader is cut off from the store and the other daemons, which
+// refuse its connections. It takes the refusals as a sign that their processes
+// have ended and keeps its authority. An executor that only it can reach runs
+// on with its leases when the new leader starts the task again.
 #include <string>
 
 #include "review/harness-2/review_cell.h"
@@ -12,16 +11,13 @@
 
 using cell::Millis;
 
-constexpr int kRounds = 4;
-// Shorter than the interval in which the leader reads the entries, and far
-// below the for_s of 4.5 s of `srv_crash` in the site file.
-constexpr Millis kDownTime{300};
-// for_s of `node_cut` with `how = "servers"` in the site file.
-constexpr Millis kCutTime{5'500};
-// After this time the leader has had several answers of the new boot.
-constexpr Millis kTimeBeforeCut{1'500};
-constexpr Millis kTimeAfterCut{7'000};
-constexpr Millis kStartTimeout{3'000};
+constexpr int kRounds = 3;
+constexpr int kDaemons = 7;
+// Within for_s = 12 s of `node_cut` in a day of the site file.
+constexpr Millis kCutTime{8'000};
+constexpr Millis kTimeBeforeCut{3'000};
+constexpr Millis kTimeAfterCut{6'000};
+constexpr Millis kStartTimeout{5'000};
 constexpr Millis kTaskTime{60'000};
 
 cell::JobSpec OneTask() {
@@ -35,21 +31,26 @@
   return spec;
 }
 
-int Play(const ReviewCellOptions& options) {
-  // TROUBLE=cut and TROUBLE=crash play one of the two disruptions.
+int Play(ReviewCellOptions options) {
+  // TROUBLE=daemon and TROUBLE=executor play one of the two disruptions.
   const std::string trouble = Trouble();
-  const bool crash = trouble != "0" && trouble != "cut";
-  const bool cut = trouble != "0" && trouble != "crash";
+  const bool cut_daemon = trouble != "0" && trouble != "executor";
+  const bool cut_executor = trouble != "0" && trouble != "daemon";
+  options.daemons = kDaemons;
+  // Of the two strong daemons one leads, and the other is elected after it. The
+  // shares are those of the machines of the grown site.
+  options.cpu_shares = {0.5, 0.5, 0.12, 0.12, 0.12, 0.12, 0.12};
   ReviewCell cell(options);
-  // The leader prefers the executor that the task fills best.
-  cell.AddExecutor("e1", {16'000, 64'000, 0, 0}, {"a", "r1"});
-  cell.AddExecutor("e2", {64'000, 128'000, 0, 0}, {"a", "r2"});
-  cell.AddExecutor("e3", {64'000, 128'000, 0, 0}, {"a", "r3"});
-  std::set<std::string> broken;
+  for (int i = 1; i <= 4; ++i) {
+    cell.AddExecutor("e" + std::to_string(i), {32'000, 64'000, 0, 0},
+                     {"a", "r" + std::to_string(i)});
+  }
   cell::TaskName task;
+  int rounds_broken = 0;
+  bool broken = false;
   cell.SetObserver([&] {
-    if (!task.job.empty() && cell.Running(task).size() > 1 &&
-        broken.insert(task.Text()).second) {
+    if (!broken && !task.job.empty() && cell.Running(task).size() > 1) {
+      broken = true;
       std::string where;
       for (const cell::ExecutorId& id : cell.Running(task)) {
         where += " " + id;
@@ -60,21 +61,19 @@
   });
   cell.Start();
   for (int round = 1; round <= kRounds; ++round) {
-    // The executor is idle; its clock is at least this far.
-    cell.RunFor(kTimeAfterCut);
-    if (crash) {
-      cell.CrashExecutor("e1");
-    }
-    cell.RunFor(kDownTime);
-    if (crash) {
-      cell.RestartExecutor("e1", {"a", "r1"});
+    const std::string leader = cell.LeaderName();
+    if (leader != "d1" && leader != "d2") {
+      cell.Record("leader " + leader + " is not one of the two strongest");
+      return kCouldNotRun;
     }
+    const std::string next = leader == "d1" ? "d2" : "d1";
     const cell::JobId id = "000000000000000" + std::to_string(round);
     if (!cell.Submit(Queue::kBatch, id, OneTask())) {
       cell.Record("the job was not accepted");
       return kCouldNotRun;
     }
     task = {id, 0, 0, 0};
+    broken = false;
     if (!cell.RunUntil([&] { return !cell.Running(task).empty(); },
                        kStartTimeout)) {
       cell.Record("the task was not started");
@@ -82,10 +81,18 @@
     }
     const cell::ExecutorId executor = cell.Running(task).front();
     cell.RunFor(kTimeBeforeCut);
-    if (cut) {
-      cell.CutExecutor(executor, kCutTime);
+    if (cut_executor) {
+      // Two of seven machines lose the path to it.
+      cell.CutExecutorFrom(executor, {next, "d3"}, kCutTime);
+    }
+    if (cut_daemon) {
+      cell.CutDaemon(leader, kCutTime);
     }
-    cell.RunFor(kCutTime + Millis(500));
+    cell.RunFor(kCutTime + kTimeAfterCut);
+    cell.Record("round " + std::to_string(round) +
+                ": leader=" + cell.LeaderName() +
+                " starts=" + std::to_string(cell.executors().starts()));
+    rounds_broken += broken ? 1 : 0;
     if (!cell.Cancel(Queue::kBatch, id)) {
       cell.Record("the job could not be cancelled");
       return kCouldNotRun;
@@ -93,8 +100,8 @@
     cell.RunUntil([&] { return cell.Running(task).empty(); }, kTimeAfterCut);
   }
   cell.Record("rounds=" + std::to_string(kRounds) +
-              " broken=" + std::to_string(broken.size()));
-  return broken.empty() ? kRuleHeld : kRuleBroken;
+              " broken=" + std::to_string(rounds_broken));
+  return rounds_broken == 0 ? kRuleHeld : kRuleBroken;
 }
 
 }  // namespace
