--- a/review/harness-2/review_cell.cc
+++ b/review/harness-2/review_cell.cc
@@ -561,6 +561,19 @@
       faults, time);
 }
 
+void ReviewCell::CutFromStore(const std::string& daemon, Millis time) {
+  Record("DISRUPTION the store turns daemon " + daemon + " away for " +
+         std::to_string(time.count()) + " ms");
+  ProxyFaults faults;
+  faults.refuse_new = true;
+  impl_->network.Fail(
+      [daemon](const SoakNetwork::Link& link) {
+        return link.kind == SoakNetwork::LinkKind::kStore &&
+               link.from == daemon;
+      },
+      faults, time);
+}
+
 std::string ReviewCell::LeaderName() const {
   return impl_->LeaderName();
 }
--- a/review/harness-2/review_cell.h
+++ b/review/harness-2/review_cell.h
@@ -102,6 +102,9 @@
   // Cuts the daemon off from all others and from the store: its connections are
   // reset and new ones refused.
   void CutDaemon(const std::string& daemon, cell::Millis time);
+  // The store turns the daemon away: its connections are reset and new ones
+  // refused.
+  void CutFromStore(const std::string& daemon, cell::Millis time);
 
   // ---- Queries.
 
