Spread the hopeless job of case 9 evenly over the executors

Promise: LOST (a task that lasts runs again within 9 s if there is capacity). Broken by one job of twenty whose tasks fail by its own fault.

--- a/review/9/case_main.cc
+++ b/review/9/case_main.cc
@@ -22,16 +22,17 @@
 constexpr Millis kBatchTime{400};
 // `poison` in the site file: a share of 0.05, for 3 s.
 constexpr int kJobs = 20;
-constexpr Millis kJobInterval{150};
+constexpr Millis kJobInterval{130};
 // The greatest width of a step of this kind of request.
 constexpr int kWidth = 36;
+constexpr int kMaxPerExecutor = 9;
 constexpr Millis kStartTimeout{5'000};
 constexpr Millis kSettleTime{3'000};
 // No job comes any more. The executors are avoided for 12 s after the first
 // failures of the hopeless job, and again after the second ones. What the rule
 // asks for `finish_s`, 14 s, after the end of the traffic is observed from 6 s
 // after the task's last run.
-constexpr Millis kTimeAfterTraffic{13'500};
+constexpr Millis kTimeAfterTraffic{13'800};
 // The rule: from 6 s after its last run, nothing of the task runs for 3 s.
 constexpr Millis kTimeAfterRun{6'000};
 constexpr Millis kIdleTime{3'000};
@@ -97,10 +98,13 @@
     }
     cell.RunFor(kJobInterval);
   }
+  // The last of them has ended.
+  cell.RunFor(kBatchTime + kJobInterval);
   if (trouble) {
+    cell::JobSpec hopeless = OneStep(kWidth, kBatchSize, kBatchTime);
+    hopeless.steps[0].max_per_executor = kMaxPerExecutor;
     cell.Record("DISRUPTION a job comes that can never be done");
-    if (!cell.Submit(Queue::kUrgent, kHopelessJob,
-                     OneStep(kWidth, kBatchSize, kBatchTime))) {
+    if (!cell.Submit(Queue::kUrgent, kHopelessJob, hopeless)) {
       cell.Record("the hopeless job was not accepted");
       return kCouldNotRun;
     }
