Show TWICE after a restart under the same ID in the simulated cell

Change: the stand-in executors were milder than the contract. They lost late orders at a restart, began each clock at 0, had no late hold calls, took no deadline from a rejected start and accepted any ticket. Now a later boot executes late calls, a start that is rejected as old or for want of room extends leases, and a ticket is for one boot and expires.

--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -64,7 +64,8 @@
     reply.validity = cell_.ticket_validity;
     for (const ExecutorId& id : executors) {
       if (cell_.AdviceAllows(step, id)) {
-        reply.allowed.emplace_back(id, "t-" + id);
+        reply.allowed.emplace_back(
+            id, cell_.executors.TicketFor(id, cell_.ticket_validity));
       }
     }
     cell_.loop.After(cell_.advice_time, [done, reply] { done(reply); });
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -73,13 +73,9 @@
       return;
     }
     if (all_.random_.UniformReal() < link.late_orders) {
-      const auto late =
-          Millis(2'000 + static_cast<int64_t>(all_.random_.UniformInt(10'000)));
-      // The executor holds the delayed order, which is lost if it crashes.
-      const uint64_t incarnation = all_.At(address, id)->incarnation;
-      all_.loop_.After(late, [this, address, id, act, incarnation] {
+      all_.loop_.After(all_.LateAfter(), [this, address, id, act] {
         FakeExecutors::State* state = all_.At(address, id);
-        if (state != nullptr && state->incarnation == incarnation) {
+        if (state != nullptr) {
           act(*state);
         }
       });
@@ -117,6 +113,16 @@
     all_.loop_.After(request.wait + kCallTimeout, [done] { done({}); });
     return;
   }
+  if (link.late_holds > 0 && all_.random_.UniformReal() < link.late_holds) {
+    all_.loop_.After(all_.LateAfter(), [this, request] {
+      FakeExecutors::State* state = all_.At(request.address, request.executor);
+      if (state != nullptr) {
+        all_.DoHold(*state, request);
+      }
+    });
+    all_.loop_.After(request.wait + kCallTimeout, [done] { done({}); });
+    return;
+  }
   const bool lost = all_.random_.UniformReal() < link.lost_answers;
   const Duration one_way = kOneWayLatency + link.delay;
   all_.loop_.After(one_way, [this, request, done, lost, one_way] {
@@ -194,6 +200,7 @@
   state.entry = entry;
   state.incarnation = incarnation;
   state.clock_origin = loop_.clock().Now();
+  state.clock_start = restart_clock ? restart_clock() : Millis(0);
 }
 
 void FakeExecutors::Drain(const ExecutorId& id) {
@@ -226,8 +233,32 @@
 }
 
 Millis FakeExecutors::ClockOf(const State& state) const {
-  return std::chrono::duration_cast<Millis>(
-      (loop_.clock().Now() - state.clock_origin) * clock_speed);
+  return state.clock_start +
+         std::chrono::duration_cast<Millis>(
+             (loop_.clock().Now() - state.clock_origin) * clock_speed);
+}
+
+Millis FakeExecutors::LateAfter() {
+  return Millis(2'000 + static_cast<int64_t>(random_.UniformInt(10'000)));
+}
+
+std::string FakeExecutors::TicketFor(const ExecutorId& id,
+                                     Millis validity) const {
+  const State& state = states_.at(id);
+  const TimePoint expires = loop_.clock().Now() + validity;
+  return std::to_string(state.incarnation) + "/" +
+         std::to_string(expires.time_since_epoch().count());
+}
+
+bool FakeExecutors::IsValidTicket(const State& state,
+                                  const std::string& ticket) const {
+  const size_t slash = ticket.find('/');
+  if (slash == std::string::npos) {
+    return true;  // of another advice service
+  }
+  return std::stoull(ticket.substr(0, slash)) == state.incarnation &&
+         std::stoll(ticket.substr(slash + 1)) >
+             loop_.clock().Now().time_since_epoch().count();
 }
 
 void FakeExecutors::Extend(State& state, Millis until) {
@@ -354,6 +385,7 @@
   }
   if (there != state.runs.end() ||
       order.run <= state.highest_rejected_run[order.task]) {
+    Extend(state, order.start_deadline);
     reply.result = OrderResult::kStaleRun;
     return reply;
   }
@@ -361,8 +393,15 @@
     reply.result = OrderResult::kDeadlinePassed;
     return reply;
   }
+  if (!order.ticket.empty() && !IsValidTicket(state, order.ticket)) {
+    reply.result = OrderResult::kBadTicket;
+    return reply;
+  }
   if (start_result && start_result(order) != OrderResult::kOk) {
     reply.result = start_result(order);
+    if (reply.result == OrderResult::kInsufficientCapacity) {
+      Extend(state, order.start_deadline);
+    }
     return reply;
   }
   Run run;
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -28,6 +28,7 @@
   bool refused = false;     // orders fail with kNotSent
   double lost_answers = 0;  // share executed whose answer is lost
   double late_orders = 0;   // share executed after 2 to 12 s without an answer
+  double late_holds = 0;    // likewise, of the hold calls
   // Added to the time in each direction; orders that take longer than the limit
   // of a call are executed without an answer.
   Duration delay{0};
@@ -46,7 +47,9 @@
   // answer until it is restarted.
   void Crash(const ExecutorId& id);
   // Starts a crashed executor again, with the same ID and without any state.
-  // No effect if the executor was removed.
+  // It executes the orders and hold calls of LinkFaults that come late, also
+  // those that were sent before the crash. No effect if the executor was
+  // removed.
   void Restart(const ExecutorId& id);
   // Ends the executor like Crash(), but for good.
   void Remove(const ExecutorId& id);
@@ -68,6 +71,8 @@
   int running() const;
   int64_t starts() const { return starts_; }
   int64_t holds() const { return holds_; }
+  // A ticket of the executor as it runs now. Valid for this time.
+  std::string TicketFor(const ExecutorId& id, Millis validity) const;
   // Whether the task was ever started.
   bool EverStarted(const std::string& task) const {
     return started_.count(task) > 0;
@@ -107,6 +112,8 @@
   // Result of each start; a start is not executed unless this is kOk.
   std::function<OrderResult(const StartOrder&)> start_result;
   Duration start_cost{0};  // processor time of the member for each start
+  // Clock of an executor that is started again, at its start.
+  std::function<Millis()> restart_clock;
   Millis longest_lease{10'000};
   Millis stop_time{100};
   Millis gang_timeout{3'000};
@@ -130,6 +137,7 @@
     bool up = true;
     bool removed = false;
     TimePoint clock_origin{};
+    Millis clock_start{0};  // clock at clock_origin
     int64_t fence = 0;
     Millis until{0};
     std::map<std::string, Run> runs;
@@ -144,6 +152,10 @@
   };
 
   State* At(const std::string& address, const ExecutorId& id);
+  Millis LateAfter();
+  // Whether the ticket, of FakeCell's advice service, is for this incarnation
+  // and still valid.
+  bool IsValidTicket(const State& state, const std::string& ticket) const;
   Millis ClockOf(const State& state) const;
   LinkFaults LinkOf(const std::string& member, const ExecutorId& id) const;
   void Extend(State& state, Millis until);
