--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -6,11 +6,6 @@
 namespace chivedale::cell {
 namespace {
 
-// Executor clocks may run 2% slow; 1% more covers rounding.
-constexpr double kClockDriftFactor = 1.03;
-constexpr double kMinClockSpeed = 0.98;
-constexpr Millis kExpiryMargin{100};
-
 Resources CommittedResources(const StepSpec& spec) {
   Resources size = spec.size;
   // A filling task uses only processors that other tasks leave idle.
@@ -22,10 +17,8 @@
 
 }  // namespace
 
-Executor::Executor(ExecutorEntry initial, size_t initial_number)
-    : number(initial_number), entry(std::move(initial)) {
-  incarnation = entry.incarnation;
-}
+Executor::Executor(ExecutorEntry initial, size_t boot_number)
+    : entry(std::move(initial)), boot(boot_number, entry.incarnation) {}
 
 Run& Executor::AddRun(const TaskName& name,
                       int64_t number,
@@ -78,46 +71,18 @@
   return found == runs_.end() ? nullptr : &found->second;
 }
 
-void Executor::OnClock(Millis clock, TimePoint now) {
-  clock_known_ = true;
-  clock_ = clock;
-  clock_at_ = now;
-}
-
-void Executor::OnDeadlineSent(Millis until) {
-  max_deadline_ = std::max(max_deadline_, until);
-}
-
-void Executor::OnNewIncarnation(int64_t new_incarnation) {
-  incarnation = new_incarnation;
-  adopted = false;
-  ends_read = 0;
-  ends_stored = 0;
-  ends_confirmed = 0;
-  unstored_ends.clear();
-  missed_holds = 0;
-  clock_known_ = false;
-  max_deadline_ = Millis(0);
-  health = ExecutorHealth();
-}
-
-Millis Executor::ClockAt(TimePoint now) const {
-  return clock_ + std::chrono::duration_cast<Millis>(now - clock_at_);
-}
-
-Millis Executor::EarliestClockAt(TimePoint now) const {
-  return clock_ +
-         std::chrono::duration_cast<Millis>((now - clock_at_) * kMinClockSpeed);
-}
-
-TimePoint Executor::LeasesExpiredBy() const {
-  if (!clock_known_) {
-    return clock_at_;
+// A run that was seen on the known boot ends with the leases there. The start
+// of another one may still be executed, perhaps by a boot that has not been
+// seen and takes its deadline as a lease of the maximum.
+TimePoint Executor::RunExpiredBy(const Run& run, Millis longest) const {
+  const TimePoint known = boot.LeasesExpiredBy();
+  const bool bound_to_boot = run.incarnation == boot.incarnation &&
+                             run.ticket_received != TimePoint() &&
+                             run.ticket_received < boot.alive_at();
+  if (run.running_since != TimePoint() || bound_to_boot) {
+    return known;
   }
-  const Millis left = std::max(Millis(0), max_deadline_ - clock_);
-  return clock_at_ +
-         std::chrono::duration_cast<Duration>(left * kClockDriftFactor) +
-         kExpiryMargin;
+  return std::max(known, run.start_executed_by + MaxTimeOf(longest));
 }
 
 bool Executor::HasLabel(const std::string& label) const {
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -1,5 +1,5 @@
-// State of one executor as known to the leader: free resources, runs, clock,
-// and how many of the reported ends are stored.
+// State of one executor as known to the leader: free resources and runs. What
+// ends with a restart of the executor is in ExecutorBoot.
 //
 //   Executor executor(entry);
 //   Run& run = executor.AddRun(name, number, step, now);
@@ -12,12 +12,11 @@
 #define CELL_EXECUTOR_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 
-#include "cell/executor_health.h"
+#include "cell/executor_boot.h"
 #include "cell/job.h"
 #include "cell/ports.h"
 #include "cell/types.h"
@@ -48,11 +47,14 @@
   TimePoint start_sent{};
   TimePoint running_since{};  // first confirmation that it runs
   Millis start_until{0};      // executor clock; not started later
+  int64_t incarnation = 0;    // of the boot on whose clock that is
+  // The start is for the boot that ran when its ticket arrived, or for an
+  // earlier one, and not executed by any other. Zero: it has no ticket.
+  TimePoint ticket_received{};
+  // The start is not executed later, by any boot.
+  TimePoint start_executed_by{};
   bool start_answered = true;
   bool start_pending = false;  // the start call has not returned
-  // The executor restarted since the order. `start_until` was on its earlier
-  // clock, so that it may begin the run at any time until it is stopped.
-  bool may_start_late = false;
   std::string checkpoint;
   // Speed reported by the executor; a long-running task is at work at 100.
   // Not set before it lists the run.
@@ -67,18 +69,10 @@
   bool stop_in_flight = false;
 };
 
-// An end that must not be acknowledged before its effect on its job's progress
-// is stored.
-struct UnstoredEnd {
-  int64_t number = 0;
-  JobId job;           // empty: no effect
-  int64_t change = 0;  // see ProgressQueue
-};
-
 class Executor {
  public:
-  // `number` is unique among the executors of one leader.
-  explicit Executor(ExecutorEntry entry, size_t number = 0);
+  // `boot_number`: see ExecutorBoot.
+  explicit Executor(ExecutorEntry entry, size_t boot_number = 0);
 
   // Commands.
   Run& AddRun(const TaskName& name, int64_t number, Step* step, TimePoint now);
@@ -86,14 +80,6 @@
   void SetStep(Run& run, Step& step);
   // Releases the run's resources and updates the counts of its step.
   void RemoveRun(const std::string& task);
-  void OnClock(Millis clock, TimePoint now);
-  // Records that a lease or start order with this deadline, on the executor's
-  // clock, was sent.
-  void OnDeadlineSent(Millis until);
-  // Resets the state after the executor process was restarted. `incarnation`
-  // identifies the new process. The caller removes the runs.
-  void OnNewIncarnation(int64_t incarnation);
-
   // Queries.
   Resources Free() const { return entry.capacity - committed_; }
   const Resources& committed() const { return committed_; }
@@ -102,36 +88,24 @@
   Run* FindRun(const std::string& task);
   // True if a run of unknown size is on the executor.
   bool has_unknown_run() const { return unknown_runs_ > 0; }
-  bool clock_known() const { return clock_known_; }
-  // Estimate of the executor's clock.
-  Millis ClockAt(TimePoint now) const;
-  // Likewise on the slowest permitted clock.
-  Millis EarliestClockAt(TimePoint now) const;
-  // When an answer last showed the clock.
-  TimePoint clock_read_at() const { return clock_at_; }
-  // Latest deadline sent, on the executor's clock.
-  Millis max_deadline() const { return max_deadline_; }
-  // Time by which every lease and start order sent has expired, even on the
-  // slowest permitted clock.
-  TimePoint LeasesExpiredBy() const;
+  // Time by which the run has ended if nothing more is heard of the executor,
+  // which grants leases of up to `longest`. Not before boot.LeasesExpiredBy().
+  TimePoint RunExpiredBy(const Run& run, Millis longest) const;
   bool HasLabel(const std::string& label) const;
-  const size_t number;
   ExecutorEntry entry;
-  ExecutorHealth health;
-  int64_t incarnation = 0;
+  ExecutorBoot boot;
+  // Of calls to it: not lower than the fence of the leadership. It is raised
+  // after a restart, so that the new boot rejects calls sent before.
+  int64_t fence = 0;
+  // Only answers to calls with a higher fence than this confirm a boot.
+  int64_t superseded_fence = 0;
+  // The boot that a predecessor has stored as the one on which no unknown
+  // leases were left; 0: none.
+  int64_t settled_incarnation = 0;
   bool listed = true;  // has an entry in the store
   TimePoint unlisted_since{};
-  // Its runs are known to this leader: it has answered a hold call since it was
-  // last new, restarted or unresponsive.
-  bool adopted = false;
   bool stored = false;  // is listed at kExecutorsKey, which a new leader reads
-  int64_t ends_read = 0;  // highest end number processed
-  // Highest end number whose effect on job progress is stored.
-  int64_t ends_stored = 0;
-  // Ends that have been processed and whose effect may not be stored, in order.
-  std::deque<UnstoredEnd> unstored_ends;
-  // Highest end number whose acknowledgement the executor has received.
-  int64_t ends_confirmed = 0;
+  int64_t stored_incarnation = 0;  // as settled_incarnation, in that list
   // Consecutive unanswered holds. Also set to at least 1 where the executor
   // must answer a hold before it gets another start.
   int missed_holds = 0;
@@ -139,10 +113,7 @@
   bool check_requested = false;
   bool hold_in_flight = false;
   TimePoint hold_sent{};
-  TimePoint last_answer{};         // to a hold call
-  TimePoint answered_hold_sent{};  // when that call was sent
   TimePoint next_hold{};
-  std::string unreadable_row;  // of its last answer, already logged
   int64_t usable_in_pass = 0;  // latest scheduling pass that could use it
   bool cordoned = false;  // gets no new task because its VM is due for upkeep
 
@@ -150,10 +121,6 @@
   Resources committed_;
   int unknown_runs_ = 0;
   std::map<std::string, Run> runs_;  // by task name
-  bool clock_known_ = false;
-  Millis clock_{0};
-  TimePoint clock_at_{};
-  Millis max_deadline_{0};
 };
 
 }  // namespace chivedale::cell
--- /dev/null
+++ b/cell/executor_boot.cc
@@ -0,0 +1,80 @@
+#include "cell/executor_boot.h"
+
+#include <algorithm>
+
+namespace chivedale::cell {
+namespace {
+
+// Executor clocks may run 2% slow; 1% more covers rounding.
+constexpr double kClockDriftFactor = 1.03;
+constexpr double kMinClockSpeed = 0.98;
+constexpr Millis kExpiryMargin{100};
+// Covers the rounding of clocks to milliseconds.
+constexpr Millis kClockMargin{5};
+
+Millis ToMillis(Duration time) {
+  return std::chrono::duration_cast<Millis>(time);
+}
+
+}  // namespace
+
+Duration MaxTimeOf(Millis lease) {
+  return std::chrono::duration_cast<Duration>(lease * kClockDriftFactor);
+}
+
+void ExecutorBoot::OnClock(Millis clock, TimePoint sent, TimePoint now) {
+  clock_known_ = true;
+  clock_ = clock;
+  clock_sent_ = sent;
+  clock_at_ = now;
+  alive_at_ = std::max(alive_at_, sent);
+}
+
+void ExecutorBoot::OnDeadlineSent(Millis until) {
+  sent_deadline_ = std::max(sent_deadline_, until);
+}
+
+void ExecutorBoot::CountUnknownLeases(Millis longest) {
+  unknown_deadline_ = clock_ + longest;
+}
+
+void ExecutorBoot::CountLateLeases(Millis longest) {
+  unknown_deadline_ = clock_ + kMaxCallDelay + longest;
+}
+
+Millis ExecutorBoot::ClockAt(TimePoint now) const {
+  return clock_ + ToMillis(now - clock_at_);
+}
+
+Millis ExecutorBoot::EarliestClockAt(TimePoint now) const {
+  return clock_ +
+         std::chrono::duration_cast<Millis>((now - clock_at_) * kMinClockSpeed);
+}
+
+bool ExecutorBoot::MayShow(Millis clock, TimePoint sent, TimePoint now) const {
+  // The known clock was read between `clock_sent_` and `clock_at_`, the new one
+  // between `sent` and `now`.
+  const Millis earliest =
+      sent < clock_at_ ? ClockAt(sent) : EarliestClockAt(sent);
+  const Millis latest = clock_ + ToMillis(now - clock_sent_);
+  return clock_known_ && clock >= earliest - kClockMargin &&
+         clock <= latest + kClockMargin;
+}
+
+Millis ExecutorBoot::max_deadline() const {
+  return std::max(sent_deadline_, unknown_deadline_);
+}
+
+TimePoint ExecutorBoot::LeasesExpiredBy() const {
+  if (!clock_known_) {
+    return clock_at_;
+  }
+  const Millis left = std::max(Millis(0), max_deadline() - clock_);
+  return clock_at_ + MaxTimeOf(left) + kExpiryMargin;
+}
+
+bool ExecutorBoot::IsSettled(TimePoint now) const {
+  return confirmed && EarliestClockAt(now) > unknown_deadline_;
+}
+
+}  // namespace chivedale::cell
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -15,8 +15,6 @@
 namespace chivedale::cell {
 namespace {
 
-// Maximum rate of this clock relative to an executor's clock.
-constexpr double kClockDriftFactor = 1.03;
 constexpr Millis kSweepInterval{500};
 // Progress writes in flight at a time.
 constexpr size_t kProgressLanes = 4;
@@ -50,7 +48,8 @@
       table_(std::make_shared<QueueTable>()),
       load_(context.log),
       progress_queue_(kProgressLanes, kMaxWrittenJobs),
-      lanes_(kProgressLanes) {}
+      lanes_(kProgressLanes),
+      latest_fence_(leadership.fence) {}
 
 CellLeader::~CellLeader() = default;
 
@@ -157,26 +156,41 @@
 }
 
 TimePoint CellLeader::PredecessorLeasesEnd() const {
-  return predecessor_authority_end_ + std::chrono::duration_cast<Duration>(
-                                          options_.lease * kClockDriftFactor);
+  return predecessor_authority_end_ + MaxTimeOf(options_.longest_lease);
+}
+
+// A call of the predecessor that a boot unknown to it has executed may have
+// granted the longest lease. A boot registers as it starts: unless an entry
+// shows another one than the predecessor has stored as settled, there is none.
+TimePoint CellLeader::PredecessorLeasesEnd(const Executor& executor) const {
+  const bool same_boot =
+      executor.settled_incarnation != 0 &&
+      executor.settled_incarnation == executor.boot.incarnation &&
+      entries_begin_ > predecessor_authority_end_;
+  return same_boot ? predecessor_authority_end_ + MaxTimeOf(options_.lease)
+                   : PredecessorLeasesEnd();
 }
 
 bool CellLeader::PredecessorLeasesExpired() const {
   return context_.clock.Now() > PredecessorLeasesEnd();
 }
 
+bool CellLeader::PredecessorLeasesExpired(const Executor& executor) const {
+  return context_.clock.Now() > PredecessorLeasesEnd(executor);
+}
+
 // An executor that answers is unread until it has listed all its ends, for as
 // long as its own leases last.
 bool CellLeader::IsUnread(const Executor& executor) const {
   return unread_executors_.count(executor.entry.id) > 0 &&
-         (!PredecessorLeasesExpired() ||
-          (executor.adopted &&
-           context_.clock.Now() < executor.LeasesExpiredBy()));
+         (!PredecessorLeasesExpired(executor) ||
+          (executor.boot.adopted &&
+           context_.clock.Now() < executor.boot.LeasesExpiredBy()));
 }
 
 bool CellLeader::HasUnreadExecutors() const {
-  if (!PredecessorLeasesExpired()) {
-    return executor_rows_skipped_ || !unread_executors_.empty();
+  if (executor_rows_skipped_ && !PredecessorLeasesExpired()) {
+    return true;
   }
   return std::any_of(unread_executors_.begin(), unread_executors_.end(),
                      [&](const ExecutorId& id) {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -186,6 +186,8 @@
 
   // leader_entries.cc: discovery of executors.
   Executor& AddExecutor(const ExecutorEntry& entry);
+  // `row`: of the predecessor's list. Its incarnation is the settled one.
+  void AddKnownExecutor(const ExecutorEntry& row);
   // Updates by_pool_ after a change of the executors or of their pools.
   void IndexExecutors();
   void PollExecutors();
@@ -194,8 +196,10 @@
                  StoreStatus status,
                  std::vector<ExecutorEntry> entries);
   void StoreExecutors();
+  // An executor and its settled incarnation, as stored.
+  using StoredRow = std::pair<ExecutorId, int64_t>;
   void OnExecutorsStored(const StoreWriteReply& reply,
-                         const std::vector<ExecutorId>& ids);
+                         const std::vector<StoredRow>& rows);
   void LoadKnownExecutors(const std::function<void()>& done);
   // Rows that cannot be read are logged and skipped, see
   // executor_rows_skipped_.
@@ -207,10 +211,32 @@
   void CheckExecutors();
   void HoldIfDue(Executor& executor, TimePoint now);
   void Hold(Executor& executor);
+  struct SentHold {
+    TimePoint sent{};
+    int64_t fence = 0;
+    int64_t ends_stored = 0;
+  };
   void OnHold(const ExecutorId& id,
-              TimePoint sent,
-              int64_t ends_sent,
+              const SentHold& call,
               const HoldReply& reply);
+  // The answer is of another boot than the known one.
+  void OnRestarted(Executor& executor,
+                   const SentHold& call,
+                   const HoldReply& reply);
+  // Forgets all that is known of the executor's boot and raises its fence.
+  void SetBoot(Executor& executor, int64_t incarnation);
+  // Whether an answer to the next hold call confirms the boot.
+  static bool MayConfirm(const Executor& executor);
+  // Counts the leases that calls of earlier leaders, or to earlier boots, may
+  // have granted before the answer to this call.
+  void ConfirmBoot(Executor& executor, const SentHold& call);
+  // Gets fences from the store for executors whose boot cannot be confirmed
+  // with the present one.
+  void RaiseFences();
+  void OnFencesRaised(const StoreWriteReply& reply);
+  // Whether a call with this fence is rejected only if the executor has seen a
+  // newer leader, not a newer fence of this one.
+  bool ExpectsFence(const ExecutorId& id, int64_t fence) const;
   bool MayHideRun(const Executor& executor, const HoldReply& reply) const;
   void ApplyEnds(Executor& executor, const std::vector<EndedTask>& ends);
   void ApplyEnd(Executor& executor,
@@ -364,9 +390,12 @@
   // end of the authority if that has passed, so that a process which was paused
   // after its last check grants nothing.
   TimePoint GrantTime(TimePoint now) const;
-  // Time by which all leases that the predecessor may have granted expire.
+  // Time by which all leases that the predecessor may have granted expire, on
+  // any executor or on this one.
   TimePoint PredecessorLeasesEnd() const;
+  TimePoint PredecessorLeasesEnd(const Executor& executor) const;
   bool PredecessorLeasesExpired() const;
+  bool PredecessorLeasesExpired(const Executor& executor) const;
   // Whether the runs and ends of an executor that the predecessor may have used
   // are not all known, and leases there may not have expired.
   bool IsUnread(const Executor& executor) const;
@@ -394,15 +423,16 @@
   void OnStarted(const ExecutorId& id,
                  const std::string& task,
                  int64_t number,
+                 int64_t fence,
                  const OrderReply& reply);
+  // The answer to the run's start is of another boot than the known one.
+  void OnUnknownBoot(Executor& executor, Run& run, const OrderReply& reply);
   void StopRun(Executor& executor, Run& run, const char* reason);
   void OnStopped(const ExecutorId& id,
                  const std::string& task,
                  int64_t number,
+                 int64_t fence,
                  const OrderReply& reply);
-  // Stops a run, or its gang, whose start may still be executed after a restart
-  // of the executor.
-  void StopUnansweredStart(Executor& executor, const std::string& task);
   void StopGang(Step& step, int64_t number, const char* reason);
   void StopCopies(Step& step, int task);
   // Starts second runs of overdue tasks whose step allows copies.
@@ -500,7 +530,7 @@
 
   std::map<ExecutorId, std::unique_ptr<Executor>> executors_;
   std::unordered_map<ExecutorId, Executor*> by_id_;
-  // Executors by number; null if forgotten.
+  // Executors by the numbers of their boots; null if the boot has ended.
   std::vector<Executor*> by_number_;
   std::map<std::string, std::vector<Executor*>> by_pool_;
   // Earliest next hold calls and the numbers of their executors. May contain
@@ -553,6 +583,10 @@
   // Numbers of the executors with unstored ends.
   std::set<size_t> executors_with_unstored_ends_;
   int64_t executors_revision_ = 0;  // of kExecutorsKey
+  // Highest fence used. Executors first seen by this leader get it: one may
+  // have been known before and forgotten.
+  int64_t latest_fence_ = 0;
+  bool raise_in_flight_ = false;
 };
 
 }  // namespace chivedale::cell
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -83,7 +83,7 @@
   usable.reserve(eligible.size());
   bool room_expired = false;
   for (Executor* executor : eligible) {
-    const StepTicket& ticket = *step.advice.TicketOf(executor->number);
+    const StepTicket& ticket = *step.advice.TicketOf(executor->boot.number);
     if (ticket.expires - now > kTicketMargin) {
       usable.push_back(executor);
     } else if (size.FitsIn(executor->Free())) {
@@ -112,12 +112,12 @@
   std::vector<Executor*> requested;
   for (Executor* executor : pool.usable) {
     using Kind = StepAdvice::Kind;
-    const Kind kind = step.advice.KindOf(executor->number);
+    const Kind kind = step.advice.KindOf(executor->boot.number);
     if (kind == Kind::kBad || !IsEligible(step, *executor)) {
       continue;
     }
     if (kind == Kind::kUnknown ||
-        step.advice.TicketOf(executor->number)->expires - now <
+        step.advice.TicketOf(executor->boot.number)->expires - now <
             refresh_before + kTicketMargin) {
       requested.push_back(executor);
     }
@@ -138,7 +138,7 @@
   request.objective = step.objective;
   for (const Executor* executor : SelectByFreeResources(step, executors)) {
     request.executors.push_back(executor->entry.id);
-    request.executor_numbers.push_back(executor->number);
+    request.executor_numbers.push_back(executor->boot.number);
   }
   request.expected_duration =
       policy.call_time +
@@ -186,11 +186,18 @@
   std::vector<size_t> allowed;
   allowed.reserve(reply.allowed.size());
   for (const auto& [id, ticket] : reply.allowed) {
-    if (const Executor* executor = FindExecutor(id)) {
-      allowed.push_back(executor->number);
-      advice.SetGood(
-          {executor->number, ticket, now + reply.validity - kAdviceRoundTrip});
+    const Executor* executor = FindExecutor(id);
+    // A boot that was not known when the call was sent needs a ticket of its
+    // own.
+    if (executor == nullptr ||
+        std::find(asked.begin(), asked.end(), executor->boot.number) ==
+            asked.end()) {
+      continue;
     }
+    allowed.push_back(executor->boot.number);
+    advice.SetGood({executor->boot.number, ticket,
+                    now + reply.validity - kAdviceRoundTrip, now,
+                    now + MaxTimeOf(reply.validity)});
   }
   std::sort(allowed.begin(), allowed.end());
   for (const size_t number : asked) {
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -21,9 +21,10 @@
 // Timing and placement options. The limits of the executors' contract come from
 // the settings.
 struct LeaderOptions {
-  Millis lease{3'500};      // of all runs on an executor, renewed by each hold
-  Millis hold_wait{1'000};  // maximum wait of a hold call for an end
-  Millis stop_time{900};    // maximum duration of a stop
+  Millis lease{3'500};  // of all runs on an executor, renewed by each hold
+  Millis longest_lease{6'000};  // executors shorten longer ones
+  Millis hold_wait{1'000};      // maximum wait of a hold call for an end
+  Millis stop_time{900};        // maximum duration of a stop
   Millis gang_timeout{3'000};
   Millis restore_time{600};   // to resume from a checkpoint
   Millis upkeep_time{2'000};  // duration of a VM's upkeep
@@ -50,6 +51,8 @@
 inline constexpr char kMemberPrefix[] = "c/m/";  // c/m/NODE
 inline constexpr char kExecutorsKey[] = "c/executors";
 inline constexpr char kRosterKey[] = "c/roster";
+// Written by a leader that needs a higher fence.
+inline constexpr char kFenceKey[] = "c/fence";
 // Prefix of the sequence keys, one for each lane of ProgressQueue. A lane's key
 // is written with each of its progress updates. A delayed write finds a
 // different revision of the key and has no effect.
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -54,6 +54,10 @@
     entry.id = *id;
     entry.address = *address;
     entry.pool = *pool;
+    // Lists of earlier versions have no fourth element.
+    const auto settled = row.size() > 3 ? IntegerIn(row[3], 0, kMaxNumber)
+                                        : std::optional<int64_t>();
+    entry.incarnation = settled.value_or(0);
   }
   return entries;
 }
@@ -73,13 +77,7 @@
           executors_revision_ = read.items[0].revision;
           for (const ExecutorEntry& entry :
                DecodeKnownExecutors(read.items[0].value)) {
-            unread_executors_.insert(entry.id);
-            if (executors_.count(entry.id) == 0) {
-              Executor& executor = AddExecutor(entry);
-              executor.listed = false;
-              executor.unlisted_since = context_.clock.Now();
-            }
-            executors_.at(entry.id)->stored = true;
+            AddKnownExecutor(entry);
           }
           IndexExecutors();
         }
@@ -88,8 +86,28 @@
       }));
 }
 
+// The predecessor's calls have a lower fence than those of this leader, which
+// has called no boot of the executor yet.
+void CellLeader::AddKnownExecutor(const ExecutorEntry& row) {
+  unread_executors_.insert(row.id);
+  if (executors_.count(row.id) == 0) {
+    Executor& executor = AddExecutor(row);
+    executor.listed = false;
+    executor.unlisted_since = context_.clock.Now();
+  }
+  Executor& executor = *executors_.at(row.id);
+  executor.stored = true;
+  executor.stored_incarnation = row.incarnation;
+  executor.superseded_fence = 0;
+  if (executor.boot.incarnation == row.incarnation) {
+    executor.settled_incarnation = row.incarnation;
+  }
+}
+
 Executor& CellLeader::AddExecutor(const ExecutorEntry& entry) {
   auto executor = std::make_unique<Executor>(entry, by_number_.size());
+  executor->fence = latest_fence_;
+  executor->superseded_fence = latest_fence_;
   by_number_.push_back(executor.get());
   by_id_.emplace(entry.id, executor.get());
   return *executors_.emplace(entry.id, std::move(executor)).first->second;
@@ -149,16 +167,19 @@
     }
     const bool draining = entry.draining && !executor->entry.draining;
     const bool address_changed = entry.address != executor->entry.address;
-    // An executor known only from a predecessor's list has an unknown
+    if (entry.incarnation != executor->settled_incarnation) {
+      executor->settled_incarnation = 0;
+    }
+    // An executor known only from a predecessor's list may have an unknown
     // incarnation.
-    const bool incarnation_known = executor->incarnation != 0;
-    if (!incarnation_known && !executor->adopted) {
-      executor->incarnation = entry.incarnation;
-    } else if (entry.incarnation > executor->incarnation ||
+    const bool incarnation_known = executor->boot.incarnation != 0;
+    if (!incarnation_known && !executor->boot.adopted) {
+      executor->boot.incarnation = entry.incarnation;
+    } else if (entry.incarnation > executor->boot.incarnation ||
                (incarnation_known && address_changed)) {
       // The runs of the new incarnation are unknown until it has listed them: a
       // start sent before this entry was read may have been executed there.
-      executor->adopted = false;
+      executor->boot.adopted = false;
       executor->missed_holds = 0;
       ScheduleHold(*executor, now);
     }
@@ -171,12 +192,13 @@
     if (executor->entry.draining) {
       StopRunsOnDraining(*executor);
     }
-    if (!executor->adopted && !executor->hold_in_flight) {
+    if (!executor->boot.adopted && !executor->hold_in_flight) {
       ScheduleHold(*executor, std::max(now, executor->next_hold));
     }
   }
   executor_entries_read_ = true;
   entries_begin_ = begin;
+  RaiseFences();
   for (auto it = executors_.begin(); it != executors_.end();) {
     Executor& executor = *it->second;
     if (seen.count(it->first) > 0) {
@@ -190,12 +212,12 @@
       context_.log.Write(Event::kExecutorGone, {{"executor", it->first}});
     }
     const bool forget = !executor.listed && executor.runs().empty() &&
-                        executor.unstored_ends.empty() &&
+                        executor.boot.unstored_ends.empty() &&
                         now - executor.unlisted_since > kForgetDelay &&
                         !executor.hold_in_flight && !IsUnread(executor);
     if (forget) {
       unread_executors_.erase(it->first);
-      by_number_[executor.number] = nullptr;
+      by_number_[executor.boot.number] = nullptr;
       by_id_.erase(it->first);
       it = executors_.erase(it);
       changed = true;
@@ -205,7 +227,12 @@
   }
   IndexExecutors();
   for (const auto& [id, executor] : executors_) {
-    changed = changed || executor->stored == IsRetired(*executor);
+    if (executor->boot.IsSettled(now)) {
+      executor->settled_incarnation = executor->boot.incarnation;
+    }
+    changed = changed || executor->stored == IsRetired(*executor) ||
+              (executor->stored &&
+               executor->stored_incarnation != executor->settled_incarnation);
   }
   if (changed) {
     StoreExecutors();
@@ -222,7 +249,7 @@
     return;  // retried by the next poll
   }
   json list = json::array();
-  std::vector<ExecutorId> ids;
+  std::vector<StoredRow> rows;
   for (const auto& [id, executor] : executors_) {
     if (IsRetired(*executor)) {
       // Cleared now rather than on the answer, because the write may take
@@ -231,8 +258,9 @@
       continue;
     }
     list.push_back(
-        json::array({id, executor->entry.address, executor->entry.pool}));
-    ids.push_back(id);
+        json::array({id, executor->entry.address, executor->entry.pool,
+                     executor->settled_incarnation}));
+    rows.emplace_back(id, executor->settled_incarnation);
   }
   StoreWrite write;
   write.conditions.emplace_back(kLeaderKey, leadership_.fence);
@@ -242,13 +270,13 @@
   write.puts.emplace_back(kExecutorsKey, std::move(bytes));
   executors_write_in_flight_ = true;
   context_.store.Write(write, kExecutorsTimeout,
-                       Guard([this, ids](const StoreWriteReply& reply) {
-                         OnExecutorsStored(reply, ids);
+                       Guard([this, rows](const StoreWriteReply& reply) {
+                         OnExecutorsStored(reply, rows);
                        }));
 }
 
 void CellLeader::OnExecutorsStored(const StoreWriteReply& reply,
-                                   const std::vector<ExecutorId>& ids) {
+                                   const std::vector<StoredRow>& rows) {
   executors_write_in_flight_ = false;
   if (reply.status == StoreStatus::kConflict) {
     bool leading = false;
@@ -267,16 +295,17 @@
   if (reply.status == StoreStatus::kInvalid) {
     context_.log.Write(
         Event::kStoreWriteRejected,
-        {{"key", kExecutorsKey}, {"executors", std::to_string(ids.size())}});
+        {{"key", kExecutorsKey}, {"executors", std::to_string(rows.size())}});
   }
   if (reply.status != StoreStatus::kOk) {
     return;
   }
   executors_revision_ = reply.revision;
-  for (const ExecutorId& id : ids) {
+  for (const auto& [id, settled_incarnation] : rows) {
     const auto found = executors_.find(id);
     if (found != executors_.end()) {
       found->second->stored = true;
+      found->second->stored_incarnation = settled_incarnation;
     }
   }
   RequestSchedulingPass();
@@ -288,7 +317,7 @@
   return (executor.entry.draining || !executor.listed) &&
          executor.runs().empty() &&
          unread_executors_.count(executor.entry.id) == 0 &&
-         executor.ends_read <= executor.ends_stored;
+         executor.boot.ends_read <= executor.boot.ends_stored;
 }
 
 }  // namespace chivedale::cell
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -22,8 +22,9 @@
 constexpr Millis kUnstoredEndsHoldDelay{500};
 constexpr Millis kMissedHoldRetry{150};
 constexpr Millis kMaxMissedHoldRetry{1'000};
-// An executor cannot crash and restart within this time.
-constexpr Millis kMinRestartTime{1'500};
+// Restarts within this time after an answer are rare. Calls that reach a new
+// boot before it is known are counted, see ExecutorBoot.
+constexpr Millis kFreshAnswerTime{1'500};
 // Without a call, the entries show a restart if they are not older than this,
 // a few polls.
 constexpr Millis kMaxEntryAge{3'000};
@@ -34,6 +35,8 @@
 constexpr Millis kCheckInterval{50};
 // Maximum number of ends that an executor lists in one answer.
 constexpr size_t kMaxEndsPerReply = 500;
+constexpr Millis kRaiseTimeout{1'000};
+constexpr Millis kRaiseRetry{500};
 
 Millis Backoff(Millis first, Millis most, int tries) {
   Millis wait = first;
@@ -47,7 +50,7 @@
 
 void CellLeader::ScheduleHold(Executor& executor, TimePoint at) {
   executor.next_hold = at;
-  due_holds_.emplace(at, executor.number);
+  due_holds_.emplace(at, executor.boot.number);
 }
 
 void CellLeader::SendDueHolds() {
@@ -83,11 +86,11 @@
 void CellLeader::HoldIfDue(Executor& executor, TimePoint now) {
   // An executor that missed a call is called until it answers; it gets no
   // starts before that.
-  const bool needed = !executor.adopted || executor.missed_holds > 0 ||
-                      !executor.runs().empty() ||
-                      executor.ends_read > executor.ends_confirmed ||
+  const bool needed = !executor.boot.adopted || MayConfirm(executor) ||
+                      executor.missed_holds > 0 || !executor.runs().empty() ||
+                      executor.boot.ends_read > executor.boot.ends_confirmed ||
                       executor.check_requested ||
-                      now - executor.clock_read_at() > kMaxClockAge;
+                      now - executor.boot.clock_read_at() > kMaxClockAge;
   if (needed && !executor.hold_in_flight && now >= executor.next_hold) {
     Hold(executor);
   }
@@ -98,14 +101,14 @@
   HoldRequest request;
   request.address = executor.entry.address;
   request.executor = executor.entry.id;
-  request.fence = leadership_.fence;
+  request.fence = executor.fence;
   // A restarted executor keeps its ID and restarts its end numbers. If it were
   // sent the acknowledgement of the earlier incarnation, it would discard its
   // own ends. So after a gap without answers its incarnation is checked first.
-  const bool same_incarnation = executor.adopted &&
-                                executor.missed_holds == 0 &&
-                                now - executor.last_answer < kMinRestartTime;
-  request.ends_stored = same_incarnation ? executor.ends_stored : 0;
+  const bool same_incarnation =
+      executor.boot.adopted && executor.missed_holds == 0 &&
+      now - executor.boot.last_answer < kFreshAnswerTime;
+  request.ends_stored = same_incarnation ? executor.boot.ends_stored : 0;
   // A predecessor that need not ask this member may start what runs on an
   // executor out of its reach again, once its own leases there have expired.
   const bool may_be_restarted =
@@ -113,23 +116,24 @@
       predecessor_authority_end_ - begin_time_ > kFencingDelay;
   // The clock of an earlier incarnation may be far ahead, and a lease on it
   // long.
-  const bool may_grant = executor.adopted && executor.clock_known() &&
+  const bool may_grant = executor.boot.adopted && executor.boot.confirmed &&
+                         executor.boot.clock_known() &&
                          executor.missed_holds == 0 &&
                          IsSameIncarnation(executor, now) && !may_be_restarted;
   if (may_grant) {
     request.lease_until =
-        executor.EarliestClockAt(GrantTime(now)) + options_.lease;
-    executor.OnDeadlineSent(*request.lease_until);
+        executor.boot.EarliestClockAt(GrantTime(now)) + options_.lease;
+    executor.boot.OnDeadlineSent(*request.lease_until);
   }
   const bool may_wait = may_grant &&
-                        executor.ends_read == executor.ends_stored &&
+                        executor.boot.ends_read == executor.boot.ends_stored &&
                         !executor.runs().empty();
   request.wait = may_wait ? options_.hold_wait : Millis(0);
   // The first list after its deadline resolves an unanswered start.
   for (const auto& [name, run] : executor.runs()) {
     if (run.phase == RunPhase::kStartUnconfirmed) {
       const Millis left =
-          run.start_until - executor.ClockAt(now) + kStartResolveMargin;
+          run.start_until - executor.boot.ClockAt(now) + kStartResolveMargin;
       request.wait = std::clamp(left, Millis(0), request.wait);
     }
   }
@@ -138,14 +142,13 @@
   executor.hold_sent = now;
   ++counts_.holds;
   context_.executors.Hold(
-      request,
-      Guard([this, id = executor.entry.id, now, ends = request.ends_stored](
-                const HoldReply& reply) { OnHold(id, now, ends, reply); }));
+      request, Guard([this, id = executor.entry.id,
+                      call = SentHold{now, request.fence, request.ends_stored}](
+                         const HoldReply& reply) { OnHold(id, call, reply); }));
 }
 
 void CellLeader::OnHold(const ExecutorId& id,
-                        TimePoint sent,
-                        int64_t ends_sent,
+                        const SentHold& call,
                         const HoldReply& reply) {
   Executor* const found = FindExecutor(id);
   if (found == nullptr) {
@@ -155,20 +158,24 @@
   executor.hold_in_flight = false;
   const TimePoint now = context_.clock.Now();
   if (reply.result == OrderResult::kFenced) {
-    OnFenced("executor " + id + " has seen a newer leader");
+    if (ExpectsFence(id, call.fence)) {
+      OnFenced("executor " + id + " has seen a newer leader");
+    } else {
+      ScheduleHold(executor, now);
+    }
     return;
   }
   if (reply.result == OrderResult::kWrongIncarnation) {
     MarkAllRunsLost(executor, "another executor answers at its address");
-    executor.OnNewIncarnation(executor.incarnation);
+    SetBoot(executor, executor.boot.incarnation);
     unread_executors_.erase(id);
     ScheduleHold(executor, now + kMaxMissedHoldRetry);
     RequestSchedulingPass();
     return;
   }
   if (reply.result == OrderResult::kOk &&
-      reply.unreadable_row != executor.unreadable_row) {
-    executor.unreadable_row = reply.unreadable_row;
+      reply.unreadable_row != executor.boot.unreadable_row) {
+    executor.boot.unreadable_row = reply.unreadable_row;
     if (!reply.unreadable_row.empty()) {
       context_.log.Write(Event::kExecutorRowRejected,
                          {{"executor", id}, {"row", reply.unreadable_row}});
@@ -185,75 +192,42 @@
                                          executor.missed_holds));
     return;
   }
-  if (reply.incarnation != 0 && executor.incarnation != 0 &&
-      reply.incarnation != executor.incarnation) {
-    // Runs listed by the new incarnation were started there by this leader.
-    std::set<std::string> listed;
-    for (const RunningTask& row : reply.running) {
-      listed.insert(row.task);
-    }
-    std::vector<std::string> lost;
-    std::vector<std::string> may_start;
-    for (auto& [name, run] : executor.runs()) {
-      const bool started_after_request =
-          run.running_since != TimePoint() && run.running_since >= sent;
-      if (listed.count(name) > 0 || started_after_request) {
-        continue;
-      }
-      run.may_start_late = run.may_start_late || run.IsStartUnconfirmed();
-      if (run.start_pending) {
-        continue;
-      }
-      (run.may_start_late ? may_start : lost).push_back(name);
-    }
-    for (const std::string& name : lost) {
-      MarkRunLost(executor, name, "executor restarted");
-    }
-    for (const std::string& name : may_start) {
-      StopUnansweredStart(executor, name);
-    }
-    const Millis earlier_deadline = executor.max_deadline();
-    executor.OnNewIncarnation(reply.incarnation);
-    context_.log.Write(
-        Event::kExecutorNewLife,
-        {{"executor", id},
-         {"born", std::to_string(reply.incarnation)},
-         {"clock_ms", std::to_string(reply.executor_clock.count())},
-         {"sent_ms_ago",
-          std::to_string(
-              std::chrono::duration_cast<Millis>(now - sent).count())},
-         {"running", std::to_string(reply.running.size())},
-         {"earlier_deadline_ms", std::to_string(earlier_deadline.count())}});
+  if (reply.incarnation != 0 && executor.boot.incarnation != 0 &&
+      reply.incarnation != executor.boot.incarnation) {
+    OnRestarted(executor, call, reply);
   }
+  ExecutorBoot& boot = executor.boot;
   if (reply.incarnation != 0) {
-    executor.incarnation = reply.incarnation;
+    boot.incarnation = reply.incarnation;
   }
   executor.missed_holds = 0;
-  executor.last_answer = now;
-  executor.answered_hold_sent = sent;
-  executor.OnClock(reply.executor_clock, now);
-  executor.ends_confirmed = std::max(executor.ends_confirmed,
-                                     std::min(ends_sent, executor.ends_read));
-  if (!executor.adopted) {
-    executor.adopted = true;
-    // A predecessor may have granted a full lease just now.
-    executor.OnDeadlineSent(reply.executor_clock + options_.lease);
+  boot.last_answer = now;
+  boot.answered_hold_sent = call.sent;
+  boot.OnClock(reply.executor_clock, call.sent, now);
+  boot.ends_confirmed =
+      std::max(boot.ends_confirmed, std::min(call.ends_stored, boot.ends_read));
+  if (!boot.confirmed) {
+    ConfirmBoot(executor, call);
+  }
+  if (!boot.adopted) {
+    boot.adopted = true;
     context_.log.Write(
         Event::kExecutorAdopted,
         {{"executor", id},
          {"running", std::to_string(reply.running.size())},
          {"ended", std::to_string(reply.ended.size())},
-         {"fence", std::to_string(leadership_.fence)},
+         {"fence", std::to_string(call.fence)},
          {"born", std::to_string(reply.incarnation)},
-         {"clock_ms", std::to_string(reply.executor_clock.count())}});
+         {"clock_ms", std::to_string(reply.executor_clock.count())},
+         {"until_ms", std::to_string(boot.max_deadline().count())}});
   }
   // A task whose end is not listed yet must not be started again.
   if (reply.ended.size() < kMaxEndsPerReply) {
     unread_executors_.erase(id);
   }
   ApplyEnds(executor, reply.ended);
-  ApplyRunning(executor, reply, sent);
-  if (executor.ends_read > executor.ends_stored) {
+  ApplyRunning(executor, reply, call.sent);
+  if (executor.boot.ends_read > executor.boot.ends_stored) {
     ScheduleHold(executor, now + kUnstoredEndsHoldDelay);
     Flush();
   } else {
@@ -266,27 +240,140 @@
   RequestSchedulingPass();
 }
 
+// The runs that were seen on the earlier boot have ended with it. The starts of
+// others may still be executed by the new one until it is confirmed.
+void CellLeader::OnRestarted(Executor& executor,
+                             const SentHold& call,
+                             const HoldReply& reply) {
+  std::set<std::string> listed;
+  for (const RunningTask& row : reply.running) {
+    listed.insert(row.task);
+  }
+  std::vector<std::string> lost;
+  for (const auto& [name, run] : executor.runs()) {
+    if (listed.count(name) == 0 && run.running_since != TimePoint()) {
+      lost.push_back(name);
+    }
+  }
+  for (const std::string& name : lost) {
+    MarkRunLost(executor, name, "executor restarted");
+  }
+  const int64_t earlier_deadline = executor.boot.max_deadline().count();
+  SetBoot(executor, reply.incarnation);
+  const auto age =
+      std::chrono::duration_cast<Millis>(context_.clock.Now() - call.sent);
+  context_.log.Write(
+      Event::kExecutorNewLife,
+      {{"executor", executor.entry.id},
+       {"born", std::to_string(reply.incarnation)},
+       {"clock_ms", std::to_string(reply.executor_clock.count())},
+       {"sent_ms_ago", std::to_string(age.count())},
+       {"running", std::to_string(reply.running.size())},
+       {"earlier_deadline_ms", std::to_string(earlier_deadline)}});
+}
+
+void CellLeader::SetBoot(Executor& executor, int64_t incarnation) {
+  by_number_[executor.boot.number] = nullptr;
+  executors_with_unstored_ends_.erase(executor.boot.number);
+  executor.boot = ExecutorBoot(by_number_.size(), incarnation);
+  by_number_.push_back(&executor);
+  executor.missed_holds = 0;
+  executor.superseded_fence = executor.fence;
+  executor.settled_incarnation = 0;
+  ScheduleHold(executor, context_.clock.Now());
+  RaiseFences();
+}
+
+bool CellLeader::MayConfirm(const Executor& executor) {
+  return !executor.boot.confirmed && executor.fence > executor.superseded_fence;
+}
+
+// Answers to calls with a higher fence than all earlier calls show what those
+// have done: the executor rejects them from now on.
+void CellLeader::ConfirmBoot(Executor& executor, const SentHold& call) {
+  ExecutorBoot& boot = executor.boot;
+  boot.confirmed = call.fence > executor.superseded_fence;
+  if (!boot.confirmed) {
+    boot.CountLateLeases(options_.longest_lease);
+  } else if (boot.incarnation != 0 &&
+             boot.incarnation == executor.settled_incarnation) {
+    // A predecessor may have granted a full lease just now.
+    boot.CountUnknownLeases(options_.lease);
+  } else {
+    boot.CountUnknownLeases(options_.longest_lease);
+  }
+}
+
+// A conditional write shows that this leader was not replaced before it, so
+// that its revision is a fence above that of all calls sent before and below
+// that of any successor.
+void CellLeader::RaiseFences() {
+  const bool needed = std::any_of(
+      executors_.begin(), executors_.end(), [](const auto& executor) {
+        return executor.second->fence <= executor.second->superseded_fence;
+      });
+  if (raise_in_flight_ || fenced_ || !needed) {
+    return;
+  }
+  raise_in_flight_ = true;
+  StoreWrite write;
+  write.conditions.emplace_back(kLeaderKey, leadership_.fence);
+  write.puts.emplace_back(kFenceKey, "");
+  context_.store.Write(write, kRaiseTimeout,
+                       Guard([this](const StoreWriteReply& reply) {
+                         raise_in_flight_ = false;
+                         OnFencesRaised(reply);
+                       }));
+}
+
+void CellLeader::OnFencesRaised(const StoreWriteReply& reply) {
+  if (reply.status == StoreStatus::kConflict) {
+    OnFenced("another member holds the leader key");
+    return;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    context_.run_after(kRaiseRetry, Guard([this] { RaiseFences(); }));
+    return;
+  }
+  latest_fence_ = std::max(latest_fence_, reply.revision);
+  const TimePoint now = context_.clock.Now();
+  for (const auto& [id, executor] : executors_) {
+    if (executor->fence <= executor->superseded_fence) {
+      executor->fence = latest_fence_;
+      if (!executor->hold_in_flight) {
+        ScheduleHold(*executor, now);
+      }
+    }
+  }
+}
+
+bool CellLeader::ExpectsFence(const ExecutorId& id, int64_t fence) const {
+  const auto found = by_id_.find(id);
+  return fence ==
+         (found == by_id_.end() ? latest_fence_ : found->second->fence);
+}
+
 // Whether the executor may run a task that is neither in the answer nor among
 // the runs that this leader keeps for it. The answer is then treated as
 // missing, so that the leases there are not renewed and expire.
 bool CellLeader::MayHideRun(const Executor& executor,
                             const HoldReply& reply) const {
   const bool new_incarnation = reply.incarnation != 0 &&
-                               executor.incarnation != 0 &&
-                               reply.incarnation != executor.incarnation;
+                               executor.boot.incarnation != 0 &&
+                               reply.incarnation != executor.boot.incarnation;
   return !reply.running_complete &&
          ((new_incarnation && !executor.runs().empty()) ||
-          (!executor.adopted && !PredecessorLeasesExpired()));
+          (!executor.boot.adopted && !PredecessorLeasesExpired(executor)));
 }
 
 void CellLeader::ApplyEnds(Executor& executor,
                            const std::vector<EndedTask>& ends) {
   for (const EndedTask& end : ends) {
-    if (end.number <= executor.ends_read) {
+    if (end.number <= executor.boot.ends_read) {
       continue;
     }
-    executor.ends_read = end.number;
-    UnstoredEnd& unstored = executor.unstored_ends.emplace_back();
+    executor.boot.ends_read = end.number;
+    UnstoredEnd& unstored = executor.boot.unstored_ends.emplace_back();
     unstored.number = end.number;
     if (!end.task.empty()) {
       ++counts_.ends;
@@ -295,8 +382,8 @@
   }
   // Ends that changed no job need no write.
   AcknowledgeEnds(executor);
-  if (!executor.unstored_ends.empty()) {
-    executors_with_unstored_ends_.insert(executor.number);
+  if (!executor.boot.unstored_ends.empty()) {
+    executors_with_unstored_ends_.insert(executor.boot.number);
   }
 }
 
@@ -326,7 +413,7 @@
   unstored.job = name->job;
   if (IsUnread(name->job)) {
     AddUnreadJob(name->job).ends.push_back(
-        {executor.entry.id, executor.incarnation, end});
+        {executor.entry.id, executor.boot.incarnation, end});
     return;
   }
   ApplyEndToTask(executor, end, *name, took);
@@ -360,7 +447,7 @@
   if (end.end == RunEnd::kDone && !step->spec->long_running) {
     // Run times of resumed runs are not comparable to the declared one.
     const Duration whole = task.checkpoint.empty() ? took : Duration(0);
-    executor.health.OnDone(whole, step->spec->estimate, now);
+    executor.boot.health.OnDone(whole, step->spec->estimate, now);
     if (took > Duration(0)) {
       context_.metrics.Observe(Timer::kRun, job.queue().name, took);
     }
@@ -383,7 +470,7 @@
     return;
   }
   if (end.end == RunEnd::kFailed) {
-    if (executor.health.OnFailed(now)) {
+    if (executor.boot.health.OnFailed(now)) {
       context_.log.Write(Event::kExecutorAvoided,
                          {{"executor", executor.entry.id}});
     }
@@ -427,10 +514,11 @@
     // Not a task of this cell, or a run that was given up before the current
     // one was ordered.
     context_.executors.Stop(executor.entry.address, executor.entry.id, row.task,
-                            row.run, leadership_.fence, [](OrderReply) {});
+                            row.run, executor.fence, [](OrderReply) {});
     return;
   }
   Run& run = executor.AddRun(*name, row.run, OpenStepOf(*name), now);
+  run.incarnation = executor.boot.incarnation;
   run.phase = RunPhase::kRunning;
   run.running_since = now;
   run.checkpoint = row.checkpoint;
@@ -477,7 +565,11 @@
   }
   std::vector<std::string> missing;
   for (const auto& [name, run] : executor.runs()) {
-    if (listed.count(name) > 0 || run.start_pending) {
+    // Orders to earlier boots are not executed once this one is confirmed.
+    const bool superseded = run.incarnation != executor.boot.incarnation &&
+                            run.running_since == TimePoint() &&
+                            executor.boot.confirmed;
+    if (listed.count(name) > 0 || (run.start_pending && !superseded)) {
       continue;
     }
     const bool was_running =
@@ -485,10 +577,10 @@
     const bool stopped = run.stop_confirmed && run.stop_confirmed_at < sent;
     // A start that was not executed by its deadline never will be.
     const bool too_late = run.phase != RunPhase::kRunning &&
-                          !run.may_start_late &&
+                          run.incarnation == executor.boot.incarnation &&
                           run.running_since == TimePoint() &&
                           reply.executor_clock > run.start_until;
-    if (was_running || stopped || too_late) {
+    if (was_running || stopped || too_late || superseded) {
       missing.push_back(name);
     }
   }
@@ -536,7 +628,7 @@
 
 bool CellLeader::IsSameIncarnation(const Executor& executor,
                                    TimePoint now) const {
-  return now - executor.last_answer < kMinRestartTime ||
+  return now - executor.boot.last_answer < kFreshAnswerTime ||
          now - entries_begin_ < kMaxEntryAge;
 }
 
@@ -548,9 +640,10 @@
 }
 
 bool CellLeader::IsUsable(const Executor& executor) const {
-  return executor.adopted && executor.listed && executor.stored &&
+  const ExecutorBoot& boot = executor.boot;
+  return boot.adopted && boot.confirmed && executor.listed && executor.stored &&
          !executor.entry.draining && !executor.cordoned &&
-         executor.missed_holds == 0 && executor.clock_known();
+         executor.missed_holds == 0 && boot.clock_known();
 }
 
 }  // namespace chivedale::cell
--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -29,27 +29,40 @@
 // A successor may have renewed these leases, unless it was elected after they
 // had expired. So the evidence for the authority must be younger than that.
 void CellLeader::CheckUnresponsive(Executor& executor) {
-  if (executor.runs().empty() || !executor.clock_known()) {
+  if (executor.runs().empty() || !executor.boot.clock_known()) {
     return;
   }
-  const TimePoint expired = executor.LeasesExpiredBy();
-  if (context_.clock.Now() < expired ||
-      context_.authority_end() - kAuthorityTime < expired) {
+  const TimePoint now = context_.clock.Now();
+  const auto has_passed = [&](TimePoint expired) {
+    return now >= expired &&
+           context_.authority_end() - kAuthorityTime >= expired;
+  };
+  if (!has_passed(executor.boot.LeasesExpiredBy())) {
+    return;
+  }
+  std::vector<std::string> lost;
+  for (const auto& [name, run] : executor.runs()) {
+    if (has_passed(executor.RunExpiredBy(run, options_.longest_lease))) {
+      lost.push_back(name);
+    }
+  }
+  if (lost.empty()) {
     return;
   }
   context_.log.Write(
       Event::kExecutorLeasesExpired,
       {{"executor", executor.entry.id},
-       {"runs", std::to_string(executor.runs().size())},
-       {"clock_ms",
-        std::to_string(executor.ClockAt(context_.clock.Now()).count())},
-       {"clock_age_ms",
-        std::to_string(std::chrono::duration_cast<Millis>(
-                           context_.clock.Now() - executor.clock_read_at())
-                           .count())},
-       {"until_ms", std::to_string(executor.max_deadline().count())}});
-  MarkAllRunsLost(executor, "unresponsive until its leases expired");
-  executor.adopted = false;
+       {"runs", std::to_string(lost.size())},
+       {"left", std::to_string(executor.runs().size() - lost.size())},
+       {"clock_ms", std::to_string(executor.boot.ClockAt(now).count())},
+       {"clock_age_ms", std::to_string(std::chrono::duration_cast<Millis>(
+                                           now - executor.boot.clock_read_at())
+                                           .count())},
+       {"until_ms", std::to_string(executor.boot.max_deadline().count())}});
+  for (const std::string& name : lost) {
+    MarkRunLost(executor, name, "unresponsive until its leases expired");
+  }
+  executor.boot.adopted = false;
   executor.missed_holds = std::max(executor.missed_holds, 1);
 }
 
@@ -84,7 +97,7 @@
       }
     }
   }
-  executor.health.SetOverdue(overdue, signals, runs, now);
+  executor.boot.health.SetOverdue(overdue, signals, runs, now);
   if (runs == 0) {
     return;
   }
@@ -99,7 +112,7 @@
       RequestSchedulingPass();
     }
     const Task& task = run.step->tasks[static_cast<size_t>(run.name.index)];
-    if (executor.health.suspect() && exceeds(run, kMoveRatio) &&
+    if (executor.boot.health.suspect() && exceeds(run, kMoveRatio) &&
         task.relocations == 0 && (!spec.gang || spec.checkpoints)) {
       RestartElsewhere(executor, run, "overdue on a slow executor");
     }
@@ -133,10 +146,10 @@
       ++counts_.stops;
       context_.executors.Stop(
           executor.entry.address, executor.entry.id, name, run.number,
-          leadership_.fence,
-          Guard([this, id = executor.entry.id, task = name,
-                 number = run.number](const OrderReply& reply) {
-            OnStopped(id, task, number, reply);
+          executor.fence,
+          Guard([this, id = executor.entry.id, task = name, number = run.number,
+                 fence = executor.fence](const OrderReply& reply) {
+            OnStopped(id, task, number, fence, reply);
           }));
     }
   }
@@ -160,7 +173,7 @@
       continue;
     }
     const auto expected = std::chrono::duration_cast<Duration>(
-        spec.estimate * std::max(1.0, executor.health.TimeFactor()));
+        spec.estimate * std::max(1.0, executor.boot.health.TimeFactor()));
     const Duration left = expected - (now - run.running_since);
     const Duration leaves = *executor.entry.min_time_to_leave;
     const bool last_moment = leaves < kEntryInterval + options_.stop_time;
--- a/cell/leader_pace.cc
+++ b/cell/leader_pace.cc
@@ -60,13 +60,15 @@
     }
     run.ordered_percent = percent;
     run.last_pace_order = now;
-    context_.executors.Pace(executor.entry.address, executor.entry.id, name,
-                            run.number, percent, leadership_.fence,
-                            Guard([this](const OrderReply& reply) {
-                              if (reply.result == OrderResult::kFenced) {
-                                OnFenced("an executor has seen a newer leader");
-                              }
-                            }));
+    context_.executors.Pace(
+        executor.entry.address, executor.entry.id, name, run.number, percent,
+        executor.fence,
+        Guard([this, id = executor.entry.id,
+               fence = executor.fence](const OrderReply& reply) {
+          if (reply.result == OrderResult::kFenced && ExpectsFence(id, fence)) {
+            OnFenced("executor " + id + " has seen a newer leader");
+          }
+        }));
   }
 }
 
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -43,13 +43,14 @@
   if (PredecessorMayAct()) {
     return;
   }
-  const int64_t before = executor.ends_stored;
-  std::deque<UnstoredEnd>& ends = executor.unstored_ends;
+  const int64_t before = executor.boot.ends_stored;
+  std::deque<UnstoredEnd>& ends = executor.boot.unstored_ends;
   while (!ends.empty() && IsStored(ends.front())) {
-    executor.ends_stored = std::max(executor.ends_stored, ends.front().number);
+    executor.boot.ends_stored =
+        std::max(executor.boot.ends_stored, ends.front().number);
     ends.pop_front();
   }
-  if (executor.ends_stored > before) {
+  if (executor.boot.ends_stored > before) {
     ScheduleHold(executor, context_.clock.Now());
   }
 }
@@ -61,7 +62,8 @@
     if (executor != nullptr) {
       AcknowledgeEnds(*executor);
     }
-    const bool all = executor == nullptr || executor->unstored_ends.empty();
+    const bool all =
+        executor == nullptr || executor->boot.unstored_ends.empty();
     it = all ? executors_with_unstored_ends_.erase(it) : std::next(it);
   }
 }
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -28,10 +28,10 @@
   Task& task = step.tasks[static_cast<size_t>(index)];
   const TaskName name = step.NameOf(index);
   Run& run = executor.AddRun(name, number, &step, now);
-  run.start_until = executor.ClockAt(GrantTime(now)) + kStartValidity;
+  run.start_until = executor.boot.ClockAt(GrantTime(now)) + kStartValidity;
   run.start_pending = true;
   run.checkpoint = task.checkpoint;
-  executor.OnDeadlineSent(run.start_until);
+  executor.boot.OnDeadlineSent(run.start_until);
   // An executor without runs is not called.
   if (!executor.hold_in_flight) {
     ScheduleHold(executor, std::max(now, executor.next_hold));
@@ -47,10 +47,15 @@
   order.run = number;
   order.payload = step.job->record().spec.payload;
   order.start_deadline = run.start_until;
-  order.fence = leadership_.fence;
+  order.fence = executor.fence;
   order.checkpoint = task.checkpoint;
-  if (const StepTicket* ticket = step.advice.TicketOf(executor.number)) {
+  run.incarnation = executor.boot.incarnation;
+  run.start_executed_by = now + kMaxCallDelay;
+  if (const StepTicket* ticket = step.advice.TicketOf(executor.boot.number)) {
     order.ticket = ticket->ticket;
+    run.ticket_received = ticket->received;
+    run.start_executed_by =
+        std::min(run.start_executed_by, ticket->accepted_until);
   }
   ++counts_.starts;
   context_.log.Write(Event::kTaskStarted,
@@ -59,18 +64,19 @@
                       {"executor", order.executor},
                       {"queue", step.job->queue().name},
                       {"fence", std::to_string(order.fence)}});
-  context_.executors.Start(order,
-                           Guard([this, id = order.executor, text = order.task,
-                                  number](const OrderReply& reply) {
-                             OnStarted(id, text, number, reply);
-                           }));
+  context_.executors.Start(
+      order, Guard([this, id = order.executor, text = order.task, number,
+                    fence = order.fence](const OrderReply& reply) {
+        OnStarted(id, text, number, fence, reply);
+      }));
 }
 
 void CellLeader::OnStarted(const ExecutorId& id,
                            const std::string& task,
                            int64_t number,
+                           int64_t fence,
                            const OrderReply& reply) {
-  if (reply.result == OrderResult::kFenced) {
+  if (reply.result == OrderResult::kFenced && ExpectsFence(id, fence)) {
     OnFenced("executor " + id + " has seen a newer leader");
     return;
   }
@@ -80,14 +86,20 @@
   }
   Executor& executor = *found;
   const TimePoint now = context_.clock.Now();
-  if (reply.executor_clock) {
-    executor.OnClock(*reply.executor_clock, now);
-  }
   Run* run = executor.FindRun(task);
   if (run == nullptr || run->number != number) {
     return;
   }
   run->start_pending = false;
+  if (reply.executor_clock &&
+      !executor.boot.MayShow(*reply.executor_clock, run->start_sent, now)) {
+    OnUnknownBoot(executor, *run, reply);
+    if (reply.result == OrderResult::kOk) {
+      return;
+    }
+  } else if (reply.executor_clock) {
+    executor.boot.OnClock(*reply.executor_clock, run->start_sent, now);
+  }
   if (reply.result == OrderResult::kOk) {
     run->running_since =
         run->running_since == TimePoint() ? now : run->running_since;
@@ -125,9 +137,6 @@
     }
     if (step.spec->gang) {
       StopGang(step, number, "a gang member's start was not answered");
-    } else if (run->may_start_late &&
-               run->phase == RunPhase::kStartUnconfirmed) {
-      StopUnansweredStart(executor, task);
     }
     return;
   }
@@ -135,15 +144,15 @@
   record.retry_at = now + kRejectedRetryDelay;
   switch (reply.result) {
     case OrderResult::kUnhealthy:
-      executor.health.AvoidUntil(now + kUnhealthyAvoidTime);
+      executor.boot.health.AvoidUntil(now + kUnhealthyAvoidTime);
       record.retry_at = now;
       break;
     case OrderResult::kInsufficientCapacity:
-      executor.health.AvoidUntil(now + kRejectedRetryDelay);
+      executor.boot.health.AvoidUntil(now + kRejectedRetryDelay);
       break;
     case OrderResult::kBadTicket:
       // The executor may have restarted; request new advice on it.
-      step.advice.Forget(executor.number);
+      step.advice.Forget(executor.boot.number);
       break;
     case OrderResult::kStaleRun:
       ++record.last_run;
@@ -178,22 +187,36 @@
   RetryStops(executor);
 }
 
-void CellLeader::StopUnansweredStart(Executor& executor,
-                                     const std::string& task) {
-  Run& run = *executor.FindRun(task);
-  constexpr char kReason[] = "the executor restarted before it answered";
-  if (run.step != nullptr && run.step->spec->gang) {
-    StopGang(*run.step, run.number, kReason);
-  } else {
-    StopRun(executor, run, kReason);
+// The order was executed by a boot that no hold call has shown yet, or by an
+// earlier one.
+void CellLeader::OnUnknownBoot(Executor& executor,
+                               Run& run,
+                               const OrderReply& reply) {
+  const TimePoint now = context_.clock.Now();
+  context_.log.Write(
+      Event::kExecutorOtherBoot,
+      {{"executor", executor.entry.id},
+       {"task", run.name.Text()},
+       {"run", std::to_string(run.number)},
+       {"result", std::string(OrderResultName(reply.result))},
+       {"clock_ms", std::to_string(reply.executor_clock->count())},
+       {"expected_ms", std::to_string(executor.boot.ClockAt(now).count())}});
+  run.start_executed_by = std::min(run.start_executed_by, now);
+  if (run.phase == RunPhase::kStartSent) {
+    run.phase = RunPhase::kStartUnconfirmed;
+  }
+  executor.missed_holds = std::max(executor.missed_holds, 1);
+  if (!executor.hold_in_flight) {
+    ScheduleHold(executor, now);
   }
 }
 
 void CellLeader::OnStopped(const ExecutorId& id,
                            const std::string& task,
                            int64_t number,
+                           int64_t fence,
                            const OrderReply& reply) {
-  if (reply.result == OrderResult::kFenced) {
+  if (reply.result == OrderResult::kFenced && ExpectsFence(id, fence)) {
     OnFenced("executor " + id + " has seen a newer leader");
     return;
   }
@@ -262,7 +285,7 @@
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                     [&](const Executor* executor) {
                                       return reserved_.count(executor) > 0 ||
-                                             executor->health.suspect();
+                                             executor->boot.health.suspect();
                                     }),
                      candidates.end());
     placer_.PlaceEach(*step, {index}, candidates, now,
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -132,7 +132,7 @@
     const TimePoint now = context_.clock.Now();
     pool.usable.reserve(executors->second.size());
     for (Executor* executor : executors->second) {
-      if (!IsUsable(*executor) || executor->health.avoided(now) ||
+      if (!IsUsable(*executor) || executor->boot.health.avoided(now) ||
           executor->has_unknown_run()) {
         continue;
       }
--- a/cell/leader_unread_jobs.cc
+++ b/cell/leader_unread_jobs.cc
@@ -94,10 +94,10 @@
       continue;
     }
     ApplyEndToTask(*executor, end, *TaskName::Parse(end.task), Duration(0));
-    if (executor->incarnation != incarnation) {
+    if (executor->boot.incarnation != incarnation) {
       continue;  // the number is that of another end
     }
-    for (UnstoredEnd& unstored : executor->unstored_ends) {
+    for (UnstoredEnd& unstored : executor->boot.unstored_ends) {
       if (unstored.number == end.number) {
         unstored.change = progress_queue_.LastChangeOf(id);
       }
--- a/cell/leader_waves.cc
+++ b/cell/leader_waves.cc
@@ -232,7 +232,7 @@
   if (executor == nullptr) {
     return false;
   }
-  if (executor->answered_hold_sent > upkeep.since) {
+  if (executor->boot.answered_hold_sent > upkeep.since) {
     executor->cordoned = false;
     return true;
   }
@@ -318,8 +318,10 @@
 bool CellLeader::MayHaveUnreadRuns(const std::string& vm,
                                    const ExecutorId& executor) const {
   const auto info = vms_.find(vm);
-  return unread_executors_.count(executor) > 0 && !PredecessorLeasesExpired() &&
-         info != vms_.end() && info->second.state == VmState::kUp &&
+  const auto found = executors_.find(executor);
+  return unread_executors_.count(executor) > 0 && found != executors_.end() &&
+         !PredecessorLeasesExpired(*found->second) && info != vms_.end() &&
+         info->second.state == VmState::kUp &&
          info->second.executor == executor;
 }
 
@@ -353,7 +355,7 @@
       }
     }
     // Ends that are not stored yet would be lost with the executor.
-    clear = clear && executor->ends_read == executor->ends_stored;
+    clear = clear && executor->boot.ends_read == executor->boot.ends_stored;
   }
   if (!clear) {
     return;
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -83,15 +83,15 @@
 
 double Placer::Cost(const Step& step, const Executor& executor) const {
   const StepSpec& spec = *step.spec;
-  double time = std::clamp(executor.health.TimeFactor(), 0.3, 20.0);
+  double time = std::clamp(executor.boot.health.TimeFactor(), 0.3, 20.0);
   if (!spec.preferred_rack.empty() &&
       spec.preferred_rack != executor.entry.rack) {
     time *= options_.remote_rack_factor;
   }
   double cost =
       time + kFitWeight * FreeShareAfter(executor, ResourcesFor(spec));
-  cost += kFailureRateCost *
-          std::max(0.0, executor.health.failure_rate() - kBaselineFailureRate);
+  cost += kFailureRateCost * std::max(0.0, executor.boot.health.failure_rate() -
+                                               kBaselineFailureRate);
   if (Interferes(spec, executor)) {
     cost += kInterferenceCost;
   }
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -57,7 +57,7 @@
     for (const auto& [id, executor] : leader->executors()) {
       executors.push_back({{"id", id},
                            {"pool", executor->entry.pool},
-                           {"adopted", executor->adopted},
+                           {"adopted", executor->boot.adopted},
                            {"listed", executor->listed},
                            {"draining", executor->entry.draining},
                            {"misses", executor->missed_holds},
--- a/cell/step_advice.h
+++ b/cell/step_advice.h
@@ -20,6 +20,9 @@
   size_t executor = 0;  // its number
   std::string ticket;
   TimePoint expires{};
+  TimePoint received{};
+  // No executor accepts it later.
+  TimePoint accepted_until{};
 };
 
 // Advice on which executors, by their numbers, may run a step.
--- a/cell/testing/cell_leader_peer.h
+++ b/cell/testing/cell_leader_peer.h
@@ -17,7 +17,7 @@
   static const ExecutorHealth* HealthOf(const CellLeader& leader,
                                         const ExecutorId& id) {
     const auto found = leader.by_id_.find(id);
-    return found == leader.by_id_.end() ? nullptr : &found->second->health;
+    return found == leader.by_id_.end() ? nullptr : &found->second->boot.health;
   }
 };
 
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -205,6 +205,7 @@
   options.boot_id = name + "-" + std::to_string(life);
   options.address = host.address;
   options.strength = host.strength;
+  options.leader.longest_lease = executors.longest_lease;
   host.node = std::make_unique<CellNode>(context, options);
   if (table_->version > 0) {
     host.node->OnTable(table_);
@@ -355,6 +356,32 @@
   });
 }
 
+void FakeCell::RestartAndCut(const ExecutorId& id,
+                             Duration down,
+                             Duration until_cut,
+                             Duration cut) {
+  if (!executors.IsUp(id)) {
+    return;
+  }
+  executors.Crash(id);
+  loop.After(down, [this, id] {
+    if (!executors.IsUp(id)) {
+      executors.Restart(id);
+    }
+  });
+  const auto set_links = [this, id](bool is_cut) {
+    for (const auto& [name, host] : hosts_) {
+      if (is_cut) {
+        executors.links[{name, id}].cut = true;
+      } else {
+        executors.links.erase({name, id});
+      }
+    }
+  };
+  loop.After(down + until_cut, [set_links] { set_links(true); });
+  loop.After(down + until_cut + cut, [set_links] { set_links(false); });
+}
+
 void FakeCell::ReplaceExecutor(const ExecutorId& id, Duration delay) {
   if (!executors.IsUp(id)) {
     return;
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -74,6 +74,12 @@
   void CutLink(const std::string& from, const std::string& to, bool cut);
   // Removes the executor and adds one of the same kind after a delay.
   void ReplaceExecutor(const ExecutorId& id, Duration delay);
+  // Crashes the executor, starts it again under its ID after `down`, and cuts
+  // it off from all members `until_cut` later, for `cut`.
+  void RestartAndCut(const ExecutorId& id,
+                     Duration down,
+                     Duration until_cut,
+                     Duration cut);
   void Submit(const std::string& name,
               const JobId& id,
               const JobSpec& spec,
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -244,9 +244,11 @@
 
 std::string FakeExecutors::TicketFor(const ExecutorId& id,
                                      Millis validity) const {
-  const State& state = states_.at(id);
+  const auto found = states_.find(id);
+  const uint64_t incarnation =
+      found == states_.end() ? 0 : found->second.incarnation;
   const TimePoint expires = loop_.clock().Now() + validity;
-  return std::to_string(state.incarnation) + "/" +
+  return std::to_string(incarnation) + "/" +
          std::to_string(expires.time_since_epoch().count());
 }
 
--- a/cell/testing/leader_waits_test.cc
+++ b/cell/testing/leader_waits_test.cc
@@ -336,6 +336,8 @@
 
 BOOST_AUTO_TEST_CASE(NamesTheExecutorsThatAreNotReadYet) {
   WaitFixture cell;
+  // By then all boots are settled, see ExecutorBoot.
+  cell.RunFor(cell.executors.longest_lease + Millis(2'000));
   cell.FillPool(Millis(3'000));
   cell.Submit("a", kJobId, MakeJobSpec(1, Millis(100), kWholeExecutor), "q0");
   cell.RunFor(Millis(200));
--- a/cell/testing/liveness_check.cc
+++ b/cell/testing/liveness_check.cc
@@ -172,7 +172,7 @@
             (spec.same_rack ? " (same)" : "") + ", label " + spec.label +
             ", at most " + std::to_string(spec.max_per_executor) + "\n";
     for (const auto& [name, executor] : leader->leader()->executors()) {
-      text += name + ": adopted " + std::to_string(executor->adopted) +
+      text += name + ": adopted " + std::to_string(executor->boot.adopted) +
               ", listed " + std::to_string(executor->listed) + ", stored " +
               std::to_string(executor->stored) + ", draining " +
               std::to_string(executor->entry.draining) + ", cordoned " +
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -81,6 +81,7 @@
       {Event::kExecutorEntryRejected, "executor_entry_rejected", L::kWarning},
       {Event::kExecutorRowRejected, "executor_row_rejected", L::kError},
       {Event::kExecutorLeasesExpired, "executor_leases_expired", L::kWarning},
+      {Event::kExecutorOtherBoot, "executor_other_boot", L::kWarning},
       {Event::kAdviceReceived, "advice_received", L::kInfo},
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -95,6 +95,7 @@
   kExecutorEntryRejected = 1310,
   kExecutorRowRejected = 1311,
   kExecutorLeasesExpired = 1312,
+  kExecutorOtherBoot = 1313,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
