Use no labels, rack or capacity of an executor's earlier boot

Cause: the answer to a hold call made a new boot usable while its entry in the store, which names its kind, had not been read.

Evidence: restarted_executor_test, AsAnotherKind/GetsNoTaskBeforeItsNewEntryIsRead failed before ("required label missing").

Change: an executor gets tasks only if the entry that was read is of the boot that answers.

Measured: that test passes. A start that reaches a boot which no call has shown yet still goes by the earlier entry; the platform rejects its ticket.

--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -641,8 +641,11 @@
 
 bool CellLeader::IsUsable(const Executor& executor) const {
   const ExecutorBoot& boot = executor.boot;
-  return boot.adopted && boot.confirmed && executor.listed && executor.stored &&
-         !executor.entry.draining && !executor.cordoned &&
+  // The kind of a new boot is known once its own entry has been read.
+  const bool kind_known = boot.incarnation == executor.entry.incarnation ||
+                          executor.entry.incarnation == 0;
+  return boot.adopted && boot.confirmed && kind_known && executor.listed &&
+         executor.stored && !executor.entry.draining && !executor.cordoned &&
          executor.missed_holds == 0 && boot.clock_known();
 }
 
