Call an executor seldom while its boot is not confirmed

Cause: a boot that is not confirmed gets no lease, so that a hold call returns at once; with the store down an executor with runs was called every 30 ms.

Evidence: restarted_executor_test, WhileTheStoreIsDown/IsCalledSeldomUntilItsBootIsConfirmed, failed before.

Change: 500 ms between such calls; a new fence is sent at once.

Measured: that test passes.

--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -231,11 +231,12 @@
     ScheduleHold(executor, now + kUnstoredEndsHoldDelay);
     Flush();
   } else {
-    // An end without a number is never acknowledged, so that the next call also
-    // returns immediately.
+    // An end without a number is never acknowledged, and a boot that is not
+    // confirmed gets no lease to wait for, so that the next call also returns
+    // immediately. A new fence is sent at once.
+    const bool may_wait = reply.unreadable_row.empty() && boot.confirmed;
     ScheduleHold(executor,
-                 now + (reply.unreadable_row.empty() ? kMinHoldInterval
-                                                     : kUnstoredEndsHoldDelay));
+                 now + (may_wait ? kMinHoldInterval : kUnstoredEndsHoldDelay));
   }
   RequestSchedulingPass();
 }
--- a/cell/testing/restarted_executor_test.cc
+++ b/cell/testing/restarted_executor_test.cc
@@ -211,6 +211,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhileTheStoreIsDown)
+
+// Guards against a call every 30 ms to an executor that gets no lease until the
+// store has issued a new fence.
+BOOST_AUTO_TEST_CASE(IsCalledSeldomUntilItsBootIsConfirmed) {
+  Restart();
+  SubmitLongTasks();
+  RunUntilItRuns();
+  store.faults.refuses = true;
+  entries_down = true;
+  RunFor(Millis(500));
+  const int64_t holds = executors.holds();
+  RunFor(Millis(2'000));
+  // Twice a second, and once a second to each of the others.
+  BOOST_TEST(executors.holds() - holds < 20);
+  store.faults = testing::StoreFaults();
+  entries_down = false;
+  RunFor(Millis(5'000));
+  BOOST_TEST(RunsOnRestarted());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AsAnotherKind)
 
 // Guards against labels of an earlier boot (ROUTE): the new one is of another
