Reset a boot once while another executor answers at its address

Cause: each such answer, one a second, replaced the boot and had a fence written, though nothing had been learned since the last one.

Evidence: read in review of the change; not shown by a test, as the stand-ins give no such answer.

--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -167,7 +167,9 @@
   }
   if (reply.result == OrderResult::kWrongIncarnation) {
     MarkAllRunsLost(executor, "another executor answers at its address");
-    SetBoot(executor, executor.boot.incarnation);
+    if (executor.boot.adopted) {
+      SetBoot(executor, executor.boot.incarnation);
+    }
     unread_executors_.erase(id);
     ScheduleHold(executor, now + kMaxMissedHoldRetry);
     RequestSchedulingPass();
