Count late calls wherever an unseen boot of an executor may have executed them

Cause: the first form counted a late call in one place only. A successor took the leases of an executor that it cannot reach as expired the maximum lease after its predecessor's authority, though a late call grants one up to 12 s after that; a run without an answer was counted by its own start, though any call with a deadline extends all runs of a boot; a list of executors that was read late cancelled the wait for a new fence; a start answered after the hold call that showed a restart was taken as lost; an answer of another executor at an earlier address counted for the new one; and each failed write for a fence began retries of its own.

Change: both bounds count 12 s and the maximum lease after the last call that may be executed late. Against waiting where no executor restarted: the lists of entries show that no other boot has registered, so that an executor which is merely cut off is given up as before. One time for the next write of a fence.

Tests: restarted_executor_test has a case for the retries, and cell_load_test checks the lease that the restarted executor holds.

--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -72,17 +72,21 @@
 }
 
 // A run that was seen on the known boot ends with the leases there. The start
-// of another one may still be executed, perhaps by a boot that has not been
-// seen and takes its deadline as a lease of the maximum.
+// of another one may still be executed by a boot that has not been seen. That
+// takes the deadline of any call for all that runs there, as a lease of the
+// maximum.
 TimePoint Executor::RunExpiredBy(const Run& run, Millis longest) const {
   const TimePoint known = boot.LeasesExpiredBy();
-  const bool bound_to_boot = run.incarnation == boot.incarnation &&
-                             run.ticket_received != TimePoint() &&
-                             run.ticket_received < boot.alive_at();
-  if (run.running_since != TimePoint() || bound_to_boot) {
+  const bool has_ticket_of_boot = run.incarnation == boot.incarnation &&
+                                  run.ticket_received != TimePoint() &&
+                                  run.ticket_received < boot.alive_at();
+  const bool on_known_boot = run.running_since != TimePoint() ||
+                             has_ticket_of_boot ||
+                             boot.IsOnlyBootUntil(run.start_executed_by);
+  if (on_known_boot && !run.on_unknown_boot) {
     return known;
   }
-  return std::max(known, run.start_executed_by + MaxTimeOf(longest));
+  return std::max(known, deadline_sent + kMaxCallDelay + MaxTimeOf(longest));
 }
 
 bool Executor::HasLabel(const std::string& label) const {
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -53,6 +53,7 @@
   TimePoint ticket_received{};
   // The start is not executed later, by any boot.
   TimePoint start_executed_by{};
+  bool on_unknown_boot = false;  // by the answer to the start
   bool start_answered = true;
   bool start_pending = false;  // the start call has not returned
   std::string checkpoint;
@@ -94,13 +95,14 @@
   bool HasLabel(const std::string& label) const;
   ExecutorEntry entry;
   ExecutorBoot boot;
+  TimePoint deadline_sent{};  // when a call with a deadline was last sent
   // Of calls to it: not lower than the fence of the leadership. It is raised
   // after a restart, so that the new boot rejects calls sent before.
   int64_t fence = 0;
   // Only answers to calls with a higher fence than this confirm a boot.
   int64_t superseded_fence = 0;
-  // The boot that a predecessor has stored as the one on which no unknown
-  // leases were left; 0: none.
+  // The boot on which no unknown leases are left, as this leader has seen or a
+  // predecessor has stored; 0: none.
   int64_t settled_incarnation = 0;
   bool listed = true;  // has an entry in the store
   TimePoint unlisted_since{};
--- a/cell/executor_boot.cc
+++ b/cell/executor_boot.cc
@@ -11,6 +11,8 @@
 constexpr Millis kExpiryMargin{100};
 // Covers the rounding of clocks to milliseconds.
 constexpr Millis kClockMargin{5};
+// Maximum time from the first call that a boot executes to its registration.
+constexpr Millis kRegistrationTime{500};
 
 Millis ToMillis(Duration time) {
   return std::chrono::duration_cast<Millis>(time);
@@ -73,6 +75,20 @@
   return clock_at_ + MaxTimeOf(left) + kExpiryMargin;
 }
 
+void ExecutorBoot::OnEntryListed(TimePoint begin, bool other_boot, bool gap) {
+  other_boot_listed_ = other_boot_listed_ || other_boot;
+  if (only_boot_since_ == TimePoint() || gap) {
+    only_boot_since_ = begin;
+  }
+  only_boot_until_ = begin;
+}
+
+bool ExecutorBoot::IsOnlyBootUntil(TimePoint time) const {
+  return !other_boot_listed_ && only_boot_since_ != TimePoint() &&
+         only_boot_since_ <= alive_at_ &&
+         only_boot_until_ > time + kRegistrationTime;
+}
+
 bool ExecutorBoot::IsSettled(TimePoint now) const {
   return confirmed && EarliestClockAt(now) > unknown_deadline_;
 }
--- a/cell/executor_boot.h
+++ b/cell/executor_boot.h
@@ -57,6 +57,10 @@
   void CountUnknownLeases(Millis longest);
   // Likewise, and that such calls may still be executed.
   void CountLateLeases(Millis longest);
+  // A list of the executors' entries that began then has shown this boot or
+  // none, or else another one. `gap`: entries may have come and gone unlisted
+  // since the list before.
+  void OnEntryListed(TimePoint begin, bool other_boot, bool gap);
 
   // Queries.
   bool clock_known() const { return clock_known_; }
@@ -78,6 +82,9 @@
   TimePoint LeasesExpiredBy() const;
   // Whether only leases that this leader has granted can be left.
   bool IsSettled(TimePoint now) const;
+  // Whether no other boot has registered since this one was known to run and
+  // before `time`.
+  bool IsOnlyBootUntil(TimePoint time) const;
 
   size_t number;
   int64_t incarnation = 0;  // 0: unknown
@@ -106,6 +113,10 @@
   TimePoint alive_at_{};
   Millis sent_deadline_{0};
   Millis unknown_deadline_{0};
+  // The lists between these have shown no other boot.
+  TimePoint only_boot_since_{};
+  TimePoint only_boot_until_{};
+  bool other_boot_listed_ = false;
 };
 
 }  // namespace chivedale::cell
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -113,6 +113,7 @@
   if (load_.IsReportDue(now)) {
     ReportLoad(now);
   }
+  RaiseFences();
   SendDueHolds();
   OpenDueRecurringJobs();
   // Until then a predecessor may order upkeeps of other VMs.
@@ -156,11 +157,12 @@
 }
 
 TimePoint CellLeader::PredecessorLeasesEnd() const {
-  return predecessor_authority_end_ + MaxTimeOf(options_.longest_lease);
+  return predecessor_authority_end_ + kMaxCallDelay +
+         MaxTimeOf(options_.longest_lease);
 }
 
-// A call of the predecessor that a boot unknown to it has executed may have
-// granted the longest lease. A boot registers as it starts: unless an entry
+// A call of the predecessor may be executed late by a boot unknown to it, which
+// then grants the longest lease. A boot registers as it starts: unless an entry
 // shows another one than the predecessor has stored as settled, there is none.
 TimePoint CellLeader::PredecessorLeasesEnd(const Executor& executor) const {
   const bool same_boot =
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -213,6 +213,7 @@
   void Hold(Executor& executor);
   struct SentHold {
     TimePoint sent{};
+    std::string address;
     int64_t fence = 0;
     int64_t ends_stored = 0;
   };
@@ -586,7 +587,9 @@
   // Highest fence used. Executors first seen by this leader get it: one may
   // have been known before and forgotten.
   int64_t latest_fence_ = 0;
+  bool fence_needed_ = false;  // by an executor that has no fence of its boot
   bool raise_in_flight_ = false;
+  TimePoint next_raise_{};  // earliest, after a failed write
 };
 
 }  // namespace chivedale::cell
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -16,6 +16,9 @@
 // begin in which the tightest contract allows starts.
 constexpr Millis kEntryPollInterval{900};
 constexpr Millis kEntryRetry{250};
+// An entry that was written after one list is still there in the next one that
+// begins within this time.
+constexpr Millis kMaxListGap{3'000};
 // Entries that expired while the store was down are registered again within two
 // seconds of its recovery; the rest is a margin for the poll.
 constexpr Millis kEntryReregistrationTime{2'500};
@@ -87,7 +90,8 @@
 }
 
 // The predecessor's calls have a lower fence than those of this leader, which
-// has called no boot of the executor yet.
+// has granted nothing to any boot of the executor unless it did so before this
+// list was read.
 void CellLeader::AddKnownExecutor(const ExecutorEntry& row) {
   unread_executors_.insert(row.id);
   if (executors_.count(row.id) == 0) {
@@ -98,7 +102,9 @@
   Executor& executor = *executors_.at(row.id);
   executor.stored = true;
   executor.stored_incarnation = row.incarnation;
-  executor.superseded_fence = 0;
+  if (executor.deadline_sent == TimePoint()) {
+    executor.superseded_fence = 0;
+  }
   if (executor.boot.incarnation == row.incarnation) {
     executor.settled_incarnation = row.incarnation;
   }
@@ -161,6 +167,7 @@
     Executor* executor = FindExecutor(entry.id);
     if (executor == nullptr) {
       executor = &AddExecutor(entry);
+      fence_needed_ = true;
       context_.log.Write(Event::kExecutorFound, {{"executor", entry.id},
                                                  {"pool", entry.pool},
                                                  {"address", entry.address}});
@@ -196,9 +203,18 @@
       ScheduleHold(*executor, std::max(now, executor->next_hold));
     }
   }
+  const bool gap = begin - entries_begin_ > kMaxListGap;
+  for (const auto& [id, executor] : executors_) {
+    ExecutorBoot& boot = executor->boot;
+    const bool other_boot =
+        seen.count(id) > 0 && executor->entry.incarnation != boot.incarnation;
+    // A list that began before this boot was known may show an earlier one.
+    if (!other_boot || begin >= boot.alive_at()) {
+      boot.OnEntryListed(begin, other_boot, gap);
+    }
+  }
   executor_entries_read_ = true;
   entries_begin_ = begin;
-  RaiseFences();
   for (auto it = executors_.begin(); it != executors_.end();) {
     Executor& executor = *it->second;
     if (seen.count(it->first) > 0) {
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -124,6 +124,7 @@
     request.lease_until =
         executor.boot.EarliestClockAt(GrantTime(now)) + options_.lease;
     executor.boot.OnDeadlineSent(*request.lease_until);
+    executor.deadline_sent = now;
   }
   const bool may_wait = may_grant &&
                         executor.boot.ends_read == executor.boot.ends_stored &&
@@ -143,7 +144,8 @@
   ++counts_.holds;
   context_.executors.Hold(
       request, Guard([this, id = executor.entry.id,
-                      call = SentHold{now, request.fence, request.ends_stored}](
+                      call = SentHold{now, request.address, request.fence,
+                                      request.ends_stored}](
                          const HoldReply& reply) { OnHold(id, call, reply); }));
 }
 
@@ -165,6 +167,11 @@
     }
     return;
   }
+  if (reply.result == OrderResult::kWrongIncarnation &&
+      call.address != executor.entry.address) {
+    ScheduleHold(executor, now);  // at its new address
+    return;
+  }
   if (reply.result == OrderResult::kWrongIncarnation) {
     MarkAllRunsLost(executor, "another executor answers at its address");
     if (executor.boot.adopted) {
@@ -254,7 +261,9 @@
   }
   std::vector<std::string> lost;
   for (const auto& [name, run] : executor.runs()) {
-    if (listed.count(name) == 0 && run.running_since != TimePoint()) {
+    // The answer to a later start may be of the new boot.
+    if (listed.count(name) == 0 && run.running_since != TimePoint() &&
+        run.running_since < call.sent) {
       lost.push_back(name);
     }
   }
@@ -283,6 +292,7 @@
   executor.missed_holds = 0;
   executor.superseded_fence = executor.fence;
   executor.settled_incarnation = 0;
+  fence_needed_ = true;
   ScheduleHold(executor, context_.clock.Now());
   RaiseFences();
 }
@@ -311,11 +321,8 @@
 // that its revision is a fence above that of all calls sent before and below
 // that of any successor.
 void CellLeader::RaiseFences() {
-  const bool needed = std::any_of(
-      executors_.begin(), executors_.end(), [](const auto& executor) {
-        return executor.second->fence <= executor.second->superseded_fence;
-      });
-  if (raise_in_flight_ || fenced_ || !needed) {
+  if (!fence_needed_ || raise_in_flight_ || fenced_ ||
+      context_.clock.Now() < next_raise_) {
     return;
   }
   raise_in_flight_ = true;
@@ -334,12 +341,13 @@
     OnFenced("another member holds the leader key");
     return;
   }
+  const TimePoint now = context_.clock.Now();
   if (reply.status != StoreStatus::kOk) {
-    context_.run_after(kRaiseRetry, Guard([this] { RaiseFences(); }));
+    next_raise_ = now + kRaiseRetry;
     return;
   }
+  fence_needed_ = false;
   latest_fence_ = std::max(latest_fence_, reply.revision);
-  const TimePoint now = context_.clock.Now();
   for (const auto& [id, executor] : executors_) {
     if (executor->fence <= executor->superseded_fence) {
       executor->fence = latest_fence_;
@@ -578,7 +586,8 @@
     const bool was_running =
         run.running_since != TimePoint() && run.running_since < sent;
     const bool stopped = run.stop_confirmed && run.stop_confirmed_at < sent;
-    // A start that was not executed by its deadline never will be.
+    // A start that was not executed by its deadline never will be by this
+    // boot, on whose clock that is.
     const bool too_late = run.phase != RunPhase::kRunning &&
                           run.incarnation == executor.boot.incarnation &&
                           run.running_since == TimePoint() &&
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -32,6 +32,7 @@
   run.start_pending = true;
   run.checkpoint = task.checkpoint;
   executor.boot.OnDeadlineSent(run.start_until);
+  executor.deadline_sent = now;
   // An executor without runs is not called.
   if (!executor.hold_in_flight) {
     ScheduleHold(executor, std::max(now, executor.next_hold));
@@ -201,7 +202,7 @@
        {"result", std::string(OrderResultName(reply.result))},
        {"clock_ms", std::to_string(reply.executor_clock->count())},
        {"expected_ms", std::to_string(executor.boot.ClockAt(now).count())}});
-  run.start_executed_by = std::min(run.start_executed_by, now);
+  run.on_unknown_boot = true;
   if (run.phase == RunPhase::kStartSent) {
     run.phase = RunPhase::kStartUnconfirmed;
   }
--- a/cell/testing/cell_load_test.cc
+++ b/cell/testing/cell_load_test.cc
@@ -275,6 +275,7 @@
     cell.RunFor(down);
     cell.executors.Restart("e1");
     cell.RunFor(Millis(1'500));
+    BOOST_TEST((cell.executors.LeaseLeft("e1") <= LeaderOptions().lease));
     testing::LinkFaults cut;
     cut.cut = true;
     for (const char* name : {"a", "b", "c"}) {
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -242,6 +242,11 @@
   return Millis(2'000 + static_cast<int64_t>(random_.UniformInt(10'000)));
 }
 
+Millis FakeExecutors::LeaseLeft(const ExecutorId& id) const {
+  const State& state = states_.at(id);
+  return std::max(Millis(0), state.until - ClockOf(state));
+}
+
 std::string FakeExecutors::TicketFor(const ExecutorId& id,
                                      Millis validity) const {
   const auto found = states_.find(id);
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -71,6 +71,8 @@
   int running() const;
   int64_t starts() const { return starts_; }
   int64_t holds() const { return holds_; }
+  // Time on its clock until the leases there expire.
+  Millis LeaseLeft(const ExecutorId& id) const;
   // A ticket of the executor as it runs now. Valid for this time.
   std::string TicketFor(const ExecutorId& id, Millis validity) const;
   // Whether the task was ever started.
--- a/cell/testing/restarted_executor_test.cc
+++ b/cell/testing/restarted_executor_test.cc
@@ -234,6 +234,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhileTheStoreTakesNoWrites)
+
+// Guards against retries of the write for a new fence that add up.
+BOOST_AUTO_TEST_CASE(IsWrittenForTwiceASecondAtMost) {
+  SubmitLongTasks();
+  RunUntilItRuns();
+  Restart();
+  store.faults.refuses = true;
+  RunFor(Millis(3'000));
+  const int64_t calls = store.writes();
+  RunFor(Millis(10'000));
+  // Also the list of executors, about once a second.
+  BOOST_TEST(store.writes() - calls < 40);
+  store.faults = testing::StoreFaults();
+  RunFor(Millis(5'000));
+  BOOST_TEST(RunsOnRestarted());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AsAnotherKind)
 
 // Guards against labels of an earlier boot (ROUTE): the new one is of another
