Move the restarts of executors into a file of their own

No change of behaviour: the functions of leader_executors.cc that deal with boots and fences are in leader_boots.cc, the queries of the stand-in executors beside the others, and ExecutorBoot lists its states.

--- a/cell/executor_boot.h
+++ b/cell/executor_boot.h
@@ -10,7 +10,13 @@
 //
 // A call that was meant for an earlier boot may be executed by this one. Its
 // deadline is on another clock, so that it may grant as long a lease as an
-// executor accepts, to all that runs there, and leave no other trace.
+// executor accepts, to all that runs there, and leave no other trace. A boot is
+//   - adopted once it has listed its runs to this leader,
+//   - confirmed once it has answered a call with a higher fence than that of
+//   all
+//     calls sent to earlier boots, so that it rejects these; it gets tasks
+//     then,
+//   - settled once the longest lease that they may have granted has expired.
 #ifndef CELL_EXECUTOR_BOOT_H_
 #define CELL_EXECUTOR_BOOT_H_
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -220,24 +220,6 @@
   void OnHold(const ExecutorId& id,
               const SentHold& call,
               const HoldReply& reply);
-  // The answer is of another boot than the known one.
-  void OnRestarted(Executor& executor,
-                   const SentHold& call,
-                   const HoldReply& reply);
-  // Forgets all that is known of the executor's boot and raises its fence.
-  void SetBoot(Executor& executor, int64_t incarnation);
-  // Whether an answer to the next hold call confirms the boot.
-  static bool MayConfirm(const Executor& executor);
-  // Counts the leases that calls of earlier leaders, or to earlier boots, may
-  // have granted before the answer to this call.
-  void ConfirmBoot(Executor& executor, const SentHold& call);
-  // Gets fences from the store for executors whose boot cannot be confirmed
-  // with the present one.
-  void RaiseFences();
-  void OnFencesRaised(const StoreWriteReply& reply);
-  // Whether a call with this fence is rejected only if the executor has seen a
-  // newer leader, not a newer fence of this one.
-  bool ExpectsFence(const ExecutorId& id, int64_t fence) const;
   bool MayHideRun(const Executor& executor, const HoldReply& reply) const;
   void ApplyEnds(Executor& executor, const std::vector<EndedTask>& ends);
   void ApplyEnd(Executor& executor,
@@ -266,6 +248,26 @@
   // Has the executor called, to notice a restart.
   void RequestCheck(Executor& executor);
 
+  // leader_boots.cc: restarts of executors.
+  // The answer is of another boot than the known one.
+  void OnRestarted(Executor& executor,
+                   const SentHold& call,
+                   const HoldReply& reply);
+  // Forgets all that is known of the executor's boot and raises its fence.
+  void SetBoot(Executor& executor, int64_t incarnation);
+  // Whether an answer to the next hold call confirms the boot.
+  static bool MayConfirm(const Executor& executor);
+  // Counts the leases that calls of earlier leaders, or to earlier boots, may
+  // have granted before the answer to this call.
+  void ConfirmBoot(Executor& executor, const SentHold& call);
+  // Gets fences from the store for executors whose boot cannot be confirmed
+  // with the present one.
+  void RaiseFences();
+  void OnFencesRaised(const StoreWriteReply& reply);
+  // Whether a call with this fence is rejected only if the executor has seen a
+  // newer leader, not a newer fence of this one.
+  bool ExpectsFence(const ExecutorId& id, int64_t fence) const;
+
   // leader_unread_jobs.cc: runs and ends of jobs that were not read yet.
   struct WithheldEnd {
     ExecutorId executor;
--- a/cell/testing/fake_executors_queries.cc
+++ b/cell/testing/fake_executors_queries.cc
@@ -93,6 +93,32 @@
   return found == jobs_.end() ? nullptr : &found->second.spec;
 }
 
+Millis FakeExecutors::LeaseLeft(const ExecutorId& id) const {
+  const State& state = states_.at(id);
+  return std::max(Millis(0), state.until - ClockOf(state));
+}
+
+std::string FakeExecutors::TicketFor(const ExecutorId& id,
+                                     Millis validity) const {
+  const auto found = states_.find(id);
+  const uint64_t incarnation =
+      found == states_.end() ? 0 : found->second.incarnation;
+  const TimePoint expires = loop_.clock().Now() + validity;
+  return std::to_string(incarnation) + "/" +
+         std::to_string(expires.time_since_epoch().count());
+}
+
+bool FakeExecutors::IsValidTicket(const State& state,
+                                  const std::string& ticket) const {
+  const size_t slash = ticket.find('/');
+  if (slash == std::string::npos) {
+    return true;  // of another advice service
+  }
+  return std::stoull(ticket.substr(0, slash)) == state.incarnation &&
+         std::stoll(ticket.substr(slash + 1)) >
+             loop_.clock().Now().time_since_epoch().count();
+}
+
 HoldReply FakeExecutors::MakeHoldReply(const State& state) const {
   HoldReply reply;
   reply.result = OrderResult::kOk;
