--- a/cell/executor_boot.h
+++ b/cell/executor_boot.h
@@ -1,7 +1,7 @@
-// What a leader knows of one boot of an executor. An executor that starts again
-// keeps its ID and nothing else: its clock and counts begin anew, and it may be
-// of another kind. So this is replaced as a whole, and nothing learned from one
-// boot is used for the next one.
+// State of one boot of an executor as seen by a leader. An executor that starts
+// again keeps its ID and nothing else: its clock and counts begin anew, and it
+// may be of another kind. So this is replaced as a whole, and nothing learned
+// from one boot is used for the next one.
 //
 //   executor.boot = ExecutorBoot(number, reply.incarnation);
 //   executor.boot.OnClock(reply.executor_clock, sent, now);
--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -232,16 +232,6 @@
   return all == member_links.end() ? LinkFaults() : all->second;
 }
 
-Millis FakeExecutors::ClockOf(const State& state) const {
-  return state.clock_start +
-         std::chrono::duration_cast<Millis>(
-             (loop_.clock().Now() - state.clock_origin) * clock_speed);
-}
-
-Millis FakeExecutors::LateAfter() {
-  return Millis(2'000 + static_cast<int64_t>(random_.UniformInt(10'000)));
-}
-
 void FakeExecutors::Extend(State& state, Millis until) {
   const Millis most = ClockOf(state) + longest_lease;
   const Millis before = state.until;
--- a/cell/testing/fake_executors_queries.cc
+++ b/cell/testing/fake_executors_queries.cc
@@ -93,6 +93,16 @@
   return found == jobs_.end() ? nullptr : &found->second.spec;
 }
 
+Millis FakeExecutors::ClockOf(const State& state) const {
+  return state.clock_start +
+         std::chrono::duration_cast<Millis>(
+             (loop_.clock().Now() - state.clock_origin) * clock_speed);
+}
+
+Millis FakeExecutors::LateAfter() {
+  return Millis(2'000 + static_cast<int64_t>(random_.UniformInt(10'000)));
+}
+
 Millis FakeExecutors::LeaseLeft(const ExecutorId& id) const {
   const State& state = states_.at(id);
   return std::max(Millis(0), state.until - ClockOf(state));
--- a/cell/testing/restarted_executor_test.cc
+++ b/cell/testing/restarted_executor_test.cc
@@ -89,8 +89,8 @@
   CutWithRoomElsewhere();
 }
 
-// Guards against a leader that takes a start for one that the boot it knows has
-// carried out, because it was answered.
+// Guards against a leader that takes an answered start for one that was
+// executed by the last boot that answered a hold call.
 BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfOnlyTheStartWasAnswered) {
   Restart();
   SubmitLongTasks();
--- a/cell/testing/stored_records_test.cc
+++ b/cell/testing/stored_records_test.cc
@@ -18,7 +18,7 @@
 using testing::MakeJobSpec;
 
 // Until a new leader has been elected and the longest leases have expired on
-// executors that it does not know.
+// executors whose rows it cannot read.
 constexpr Millis kElection{27'000};
 constexpr Millis kRun{2'000};
 
