Take no refused connection for the end of a member's process

A leader that was cut off from the store and all members, which refused its connections, went on for the whole cut. Its successor started its tasks again while an executor that only the old leader reached ran them.

Cause: a refused connection served as proof that a process had ended, in four places: LeaderAuthority::OnEnded counted the member as answering, for as long as it refused; OnRosterAuthorEnded and leader_gone_ ended the wait of a successor that is not on the roster; Suspect() starts a candidacy, which is harmless as the store decides. A cut refuses in place of a live process. On the way: leader_gone_ was also set by a late heartbeat of an earlier process, and a new process was trusted by the time of the call rather than by when it began.

The cuts of data_centre_cut_test had not tested anything since successors wait for late calls: they were shorter than that wait. The cell now runs for 20 s before a cut, so that executors are settled.

Change: for a member only its answers count. A new process counts if it began within 1.4 s after earlier evidence, which it shows by its uptime. A successor's wait ends with the beat of a later process on the last leader's VM, or of the last leader itself in the new term. To stop less in an outage, a member is off the roster after 4 s without a heartbeat (10 s before).

Tests replaced, as they asked for the shortcut: NeedsNoProcessThatHasEnded by StopsOnceAProcessHasEnded, GoesOnIfAProcessSoonReplacesOneThatHasEnded, CountsAProcessByItsBeginning and DoesNotCountAProcessThatBeganLater; GoesOnWhileProcessesOfOtherMembersEndAndStart by GoesOnWhileProcessesOfOtherMembersAreReplaced, WaitsForTheStoreOnceAMemberHasEnded and GoesOnIfAMemberHasEndedBefore; KeepsItsTasksIfTheOtherMembersHaveEnded has them end 4.5 s before the outage rather than with it. WaitsOnlyUntilTheLastLeaderFollowsIt fails without that rule.

--- a/cell/leader_authority.cc
+++ b/cell/leader_authority.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace chivedale::cell {
+namespace {
+
+// Lower bound of the speed of this clock relative to another member's.
+constexpr int kSlowestClockPercent = 97;
+
+}  // namespace
 
 void LeaderAuthority::OnStoreConfirmed(TimePoint sent) {
   confirmed_ = std::max(confirmed_, sent);
@@ -25,17 +31,18 @@
 }
 
 void LeaderAuthority::OnFollowed(const std::string& member,
-                                 const std::string& boot_id,
+                                 const Process& process,
                                  TimePoint sent) {
   const TimePoint now = clock_.Now();
   if (sent > now) {
     return;
   }
   Member& record = members_[member];
-  if (record.boot_id != boot_id) {
-    record.boot_id = boot_id;
+  if (record.boot_id != process.boot_id) {
+    record.boot_id = process.boot_id;
     record.first_answer = now;
-    record.trusted = sent - EvidenceOf(member) <= kAuthorityTime;
+    const TimePoint began = now - process.uptime * kSlowestClockPercent / 100;
+    record.trusted = began - EvidenceOf(member) <= kAuthorityTime;
   }
   record.trusted = record.trusted || record.first_answer <= confirmed_;
   if (record.trusted) {
@@ -44,18 +51,6 @@
   }
 }
 
-void LeaderAuthority::OnEnded(const std::string& member) {
-  const TimePoint now = clock_.Now();
-  Member& record = members_[member];
-  if (now - EvidenceOf(member) > kAuthorityTime) {
-    return;
-  }
-  record.boot_id.clear();
-  record.trusted = false;
-  record.followed = now;
-  UpdateMembersValidUntil();
-}
-
 TimePoint LeaderAuthority::EvidenceOf(const std::string& member) const {
   const auto found = members_.find(member);
   return found == members_.end() ? confirmed_
--- a/cell/leader_authority.h
+++ b/cell/leader_authority.h
@@ -5,12 +5,14 @@
 // other member had been elected: an answer of the store, or, while the store
 // does not answer, an answer of every member that may have been elected without
 // it. Evidence counts from when it was asked for, not from when it arrived.
+// Neither silence nor a refused connection is evidence: a cut causes both while
+// the member's process runs and may be elected.
 //
 //   LeaderAuthority authority(clock);
 //   authority.OnStoreConfirmed(sent);       // the leader key is still its own
 //   authority.OnRosterSent({"10.0.0.2:7000"});  // members that may be elected
 //   authority.OnRosterStored();
-//   authority.OnFollowed("10.0.0.2:7000", boot_id, sent);
+//   authority.OnFollowed("10.0.0.2:7000", {boot_id, uptime}, sent);
 //   if (authority.valid_until() > now) ...
 #ifndef CELL_LEADER_AUTHORITY_H_
 #define CELL_LEADER_AUTHORITY_H_
@@ -39,6 +41,11 @@
 class LeaderAuthority {
  public:
   enum class Basis { kNone, kStore, kMembers };
+  // The process that answers for a member.
+  struct Process {
+    std::string boot_id;
+    Millis uptime{0};  // or less
+  };
 
   explicit LeaderAuthority(const Clock& clock) : clock_(clock) {}
 
@@ -52,15 +59,14 @@
   // The roster sent last has been stored.
   void OnRosterStored();
   // A process of the member follows this leader and has not been elected, by
-  // its answer to a call sent at this time. The answer of a process that was
-  // not known counts only if it follows closely on earlier evidence, or once
-  // the store has confirmed the leader since its first one: an earlier process
-  // of the member may have been elected before it ended.
+  // its answer to a call sent at this time. Earlier processes of the member
+  // have ended, but may have been elected before. So the answer of a process
+  // that was not known counts only if it began within kAuthorityTime after
+  // earlier evidence, or once the store has confirmed the leader since its
+  // first answer.
   void OnFollowed(const std::string& member,
-                  const std::string& boot_id,
+                  const Process& process,
                   TimePoint sent);
-  // No process of the member is running now.
-  void OnEnded(const std::string& member);
 
   // Queries. The leader asks for each executor, so that these do not depend on
   // the number of members.
@@ -76,7 +82,7 @@
 
  private:
   struct Member {
-    std::string boot_id;  // of the process that answered last; empty: it ended
+    std::string boot_id;       // of the process that answered last
     TimePoint first_answer{};  // of that process
     bool trusted = false;      // its answers count
     TimePoint followed{};      // latest evidence
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -81,6 +81,7 @@
 CellNode::~CellNode() = default;
 
 void CellNode::Start() {
+  started_at_ = context_.clock.Now();
   ListCell();
   ListMembers();
   // List again: in a new cell all members register at the same time.
@@ -167,6 +168,7 @@
 }
 
 void CellNode::OnPause(Duration gap) {
+  resumed_at_ = context_.clock.Now();
   context_.log.Write(
       Event::kCellPaused,
       {{"ms",
@@ -291,17 +293,14 @@
   }
   if (leader_ != nullptr) {
     OnRosterMemberFollows(beat);
-  }
-  // A heartbeat of an earlier process may arrive late; its term is lower.
-  if (roster_ && roster_->node == beat.node &&
-      roster_->boot_id != beat.boot_id && beat.term >= roster_->term) {
-    OnRosterAuthorEnded();
+    OnRosterAuthorBeat(beat);
   }
   const auto& leader = election_->leader();
   if (!beat.is_leader) {
-    // The leader's process has been replaced by a new one on its VM.
+    // The leader's process has been replaced by a new one on its VM. A late
+    // heartbeat of an earlier process has a lower term.
     if (leader && leader->node == beat.node &&
-        leader->boot_id != beat.boot_id && beat.term <= leader->term) {
+        leader->boot_id != beat.boot_id && beat.term == leader->term) {
       election_->Suspect("leader process was restarted", true);
     }
     return;
@@ -347,21 +346,16 @@
 }
 
 void CellNode::OnPeerDisconnected(const std::string& address, bool refused) {
-  if (refused && leader_ != nullptr) {
-    authority_->OnEnded(address);
-    if (roster_ && roster_->address == address) {
-      OnRosterAuthorEnded();
-    }
-  }
   const auto& leader = election_->leader();
   if (!leader || leader->address != address || leader_ != nullptr) {
     return;
   }
   if (refused) {
-    election_->Suspect("leader address refuses connections", true);
+    // Reason enough for a candidacy, on which the store decides, but no proof
+    // that the process has ended.
+    election_->Suspect("leader address refuses connections", false);
   } else {
-    // Send a heartbeat now: a refused connection shows that the process is
-    // gone.
+    // Send a heartbeat now, to notice a refused connection early.
     next_beat_ = context_.clock.Now();
   }
 }
--- a/cell/node.h
+++ b/cell/node.h
@@ -98,7 +98,8 @@
   void OnTable(std::shared_ptr<const QueueTable> table);
   void OnWave(const UpkeepWave& wave);
   void OnMessage(const MemberId& from, const Message& message);
-  // The connection to a member was lost. `refused`: no process listens there.
+  // The connection to a member was lost. `refused`: a new one was refused,
+  // either as no process listens there or by a device on the way.
   void OnPeerDisconnected(const std::string& address, bool refused);
   void Submit(const QueuePolicy& queue,
               const JobId& id,
@@ -179,8 +180,8 @@
   // Earlier leaders may not act after this time.
   void EndPredecessorAuthority(TimePoint end);
   void OnRosterMemberFollows(const CellBeat& beat);
-  // The process that stored the roster has ended.
-  void OnRosterAuthorEnded();
+  // Called with each heartbeat to a leader.
+  void OnRosterAuthorBeat(const CellBeat& beat);
   void WriteRoster();
   void OnRosterWritten(const Roster& roster, const StoreWriteReply& reply);
   // Whether this member leads and no other one has been elected.
@@ -261,6 +262,8 @@
   // Time since which the store answers this member but not the leader.
   TimePoint leader_store_lost_since_{};
   TimePoint leading_since_{};
+  TimePoint started_at_{};
+  TimePoint resumed_at_{};  // after the latest pause of this process
   TimePoint next_members_{};
   util::ReadLimit members_limit_;
   double strongest_ = 0;  // highest strength among the members
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -1,8 +1,7 @@
 // What a leader does to keep its authority (leader_authority.h): it reads the
 // leader key, has the members that may be elected stored as the roster, and
-// asks them while the store does not answer. Members are named by address: a
-// refused connection shows that no process is there. A new leader reads the
-// roster to find out how long its predecessor may have gone on.
+// asks them while the store does not answer. A new leader reads the roster to
+// find out how long its predecessor may have gone on.
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -25,7 +24,9 @@
 constexpr Millis kRosterRetry{100};
 // A member without a heartbeat for this time is taken off the roster, so that
 // one without power does not stop the leader in a later outage of the store.
-constexpr Millis kRosterTimeToLive{10'000};
+// Longer than members that do not hear the leader take to elect another one:
+// those are to be on the roster.
+constexpr Millis kRosterTimeToLive{4'000};
 // PeerLink closes a connection whose data is not acknowledged for this time, so
 // that no heartbeat arrives later.
 constexpr Millis kLongestDelivery{2'000};
@@ -169,13 +170,16 @@
   answer.boot_id = options_.boot_id;
   answer.term = call.term;
   answer.sent = call.sent;
+  answer.uptime =
+      std::chrono::duration_cast<Millis>(context_.clock.Now() - started_at_);
   context_.peers.SendToAddress(call.address, answer);
 }
 
 void CellNode::OnFollowAnswer(const FollowAnswer& answer) {
   if (leader_ != nullptr && leader_->leadership().term == answer.term &&
-      answer.sent >= Millis(0) && answer.sent <= kMaxClock) {
-    authority_->OnFollowed(answer.address, answer.boot_id,
+      answer.sent >= Millis(0) && answer.sent <= kMaxClock &&
+      answer.uptime >= Millis(0) && answer.uptime <= kMaxClock) {
+    authority_->OnFollowed(answer.address, {answer.boot_id, answer.uptime},
                            TimePoint() + answer.sent);
     ApplyAuthority();
   }
@@ -257,8 +261,18 @@
   }
 }
 
-void CellNode::OnRosterAuthorEnded() {
-  if (leader_ != nullptr && roster_ && !may_write_roster_) {
+// A new process of its VM, or the author itself in this leader's term, shows
+// that the author no longer leads by the roster. A heartbeat of an earlier
+// process or term may arrive late; its term is lower.
+void CellNode::OnRosterAuthorBeat(const CellBeat& beat) {
+  if (may_write_roster_ || !roster_ || roster_->node != beat.node) {
+    return;
+  }
+  const bool replaced =
+      roster_->boot_id != beat.boot_id && beat.term >= roster_->term;
+  const bool follows =
+      !beat.is_leader && beat.term == leader_->leadership().term;
+  if (replaced || follows) {
     EndPredecessorAuthority(context_.clock.Now() + kFencingDelay);
   }
 }
@@ -278,7 +292,8 @@
                 leader_->leadership().term,
                 {}};
   for (const auto& [node, member] : members_) {
-    const TimePoint heard = std::max(member.last_heard, leading_since_);
+    const TimePoint heard =
+        std::max({member.last_heard, leading_since_, resumed_at_});
     if (now - heard < kRosterTimeToLive) {
       roster.members.insert(member.address);
     }
--- a/cell/testing/cell_partition_test.cc
+++ b/cell/testing/cell_partition_test.cc
@@ -38,7 +38,8 @@
   cell.RunFor(Millis(15'000));
 }
 
-// A member whose process has ended will not elect another leader.
+// Members whose processes have ended are off the roster soon, as long as the
+// store answers.
 BOOST_AUTO_TEST_CASE(KeepsItsTasksIfTheOtherMembersHaveEnded) {
   CellFixture cell;
   cell.Submit("a", kJobId, MakeJobSpec(4, Millis(20'000), 20'000), "q0");
@@ -49,6 +50,7 @@
       cell.Kill(name);
     }
   }
+  cell.RunFor(Millis(4'500));
   cell.store.faults.unresponsive = true;
   cell.RunFor(Millis(10'000));
   BOOST_TEST(cell.executors.running() == 4);
--- a/cell/testing/cut_history.cc
+++ b/cell/testing/cut_history.cc
@@ -70,6 +70,7 @@
   cell_.executors.fails = [this](const TaskName&, const ExecutorId&) {
     return faulty_ && OneIn(40);
   };
+  cell_.cuts_refuse = OneIn(2);
   data_centres_ = 2 + Pick(2);
   const size_t members = 5 + Pick(3);
   for (size_t i = 0; i < members; ++i) {
--- a/cell/testing/data_centre_cut_test.cc
+++ b/cell/testing/data_centre_cut_test.cc
@@ -57,6 +57,46 @@
   cell.ExpectAllJobsToEnd();
 }
 
+// Regression (review/6): the leader took the refusals of a cut for the end of
+// all other members and renewed its leases beside its successor.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfTheCutRefusesConnections) {
+  for (const size_t beside : {0, 1, 2}) {
+    LargeCell cell;
+    cell.cuts_refuse = true;
+    cell.SubmitJobs();
+    const std::set<std::string> side = cell.LeaderAnd(beside);
+    cell.CutOff(side, {"e1", "e2"});
+    cell.RunCut(side, kCutTime);
+    cell.Reconnect();
+    cell.ExpectAllJobsToEnd();
+  }
+}
+
+// Guards against a successor that is not on the roster and takes the refusals
+// of a cut for the end of the leader that stored it.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfAnUnlistedSuccessorIsRefused) {
+  int unlisted_led = 0;
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    LargeCell cell(seed);
+    cell.cuts_refuse = true;
+    cell.SubmitJobs();
+    const std::set<std::string> side(cell.names.begin(), cell.names.end());
+    cell.CutOff(side, {"e1", "e2", "e3", "e4"});
+    cell.AddNode("new");
+    for (const char* id : {"e1", "e2", "e3", "e4"}) {
+      cell.executors.links[{"new", id}].cut = true;
+    }
+    cell.RunFor(kCutTime);
+    unlisted_led += cell.node("new")->leading() ? 1 : 0;
+    cell.Reconnect();
+    for (const char* id : {"e1", "e2", "e3", "e4"}) {
+      cell.executors.links.erase({"new", id});
+    }
+    cell.ExpectAllJobsToEnd();
+  }
+  BOOST_TEST(unlisted_led > 0);
+}
+
 // Guards against a leader that resumes after a pause as if nobody had been
 // elected meanwhile.
 BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfTheLeaderStandsStillMeanwhile) {
@@ -269,7 +309,7 @@
   BOOST_TEST(cell.executors.starts() == 6 + 4 + 24);
 }
 
-BOOST_AUTO_TEST_CASE(GoesOnWhileProcessesOfOtherMembersEndAndStart) {
+BOOST_AUTO_TEST_CASE(GoesOnWhileProcessesOfOtherMembersAreReplaced) {
   LargeCellWithoutStore cell;
   const std::string leader = cell.LeaderName();
   cell.StopStore();
@@ -278,13 +318,43 @@
     if (name != leader) {
       cell.Kill(name);
       cell.RunFor(Millis(700));
+      cell.Restart(name);
+      cell.RunFor(Millis(300));
     }
   }
-  cell.RunFor(Millis(5'000));
-  for (const std::string& name : cell.names) {
-    cell.Restart(name);
-  }
-  cell.RunFor(Millis(5'000));
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.RestoreStore();
+  cell.ExpectAllJobsToEnd();
+  BOOST_TEST(cell.executors.starts() == 6 + 4);
+}
+
+// The end of a process cannot be told from a cut behind which it is elected.
+// The leader stops until the store answers, and starts each task again once.
+BOOST_AUTO_TEST_CASE(WaitsForTheStoreOnceAMemberHasEnded) {
+  LargeCellWithoutStore cell;
+  const std::string leader = cell.LeaderName();
+  cell.StopStore();
+  cell.RunFor(Millis(2'000));
+  cell.Kill(leader == "g" ? "f" : "g");
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.executors.running() == 0);
+  BOOST_TEST(cell.executors.starts() == 6 + 4);
+  cell.RestoreStore();
+  cell.RunFor(Millis(1'500));
+  BOOST_TEST(cell.LeaderName() == leader);
+  BOOST_TEST(cell.executors.running() == 6);
+  cell.ExpectAllJobsToEnd();
+  BOOST_TEST(cell.executors.starts() == 6 + 4 + 6);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnIfAMemberHasEndedBefore) {
+  LargeCellWithoutStore cell;
+  const std::string leader = cell.LeaderName();
+  cell.Kill(leader == "g" ? "f" : "g");
+  cell.RunFor(Millis(4'500));
+  cell.StopStore();
+  cell.RunFor(Millis(12'000));
   BOOST_TEST(cell.executors.running() == 6);
   cell.RestoreStore();
   cell.ExpectAllJobsToEnd();
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -284,14 +284,14 @@
       if (host->address != address) {
         continue;
       }
-      if (host->node == nullptr) {
-        if (sender.node != nullptr && !sender.peers_cut && host->powered &&
-            side_.count(name) == side_.count(sender.name)) {
-          sender.node->OnPeerDisconnected(address, true);
-        }
-      } else if (!host->peers_cut && !sender.peers_cut &&
-                 side_.count(name) == side_.count(sender.name) &&
-                 cut_links_.count({sender.name, name}) == 0 &&
+      const bool cut = host->peers_cut || sender.peers_cut ||
+                       side_.count(name) != side_.count(sender.name) ||
+                       cut_links_.count({sender.name, name}) > 0;
+      const bool refused =
+          cut ? cuts_refuse : host->node == nullptr && host->powered;
+      if (refused && sender.node != nullptr) {
+        sender.node->OnPeerDisconnected(address, true);
+      } else if (!cut && host->node != nullptr &&
                  loop.clock().Now() >= host->frozen_until) {
         host->node->OnMessage(MemberId(sender.name), message);
       }
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -110,6 +110,8 @@
   Duration advice_time = std::chrono::milliseconds(10);
   Millis ticket_validity{2'000};
   QueuePolicy queue;
+  // Cuts between members refuse connections in place of the live process.
+  bool cuts_refuse = false;
   bool entries_down = false;  // executors' entries cannot be listed
   // Duration of a list of the executors' entries as they are when it begins.
   Duration entries_time = std::chrono::milliseconds(2);
--- a/cell/testing/large_cell.h
+++ b/cell/testing/large_cell.h
@@ -17,6 +17,9 @@
 
 namespace chivedale::cell::testing {
 
+// Until the leader has stored that no unknown lease is left on an executor, a
+// successor waits for longer than kCutTime.
+inline constexpr Millis kSettleTime{20'000};
 inline constexpr Millis kCutTime{15'000};
 inline constexpr Millis kRecoveryTime{25'000};
 inline constexpr int64_t kHalfExecutor = 16'000;
@@ -32,7 +35,7 @@
     AddExecutors("pool", 6, {32'000, 64'000, 0, 0});
     SetQueue(MakeQueue(0));
     SetQueue(MakeQueue(2));
-    RunFor(Millis(2'000));
+    RunFor(kSettleTime);
   }
   ~LargeCell() {
     for (const std::string& what : executors.violations()) {
--- a/cell/testing/leader_authority_test.cc
+++ b/cell/testing/leader_authority_test.cc
@@ -34,7 +34,7 @@
     for (Millis passed{0}; passed < time; passed += Millis(200)) {
       clock.Advance(Millis(200));
       for (const std::string& member : members) {
-        authority.OnFollowed(member, member + "-1", Now());
+        authority.OnFollowed(member, {member + "-1"}, Now());
       }
     }
   }
@@ -44,7 +44,7 @@
 
 BOOST_FIXTURE_TEST_CASE(HasNoAuthorityBeforeTheStoreAnswers, Fixture) {
   BOOST_TEST(!authority.valid());
-  authority.OnFollowed("b", "b-1", Now());
+  authority.OnFollowed("b", {"b-1"}, Now());
   BOOST_TEST(!authority.valid());
 }
 
@@ -111,17 +111,41 @@
   BOOST_TEST(authority.valid());
 }
 
-BOOST_FIXTURE_TEST_CASE(NeedsNoProcessThatHasEnded, Unconfirmed) {
-  for (int i = 0; i < 20; ++i) {
-    clock.Advance(Millis(500));
-    authority.OnFollowed("b", "b-1", Now());
-    authority.OnEnded("c");
+// Regression (review/6): the end of a process cannot be told from a cut.
+BOOST_FIXTURE_TEST_CASE(StopsOnceAProcessHasEnded, Unconfirmed) {
+  PassFollowedBy({"b", "c"}, Millis(1'000));
+  PassFollowedBy({"b"}, kAuthorityTime + Millis(200));
+  BOOST_TEST(!authority.valid());
+  authority.OnStoreConfirmed(Now());
+  BOOST_TEST(authority.valid());
+}
+
+// The earlier process ended too soon to act if it had been elected.
+BOOST_FIXTURE_TEST_CASE(GoesOnIfAProcessSoonReplacesOneThatHasEnded,
+                        Unconfirmed) {
+  for (int i = 2; i < 20; ++i) {
+    clock.Advance(Millis(1'300));
+    authority.OnFollowed("b", {"b-1"}, Now());
+    authority.OnFollowed("c", {"c-" + std::to_string(i)}, Now());
   }
   BOOST_TEST(authority.valid());
-  // Its successor is asked again.
+}
+
+// Guards against a stop because the first answer of a process was lost.
+BOOST_FIXTURE_TEST_CASE(CountsAProcessByItsBeginning, Unconfirmed) {
   PassFollowedBy({"b", "c"}, Millis(1'000));
+  PassFollowedBy({"b"}, Millis(5'000));
+  authority.OnFollowed("c", {"c-2", Millis(4'000)}, Now());
   BOOST_TEST(authority.valid());
-  PassFollowedBy({"b"}, kAuthorityTime + Millis(200));
+}
+
+// Guards against a process that was elected and ended while calls to its
+// successor were on their way.
+BOOST_FIXTURE_TEST_CASE(DoesNotCountAProcessThatBeganLater, Unconfirmed) {
+  PassFollowedBy({"b", "c"}, Millis(1'000));
+  const TimePoint sent = Now();
+  PassFollowedBy({"b"}, Millis(2'000));
+  authority.OnFollowed("c", {"c-2", Millis(100)}, sent + Millis(1'300));
   BOOST_TEST(!authority.valid());
 }
 
@@ -137,9 +161,7 @@
 BOOST_FIXTURE_TEST_CASE(DoesNotResumeOnTheWordOfANewProcess, Unconfirmed) {
   PassFollowedBy({"b", "c"}, Millis(1'000));
   PassFollowedBy({"b"}, Millis(4'000));
-  authority.OnFollowed("c", "c-2", Now());
-  BOOST_TEST(!authority.valid());
-  authority.OnEnded("c");
+  authority.OnFollowed("c", {"c-2"}, Now());
   BOOST_TEST(!authority.valid());
   authority.OnStoreConfirmed(Now());
   BOOST_TEST(authority.valid());
@@ -150,18 +172,18 @@
 BOOST_FIXTURE_TEST_CASE(CountsAProcessThatRanWhenTheStoreConfirmed,
                         Unconfirmed) {
   clock.Advance(Millis(5'000));
-  authority.OnFollowed("b", "b-2", Now());
-  authority.OnFollowed("c", "c-2", Now());
+  authority.OnFollowed("b", {"b-2"}, Now());
+  authority.OnFollowed("c", {"c-2"}, Now());
   const TimePoint sent = Now();
   clock.Advance(Millis(1'800));
   authority.OnStoreConfirmed(sent);
   BOOST_TEST(!authority.valid());
-  authority.OnFollowed("b", "b-2", Now());
-  authority.OnFollowed("c", "c-2", Now());
+  authority.OnFollowed("b", {"b-2"}, Now());
+  authority.OnFollowed("c", {"c-2"}, Now());
   BOOST_TEST(authority.valid());
   clock.Advance(Millis(5'000));
-  authority.OnFollowed("b", "b-2", Now());
-  authority.OnFollowed("c", "c-3", Now());
+  authority.OnFollowed("b", {"b-2"}, Now());
+  authority.OnFollowed("c", {"c-3"}, Now());
   BOOST_TEST(!authority.valid());
 }
 
@@ -209,9 +231,10 @@
         if (!members_[name].running) {
           members_[name].running = true;
           ++members_[name].life;
+          members_[name].began = clock_.Now();
           members_[name].leads = false;
         } else {
-          authority_.OnFollowed(name, "unknown", clock_.Now() + Millis(1));
+          authority_.OnFollowed(name, {"unknown"}, clock_.Now() + Millis(1));
         }
         break;
       case 7:
@@ -252,6 +275,7 @@
     bool running = true;
     bool leads = false;
     int life = 1;
+    TimePoint began{};
   };
   struct Election {
     std::string name;
@@ -272,12 +296,14 @@
   void Ask(const std::string& name) {
     Later([this, name, sent = clock_.Now()] {
       const Member& member = members_[name];
-      if (!member.running) {
-        authority_.OnEnded(name);
-      } else if (!member.leads) {
-        const std::string boot_id = name + std::to_string(member.life);
-        Later([this, name, boot_id, sent] {
-          authority_.OnFollowed(name, boot_id, sent);
+      if (member.running && !member.leads) {
+        // Its clock may be 2% fast.
+        const LeaderAuthority::Process process{
+            name + std::to_string(member.life),
+            std::chrono::duration_cast<Millis>(clock_.Now() - member.began) *
+                102 / 100};
+        Later([this, name, process, sent] {
+          authority_.OnFollowed(name, process, sent);
         });
       }
     });
--- a/cell/testing/successor_test.cc
+++ b/cell/testing/successor_test.cc
@@ -13,6 +13,7 @@
 using testing::kCutTime;
 using testing::kHalfExecutor;
 using testing::kJobId;
+using testing::kRecoveryTime;
 using testing::LargeCell;
 using testing::MakeJobSpec;
 using testing::MakeQueue;
@@ -135,6 +136,63 @@
   BOOST_TEST(elected > 0);
 }
 
+// A member that joined after the leader and all listed members had lost the
+// store, and was elected by the store. One executor is out of its reach.
+struct UnlistedSuccessor : LargeCell {
+  UnlistedSuccessor() : last(LeaderName()) {
+    cuts_refuse = true;
+    SubmitJobs();
+    CutOff({names.begin(), names.end()}, {});
+    AddNode("new");
+    executors.links[{"new", "e1"}].cut = true;
+    RunFor(Millis(5'000));
+    BOOST_TEST(node("new")->leading());
+  }
+  void PowerOffAllBut(const std::string& kept) {
+    for (const std::string& name : names) {
+      if (name != kept) {
+        PowerOff(name);
+      }
+    }
+  }
+  const std::string last;
+};
+
+// Guards against a wait of 620 s where the last leader itself shows that it no
+// longer leads.
+BOOST_AUTO_TEST_CASE(WaitsOnlyUntilTheLastLeaderFollowsIt) {
+  UnlistedSuccessor cell;
+  cell.PowerOffAllBut(cell.last);
+  cell.RunFor(Millis(20'000));
+  BOOST_TEST(cell.executors.running() == 0);
+  cell.Reconnect();
+  cell.RunFor(Millis(7'000));
+  BOOST_TEST(cell.executors.running() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(WaitsOnlyUntilTheLastLeadersProcessIsReplaced) {
+  UnlistedSuccessor cell;
+  cell.PowerOffAllBut(cell.last);
+  cell.Kill(cell.last);
+  cell.Reconnect();
+  cell.RunFor(Millis(20'000));
+  BOOST_TEST(cell.executors.running() == 0);
+  cell.Restart(cell.last);
+  cell.RunFor(Millis(7'000));
+  BOOST_TEST(cell.executors.running() == 6);
+}
+
+// The stated bound: no listed member is ever seen again.
+BOOST_AUTO_TEST_CASE(WaitsForALimitedTimeIfNoListedMemberIsLeft) {
+  UnlistedSuccessor cell;
+  cell.PowerOffAllBut("");
+  cell.Reconnect();
+  cell.RunFor(kUnlistedFencingDelay - Millis(8'000));
+  BOOST_TEST(cell.executors.running() == 0);
+  cell.RunFor(Millis(8'000) + kRecoveryTime);
+  BOOST_TEST(cell.executors.running() == 6);
+}
+
 // Guards against tasks that are started again because their ends are not among
 // those that fit in an executor's first answer.
 BOOST_AUTO_TEST_CASE(ReadsAllEndsBeforeItStartsTasksAgain) {
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -403,6 +403,7 @@
   std::string boot_id;
   int64_t term = 0;
   Millis sent{0};
+  Millis uptime{0};  // of the sender's process, or less
 };
 
 // To the leader: asks for the state of a job.
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -164,7 +164,7 @@
 CHIVEDALE_FIELDS(LeaderQuery, m.address, m.term);
 CHIVEDALE_FIELDS(LeaderHeard, m.term);
 CHIVEDALE_FIELDS(FollowCall, m.address, m.term, m.sent);
-CHIVEDALE_FIELDS(FollowAnswer, m.address, m.boot_id, m.term, m.sent);
+CHIVEDALE_FIELDS(FollowAnswer, m.address, m.boot_id, m.term, m.sent, m.uptime);
 CHIVEDALE_FIELDS(JobStateCall, m.call, m.address, m.job);
 CHIVEDALE_FIELDS(JobStateAnswer, m.call, m.is_leader, m.found, m.state);
 CHIVEDALE_FIELDS(AdviceCall, m.call, m.address, m.step, m.executors, m.timeout);
