Count failed runs as evidence about their job first

After the tasks of one hopeless job had failed on all executors of a service at the same time, a task that lasts was not started again for 11.9 s while all executors were idle.

Cause: ExecutorHealth::OnFailed took each failure as evidence against the executor, and doubled the time for which it is avoided with each of them, also of one job at one moment. PoolStateOf left avoided executors out even if no other was left.

Change: a job that fails on three executors, or on two with its attempts used up, and completes on none fails by itself; its failures count against no executor. An executor is avoided after failures of two other jobs, or two of a job that runs elsewhere. Afterwards it gets a task a second until a run completes. Of the executors that may run a step at most half are kept from it; of the others the least suspect are probed. Events 1307 and 1314, the reason of event 1206 and two metrics show it.

--- a/cell/job.h
+++ b/cell/job.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/job_failures.h"
 #include "cell/ports.h"
 #include "cell/step_advice.h"
 #include "cell/step_wait.h"
@@ -121,6 +122,7 @@
   bool OnDone(Step& step, int task);
   // Records a failed run. Returns true if the job fails as a result.
   bool OnFailed(Step& step, int task, int64_t run, const ExecutorId& executor);
+  JobFailures& failures() { return failures_; }
   void Cancel();
   // Restores progress stored by an earlier leader. Throws std::runtime_error
   // if the bytes are malformed.
@@ -194,6 +196,7 @@
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
+  JobFailures failures_;
   // Those below were opened; they are finished if they are not in open_.
   int next_occurrence_ = 0;
   std::map<int, Occurrence> open_;  // by occurrence number
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -129,6 +129,9 @@
   // Usable executors of a pool and their resources in the current pass.
   struct PoolState {
     std::vector<Executor*> usable;
+    // Would be usable, but have failed, or got a task on probation just now;
+    // the least suspect first.
+    std::vector<Executor*> avoided;
     Resources capacity;  // of all usable executors
     Resources free;
     // Maximum free amount of each resource on any single executor. An upper
@@ -294,6 +297,11 @@
   void CheckOverdue(Executor& executor);
   void RetryStops(Executor& executor);
   void StopRunsOnDraining(Executor& executor);
+  bool HasOutlastedElsewhere(const Job& job,
+                             const Executor& executor,
+                             Duration ran) const;
+  // `begin`: of the run.
+  void OnRunFailed(Executor& executor, Job& job, TimePoint begin);
   void RestartElsewhere(Executor& executor, Run& run, const char* reason);
 
   // leader_pace.cc: throttling of filling tasks beside serving tasks.
@@ -364,6 +372,7 @@
   std::vector<Executor*> WithValidTicket(Step& step,
                                          const std::vector<Executor*>& eligible,
                                          const PoolState& pool);
+  bool HasValidTicket(const Step& step, const Executor& executor) const;
   // Requests advice on executors of the pool if the step needs it now.
   // `room_expired`: an executor with room for it has an expired ticket.
   void RenewAdvice(Step& step, const PoolState& pool, bool room_expired);
@@ -408,9 +417,22 @@
   static void MeasureFree(PoolState& pool);
   // Whether the executor has the step's label and is large enough for a task.
   static bool IsEligible(const Step& step, const Executor& executor);
-  static bool HasEligibleExecutor(const Step& step, const PoolState& pool);
+  static bool HasEligibleExecutor(const Step& step,
+                                  const std::vector<Executor*>& executors);
+  // Why the step runs on none of the candidates.
+  static WaitReason ReasonOfNoPlace(const Step& step,
+                                    const PoolState& pool,
+                                    const std::vector<Executor*>& candidates);
   // Usable executors that may run the step, as far as its advice is known.
   std::vector<Executor*> EligibleFor(const Step& step, const PoolState& pool);
+  // Avoided executors that the step may use all the same, because at most half
+  // of those that may run it are kept from it.
+  std::vector<Executor*> ProbesFor(const Step& step, const PoolState& pool);
+  // Starts up to `most` tasks, or the gang, on candidates and probes.
+  bool PlaceOnProbes(Step& step,
+                     const PoolState& pool,
+                     std::vector<Executor*> candidates,
+                     int most);
   bool IsWorthPreempting(const Run& run) const;
   void Preempt(Step& step, const std::vector<Executor*>& candidates);
   // Reserves executors for the step, which less urgent steps then cannot use.
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -70,6 +70,13 @@
 
 }  // namespace
 
+bool CellLeader::HasValidTicket(const Step& step,
+                                const Executor& executor) const {
+  const StepTicket* ticket = step.advice.TicketOf(executor.boot.number);
+  return ticket != nullptr &&
+         ticket->expires - context_.clock.Now() > kTicketMargin;
+}
+
 std::vector<Executor*> CellLeader::WithValidTicket(
     Step& step,
     const std::vector<Executor*>& eligible,
@@ -77,19 +84,20 @@
   if (!PolicyOf(*step.job).advice) {
     return eligible;
   }
-  const TimePoint now = context_.clock.Now();
   const Resources size = ResourcesFor(*step.spec);
   std::vector<Executor*> usable;
   usable.reserve(eligible.size());
   bool room_expired = false;
   for (Executor* executor : eligible) {
-    const StepTicket& ticket = *step.advice.TicketOf(executor->boot.number);
-    if (ticket.expires - now > kTicketMargin) {
+    if (HasValidTicket(step, *executor)) {
       usable.push_back(executor);
     } else if (size.FitsIn(executor->Free())) {
       room_expired = true;
     }
   }
+  for (const Executor* executor : ProbesFor(step, pool)) {
+    room_expired = room_expired || !HasValidTicket(step, *executor);
+  }
   RenewAdvice(step, pool, room_expired);
   return usable;
 }
@@ -110,7 +118,9 @@
   // call would end.
   const Duration refresh_before = policy->call_time + kAdviceRoundTrip;
   std::vector<Executor*> requested;
-  for (Executor* executor : pool.usable) {
+  std::vector<Executor*> usable = ProbesFor(step, pool);
+  usable.insert(usable.end(), pool.usable.begin(), pool.usable.end());
+  for (Executor* executor : usable) {
     using Kind = StepAdvice::Kind;
     const Kind kind = step.advice.KindOf(executor->boot.number);
     if (kind == Kind::kBad || !IsEligible(step, *executor)) {
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -107,7 +107,9 @@
   int64_t looks = 0;   // times that a pass considered a step
   int64_t stops = 0;
   int64_t preempted = 0;
-  int64_t advice = 0;  // advice calls
+  int64_t avoided = 0;  // times that an executor was avoided after failures
+  int64_t probes = 0;   // starts on such an executor
+  int64_t advice = 0;   // advice calls
   int64_t progress_writes = 0;
   int64_t rejected_writes = 0;  // of progress, rejected as invalid
 };
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -342,7 +342,8 @@
   if (end.end == RunEnd::kDone && !step->spec->long_running) {
     // Run times of resumed runs are not comparable to the declared one.
     const Duration whole = task.checkpoint.empty() ? took : Duration(0);
-    executor.boot.health.OnDone(whole, step->spec->estimate, now);
+    executor.boot.health.OnDone(now - took, whole, step->spec->estimate, now);
+    job.failures().OnDone(executor.boot.number);
     if (took > Duration(0)) {
       context_.metrics.Observe(Timer::kRun, job.queue().name, took);
     }
@@ -365,12 +366,11 @@
     return;
   }
   if (end.end == RunEnd::kFailed) {
-    if (executor.boot.health.OnFailed(now)) {
-      context_.log.Write(Event::kExecutorAvoided,
-                         {{"executor", executor.entry.id}});
-    }
     MarkDirty(job);
-    if (job.OnFailed(*step, name.index, end.run, executor.entry.id)) {
+    const bool job_failed =
+        job.OnFailed(*step, name.index, end.run, executor.entry.id);
+    OnRunFailed(executor, job, now - took);
+    if (job_failed) {
       EndJob(job);
     }
   }
--- a/cell/leader_headroom.cc
+++ b/cell/leader_headroom.cc
@@ -85,7 +85,8 @@
   const auto needed = std::chrono::duration_cast<Duration>(
       step.job->ChainEstimate() * kMinSlackFactor);
   if (top == urgent_priority_.end() || policy.priority <= top->second ||
-      spec.long_running || context_.clock.Now() + needed > step.objective) {
+      pool.usable.empty() || spec.long_running ||
+      context_.clock.Now() + needed > step.objective) {
     return spec.count;
   }
   const Resources& use = urgent_use_.at(policy.pool);
--- a/cell/leader_health.cc
+++ b/cell/leader_health.cc
@@ -136,6 +136,62 @@
   }
 }
 
+// Whether a run of the job is known to have run for longer than `ran` on
+// another executor.
+bool CellLeader::HasOutlastedElsewhere(const Job& job,
+                                       const Executor& executor,
+                                       Duration ran) const {
+  for (const auto& [number, occurrence] : job.open()) {
+    for (const Step& step : occurrence.steps) {
+      for (const auto& [id, count] : step.live_on) {
+        const Executor& other = *executors_.at(id);
+        if (&other == &executor) {
+          continue;
+        }
+        for (const auto& [name, run] : other.runs()) {
+          if (run.step == &step && run.phase == RunPhase::kRunning &&
+              other.boot.answered_hold_sent - run.running_since > ran) {
+            return true;
+          }
+        }
+      }
+    }
+  }
+  return false;
+}
+
+// That a job fails by itself shows only with its failure on the last of several
+// executors. So its failures on the first ones are discounted then.
+void CellLeader::OnRunFailed(Executor& executor, Job& job, TimePoint begin) {
+  const TimePoint now = context_.clock.Now();
+  const size_t boot = executor.boot.number;
+  JobFailures& failures = job.failures();
+  failures.OnFailed(boot, now);
+  if (failures.FailsAnywhere(job.state() == JobState::kFailed, now)) {
+    for (const size_t number : failures.FailedOn(now)) {
+      if (Executor* const other = by_number_[number]) {
+        other->boot.health.DiscountFailuresOf(job.id(), now);
+      }
+    }
+    return;
+  }
+  const bool runs_elsewhere =
+      failures.FailsOnlyOn(boot, now) &&
+      (failures.HasCompletedElsewhere(boot) ||
+       HasOutlastedElsewhere(job, executor, now - begin));
+  ExecutorHealth& health = executor.boot.health;
+  if (health.OnFailed({job.id(), begin, runs_elsewhere}, now)) {
+    ++counts_.avoided;
+    context_.log.Write(
+        Event::kExecutorAvoided,
+        {{"executor", executor.entry.id},
+         {"ms", std::to_string(
+                    std::chrono::duration_cast<Millis>(health.avoid_duration())
+                        .count())}});
+    RequestSchedulingPass();
+  }
+}
+
 void CellLeader::RetryStops(Executor& executor) {
   const TimePoint now = context_.clock.Now();
   for (auto& [name, run] : executor.runs()) {
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -37,6 +37,12 @@
   if (!executor.hold_in_flight) {
     ScheduleHold(executor, std::max(now, executor.next_hold));
   }
+  if (executor.boot.health.on_probation(now)) {
+    executor.boot.health.OnProbed(now);
+    ++counts_.probes;
+    context_.log.Write(Event::kExecutorProbed, {{"executor", executor.entry.id},
+                                                {"task", name.Text()}});
+  }
   task.started = now;
   if (task.live == 1) {
     step.wait.OnStartSent();
@@ -145,11 +151,11 @@
   record.retry_at = now + kRejectedRetryDelay;
   switch (reply.result) {
     case OrderResult::kUnhealthy:
-      executor.boot.health.AvoidUntil(now + kUnhealthyAvoidTime);
+      executor.boot.health.OnRejected(now + kUnhealthyAvoidTime);
       record.retry_at = now;
       break;
     case OrderResult::kInsufficientCapacity:
-      executor.boot.health.AvoidUntil(now + kRejectedRetryDelay);
+      executor.boot.health.OnRejected(now + kRejectedRetryDelay);
       break;
     case OrderResult::kBadTicket:
       // The executor may have restarted; request new advice on it.
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -132,18 +132,30 @@
     const TimePoint now = context_.clock.Now();
     pool.usable.reserve(executors->second.size());
     for (Executor* executor : executors->second) {
-      if (!IsUsable(*executor) || executor->boot.health.avoided(now) ||
+      if (!IsUsable(*executor) || executor->boot.health.rejects(now) ||
           executor->has_unknown_run()) {
         continue;
       }
       if (!IsSameIncarnation(*executor, now)) {
         RequestCheck(*executor);
+      } else if (executor->boot.health.avoided(now) ||
+                 !executor->boot.health.MayStart(now)) {
+        pool.avoided.push_back(executor);
       } else {
         executor->usable_in_pass = counts_.passes;
         pool.usable.push_back(executor);
         pool.capacity += executor->entry.capacity;
       }
     }
+    std::sort(pool.avoided.begin(), pool.avoided.end(),
+              [](const Executor* a, const Executor* b) {
+                const ExecutorHealth& first = a->boot.health;
+                const ExecutorHealth& second = b->boot.health;
+                return std::make_tuple(first.avoid_duration(),
+                                       first.failure_rate(), a->boot.number) <
+                       std::make_tuple(second.avoid_duration(),
+                                       second.failure_rate(), b->boot.number);
+              });
     MeasureFree(pool);
   }
   return pool;
@@ -195,6 +207,44 @@
   return eligible;
 }
 
+std::vector<Executor*> CellLeader::ProbesFor(const Step& step,
+                                             const PoolState& pool) {
+  const auto may_run = [&](const Executor* executor) {
+    return IsEligible(step, *executor) &&
+           step.advice.KindOf(executor->boot.number) != StepAdvice::Kind::kBad;
+  };
+  std::vector<Executor*> probes;
+  std::copy_if(pool.avoided.begin(), pool.avoided.end(),
+               std::back_inserter(probes), may_run);
+  size_t others = 0;
+  for (auto it = pool.usable.begin();
+       it != pool.usable.end() && others < probes.size(); ++it) {
+    others += may_run(*it) ? 1 : 0;
+  }
+  probes.resize((probes.size() - others + 1) / 2);
+  return probes;
+}
+
+bool CellLeader::PlaceOnProbes(Step& step,
+                               const PoolState& pool,
+                               std::vector<Executor*> candidates,
+                               int most) {
+  const TimePoint now = context_.clock.Now();
+  const bool needs_ticket = PolicyOf(*step.job).advice.has_value();
+  const size_t without_probes = candidates.size();
+  for (Executor* executor : ProbesFor(step, pool)) {
+    if (executor->boot.health.MayStart(now) &&
+        (!needs_ticket || HasValidTicket(step, *executor))) {
+      candidates.push_back(executor);
+    }
+  }
+  if (candidates.size() == without_probes) {
+    return false;
+  }
+  return step.spec->gang ? PlaceGang(step, candidates)
+                         : PlaceTasks(step, candidates, most);
+}
+
 void CellLeader::ScheduleStep(Step& step) {
   const TimePoint now = context_.clock.Now();
   const QueuePolicy& policy = PolicyOf(*step.job);
@@ -247,21 +297,21 @@
     return;
   }
   const int64_t starts_before = counts_.starts;
-  const bool placed = step.spec->gang ? PlaceGang(step, candidates)
-                                      : PlaceTasks(step, candidates, most);
-  for (int64_t i = starts_before; i < counts_.starts; ++i) {
+  bool placed = step.spec->gang ? PlaceGang(step, candidates)
+                                : PlaceTasks(step, candidates, most);
+  const int started = static_cast<int>(counts_.starts - starts_before);
+  for (int i = 0; i < started; ++i) {
     pool.free -= size;
     pool.max_free_stale = true;
   }
+  if (!placed && !pool.avoided.empty()) {
+    placed = PlaceOnProbes(step, pool, candidates, most - started);
+  }
   if (placed) {
     step.wait.SetReason(ReasonOfRest(step, now), now);
     return;
   }
-  step.wait.SetReason(!HasEligibleExecutor(step, pool)
-                          ? WaitReason::kNoMatchingExecutor
-                      : candidates.empty() ? WaitReason::kAdvice
-                                           : WaitReason::kRoom,
-                      now);
+  step.wait.SetReason(ReasonOfNoPlace(step, pool, candidates), now);
   if (!candidates.empty()) {
     Preempt(step, candidates);
   }
@@ -270,12 +320,25 @@
   ReserveExecutors(step, eligible, pool);
 }
 
-bool CellLeader::HasEligibleExecutor(const Step& step, const PoolState& pool) {
+bool CellLeader::HasEligibleExecutor(const Step& step,
+                                     const std::vector<Executor*>& executors) {
   return std::any_of(
-      pool.usable.begin(), pool.usable.end(),
+      executors.begin(), executors.end(),
       [&](const Executor* executor) { return IsEligible(step, *executor); });
 }
 
+WaitReason CellLeader::ReasonOfNoPlace(
+    const Step& step,
+    const PoolState& pool,
+    const std::vector<Executor*>& candidates) {
+  if (HasEligibleExecutor(step, pool.usable)) {
+    return candidates.empty() ? WaitReason::kAdvice : WaitReason::kRoom;
+  }
+  return HasEligibleExecutor(step, pool.avoided)
+             ? WaitReason::kAvoidedExecutors
+             : WaitReason::kNoMatchingExecutor;
+}
+
 bool CellLeader::PlaceTasks(Step& step,
                             const std::vector<Executor*>& candidates,
                             int most) {
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -146,6 +146,7 @@
     for (Slot& slot : slots) {
       Executor& executor = *slot.executor;
       if (!size.FitsIn(executor.Free()) ||
+          !executor.boot.health.MayStart(now) ||
           (spec.max_per_executor > 0 && slot.live >= spec.max_per_executor) ||
           (!name.empty() && executor.FindRun(name) != nullptr)) {
         continue;
@@ -201,8 +202,11 @@
   for (Executor* executor : candidates) {
     Resources free = executor->Free();
     int places = 0;
-    const int bound =
-        spec.max_per_executor > 0 ? spec.max_per_executor : spec.count;
+    const ExecutorHealth& health = executor->boot.health;
+    const int bound = !health.MayStart(now)       ? 0
+                      : health.avoided(now)       ? 1
+                      : spec.max_per_executor > 0 ? spec.max_per_executor
+                                                  : spec.count;
     while (places < std::min(bound, spec.count) && size.FitsIn(free)) {
       free -= size;
       ++places;
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -29,6 +29,8 @@
         << "chivedale_ends_total " << counts.ends << "\n"
         << "chivedale_stops_total " << counts.stops << "\n"
         << "chivedale_preempted_total " << counts.preempted << "\n"
+        << "chivedale_executors_avoided_total " << counts.avoided << "\n"
+        << "chivedale_probes_total " << counts.probes << "\n"
         << "chivedale_holds_total " << counts.holds << "\n"
         << "chivedale_passes_total " << counts.passes << "\n"
         << "chivedale_advice_calls_total " << counts.advice << "\n"
--- a/cell/step_wait.cc
+++ b/cell/step_wait.cc
@@ -6,13 +6,14 @@
 namespace chivedale::cell {
 namespace {
 
-constexpr std::array<std::string_view, 15> kWaitReasonTexts = {
+constexpr std::array<std::string_view, 16> kWaitReasonTexts = {
     "the next scheduling pass",
     "its retry time",
     "room, behind more urgent steps",
     "executors that have not listed their runs to this leader",
     "room beyond the headroom for urgent jobs",
     "a usable executor that matches its label and size",
+    "an executor that is avoided after failures",
     "advice, or executors it allows",
     "room",
     "the end of the gang's earlier run",
--- a/cell/step_wait.h
+++ b/cell/step_wait.h
@@ -25,6 +25,7 @@
   kUnreadExecutors,
   kHeadroom,
   kNoMatchingExecutor,
+  kAvoidedExecutors,
   kAdvice,
   kRoom,
   kEarlierGangRun,
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -96,6 +96,7 @@
   kExecutorRowRejected = 1311,
   kExecutorLeasesExpired = 1312,
   kExecutorOtherBoot = 1313,
+  kExecutorProbed = 1314,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
