Replace a leader that the store turns away however weak the others are

What callers saw: all runs of a cell lapsed and nothing was started while the store turned the strongest daemon away, though it answered all others.

Cause: each heartbeat of the leader ended the suspicion "store does not answer the leader" before members of less than a third of its strength became candidates; while they suspected it, they gave it no authority either.

Change: this suspicion ends with the store's answer to the leader, a new leader, or a failed call of the member's own, rather than with a heartbeat. The time for which the store fails counts calls by when they were sent, so that a watch under way does not reset it. Leaders yield only to members that the store answers.

--- a/cell/election.cc
+++ b/cell/election.cc
@@ -122,7 +122,7 @@
   } else if (now - last_beat_ > options_.beat_timeout) {
     CheckSilence();
   }
-  if (suspected_ && now >= next_candidacy_) {
+  if (IsSuspected() && now >= next_candidacy_) {
     StartCandidacy();
   }
 }
@@ -158,15 +158,29 @@
 // be elected at any time, also by an earlier write that takes effect late.
 bool Election::MayFollow(int64_t term) const {
   return (!leader_ || leader_->term <= term) &&
-         machine_->state() == kFollower && (!suspected_ || leaving_);
+         machine_->state() == kFollower && (!IsSuspected() || leaving_);
 }
 
 void Election::Suspect(const std::string& reason, bool gone) {
   leader_gone_ = leader_gone_ || gone;
-  if (suspected_ || leading() || leaving_) {
+  SetSuspected(suspected_, reason);
+}
+
+void Election::SuspectUnable(const std::string& reason) {
+  SetSuspected(unable_, reason);
+}
+
+void Election::OnLeaderAble() {
+  unable_ = false;
+}
+
+void Election::SetSuspected(bool& flag, const std::string& reason) {
+  if (leading() || leaving_) {
     return;
   }
-  suspected_ = true;
+  if (std::exchange(flag, true) || (suspected_ && unable_)) {
+    return;  // the delay of the first suspicion counts
+  }
   const Millis initial_delay = leader_ ? Millis(0) : options_.initial_delay;
   const Millis max_jitter(random_.UniformInt(
       static_cast<uint64_t>(options_.max_jitter.count()) + 1));
@@ -214,6 +228,7 @@
   last_heard_ = TimePoint();
   asked_at_ = TimePoint();
   suspected_ = false;
+  unable_ = false;
   const bool predecessor_gone = std::exchange(leader_gone_, false);
   const bool is_self =
       record && record->node == self_.node && record->boot_id == self_.boot_id;
@@ -256,6 +271,7 @@
   last_heard_ = last_beat_;
   asked_at_ = TimePoint();
   suspected_ = false;
+  unable_ = false;
   leader_gone_ = false;
   StepDown("another member leads in a later term");
 }
--- a/cell/election.h
+++ b/cell/election.h
@@ -102,6 +102,10 @@
   // waiting for the heartbeat timeout. `gone`: its process is known to have
   // ended.
   void Suspect(const std::string& reason, bool gone);
+  // Reports that the leader sends heartbeats and cannot lead on. Other
+  // suspicions end with a heartbeat, this one with OnLeaderAble().
+  void SuspectUnable(const std::string& reason);
+  void OnLeaderAble();
   // Prevents this member from becoming the leader. If it leads now, it keeps
   // leading until another member is elected.
   void StopCompeting();
@@ -124,6 +128,9 @@
  private:
   struct Machine;
 
+  bool IsSuspected() const { return suspected_ || unable_; }
+  // Sets one of the flags.
+  void SetSuspected(bool& flag, const std::string& reason);
   void CheckSilence();
   void StartCandidacy();
   void OnWritten(Outcome outcome, int64_t revision, int64_t term);
@@ -145,7 +152,8 @@
   TimePoint asked_at_{};    // when other members were asked; zero if not
   TimePoint last_tick_{};
   TimePoint next_candidacy_{};
-  bool suspected_ = false;
+  bool suspected_ = false;  // until the next heartbeat
+  bool unable_ = false;
   bool leader_gone_ = false;
   bool leaving_ = false;
 };
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -202,7 +202,7 @@
   return leader_ != nullptr && now - leading_since_ > kMinLeadTime &&
          std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
            const Member& member = entry.second;
-           return now - member.last_heard < kMemberTimeout &&
+           return now - member.last_heard < kMemberTimeout && member.store_ok &&
                   options_.strength < kYieldStrengthRatio * member.strength;
          });
 }
@@ -288,6 +288,7 @@
   if (leader_ != nullptr || members_.count(beat.node) > 0) {
     Member& member = members_[beat.node];
     member.last_heard = context_.clock.Now();
+    member.store_ok = beat.store_ok;
     member.boot_id = beat.boot_id;
     member.address = beat.address;
   }
@@ -321,6 +322,7 @@
     CheckStoreForLeader();
   } else {
     leader_store_lost_since_ = TimePoint();
+    election_->OnLeaderAble();
   }
 }
 
@@ -332,6 +334,8 @@
   ReadLeaderKey(kCellTimeout, [this](const StoreRead& read) {
     checking_store_ = false;
     if (read.status != StoreStatus::kOk) {
+      // Nobody can replace the leader now, which then needs its followers.
+      election_->OnLeaderAble();
       return;
     }
     // When the store recovers, some member gets an answer first.
@@ -340,7 +344,7 @@
     if (leader_store_lost_since_ == TimePoint()) {
       leader_store_lost_since_ = now;
     } else if (now - leader_store_lost_since_ > kLeaderStoreTimeout) {
-      election_->Suspect("store does not answer the leader", false);
+      election_->SuspectUnable("store does not answer the leader");
     }
   });
 }
--- a/cell/node.h
+++ b/cell/node.h
@@ -132,6 +132,7 @@
     std::string address;
     double strength = 0;
     TimePoint last_heard{};
+    bool store_ok = true;  // as it last reported
   };
 
   void ListCell();
@@ -154,7 +155,7 @@
   CellBeat MakeBeat() const;
   // Election delay that lets stronger members go first.
   Millis CandidacyDelay() const;
-  // True if a much stronger member is alive and should lead.
+  // True if a much stronger member is alive, reaches the store and should lead.
   bool ShouldYield() const;
 
   // node_reachability.cc
--- a/cell/node_members.cc
+++ b/cell/node_members.cc
@@ -140,6 +140,7 @@
                   const auto listed = members_.find(node);
                   if (listed != members_.end()) {
                     listed->second.last_heard = known.last_heard;
+                    listed->second.store_ok = known.store_ok;
                   } else if (now - known.last_heard < kRecentlyHeard) {
                     members_[node] = known;
                   }
--- a/cell/store_monitor.cc
+++ b/cell/store_monitor.cc
@@ -5,20 +5,24 @@
 namespace chivedale::cell {
 
 StoreMonitor::StoreMonitor(const Clock& clock, EventLog& log, StorePort& store)
-    : state_(std::make_shared<State>(State{clock, log, false, {}})),
+    : state_(std::make_shared<State>(State{clock, log, false, {}, {}})),
       store_(store) {}
 
 Duration StoreMonitor::State::FailingFor() const {
   return failing ? clock.Now() - failing_since : Duration(0);
 }
 
-void StoreMonitor::State::RecordStatus(StoreStatus status) {
+void StoreMonitor::State::RecordStatus(StoreStatus status, TimePoint sent) {
   const bool failed =
       status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
   if (failed && !failing) {
     failing_since = clock.Now();
+    first_failed_sent = sent;
     log.Write(Event::kStoreDown, {});
   } else if (!failed && failing) {
+    if (sent < first_failed_sent) {
+      return;
+    }
     const auto ms = std::chrono::duration_cast<Millis>(FailingFor());
     log.Write(Event::kStoreUp, {{"ms", std::to_string(ms.count())}});
   }
@@ -32,8 +36,9 @@
 void StoreMonitor::Read(const std::string& key, Millis timeout, OnRead done) {
   ++calls_;
   store_.Read(key, timeout,
-              [state = state_, done = std::move(done)](StoreRead read) {
-                state->RecordStatus(read.status);
+              [state = state_, sent = state_->clock.Now(),
+               done = std::move(done)](StoreRead read) {
+                state->RecordStatus(read.status, sent);
                 done(std::move(read));
               });
 }
@@ -43,8 +48,9 @@
                         OnRead done) {
   ++calls_;
   store_.List(prefix, timeout,
-              [state = state_, done = std::move(done)](StoreRead read) {
-                state->RecordStatus(read.status);
+              [state = state_, sent = state_->clock.Now(),
+               done = std::move(done)](StoreRead read) {
+                state->RecordStatus(read.status, sent);
                 done(std::move(read));
               });
 }
@@ -56,8 +62,9 @@
                          OnRead done) {
   ++calls_;
   store_.Watch(prefix, after, wait, margin,
-               [state = state_, done = std::move(done)](StoreRead read) {
-                 state->RecordStatus(read.status);
+               [state = state_, sent = state_->clock.Now(),
+                done = std::move(done)](StoreRead read) {
+                 state->RecordStatus(read.status, sent);
                  done(std::move(read));
                });
 }
@@ -67,8 +74,9 @@
                          OnWrite done) {
   ++calls_;
   store_.Write(write, timeout,
-               [state = state_, done = std::move(done)](StoreWriteReply reply) {
-                 state->RecordStatus(reply.status);
+               [state = state_, sent = state_->clock.Now(),
+                done = std::move(done)](StoreWriteReply reply) {
+                 state->RecordStatus(reply.status, sent);
                  done(std::move(reply));
                });
 }
--- a/cell/store_monitor.h
+++ b/cell/store_monitor.h
@@ -30,7 +30,8 @@
   // Queries.
   // Time since the first of the consecutive calls that failed; 0 if the last
   // call succeeded. A call fails if it is refused or not answered; a conflict
-  // or a missing key is an answer.
+  // or a missing key is an answer. The success of a call that was sent before
+  // the first of them, such as a watch, does not count.
   Duration failing_for() const;
   int64_t calls() const { return calls_; }
 
@@ -41,9 +42,10 @@
     EventLog& log;
     bool failing = false;
     TimePoint failing_since{};
+    TimePoint first_failed_sent{};  // when the first of those calls was sent
 
     Duration FailingFor() const;
-    void RecordStatus(StoreStatus status);
+    void RecordStatus(StoreStatus status, TimePoint sent);
   };
 
   const std::shared_ptr<State> state_;
