Reserve only what a waiting gang needs to begin sooner

A task that lasts was not started again for 20 s, with 18 of 32 cores free on each executor, while a gang waited for long tasks.

Cause: ReserveExecutors keeps as many executors as the gang has tasks, whole. The exception for starved steps left out those of which another task runs.

Change: cell/reservations.h keeps the room of the gang's members from when the last of them can begin. Other tasks run there if they end before, or if the gang fits beside them. A task that lasts waits for its restart for 4 s at most. The reservations and the probes of avoided executors are in files of their own.

--- a/cell/job.h
+++ b/cell/job.h
@@ -54,6 +54,8 @@
   int relocations = 0;   // moves off a slow executor
   int preemptions = 0;   // by this leader
   TimePoint started{};   // of the latest run
+  // Scheduling passes find it waiting since then; not set while it does not.
+  TimePoint waiting_since{};
 };
 
 class Job;
@@ -84,6 +86,10 @@
   bool Finished() const { return done == static_cast<int>(tasks.size()); }
   // Number of tasks that are not done and have no live run.
   int Waiting() const;
+  // Whether one of them may be started now.
+  bool HasTaskToStart(TimePoint now) const;
+  // Sets Task::waiting_since.
+  void NoteWaitingTasks(TimePoint now);
 };
 
 struct Occurrence {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -33,8 +33,10 @@
 #include "cell/leader_context.h"
 #include "cell/leader_load.h"
 #include "cell/placer.h"
+#include "cell/pool_state.h"
 #include "cell/ports.h"
 #include "cell/progress_queue.h"
+#include "cell/reservations.h"
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/metrics.h"
@@ -126,28 +128,6 @@
  private:
   friend class testing::CellLeaderPeer;
 
-  // Usable executors of a pool and their resources in the current pass.
-  struct PoolState {
-    std::vector<Executor*> usable;
-    // Would be usable, but have failed, or got a task on probation just now;
-    // the least suspect first.
-    std::vector<Executor*> avoided;
-    Resources capacity;  // of all usable executors
-    Resources free;
-    // Maximum free amount of each resource on any single executor. An upper
-    // bound if it is stale.
-    Resources max_free;
-    bool max_free_stale = false;
-    int reserving_steps = 0;  // steps with reserved executors
-  };
-
-  struct StepOrder {
-    int priority;
-    bool late;  // past its objective
-    TimePoint objective;
-    Step* step;
-  };
-
   // leader_jobs.cc
   void LoadJobs();
   // Reads the jobs again after a failed read.
@@ -392,6 +372,14 @@
                   const std::vector<Executor*>& candidates,
                   int most);
   bool PlaceGang(Step& step, const std::vector<Executor*>& candidates);
+  // Starts up to `most` tasks on executors that are reserved for other steps,
+  // where that does not delay these.
+  void PlaceOnReserved(Step& step,
+                       const std::vector<Executor*>& reserved,
+                       int most);
+  int StartsSince(int64_t starts) const {
+    return static_cast<int>(counts_.starts - starts);
+  }
   // Whether a predecessor may have started tasks of the step on an executor
   // that this leader has not read yet.
   bool MayRunOnUnreadExecutor(const Step& step) const;
@@ -415,14 +403,6 @@
   bool HasUnreadExecutors() const;
   PoolState& PoolStateOf(const std::string& pool);
   static void MeasureFree(PoolState& pool);
-  // Whether the executor has the step's label and is large enough for a task.
-  static bool IsEligible(const Step& step, const Executor& executor);
-  static bool HasEligibleExecutor(const Step& step,
-                                  const std::vector<Executor*>& executors);
-  // Why the step runs on none of the candidates.
-  static WaitReason ReasonOfNoPlace(const Step& step,
-                                    const PoolState& pool,
-                                    const std::vector<Executor*>& candidates);
   // Usable executors that may run the step, as far as its advice is known.
   std::vector<Executor*> EligibleFor(const Step& step, const PoolState& pool);
   // Avoided executors that the step may use all the same, because at most half
@@ -439,9 +419,6 @@
   void ReserveExecutors(const Step& step,
                         const std::vector<Executor*>& candidates,
                         PoolState& pool);
-  // Whether the candidates would fit the step if they were otherwise empty.
-  bool WouldFitIfEmpty(const Step& step,
-                       const std::vector<Executor*>& candidates) const;
 
   // leader_runs.cc: starting and stopping of runs.
   void Start(Executor& executor, Step& step, int task, int64_t number);
@@ -592,7 +569,7 @@
 
   bool pass_requested_ = false;
   // State of the current scheduling pass.
-  std::set<const Executor*> reserved_;
+  Reservations reserved_;
   std::map<std::string, PoolState> pool_states_;
   TimePoint next_pass_{};
   TimePoint next_check_{};
--- a/cell/leader_headroom.cc
+++ b/cell/leader_headroom.cc
@@ -21,10 +21,14 @@
 // job's critical path ignores the headroom.
 constexpr double kMinSlackFactor = 1.2;
 
-// A step without a live run that became ready longer ago than this may also use
+// A step without a live run that became ready longer ago than this, or one of
+// which a long-running task has waited for its restart as long, may also use
 // reserved executors if at least half of its pool is free. Otherwise a
 // reservation that waits for one long task would leave the pool visibly idle.
 constexpr Millis kStarvationTime{1'500};
+// A long-running task that has run before waits for a reservation no longer
+// than this, however full its pool is.
+constexpr Millis kMaxRestartWait{4'000};
 
 int64_t Smoothed(int64_t before, int64_t now) {
   return before + static_cast<int64_t>(kSmoothingWeight *
@@ -113,8 +117,22 @@
   const auto half_free = [](int64_t each, int64_t free, int64_t capacity) {
     return each <= 0 || 2 * free >= capacity;
   };
-  return step.live_on.empty() &&
-         context_.clock.Now() - step.ready_since > kStarvationTime &&
+  const TimePoint now = context_.clock.Now();
+  const auto restart_waits = [&](Millis time) {
+    return step.spec->long_running &&
+           std::any_of(step.tasks.begin(), step.tasks.end(),
+                       [&](const Task& task) {
+                         return task.live == 0 && task.last_run > 0 &&
+                                task.waiting_since != TimePoint() &&
+                                now - task.waiting_since > time;
+                       });
+  };
+  if (restart_waits(kMaxRestartWait)) {
+    return true;
+  }
+  const bool idle =
+      step.live_on.empty() && now - step.ready_since > kStarvationTime;
+  return (idle || restart_waits(kStarvationTime)) &&
          half_free(size.cpu_milli, pool.free.cpu_milli,
                    pool.capacity.cpu_milli) &&
          half_free(size.memory_mb, pool.free.memory_mb,
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -44,6 +44,7 @@
                                                 {"task", name.Text()}});
   }
   task.started = now;
+  task.waiting_since = TimePoint();
   if (task.live == 1) {
     step.wait.OnStartSent();
   }
@@ -291,7 +292,7 @@
         WithValidTicket(*step, EligibleFor(*step, pool), pool);
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                     [&](const Executor* executor) {
-                                      return reserved_.count(executor) > 0 ||
+                                      return reserved_.Contains(*executor) ||
                                              executor->boot.health.suspect();
                                     }),
                      candidates.end());
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -14,12 +14,17 @@
 // Minimum idle time between passes, as a multiple of the time that the last one
 // spent without starting anything.
 constexpr int kPassIdleFactor = 3;
-// Number of steps that may reserve executors in one pass.
-constexpr int kMaxReservingSteps = 4;
 
 // A task that was preempted before runs at least this long before it is
 // preempted again, so that it makes progress.
 constexpr Millis kMinRunAfterPreemption{2'000};
+// A step with tasks to start, in the order of a pass.
+struct StepOrder {
+  int priority;
+  bool late;  // past its objective
+  TimePoint objective;
+  Step* step;
+};
 
 // Why tasks of a step still wait after all that could be started were.
 WaitReason ReasonOfRest(const Step& step, TimePoint now) {
@@ -39,6 +44,25 @@
   return delayed ? WaitReason::kRetryTime : WaitReason::kNextPass;
 }
 
+bool HasEligibleExecutor(const Step& step,
+                         const std::vector<Executor*>& executors) {
+  return std::any_of(
+      executors.begin(), executors.end(),
+      [&](const Executor* executor) { return IsEligible(step, *executor); });
+}
+
+// Why the step runs on none of the candidates.
+WaitReason ReasonOfNoPlace(const Step& step,
+                           const PoolState& pool,
+                           const std::vector<Executor*>& candidates) {
+  if (HasEligibleExecutor(step, pool.usable)) {
+    return candidates.empty() ? WaitReason::kAdvice : WaitReason::kRoom;
+  }
+  return HasEligibleExecutor(step, pool.avoided)
+             ? WaitReason::kAvoidedExecutors
+             : WaitReason::kNoMatchingExecutor;
+}
+
 // Whether no task of the step can be started before its first advice arrives.
 bool WaitsForFirstAdvice(const Step& step, const QueuePolicy& policy) {
   return policy.advice && !step.advice.answered && step.advice.call_in_flight;
@@ -99,7 +123,7 @@
               return std::tie(a.priority, a.late, a.objective, a.step) <
                      std::tie(b.priority, b.late, b.objective, b.step);
             });
-  reserved_.clear();
+  reserved_.Clear();
   pool_states_.clear();
   MeasureUrgentUse();
   Duration starting{0};
@@ -124,7 +148,7 @@
   load_.OnPass(now, end, {waiting_.size(), late});
 }
 
-CellLeader::PoolState& CellLeader::PoolStateOf(const std::string& name) {
+PoolState& CellLeader::PoolStateOf(const std::string& name) {
   const auto [found, added] = pool_states_.try_emplace(name);
   PoolState& pool = found->second;
   const auto executors = by_pool_.find(name);
@@ -175,12 +199,6 @@
   }
 }
 
-bool CellLeader::IsEligible(const Step& step, const Executor& executor) {
-  const StepSpec& spec = *step.spec;
-  return (spec.label.empty() || executor.HasLabel(spec.label)) &&
-         ResourcesFor(spec).FitsIn(executor.entry.capacity);
-}
-
 // A step with advice may run on about a hundred executors, so the others of its
 // pool are not looked at.
 std::vector<Executor*> CellLeader::EligibleFor(const Step& step,
@@ -207,44 +225,6 @@
   return eligible;
 }
 
-std::vector<Executor*> CellLeader::ProbesFor(const Step& step,
-                                             const PoolState& pool) {
-  const auto may_run = [&](const Executor* executor) {
-    return IsEligible(step, *executor) &&
-           step.advice.KindOf(executor->boot.number) != StepAdvice::Kind::kBad;
-  };
-  std::vector<Executor*> probes;
-  std::copy_if(pool.avoided.begin(), pool.avoided.end(),
-               std::back_inserter(probes), may_run);
-  size_t others = 0;
-  for (auto it = pool.usable.begin();
-       it != pool.usable.end() && others < probes.size(); ++it) {
-    others += may_run(*it) ? 1 : 0;
-  }
-  probes.resize((probes.size() - others + 1) / 2);
-  return probes;
-}
-
-bool CellLeader::PlaceOnProbes(Step& step,
-                               const PoolState& pool,
-                               std::vector<Executor*> candidates,
-                               int most) {
-  const TimePoint now = context_.clock.Now();
-  const bool needs_ticket = PolicyOf(*step.job).advice.has_value();
-  const size_t without_probes = candidates.size();
-  for (Executor* executor : ProbesFor(step, pool)) {
-    if (executor->boot.health.MayStart(now) &&
-        (!needs_ticket || HasValidTicket(step, *executor))) {
-      candidates.push_back(executor);
-    }
-  }
-  if (candidates.size() == without_probes) {
-    return false;
-  }
-  return step.spec->gang ? PlaceGang(step, candidates)
-                         : PlaceTasks(step, candidates, most);
-}
-
 void CellLeader::ScheduleStep(Step& step) {
   const TimePoint now = context_.clock.Now();
   const QueuePolicy& policy = PolicyOf(*step.job);
@@ -255,10 +235,10 @@
   }
   step.wait.OnConsidered(counts_.passes, now);
   ++counts_.looks;
-  // Skip a step that fits on no executor once kMaxReservingSteps earlier steps
-  // have reserved executors, unless it still needs its first advice call.
-  const bool may_be_blocked = pool.reserving_steps >= kMaxReservingSteps &&
-                              (!policy.advice || step.advice.answered);
+  // Skip a step that fits on no executor once no more steps may reserve
+  // executors, unless it still needs its first advice call.
+  const bool may_be_blocked =
+      !pool.MayReserve() && (!policy.advice || step.advice.answered);
   if (may_be_blocked && pool.max_free_stale) {
     MeasureFree(pool);
   }
@@ -283,12 +263,18 @@
   const auto remove_reserved = [&](std::vector<Executor*>& executors) {
     executors.erase(std::remove_if(executors.begin(), executors.end(),
                                    [&](const Executor* executor) {
-                                     return reserved_.count(executor) > 0;
+                                     return reserved_.Contains(*executor);
                                    }),
                     executors.end());
   };
+  step.NoteWaitingTasks(now);
   const bool starved = IsStarved(step, pool);
+  std::vector<Executor*> reserved;
   if (!reserved_.empty() && !starved) {
+    std::copy_if(candidates.begin(), candidates.end(),
+                 std::back_inserter(reserved), [&](const Executor* executor) {
+                   return reserved_.Contains(*executor);
+                 });
     remove_reserved(candidates);
   }
   const int most = MaxStartsWithinHeadroom(step, pool);
@@ -299,7 +285,11 @@
   const int64_t starts_before = counts_.starts;
   bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                 : PlaceTasks(step, candidates, most);
-  const int started = static_cast<int>(counts_.starts - starts_before);
+  if (!placed && !step.spec->gang) {
+    PlaceOnReserved(step, reserved, most - StartsSince(starts_before));
+    placed = !step.HasTaskToStart(now);
+  }
+  const int started = StartsSince(starts_before);
   for (int i = 0; i < started; ++i) {
     pool.free -= size;
     pool.max_free_stale = true;
@@ -320,25 +310,6 @@
   ReserveExecutors(step, eligible, pool);
 }
 
-bool CellLeader::HasEligibleExecutor(const Step& step,
-                                     const std::vector<Executor*>& executors) {
-  return std::any_of(
-      executors.begin(), executors.end(),
-      [&](const Executor* executor) { return IsEligible(step, *executor); });
-}
-
-WaitReason CellLeader::ReasonOfNoPlace(
-    const Step& step,
-    const PoolState& pool,
-    const std::vector<Executor*>& candidates) {
-  if (HasEligibleExecutor(step, pool.usable)) {
-    return candidates.empty() ? WaitReason::kAdvice : WaitReason::kRoom;
-  }
-  return HasEligibleExecutor(step, pool.avoided)
-             ? WaitReason::kAvoidedExecutors
-             : WaitReason::kNoMatchingExecutor;
-}
-
 bool CellLeader::PlaceTasks(Step& step,
                             const std::vector<Executor*>& candidates,
                             int most) {
@@ -385,63 +356,6 @@
   return true;
 }
 
-bool CellLeader::WouldFitIfEmpty(
-    const Step& step,
-    const std::vector<Executor*>& candidates) const {
-  const StepSpec& spec = *step.spec;
-  const Resources size = ResourcesFor(spec);
-  int places = 0;
-  const int wanted = spec.gang ? spec.count : 1;
-  for (const Executor* executor : candidates) {
-    Resources room = executor->entry.capacity;
-    for (int here = 0;
-         places < wanted && size.FitsIn(room) &&
-         (spec.max_per_executor == 0 || here < spec.max_per_executor);
-         ++here) {
-      room -= size;
-      ++places;
-    }
-  }
-  return places >= wanted;
-}
-
-void CellLeader::ReserveExecutors(const Step& step,
-                                  const std::vector<Executor*>& candidates,
-                                  PoolState& pool) {
-  if (pool.reserving_steps >= kMaxReservingSteps ||
-      !WouldFitIfEmpty(step, candidates)) {
-    return;
-  }
-  ++pool.reserving_steps;
-  // Executors with the smallest shortage are likely to fit the step first.
-  std::vector<Executor*> sorted;
-  const Resources size = ResourcesFor(*step.spec);
-  for (Executor* executor : candidates) {
-    if (size.FitsIn(executor->entry.capacity)) {
-      sorted.push_back(executor);
-    }
-  }
-  const auto shortage = [&](const Executor* executor) {
-    const Resources free = executor->Free();
-    const auto part = [](int64_t want, int64_t have) {
-      return want <= have || want <= 0
-                 ? 0.0
-                 : static_cast<double>(want - have) / static_cast<double>(want);
-    };
-    return std::max({part(size.cpu_milli, free.cpu_milli),
-                     part(size.memory_mb, free.memory_mb),
-                     part(size.accelerators, free.accelerators)});
-  };
-  std::sort(sorted.begin(), sorted.end(), [&](Executor* a, Executor* b) {
-    return shortage(a) < shortage(b);
-  });
-  const size_t wanted =
-      step.spec->gang ? static_cast<size_t>(step.spec->count) : 1;
-  for (size_t i = 0; i < sorted.size() && i < wanted; ++i) {
-    reserved_.insert(sorted[i]);
-  }
-}
-
 // A run that is about to end frees its resources about as soon as a stop would.
 bool CellLeader::IsWorthPreempting(const Run& run) const {
   const StepSpec& spec = *run.step->spec;
@@ -515,7 +429,7 @@
       room -= size;
       --wanted;
     }
-    reserved_.insert(executor);
+    reserved_.ReserveWhole(*executor);
   }
 }
 
--- a/cell/placer.cc
+++ b/cell/placer.cc
@@ -81,6 +81,12 @@
   return size;
 }
 
+bool IsEligible(const Step& step, const Executor& executor) {
+  const StepSpec& spec = *step.spec;
+  return (spec.label.empty() || executor.HasLabel(spec.label)) &&
+         ResourcesFor(spec).FitsIn(executor.entry.capacity);
+}
+
 double Placer::Cost(const Step& step, const Executor& executor) const {
   const StepSpec& spec = *step.spec;
   double time = std::clamp(executor.boot.health.TimeFactor(), 0.3, 20.0);
--- a/cell/placer.h
+++ b/cell/placer.h
@@ -52,6 +52,8 @@
 
 // Resources that a task commits on its executor.
 Resources ResourcesFor(const StepSpec& spec);
+// Whether the executor has the step's label and is large enough for a task.
+bool IsEligible(const Step& step, const Executor& executor);
 
 }  // namespace chivedale::cell
 
