Test a call of a predecessor that an executor executes late

With that time taken out of CellLeader::PredecessorLeasesEnd on purpose, RunsNoTaskTwiceIfACallOfThePredecessorIsExecutedLate fails (a task runs on two executors). No fault was found.

--- a/cell/testing/restarted_executor_test.cc
+++ b/cell/testing/restarted_executor_test.cc
@@ -193,6 +193,28 @@
   BOOST_TEST(!LeaderName().empty());
 }
 
+// Guards against a successor that counts leases from the end of its
+// predecessor's authority, though a call of the predecessor may be executed,
+// and grant one, seconds later.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceIfACallOfThePredecessorIsExecutedLate) {
+  for (int round = 0; round < 8; ++round) {
+    LinkFaults late;
+    late.late_orders = 1;
+    SetLink(late);
+    SubmitLongTasks();
+    RunFor(Millis(200));
+    Restart();
+    Kill(LeaderName());
+    CutWithRoomElsewhere();
+    RunFor(Millis(15'000));
+    Cancel("a", kJobId);
+    for (const char* name : {"a", "b", "c"}) {
+      FakeCell::Restart(name);
+    }
+    RunFor(Millis(30'000));
+  }
+}
+
 // An executor that has not started again for long is replaced as soon as the
 // usual lease has ended.
 BOOST_AUTO_TEST_CASE(ASuccessorDoesNotWaitLongerForOthers) {
