Restart tasks that last first once they have waited for 4 s

Cause: more urgent steps are considered first in each pass and took all room of a pool that is 95% in use. Besides, an overdue run counted as ended, so that room which was there while a step waited for its ticket was given away.

Change: a task that lasts and has waited for its restart for longer than 4 s is considered before more urgent steps, alone of its step, with advice before theirs.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -220,30 +220,6 @@
                                                             : state;
 }
 
-TaskName Step::NameOf(int task) const {
-  return {job->id(), occurrence, index, task};
-}
-
-bool Step::HasTaskToStart(TimePoint now) const {
-  return std::any_of(tasks.begin(), tasks.end(), [&](const Task& task) {
-    return !task.done && task.live == 0 && task.retry_at <= now;
-  });
-}
-
-void Step::NoteWaitingTasks(TimePoint now) {
-  for (Task& task : tasks) {
-    if (!task.done && task.live == 0 && task.waiting_since == TimePoint()) {
-      task.waiting_since = now;
-    }
-  }
-}
-
-int Step::Waiting() const {
-  return static_cast<int>(std::count_if(
-      tasks.begin(), tasks.end(),
-      [](const Task& task) { return !task.done && task.live == 0; }));
-}
-
 bool Occurrence::HasRuns() const {
   return std::any_of(steps.begin(), steps.end(),
                      [](const Step& step) { return !step.live_on.empty(); });
--- a/cell/job.h
+++ b/cell/job.h
@@ -43,7 +43,15 @@
 // Returns the state in a job's stored progress; nullopt if it is malformed.
 std::optional<JobState> StoredState(const std::string& progress);
 
+// A long-running task that waits for longer to be started again goes before
+// more urgent steps and uses what is reserved for others.
+inline constexpr Millis kMaxRestartWait{4'000};
+
 struct Task {
+  // Whether the task, of a long-running step, waits to be started again for
+  // longer than this.
+  bool HasWaitedForRestart(Duration time, TimePoint now) const;
+
   bool done = false;              // never true for a long-running task
   std::set<int64_t> failed_runs;  // a set, as ends may be listed repeatedly
   int live = 0;          // runs that may be active, including unanswered starts
@@ -54,7 +62,8 @@
   int relocations = 0;   // moves off a slow executor
   int preemptions = 0;   // by this leader
   TimePoint started{};   // of the latest run
-  // Scheduling passes find it waiting since then; not set while it does not.
+  // Scheduling passes find it waiting since then; not set while it does not,
+  // and only if it is long-running.
   TimePoint waiting_since{};
 };
 
@@ -88,6 +97,9 @@
   int Waiting() const;
   // Whether one of them may be started now.
   bool HasTaskToStart(TimePoint now) const;
+  // Whether a long-running task has waited for its restart for longer than
+  // this.
+  bool HasWaitedForRestart(Duration time, TimePoint now) const;
   // Sets Task::waiting_since.
   void NoteWaitingTasks(TimePoint now);
 };
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -2,6 +2,7 @@
 // The advice on an executor does not change, but its ticket expires, so tickets
 // are renewed while a step waits and the members have capacity for calls.
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -144,7 +145,10 @@
   const AdvicePolicy& policy = *PolicyOf(*step.job).advice;
   AdviceRequest request;
   request.step = step.NameOf(0).StepText();
-  request.priority = PolicyOf(*step.job).priority;
+  request.priority =
+      step.HasWaitedForRestart(kMaxRestartWait, context_.clock.Now())
+          ? std::numeric_limits<int>::min()
+          : PolicyOf(*step.job).priority;
   request.objective = step.objective;
   for (const Executor* executor : SelectByFreeResources(step, executors)) {
     request.executors.push_back(executor->entry.id);
--- a/cell/leader_headroom.cc
+++ b/cell/leader_headroom.cc
@@ -26,9 +26,6 @@
 // reserved executors if at least half of its pool is free. Otherwise a
 // reservation that waits for one long task would leave the pool visibly idle.
 constexpr Millis kStarvationTime{1'500};
-// A long-running task that has run before waits for a reservation no longer
-// than this, however full its pool is.
-constexpr Millis kMaxRestartWait{4'000};
 
 int64_t Smoothed(int64_t before, int64_t now) {
   return before + static_cast<int64_t>(kSmoothingWeight *
@@ -118,21 +115,12 @@
     return each <= 0 || 2 * free >= capacity;
   };
   const TimePoint now = context_.clock.Now();
-  const auto restart_waits = [&](Millis time) {
-    return step.spec->long_running &&
-           std::any_of(step.tasks.begin(), step.tasks.end(),
-                       [&](const Task& task) {
-                         return task.live == 0 && task.last_run > 0 &&
-                                task.waiting_since != TimePoint() &&
-                                now - task.waiting_since > time;
-                       });
-  };
-  if (restart_waits(kMaxRestartWait)) {
+  if (step.HasWaitedForRestart(kMaxRestartWait, now)) {
     return true;
   }
   const bool idle =
       step.live_on.empty() && now - step.ready_since > kStarvationTime;
-  return (idle || restart_waits(kStarvationTime)) &&
+  return (idle || step.HasWaitedForRestart(kStarvationTime, now)) &&
          half_free(size.cpu_milli, pool.free.cpu_milli,
                    pool.capacity.cpu_milli) &&
          half_free(size.memory_mb, pool.free.memory_mb,
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -20,6 +20,7 @@
 constexpr Millis kMinRunAfterPreemption{2'000};
 // A step with tasks to start, in the order of a pass.
 struct StepOrder {
+  bool no_restart_due;  // see kMaxRestartWait
   int priority;
   bool late;  // past its objective
   TimePoint objective;
@@ -110,18 +111,21 @@
     if (step.objective == TimePoint()) {
       step.objective = ObjectiveOf(*step.job, step.occurrence);
     }
+    step.NoteWaitingTasks(now);
     const QueuePolicy& policy = PolicyOf(*step.job);
     late += step.objective < now ? 1 : 0;
     if (!WaitsForFirstAdvice(step, policy)) {
-      orders.push_back(
-          {policy.priority, step.objective < now, step.objective, &step});
+      orders.push_back({!step.HasWaitedForRestart(kMaxRestartWait, now),
+                        policy.priority, step.objective < now, step.objective,
+                        &step});
     }
     ++it;
   }
   std::sort(orders.begin(), orders.end(),
             [](const StepOrder& a, const StepOrder& b) {
-              return std::tie(a.priority, a.late, a.objective, a.step) <
-                     std::tie(b.priority, b.late, b.objective, b.step);
+              return std::tie(a.no_restart_due, a.priority, a.late, a.objective,
+                              a.step) < std::tie(b.no_restart_due, b.priority,
+                                                 b.late, b.objective, b.step);
             });
   reserved_.Clear();
   pool_states_.clear();
@@ -267,7 +271,6 @@
                                    }),
                     executors.end());
   };
-  step.NoteWaitingTasks(now);
   const bool starved = IsStarved(step, pool);
   std::vector<Executor*> reserved;
   if (!reserved_.empty() && !starved) {
@@ -314,10 +317,14 @@
                             const std::vector<Executor*>& candidates,
                             int most) {
   const TimePoint now = context_.clock.Now();
+  // Only those that are due go before more urgent steps.
+  const bool only_due = step.HasWaitedForRestart(kMaxRestartWait, now);
   std::vector<int> tasks;
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     const Task& task = step.tasks[i];
-    if (!task.done && task.live == 0 && task.retry_at <= now) {
+    const bool due =
+        !only_due || task.HasWaitedForRestart(kMaxRestartWait, now);
+    if (due && !task.done && task.live == 0 && task.retry_at <= now) {
       tasks.push_back(static_cast<int>(i));
     }
   }
--- a/cell/reservations.cc
+++ b/cell/reservations.cc
@@ -5,6 +5,9 @@
 namespace chivedale::cell {
 namespace {
 
+// Assumed until a run ends that is overdue or being stopped.
+constexpr Millis kSoon{1};
+
 // Resources that are free at `time` if each run takes as long as declared.
 Resources FreeAt(const Executor& executor, TimePoint time, TimePoint now) {
   Resources free = executor.entry.capacity;
@@ -36,15 +39,16 @@
 }  // namespace
 
 TimePoint ExpectedEnd(const Run& run, TimePoint now) {
+  const TimePoint soon = now + kSoon;
   if (run.step == nullptr || run.phase == RunPhase::kStopping) {
-    return now;
+    return soon;
   }
   if (run.step->spec->long_running) {
     return TimePoint::max();
   }
   const TimePoint begin =
       run.running_since == TimePoint() ? run.start_sent : run.running_since;
-  return std::max(now, begin + run.step->spec->estimate);
+  return std::max(soon, begin + run.step->spec->estimate);
 }
 
 void Reservations::Reserve(const std::vector<const Executor*>& executors,
--- a/cell/reservations.h
+++ b/cell/reservations.h
@@ -21,7 +21,7 @@
 namespace chivedale::cell {
 
 // Declared end of the run; at the latest TimePoint::max(), for a run that lasts
-// until its job is cancelled. Not before now: the run may be overdue.
+// until its job is cancelled. After now: the run may be overdue.
 TimePoint ExpectedEnd(const Run& run, TimePoint now);
 
 class Reservations {
--- a/cell/testing/reservations_test.cc
+++ b/cell/testing/reservations_test.cc
@@ -108,6 +108,16 @@
   BOOST_TEST(Allows(0, 12'000, Millis(100)));
 }
 
+// Guards against tasks that take room which is there already, while the step
+// waits for a ticket, as if overdue runs had ended.
+BOOST_FIXTURE_TEST_CASE(KeepsTheRoomThatIsThere, Fixture) {
+  Run(0, 10'000, Millis(1'000));
+  clock.Advance(Millis(2'000));
+  reservations.Reserve({all[0]}, Cpu(20'000), 1, 0, Now());
+  BOOST_TEST(AllowsLasting(0, 2'000));
+  BOOST_TEST(!Allows(0, 3'000, Millis(100)));
+}
+
 BOOST_FIXTURE_TEST_CASE(AllowsAllWhereATaskThatLastsIsInTheWay, Fixture) {
   Run(0, 13'000, Millis(1'000), true);
   ReserveForGang(20'000);
--- a/cell/testing/reserved_executors_test.cc
+++ b/cell/testing/reserved_executors_test.cc
@@ -101,5 +101,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Regression (caminho-agua-grown, recut-kill, LOST): more urgent steps took all
+// room for half a minute.
+BOOST_FIXTURE_TEST_CASE(ATaskThatLastsIsRestartedUnderALoadOfMoreUrgentTasks,
+                        WaitingGang) {
+  StartLastingJob(16'000);
+  executors.run_time = [](const TaskName&, const StepSpec& spec) {
+    return spec.estimate;
+  };
+  // About twice what the executors can do.
+  int jobs = 0;
+  const auto submit = [&] {
+    const std::string number = std::to_string(1'000 + ++jobs);
+    Submit("b", std::string(12, 'd') + number,
+           MakeJobSpec(8, Millis(700), 8'000), "q0");
+  };
+  for (int i = 0; i < 40; ++i) {
+    submit();
+    RunFor(Millis(100));
+  }
+  executors.EndRun(lasting_task, RunEnd::kFailed);
+  Millis waited{0};
+  for (; waited < Millis(15'000) && !IsRunning(lasting_task);
+       waited += Millis(100)) {
+    submit();
+    RunFor(Millis(100));
+  }
+  BOOST_TEST(waited.count() < 6'000);
+}
+
 }  // namespace
 }  // namespace chivedale::cell
