--- a/cell/election.h
+++ b/cell/election.h
@@ -153,7 +153,7 @@
   TimePoint last_tick_{};
   TimePoint next_candidacy_{};
   bool suspected_ = false;  // until the next heartbeat
-  bool unable_ = false;
+  bool unable_ = false;     // until OnLeaderAble()
   bool leader_gone_ = false;
   bool leaving_ = false;
 };
--- a/cell/executor_health.h
+++ b/cell/executor_health.h
@@ -6,10 +6,11 @@
 // failures of two jobs, or of two runs of a job that does not fail elsewhere.
 //
 //   ExecutorHealth health;
-//   health.OnDone(run_begin, took, declared, now);
-//   if (health.OnFailed({job, run_begin, fails_only_here}, now)) ...  //
-//   avoided health.SetOverdue(count, signals, runs, now); double factor =
-//   health.TimeFactor();  // 1: runs take as long as declared
+//   health.OnDone(begin, took, declared, now);
+//   if (health.OnFailed({job, begin, runs_elsewhere}, now)) ...
+//   if (!health.avoided(now) && health.MayStart(now)) ...
+//   health.SetOverdue(count, signals, runs, now);
+//   double factor = health.TimeFactor();  // 1: runs take as long as declared
 #ifndef CELL_EXECUTOR_HEALTH_H_
 #define CELL_EXECUTOR_HEALTH_H_
 
--- a/cell/job_failures.h
+++ b/cell/job_failures.h
@@ -1,10 +1,10 @@
-// Where runs of a job have failed and completed. Tells a job that fails by
-// itself from an executor that fails what runs there.
+// Where runs of a job have failed and completed, to distinguish a job that
+// fails by itself from an executor that fails what runs there.
 //
 //   JobFailures failures;
 //   failures.OnFailed(executor.boot.number, now);
-//   if (failures.FailsAnywhere(ended, now)) ...  // no evidence against
-//   executors if (failures.FailsOnlyOn(boot, now)) ...  // each run is evidence
+//   if (failures.FailsAnywhere(ended, now)) ...  // through its own fault
+//   if (failures.FailsOnlyOn(boot, now)) ...
 #ifndef CELL_JOB_FAILURES_H_
 #define CELL_JOB_FAILURES_H_
 
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -24,8 +24,8 @@
 constexpr Millis kRosterRetry{100};
 // A member without a heartbeat for this time is taken off the roster, so that
 // one without power does not stop the leader in a later outage of the store.
-// Longer than members that do not hear the leader take to elect another one:
-// those are to be on the roster.
+// Longer than members without heartbeats of the leader take to elect another
+// one: those are to be on the roster.
 constexpr Millis kRosterTimeToLive{4'000};
 // PeerLink closes a connection whose data is not acknowledged for this time, so
 // that no heartbeat arrives later.
--- a/cell/testing/data_centre_cut_test.cc
+++ b/cell/testing/data_centre_cut_test.cc
@@ -329,7 +329,7 @@
   BOOST_TEST(cell.executors.starts() == 6 + 4);
 }
 
-// The end of a process cannot be told from a cut behind which it is elected.
+// The end of a process looks like a cut behind which it is elected.
 // The leader stops until the store answers, and starts each task again once.
 BOOST_AUTO_TEST_CASE(WaitsForTheStoreOnceAMemberHasEnded) {
   LargeCellWithoutStore cell;
--- a/cell/testing/leader_authority_test.cc
+++ b/cell/testing/leader_authority_test.cc
@@ -111,7 +111,7 @@
   BOOST_TEST(authority.valid());
 }
 
-// Regression (review/6): the end of a process cannot be told from a cut.
+// Regression (review/6): the end of a process looks like a cut.
 BOOST_FIXTURE_TEST_CASE(StopsOnceAProcessHasEnded, Unconfirmed) {
   PassFollowedBy({"b", "c"}, Millis(1'000));
   PassFollowedBy({"b"}, kAuthorityTime + Millis(200));
