Compute what a reservation leaves once a pass

Cause: the shortage of an executor, with its long-running runs, was computed in the comparisons of a sort, and the room beside a reservation for each step and executor.

Change: the shortage is computed once for each executor, and what a reservation leaves when it is made; a task that is started there takes from it.

The tests of reservations are unchanged but for the call that notes a start.

--- a/cell/leader_reservations.cc
+++ b/cell/leader_reservations.cc
@@ -23,6 +23,25 @@
   return room;
 }
 
+// Share of the size that is not free there, by the scarcest resource.
+double Shortage(const Executor& executor, const Resources& size) {
+  const Resources free = executor.Free();
+  if (size.FitsIn(free)) {
+    return 0;
+  }
+  if (!size.FitsIn(RoomBesideLastingRuns(executor))) {
+    return kNoRoomSoon;
+  }
+  const auto part = [](int64_t want, int64_t have) {
+    return want <= have || want <= 0
+               ? 0.0
+               : static_cast<double>(want - have) / static_cast<double>(want);
+  };
+  return std::max({part(size.cpu_milli, free.cpu_milli),
+                   part(size.memory_mb, free.memory_mb),
+                   part(size.accelerators, free.accelerators)});
+}
+
 // Whether the candidates would fit the step if they were otherwise empty.
 bool WouldFitIfEmpty(const Step& step,
                      const std::vector<Executor*>& candidates) {
@@ -53,35 +72,24 @@
   }
   ++pool.reserving_steps;
   // Executors with the smallest shortage are likely to fit the step first.
-  std::vector<Executor*> sorted;
   const Resources size = ResourcesFor(*step.spec);
-  for (Executor* executor : candidates) {
+  std::vector<std::pair<double, const Executor*>> sorted;
+  sorted.reserve(candidates.size());
+  for (const Executor* executor : candidates) {
     if (size.FitsIn(executor->entry.capacity)) {
-      sorted.push_back(executor);
+      sorted.emplace_back(Shortage(*executor, size), executor);
     }
   }
-  const auto shortage = [&](const Executor* executor) {
-    const Resources free = executor->Free();
-    if (!size.FitsIn(RoomBesideLastingRuns(*executor))) {
-      return kNoRoomSoon;
-    }
-    const auto part = [](int64_t want, int64_t have) {
-      return want <= have || want <= 0
-                 ? 0.0
-                 : static_cast<double>(want - have) / static_cast<double>(want);
-    };
-    return std::max({part(size.cpu_milli, free.cpu_milli),
-                     part(size.memory_mb, free.memory_mb),
-                     part(size.accelerators, free.accelerators)});
-  };
-  std::sort(sorted.begin(), sorted.end(), [&](Executor* a, Executor* b) {
-    return shortage(a) < shortage(b);
-  });
   const size_t wanted =
       step.spec->gang ? static_cast<size_t>(step.spec->count) : 1;
+  const size_t kept_count = std::min(wanted, sorted.size());
+  std::partial_sort(
+      sorted.begin(), sorted.begin() + static_cast<long>(kept_count),
+      sorted.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<const Executor*> kept;
-  for (size_t i = 0; i < sorted.size() && i < wanted; ++i) {
-    kept.push_back(sorted[i]);
+  for (size_t i = 0; i < kept_count; ++i) {
+    kept.push_back(sorted[i].second);
   }
   reserved_.Reserve(kept, size, static_cast<int>(wanted),
                     step.spec->max_per_executor, context_.clock.Now());
@@ -105,7 +113,7 @@
                                 ? TimePoint::max()
                                 : now + time;
       if (size.FitsIn(executor->Free()) &&
-          reserved_.Allows(*executor, size, end, now)) {
+          reserved_.Allows(*executor, size, end)) {
         candidates.push_back(executor);
       }
     }
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -43,6 +43,7 @@
     context_.log.Write(Event::kExecutorProbed, {{"executor", executor.entry.id},
                                                 {"task", name.Text()}});
   }
+  reserved_.OnStarted(executor, run.size);
   task.started = now;
   task.waiting_since = TimePoint();
   if (task.live == 1) {
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -288,7 +288,7 @@
   const int64_t starts_before = counts_.starts;
   bool placed = step.spec->gang ? PlaceGang(step, candidates)
                                 : PlaceTasks(step, candidates, most);
-  if (!placed && !step.spec->gang) {
+  if (!placed && !reserved.empty() && !step.spec->gang) {
     PlaceOnReserved(step, reserved, most - StartsSince(starts_before));
     placed = !step.HasTaskToStart(now);
   }
--- a/cell/reservations.cc
+++ b/cell/reservations.cc
@@ -78,7 +78,9 @@
     begin = std::max(begin, TimeOfRoom(*executor, room, now));
   }
   for (const auto& [executor, room] : rooms) {
-    by_executor_.try_emplace(executor, Reservation{false, room, begin});
+    by_executor_.try_emplace(
+        executor,
+        Reservation{false, begin, FreeAt(*executor, begin, now) - room});
   }
 }
 
@@ -86,17 +88,21 @@
   by_executor_.try_emplace(&executor).first->second.whole = true;
 }
 
+// Also counts tasks that end before the step begins: passes are frequent, and
+// the next one reserves anew.
+void Reservations::OnStarted(const Executor& executor, const Resources& size) {
+  const auto found = by_executor_.find(&executor);
+  if (found != by_executor_.end()) {
+    found->second.beside -= size;
+  }
+}
+
 bool Reservations::Allows(const Executor& executor,
                           const Resources& size,
-                          TimePoint end,
-                          TimePoint now) const {
+                          TimePoint end) const {
   const Reservation& reservation = by_executor_.at(&executor);
-  if (reservation.whole) {
-    return false;
-  }
-  return end <= reservation.begin ||
-         (reservation.room + size)
-             .FitsIn(FreeAt(executor, reservation.begin, now));
+  return !reservation.whole &&
+         (end <= reservation.begin || size.FitsIn(reservation.beside));
 }
 
 }  // namespace chivedale::cell
--- a/cell/reservations.h
+++ b/cell/reservations.h
@@ -36,6 +36,8 @@
                TimePoint now);
   // Keeps all that is free, or is being freed, there.
   void ReserveWhole(const Executor& executor);
+  // A task has been started on the executor, which may be reserved.
+  void OnStarted(const Executor& executor, const Resources& size);
 
   // Queries.
   bool empty() const { return by_executor_.empty(); }
@@ -46,14 +48,13 @@
   // executor.
   bool Allows(const Executor& executor,
               const Resources& size,
-              TimePoint end,
-              TimePoint now) const;
+              TimePoint end) const;
 
  private:
   struct Reservation {
     bool whole = false;
-    Resources room;     // for the tasks there
     TimePoint begin{};  // earliest time at which all tasks can begin
+    Resources beside;   // what they leave free there then
   };
   std::map<const Executor*, Reservation> by_executor_;
 };
--- a/cell/testing/reservations_test.cc
+++ b/cell/testing/reservations_test.cc
@@ -43,17 +43,17 @@
     auto& run = executors[executor]->AddRun(step.NameOf(0), 1, &step, Now());
     run.phase = RunPhase::kRunning;
     run.running_since = Now();
+    reservations.OnStarted(*executors[executor], run.size);
   }
   void ReserveForGang(int64_t cpu) {
     reservations.Reserve(all, Cpu(cpu), static_cast<int>(all.size()), 0, Now());
   }
   bool Allows(size_t executor, int64_t cpu, Duration time) {
-    return reservations.Allows(*executors[executor], Cpu(cpu), Now() + time,
-                               Now());
+    return reservations.Allows(*executors[executor], Cpu(cpu), Now() + time);
   }
   bool AllowsLasting(size_t executor, int64_t cpu) {
-    return reservations.Allows(*executors[executor], Cpu(cpu), TimePoint::max(),
-                               Now());
+    return reservations.Allows(*executors[executor], Cpu(cpu),
+                               TimePoint::max());
   }
 
   chivedale::testing::FakeClock clock;
