Read the clock once for all tickets of a step

What callers saw: nothing measured. leader_backlog_test OfStarts/ StartsLateStepsWhileTheirTicketsAreValid failed (796 jobs not completed): a leader with many late steps considers each too seldom to start it in time.

Cause: since HasValidTicket reads the clock for each executor of a step that is considered. The test counts each such read as processor time.

Change: the time is read once and passed on.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -352,7 +352,9 @@
   std::vector<Executor*> WithValidTicket(Step& step,
                                          const std::vector<Executor*>& eligible,
                                          const PoolState& pool);
-  bool HasValidTicket(const Step& step, const Executor& executor) const;
+  static bool HasValidTicket(const Step& step,
+                             const Executor& executor,
+                             TimePoint now);
   // Requests advice on executors of the pool if the step needs it now.
   // `room_expired`: an executor with room for it has an expired ticket.
   void RenewAdvice(Step& step, const PoolState& pool, bool room_expired);
--- a/cell/leader_advice.cc
+++ b/cell/leader_advice.cc
@@ -72,10 +72,10 @@
 }  // namespace
 
 bool CellLeader::HasValidTicket(const Step& step,
-                                const Executor& executor) const {
+                                const Executor& executor,
+                                TimePoint now) {
   const StepTicket* ticket = step.advice.TicketOf(executor.boot.number);
-  return ticket != nullptr &&
-         ticket->expires - context_.clock.Now() > kTicketMargin;
+  return ticket != nullptr && ticket->expires - now > kTicketMargin;
 }
 
 std::vector<Executor*> CellLeader::WithValidTicket(
@@ -85,19 +85,20 @@
   if (!PolicyOf(*step.job).advice) {
     return eligible;
   }
+  const TimePoint now = context_.clock.Now();
   const Resources size = ResourcesFor(*step.spec);
   std::vector<Executor*> usable;
   usable.reserve(eligible.size());
   bool room_expired = false;
   for (Executor* executor : eligible) {
-    if (HasValidTicket(step, *executor)) {
+    if (HasValidTicket(step, *executor, now)) {
       usable.push_back(executor);
     } else if (size.FitsIn(executor->Free())) {
       room_expired = true;
     }
   }
   for (const Executor* executor : ProbesFor(step, pool)) {
-    room_expired = room_expired || !HasValidTicket(step, *executor);
+    room_expired = room_expired || !HasValidTicket(step, *executor, now);
   }
   RenewAdvice(step, pool, room_expired);
   return usable;
--- a/cell/leader_probes.cc
+++ b/cell/leader_probes.cc
@@ -33,7 +33,7 @@
   const size_t without_probes = candidates.size();
   for (Executor* executor : ProbesFor(step, pool)) {
     if (executor->boot.health.MayStart(now) &&
-        (!needs_ticket || HasValidTicket(step, *executor))) {
+        (!needs_ticket || HasValidTicket(step, *executor, now))) {
       candidates.push_back(executor);
     }
   }
