--- a/cell/decode.h
+++ b/cell/decode.h
@@ -28,6 +28,9 @@
 inline constexpr Millis kMaxClock{int64_t{1} << 42};
 // Limit of counters, such as revisions and run numbers.
 inline constexpr int64_t kMaxNumber = int64_t{1} << 53;
+// Limits of a client account's policy.
+inline constexpr int64_t kMaxAccountLimit = int64_t{1} << 52;
+inline constexpr double kMaxAccountWeight = 1e9;
 inline constexpr size_t kMaxSteps = 1'000;
 inline constexpr int64_t kMaxTasksPerStep = 10'000;
 inline constexpr int64_t kMaxOccurrences = 1'000'000;
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -170,17 +170,41 @@
 
 }  // namespace
 
+json EncodeOwner(const JobRecord& record) {
+  const AccountPolicy& policy = record.account_policy;
+  const std::vector<uint8_t> digest(record.key_digest.begin(),
+                                    record.key_digest.end());
+  return json::array({record.account, policy.weight, policy.limit.cpu_milli,
+                      policy.limit.memory_mb, policy.limit.accelerators,
+                      json::binary(digest)});
+}
+
+void DecodeOwner(const json& value, JobRecord& record) {
+  record.account = Text(value.at(0));
+  AccountPolicy& policy = record.account_policy;
+  policy.weight = ClampedNumber(value.at(1), 0, kMaxAccountWeight);
+  policy.limit.cpu_milli = Clamped(value.at(2), 0, kMaxAccountLimit);
+  policy.limit.memory_mb = Clamped(value.at(3), 0, kMaxAccountLimit);
+  policy.limit.accelerators = Clamped(value.at(4), 0, kMaxAccountLimit);
+  const auto& digest = value.at(5).get_binary();
+  record.key_digest.assign(digest.begin(), digest.end());
+}
+
 std::string EncodeJobRecord(const JobRecord& record) {
   json steps = json::array();
   for (const StepSpec& step : record.spec.steps) {
     steps.push_back(EncodeStep(step));
   }
-  return ToMsgpack(
-      json::array({EncodeQueue(record.queue), record.spec.payload,
-                   std::move(steps), record.spec.occurrences,
-                   record.spec.first_start.time_since_epoch().count(),
-                   record.spec.interval.count(),
-                   record.accepted.time_since_epoch().count()}));
+  json value = json::array({EncodeQueue(record.queue), record.spec.payload,
+                            std::move(steps), record.spec.occurrences,
+                            record.spec.first_start.time_since_epoch().count(),
+                            record.spec.interval.count(),
+                            record.accepted.time_since_epoch().count()});
+  // Earlier versions read only the elements above.
+  if (!record.account.empty()) {
+    value.push_back(EncodeOwner(record));
+  }
+  return ToMsgpack(value);
 }
 
 JobRecord DecodeJobRecord(const std::string& bytes) {
@@ -202,6 +226,9 @@
     record.spec.interval = Millis(Integer(value.at(5), 0, kMaxAmount));
     record.accepted =
         WallTime(Millis(Integer(value.at(6), 0, kMaxClock.count())));
+    if (value.size() > 7) {
+      DecodeOwner(value.at(7), record);
+    }
     ValidateSteps(record.spec.steps);
     return record;
   } catch (const std::exception& error) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -34,6 +34,12 @@
   QueuePolicy queue;
   JobSpec spec;
   WallTime accepted{};
+  // Account of the caller; empty: none.
+  std::string account;
+  // Its policy at acceptance, used after it was removed from the table.
+  AccountPolicy account_policy;
+  // Digest of the key with which the job was submitted; empty: none.
+  std::string key_digest;
 };
 
 std::string EncodeJobRecord(const JobRecord& record);
@@ -150,6 +156,8 @@
   // Records that the state has been stored.
   void MarkStored(JobState state) { stored_state_ = state; }
   void set_any_started() { any_started_ = true; }
+  // The account has submitted more than its share; see AccountLedger.
+  void set_over_share(bool over_share) { over_share_ = over_share; }
   void set_ended(TimePoint now) { ended_ = now; }
   // Caches the queue's row. `table` is the table's sequence number rather than
   // its address, because a later table may be allocated at the same address.
@@ -175,6 +183,7 @@
   // Whether a run is known to have begun. A start order alone does not count:
   // the executor may reject it.
   bool any_started() const { return any_started_; }
+  bool over_share() const { return over_share_; }
   TimePoint ended() const { return ended_; }
   std::map<int, Occurrence>& open() { return open_; }
   const std::map<int, Occurrence>& open() const { return open_; }
@@ -214,6 +223,7 @@
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
+  bool over_share_ = false;
   JobFailures failures_;
   // Those below were opened; they are finished if they are not in open_.
   int next_occurrence_ = 0;
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -31,6 +31,8 @@
   Millis status_retention{120'000};
   size_t max_value_bytes = kDefaultMaxValueBytes;  // of the store
   PlacerOptions placer;
+  double account_overshoot = 0;  // see CellSettings
+  ShortageOrder shortage_order = ShortageOrder::kObjective;
 };
 
 // Result of a won election.
--- a/cell/settings.cc
+++ b/cell/settings.cc
@@ -85,6 +85,23 @@
   };
 }
 
+template <typename T>
+Setter ChoiceSetter(T CellSettings::*member, std::map<std::string, T> choices) {
+  return [member, choices = std::move(choices)](
+             CellSettings& s, const std::string& key, const json& value) {
+    const auto found =
+        choices.find(value.is_string() ? value.get<std::string>() : "");
+    if (found == choices.end()) {
+      std::string names;
+      for (const auto& [name, choice] : choices) {
+        names += (names.empty() ? "" : ", ") + name;
+      }
+      ThrowBadSetting(key, "must be one of " + names + ", got " + value.dump());
+    }
+    s.*member = found->second;
+  };
+}
+
 const std::map<std::string, Setter>& Setters() {
   static const auto& setters = *new std::map<std::string, Setter>{
       {"vm_id", StringSetter(&CellSettings::vm_id)},
@@ -127,6 +144,22 @@
          }
          s.remote_rack_factor = value.get<double>();
        }},
+      {"revocation_bound_ms", MillisSetter(&CellSettings::revocation_bound)},
+      {"account_overshoot",
+       [](CellSettings& s, const std::string& key, const json& value) {
+         if (!value.is_number() || value.get<double>() < 0 ||
+             value.get<double>() > 1) {
+           ThrowBadSetting(key, "must be from 0 to 1, got " + value.dump());
+         }
+         s.account_overshoot = value.get<double>();
+       }},
+      {"shortage_order", ChoiceSetter(&CellSettings::shortage_order,
+                                      {{"objective", ShortageOrder::kObjective},
+                                       {"cost", ShortageOrder::kCost}})},
+      {"outage_admission",
+       ChoiceSetter(&CellSettings::outage_admission,
+                    {{"hold", OutageAdmission::kHold},
+                     {"refuse", OutageAdmission::kRefuse}})},
       {"seeds",
        [](CellSettings& s, const std::string& key, const json& value) {
          if (!value.is_array()) {
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -40,6 +40,14 @@
   Millis upkeep_time{2'000};        // duration of a VM's upkeep
   Millis stop_grace_period{6'000};  // from SIGTERM to SIGKILL
   double remote_rack_factor = 3;    // see PlacerOptions
+  // Time after which a key that was removed from the table is accepted by no
+  // member; 0: not enforced.
+  Millis revocation_bound{0};
+  // Fraction by which an account may exceed its limits while it is not known
+  // what all its runs are.
+  double account_overshoot = 0;
+  ShortageOrder shortage_order = ShortageOrder::kObjective;
+  OutageAdmission outage_admission = OutageAdmission::kHold;
 };
 
 // Throws Error(kBadSettings) that names the key, the value and the bound, also
--- a/cell/testing/slow_store_test.cc
+++ b/cell/testing/slow_store_test.cc
@@ -111,7 +111,10 @@
 // the jobs.
 BOOST_FIXTURE_TEST_CASE(RunsAJobThatOnlyTheWatchReports, Fixture) {
   const JobSpec spec = MakeJobSpec(2, Millis(300));
-  const JobRecord record{MakeQueue(0), spec, loop.clock().WallNow()};
+  JobRecord record;
+  record.queue = MakeQueue(0);
+  record.spec = spec;
+  record.accepted = loop.clock().WallNow();
   executors.Expect(kJobId, spec, record.queue.max_attempts);
   store.faults.late_reads[kJobPrefix] = Millis(2'300);
   store.Put(JobKey(kJobId), EncodeJobRecord(record));
--- a/cell/types.h
+++ b/cell/types.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cell/accounts.h"
 #include "chivedale/resources.h"
 #include "util/clock.h"
 
@@ -74,6 +75,7 @@
   double objective_factor = 1;
   Millis objective_slack{0};  // objective: factor x critical path + slack
   std::optional<AdvicePolicy> advice;
+  bool is_public = false;  // calls need no API key
 };
 
 struct PoolPolicy {
@@ -82,10 +84,23 @@
   bool powered_off = false;  // its VMs are switched off
 };
 
+// In which order steps of one priority get resources that do not suffice.
+enum class ShortageOrder {
+  kObjective,  // by the time by which they should complete
+  kCost,       // so that delays cost callers least; see pass_order.h
+};
+
+// What becomes of submissions while the store fails.
+enum class OutageAdmission {
+  kHold,    // kept for a fixed time, then refused
+  kRefuse,  // refused as soon as it is known that they cannot be stored
+};
+
 struct QueueTable {
   int64_t version = 0;
   std::vector<QueuePolicy> queues;
   std::vector<PoolPolicy> pools;
+  AccountTable accounts;  // empty: callers are not identified
 
   const QueuePolicy* FindQueue(std::string_view name) const;
   // Returns the queue of `host` whose prefix is the longest match for `path`;
