Pass the caller of a submission to the member

Cause: a job's record must name the account that owns it.

Change: Caller (account, its policy and the digest of its key) is a parameter of CellNode::Submit and part of JobRecord. FakeCell gets accounts and options of the leader for the tests of the new parts.

Measured: compiles; no behaviour changes, as every caller is still empty.

--- a/cell/accounts.h
+++ b/cell/accounts.h
@@ -45,6 +45,13 @@
   AccountPolicy policy;
 };
 
+// Who made a call: the account of its key, or nobody on a public route.
+struct Caller {
+  std::string account;     // empty: none
+  AccountPolicy policy;    // of the account
+  std::string key_digest;  // KeyDigest::Bytes() of the call's key
+};
+
 class AccountTable {
  public:
   AccountTable() = default;
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -171,23 +171,23 @@
 }  // namespace
 
 json EncodeOwner(const JobRecord& record) {
-  const AccountPolicy& policy = record.account_policy;
-  const std::vector<uint8_t> digest(record.key_digest.begin(),
-                                    record.key_digest.end());
-  return json::array({record.account, policy.weight, policy.limit.cpu_milli,
-                      policy.limit.memory_mb, policy.limit.accelerators,
-                      json::binary(digest)});
+  const AccountPolicy& policy = record.owner.policy;
+  const std::string& key_digest = record.owner.key_digest;
+  const std::vector<uint8_t> digest(key_digest.begin(), key_digest.end());
+  return json::array({record.owner.account, policy.weight,
+                      policy.limit.cpu_milli, policy.limit.memory_mb,
+                      policy.limit.accelerators, json::binary(digest)});
 }
 
 void DecodeOwner(const json& value, JobRecord& record) {
-  record.account = Text(value.at(0));
-  AccountPolicy& policy = record.account_policy;
+  record.owner.account = Text(value.at(0));
+  AccountPolicy& policy = record.owner.policy;
   policy.weight = ClampedNumber(value.at(1), 0, kMaxAccountWeight);
   policy.limit.cpu_milli = Clamped(value.at(2), 0, kMaxAccountLimit);
   policy.limit.memory_mb = Clamped(value.at(3), 0, kMaxAccountLimit);
   policy.limit.accelerators = Clamped(value.at(4), 0, kMaxAccountLimit);
   const auto& digest = value.at(5).get_binary();
-  record.key_digest.assign(digest.begin(), digest.end());
+  record.owner.key_digest.assign(digest.begin(), digest.end());
 }
 
 std::string EncodeJobRecord(const JobRecord& record) {
@@ -201,7 +201,7 @@
                             record.spec.interval.count(),
                             record.accepted.time_since_epoch().count()});
   // Earlier versions read only the elements above.
-  if (!record.account.empty()) {
+  if (!record.owner.account.empty()) {
     value.push_back(EncodeOwner(record));
   }
   return ToMsgpack(value);
--- a/cell/job.h
+++ b/cell/job.h
@@ -34,12 +34,9 @@
   QueuePolicy queue;
   JobSpec spec;
   WallTime accepted{};
-  // Account of the caller; empty: none.
-  std::string account;
-  // Its policy at acceptance, used after it was removed from the table.
-  AccountPolicy account_policy;
-  // Digest of the key with which the job was submitted; empty: none.
-  std::string key_digest;
+  // Who submitted it. The policy is used after the account was removed from the
+  // table.
+  Caller owner;
 };
 
 std::string EncodeJobRecord(const JobRecord& record);
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -434,6 +434,7 @@
 }
 
 void CellNode::Submit(const QueuePolicy& queue,
+                      const Caller& caller,
                       const JobId& id,
                       const JobSpec& spec,
                       TimePoint deadline,
@@ -441,6 +442,7 @@
   JobRecord record;
   record.queue = queue;
   record.spec = spec;
+  record.owner = caller;
   record.accepted = context_.clock.WallNow();
   const auto finish = [this, id, name = queue.name, done = std::move(done)](
                           SubmitResult result, int64_t revision) {
--- a/cell/node.h
+++ b/cell/node.h
@@ -102,6 +102,7 @@
   // either as no process listens there or by a device on the way.
   void OnPeerDisconnected(const std::string& address, bool refused);
   void Submit(const QueuePolicy& queue,
+              const Caller& caller,
               const JobId& id,
               const JobSpec& spec,
               TimePoint deadline,
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -205,6 +205,7 @@
   options.boot_id = name + "-" + std::to_string(life);
   options.address = host.address;
   options.strength = host.strength;
+  options.leader = leader_options;
   options.leader.longest_lease = executors.longest_lease;
   host.node = std::make_unique<CellNode>(context, options);
   if (table_->version > 0) {
@@ -433,6 +434,18 @@
   }
 }
 
+void FakeCell::SetAccounts(std::vector<Account> accounts) {
+  auto table = std::make_shared<QueueTable>(*table_);
+  ++table->version;
+  table->accounts = AccountTable(std::move(accounts));
+  table_ = table;
+  for (auto& [name, host] : hosts_) {
+    if (host->node != nullptr) {
+      host->node->OnTable(table_);
+    }
+  }
+}
+
 void FakeCell::RunFor(Duration time) {
   loop.RunFor(time);
 }
@@ -480,7 +493,8 @@
 void FakeCell::Submit(const std::string& name,
                       const JobId& id,
                       const JobSpec& spec,
-                      const std::string& queue_name) {
+                      const std::string& queue_name,
+                      const Caller& caller) {
   CellNode* at = node(name);
   const QueuePolicy* policy = table_->FindQueue(queue_name);
   if (at == nullptr || policy == nullptr) {
@@ -488,7 +502,7 @@
   }
   executors.Expect(id, spec, policy->max_attempts);
   const bool first = submitted_.insert(id).second;
-  at->Submit(*policy, id, spec, loop.clock().Now() + Millis(1'500),
+  at->Submit(*policy, caller, id, spec, loop.clock().Now() + Millis(1'500),
              [this, id, first](SubmitResult result, int64_t) {
                if (result == SubmitResult::kAccepted) {
                  accepted_.insert(id);
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -83,7 +83,9 @@
   void Submit(const std::string& name,
               const JobId& id,
               const JobSpec& spec,
-              const std::string& queue = "q");
+              const std::string& queue = "q",
+              const Caller& caller = {});
+  void SetAccounts(std::vector<Account> accounts);
   void Cancel(const std::string& name, const JobId& id);
   void Announce(const UpkeepWave& wave);
   void BeginUpkeep(const std::string& vm);
@@ -110,6 +112,8 @@
   Duration advice_time = std::chrono::milliseconds(10);
   Millis ticket_validity{2'000};
   QueuePolicy queue;
+  // Of processes that are started later; the executors set the longest lease.
+  LeaderOptions leader_options;
   // Cuts between members refuse connections in place of the live process.
   bool cuts_refuse = false;
   bool entries_down = false;  // executors' entries cannot be listed
--- a/cell/testing/long_schedule_test.cc
+++ b/cell/testing/long_schedule_test.cc
@@ -109,7 +109,7 @@
   JobSpec spec = MakeJobSpec(1, Millis(200));
   spec.payload = std::string(kDefaultMaxValueBytes + 1, 'p');
   std::optional<SubmitResult> result;
-  cell.node("a")->Submit(testing::MakeQueue(0), "00000000000000bb", spec,
+  cell.node("a")->Submit(testing::MakeQueue(0), {}, "00000000000000bb", spec,
                          cell.loop.clock().Now() + Millis(1'500),
                          [&](SubmitResult r, int64_t) { result = r; });
   cell.RunFor(Millis(10));
@@ -124,7 +124,7 @@
       cell.Submit("a", id, MakeJobSpec(1, Millis(200)), "q0");
       continue;
     }
-    cell.node("a")->Submit(testing::MakeQueue(0), id, spec,
+    cell.node("a")->Submit(testing::MakeQueue(0), {}, id, spec,
                            cell.loop.clock().Now() + Millis(1'500),
                            [&](SubmitResult r, int64_t) { result = r; });
   }
