Identify callers by their API keys and keep jobs to their accounts

Cause: the table's accounts and keys were dropped, so that a call with any key, or none, was served.

A job records its owner; state and cancel calls, and submissions of an ID that exists, are answered 403 to other accounts, by the leader, the member that reads the store, or the intake. Two new messages carry the caller to the leader. Refused calls are counted by reason.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -236,6 +236,14 @@
   }
 }
 
+Caller StoredOwner(const std::string& bytes) {
+  try {
+    return DecodeJobRecord(bytes).owner;
+  } catch (const std::runtime_error&) {
+    return {};
+  }
+}
+
 std::optional<JobState> StoredState(const std::string& progress) {
   const json value = ParseMsgpack(progress);
   if (!value.is_array() || value.size() < 2 || !value[0].is_string() ||
--- a/cell/job.h
+++ b/cell/job.h
@@ -43,6 +43,9 @@
 // Throws std::runtime_error if the bytes are not a valid record.
 JobRecord DecodeJobRecord(const std::string& bytes);
 
+// Returns the owner in a stored record; nobody if the record cannot be read.
+Caller StoredOwner(const std::string& bytes);
+
 // Returns the state in a job's stored progress; nullopt if it is malformed.
 std::optional<JobState> StoredState(const std::string& progress);
 
--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -1,9 +1,12 @@
 #include "cell/job_intake.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
+#include "cell/caller_auth.h"
+
 namespace chivedale::cell {
 namespace {
 
@@ -43,38 +46,46 @@
   Enqueue(std::move(entry));
 }
 
-void JobIntake::Cancel(const JobId& id, TimePoint deadline, OnCancel done) {
-  store_.Read(JobKey(id), kWriteTimeout,
-              Guard([this, id, deadline,
-                     done = std::move(done)](const StoreRead& read) {
-                if (read.status == StoreStatus::kNotFound) {
-                  last_answer_ = clock_.Now();
-                  done(CancelResult::kNoSuchJob);
-                  return;
-                }
-                if (read.status != StoreStatus::kOk) {
-                  if (clock_.Now() + kRetryDelay >= deadline) {
-                    done(CancelResult::kUnavailable);
-                    return;
-                  }
-                  run_after_(kRetryDelay, Guard([this, id, deadline, done] {
-                               Cancel(id, deadline, done);
-                             }));
-                  return;
-                }
-                last_answer_ = clock_.Now();
-                Entry entry;
-                entry.key = CancelKey(id);
-                entry.value = "1";
-                entry.conditional = false;
-                entry.deadline = deadline;
-                entry.done = [done](SubmitResult result, int64_t) {
-                  done(result == SubmitResult::kAccepted
-                           ? CancelResult::kCancelled
-                           : CancelResult::kUnavailable);
-                };
-                Enqueue(std::move(entry));
-              }));
+void JobIntake::Cancel(const JobId& id,
+                       const Caller& caller,
+                       TimePoint deadline,
+                       OnCancel done) {
+  store_.Read(
+      JobKey(id), kWriteTimeout,
+      Guard([this, id, caller, deadline,
+             done = std::move(done)](const StoreRead& read) {
+        if (read.status == StoreStatus::kNotFound) {
+          last_answer_ = clock_.Now();
+          done(CancelResult::kNoSuchJob);
+          return;
+        }
+        if (read.status != StoreStatus::kOk) {
+          if (clock_.Now() + kRetryDelay >= deadline) {
+            done(CancelResult::kUnavailable);
+            return;
+          }
+          run_after_(kRetryDelay, Guard([this, id, caller, deadline, done] {
+                       Cancel(id, caller, deadline, done);
+                     }));
+          return;
+        }
+        last_answer_ = clock_.Now();
+        if (!read.items.empty() &&
+            !MayAccess(caller, StoredOwner(read.items[0].value))) {
+          done(CancelResult::kOtherAccount);
+          return;
+        }
+        Entry entry;
+        entry.key = CancelKey(id);
+        entry.value = "1";
+        entry.conditional = false;
+        entry.deadline = deadline;
+        entry.done = [done](SubmitResult result, int64_t) {
+          done(result == SubmitResult::kAccepted ? CancelResult::kCancelled
+                                                 : CancelResult::kUnavailable);
+        };
+        Enqueue(std::move(entry));
+      }));
 }
 
 void JobIntake::Enqueue(Entry entry) {
@@ -153,16 +164,21 @@
       // Existing keys were stored by an earlier submission, or by an earlier
       // write of this one whose answer was lost.
       last_answer_ = clock_.Now();
-      std::set<std::string> present;
+      std::map<std::string, const std::string*> present;  // values by key
       for (const StoreItem& item : reply.items) {
         if (item.revision > 0 && !item.deleted) {
-          present.insert(item.key);
+          present.emplace(item.key, &item.value);
         }
       }
       std::vector<Entry> rest;
       for (Entry& entry : batch) {
-        if (entry.conditional && present.count(entry.key) > 0) {
-          entry.done(SubmitResult::kAccepted, 0);
+        const auto found = present.find(entry.key);
+        if (entry.conditional && found != present.end()) {
+          const bool own =
+              *found->second == entry.value ||
+              MayAccess(StoredOwner(entry.value), StoredOwner(*found->second));
+          entry.done(
+              own ? SubmitResult::kAccepted : SubmitResult::kOtherAccount, 0);
         } else {
           rest.push_back(std::move(entry));
         }
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -29,9 +29,15 @@
   kAccepted,
   kNotStored,  // definite: this submission does not store the job
   kUnknown,
-  kInvalid,  // definite, and so would be any other submission of the job
+  kInvalid,       // definite, and so would be any other submission of the job
+  kOtherAccount,  // definite: a job of another account has the ID
+};
+enum class CancelResult {
+  kCancelled,
+  kNoSuchJob,
+  kUnavailable,
+  kOtherAccount,  // not cancelled: the job is of another account
 };
-enum class CancelResult { kCancelled, kNoSuchJob, kUnavailable };
 
 class JobIntake {
  public:
@@ -52,7 +58,10 @@
               const std::string& record,
               TimePoint deadline,
               OnSubmit done);
-  void Cancel(const JobId& id, TimePoint deadline, OnCancel done);
+  void Cancel(const JobId& id,
+              const Caller& caller,
+              TimePoint deadline,
+              OnCancel done);
 
   // Queries.
   // Time of the store's latest answer.
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -81,6 +81,8 @@
   bool loaded() const { return loaded_; }
   // Returns nullopt if there is no such job.
   std::optional<JobState> Find(const JobId& id) const;
+  // Null if there is no such job.
+  const Caller* OwnerOf(const JobId& id) const;
   // Progress of a step and what it waits for, shown to operators.
   struct StepView {
     int occurrence = 0;
--- a/cell/leader_jobs.cc
+++ b/cell/leader_jobs.cc
@@ -404,6 +404,11 @@
   return found->second->visible_state();
 }
 
+const Caller* CellLeader::OwnerOf(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second->record().owner;
+}
+
 std::map<std::string, int64_t> CellLeader::Pending() const {
   std::map<std::string, int64_t> pending;
   for (const auto& [id, job] : jobs_) {
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -453,9 +453,10 @@
           Event::kJobNotAccepted,
           {{"job", id},
            {"queue", name},
-           {"result", result == SubmitResult::kUnknown   ? "unknown"
-                      : result == SubmitResult::kInvalid ? "too large"
-                                                         : "not_stored"}});
+           {"result", result == SubmitResult::kUnknown        ? "unknown"
+                      : result == SubmitResult::kInvalid      ? "too large"
+                      : result == SubmitResult::kOtherAccount ? "other account"
+                                                              : "not_stored"}});
     }
     done(result, revision);
   };
@@ -481,16 +482,19 @@
   StoreAtLeader(id, bytes, deadline, [finish](JobStoreResult result) {
     finish(result == JobStoreResult::kStored      ? SubmitResult::kAccepted
            : result == JobStoreResult::kNotStored ? SubmitResult::kNotStored
-                                                  : SubmitResult::kUnknown,
+           : result == JobStoreResult::kOtherAccount
+               ? SubmitResult::kOtherAccount
+               : SubmitResult::kUnknown,
            0);
   });
 }
 
 void CellNode::CancelJob(const JobId& id,
+                         const Caller& caller,
                          TimePoint deadline,
                          JobIntake::OnCancel done) {
   if (!ShouldStoreAtLeader()) {
-    intake_.Cancel(id, deadline,
+    intake_.Cancel(id, caller, deadline,
                    [this, id, done = std::move(done)](CancelResult result) {
                      if (result == CancelResult::kCancelled) {
                        NotifyLeader(id, nullptr, 0);
@@ -499,11 +503,12 @@
                    });
     return;
   }
-  StoreAtLeader(
-      id, nullptr, deadline, [done = std::move(done)](JobStoreResult result) {
-        done(result == JobStoreResult::kStored ? CancelResult::kCancelled
-             : result == JobStoreResult::kNoSuchJob
-                 ? CancelResult::kNoSuchJob
+  CancelAtLeader(
+      id, caller, deadline, [done = std::move(done)](JobStoreResult result) {
+        done(result == JobStoreResult::kStored      ? CancelResult::kCancelled
+             : result == JobStoreResult::kNoSuchJob ? CancelResult::kNoSuchJob
+             : result == JobStoreResult::kOtherAccount
+                 ? CancelResult::kOtherAccount
                  : CancelResult::kUnavailable);
       });
 }
@@ -522,22 +527,24 @@
 
 // Dispatches the cell's messages to their handlers and ignores all others.
 void CellNode::OnMessage(const MemberId&, const Message& message) {
-  std::visit(Overloaded{[this](const CellBeat& m) { OnBeat(m); },
-                        [this](const JobStateCall& m) { OnStateCall(m); },
-                        [this](const JobStateAnswer& m) { OnStateAnswer(m); },
-                        [this](const AdviceCall& m) { OnAdviceCall(m); },
-                        [this](const JobStoreCall& m) { OnStoreCall(m); },
-                        [this](const JobStoreAnswer& m) { OnStoreAnswer(m); },
-                        [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
-                        [this](const JobNotice& m) { OnJobNotice(m); },
-                        [this](const LeaderQuery& m) { OnLeaderQuery(m); },
-                        [this](const FollowCall& m) { OnFollowCall(m); },
-                        [this](const FollowAnswer& m) { OnFollowAnswer(m); },
-                        [this](const LeaderHeard& m) {
-                          election_->OnLeaderHeard(m.term);
-                        },
-                        [](const auto&) {}},
-             message);
+  std::visit(
+      Overloaded{
+          [this](const CellBeat& m) { OnBeat(m); },
+          [this](const JobStateCall& m) { OnStateCall(m); },
+          [this](const OwnedStateCall& m) { OnOwnedStateCall(m); },
+          [this](const OwnedCancelCall& m) { OnOwnedCancelCall(m); },
+          [this](const JobStateAnswer& m) { OnStateAnswer(m); },
+          [this](const AdviceCall& m) { OnAdviceCall(m); },
+          [this](const JobStoreCall& m) { OnStoreCall(m); },
+          [this](const JobStoreAnswer& m) { OnStoreAnswer(m); },
+          [this](const AdviceAnswer& m) { OnAdviceAnswer(m); },
+          [this](const JobNotice& m) { OnJobNotice(m); },
+          [this](const LeaderQuery& m) { OnLeaderQuery(m); },
+          [this](const FollowCall& m) { OnFollowCall(m); },
+          [this](const FollowAnswer& m) { OnFollowAnswer(m); },
+          [this](const LeaderHeard& m) { election_->OnLeaderHeard(m.term); },
+          [](const auto&) {}},
+      message);
 }
 
 }  // namespace chivedale::cell
--- a/cell/node.h
+++ b/cell/node.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 
+#include "cell/call_refusals.h"
 #include "cell/election.h"
 #include "cell/job_intake.h"
 #include "cell/leader.h"
@@ -77,7 +78,7 @@
 
 // Answer to a query for the state of a job.
 struct JobAnswer {
-  enum class Kind { kFound, kNoSuchJob, kUnavailable };
+  enum class Kind { kFound, kNoSuchJob, kUnavailable, kOtherAccount };
   Kind kind = Kind::kUnavailable;
   JobState state = JobState::kQueued;
 };
@@ -107,8 +108,15 @@
               const JobSpec& spec,
               TimePoint deadline,
               JobIntake::OnSubmit done);
-  void CancelJob(const JobId& id, TimePoint deadline, JobIntake::OnCancel done);
-  void FindJob(const JobId& id, TimePoint deadline, OnJob done);
+  void CancelJob(const JobId& id,
+                 const Caller& caller,
+                 TimePoint deadline,
+                 JobIntake::OnCancel done);
+  void FindJob(const JobId& id,
+               const Caller& caller,
+               TimePoint deadline,
+               OnJob done);
+  void CountRefusal(RefusalReason reason) { refusals_.Count(reason); }
   // Hands over the leadership and removes this member's entry.
   void StartShutdown();
 
@@ -126,6 +134,7 @@
   const Election& election() const { return *election_; }
   int64_t store_calls() const { return store_.calls(); }
   const Metrics& metrics() const { return context_.metrics; }
+  const CallRefusals& refusals() const { return refusals_; }
 
  private:
   struct Member {
@@ -191,6 +200,11 @@
 
   // node_calls.cc
   void OnStateCall(const JobStateCall& call);
+  void OnOwnedStateCall(const OwnedStateCall& call);
+  void AnswerStateCall(uint64_t call,
+                       const std::string& address,
+                       const JobId& id,
+                       const Caller& caller);
   void OnStateAnswer(const JobStateAnswer& answer);
   // True if the store fails for this member but answers the leader, which
   // should then store on its behalf.
@@ -199,7 +213,18 @@
                      Body record,
                      TimePoint deadline,
                      std::function<void(JobStoreResult)> done);
+  void CancelAtLeader(const JobId& id,
+                      const Caller& caller,
+                      TimePoint deadline,
+                      std::function<void(JobStoreResult)> done);
   void OnStoreCall(const JobStoreCall& call);
+  void OnOwnedCancelCall(const OwnedCancelCall& call);
+  // Cancels the job on behalf of another member.
+  void CancelFor(const std::string& address,
+                 uint64_t call,
+                 const JobId& id,
+                 const Caller& caller,
+                 Millis timeout);
   void NotifyLeader(const JobId& id, Body record, int64_t revision);
   void OnJobNotice(const JobNotice& notice);
   void OnStoreAnswer(const JobStoreAnswer& answer);
@@ -208,7 +233,10 @@
   void RequestAdviceFromMember(const std::string& member,
                                const AdviceRequest& request,
                                AdvicePort::OnAdvice done);
-  void FindInStore(const JobId& id, TimePoint deadline, OnJob done);
+  void FindInStore(const JobId& id,
+                   const Caller& caller,
+                   TimePoint deadline,
+                   OnJob done);
   void ExpireCalls();
 
   template <typename F>
@@ -225,6 +253,7 @@
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   StoreMonitor store_;
   JobIntake intake_;
+  CallRefusals refusals_;
   std::unique_ptr<Election> election_;
   std::unique_ptr<CellLeader> leader_;
   std::shared_ptr<const QueueTable> table_;
@@ -276,6 +305,7 @@
   uint64_t next_call_ = 1;
   struct PendingStateCall {
     JobId job;
+    Caller caller;
     TimePoint fallback_at{};
     TimePoint deadline{};
     OnJob done;
--- a/cell/node_calls.cc
+++ b/cell/node_calls.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cell/caller_auth.h"
 #include "cell/node.h"
 
 namespace chivedale::cell {
@@ -44,7 +45,60 @@
   context_.peers.SendToAddress(election_->leader()->address, call);
 }
 
+// A call without an account is understood by members of earlier versions too.
+void CellNode::CancelAtLeader(const JobId& id,
+                              const Caller& caller,
+                              TimePoint deadline,
+                              std::function<void(JobStoreResult)> done) {
+  if (caller.account.empty()) {
+    StoreAtLeader(id, nullptr, deadline, std::move(done));
+    return;
+  }
+  OwnedCancelCall call;
+  call.call = next_call_++;
+  call.address = options_.address;
+  call.job = id;
+  call.timeout =
+      std::chrono::duration_cast<Millis>(deadline - context_.clock.Now());
+  call.account = caller.account;
+  call.key_digest = caller.key_digest;
+  pending_store_calls_[call.call] = {deadline, std::move(done)};
+  context_.peers.SendToAddress(election_->leader()->address, call);
+}
+
+void CellNode::CancelFor(const std::string& address,
+                         uint64_t call,
+                         const JobId& id,
+                         const Caller& caller,
+                         Millis timeout) {
+  intake_.Cancel(id, caller, context_.clock.Now() + timeout,
+                 [this, address, call, id](CancelResult result) {
+                   if (result == CancelResult::kCancelled) {
+                     NotifyLeader(id, nullptr, 0);
+                   }
+                   JobStoreAnswer answer;
+                   answer.call = call;
+                   answer.result = result == CancelResult::kCancelled
+                                       ? JobStoreResult::kStored
+                                   : result == CancelResult::kNoSuchJob
+                                       ? JobStoreResult::kNoSuchJob
+                                   : result == CancelResult::kOtherAccount
+                                       ? JobStoreResult::kOtherAccount
+                                       : JobStoreResult::kUnknown;
+                   context_.peers.SendToAddress(address, answer);
+                 });
+}
+
+void CellNode::OnOwnedCancelCall(const OwnedCancelCall& call) {
+  CancelFor(call.address, call.call, call.job,
+            {call.account, {}, call.key_digest}, call.timeout);
+}
+
 void CellNode::OnStoreCall(const JobStoreCall& call) {
+  if (call.record == nullptr) {
+    CancelFor(call.address, call.call, call.job, {}, call.timeout);
+    return;
+  }
   const TimePoint deadline = context_.clock.Now() + call.timeout;
   const auto answer = [this, id = call.call,
                        address = call.address](JobStoreResult result) {
@@ -53,19 +107,6 @@
     message.result = result;
     context_.peers.SendToAddress(address, message);
   };
-  if (call.record == nullptr) {
-    intake_.Cancel(
-        call.job, deadline, [this, answer, id = call.job](CancelResult result) {
-          if (result == CancelResult::kCancelled) {
-            NotifyLeader(id, nullptr, 0);
-          }
-          answer(result == CancelResult::kCancelled ? JobStoreResult::kStored
-                 : result == CancelResult::kNoSuchJob
-                     ? JobStoreResult::kNoSuchJob
-                     : JobStoreResult::kUnknown);
-        });
-    return;
-  }
   intake_.Submit(
       call.job, *call.record, deadline,
       [this, answer, id = call.job, record = call.record](SubmitResult result,
@@ -75,7 +116,9 @@
         }
         answer(result == SubmitResult::kAccepted  ? JobStoreResult::kStored
                : result == SubmitResult::kUnknown ? JobStoreResult::kUnknown
-                                                  : JobStoreResult::kNotStored);
+               : result == SubmitResult::kOtherAccount
+                   ? JobStoreResult::kOtherAccount
+                   : JobStoreResult::kNotStored);
       });
 }
 
@@ -115,41 +158,64 @@
   }
 }
 
-void CellNode::FindJob(const JobId& id, TimePoint deadline, OnJob done) {
+void CellNode::FindJob(const JobId& id,
+                       const Caller& caller,
+                       TimePoint deadline,
+                       OnJob done) {
   if (HasAuthority() && leader_->loaded()) {
     if (const auto state = leader_->Find(id)) {
-      done({JobAnswer::Kind::kFound, *state});
+      done(MayAccess(caller, *leader_->OwnerOf(id))
+               ? JobAnswer{JobAnswer::Kind::kFound, *state}
+               : JobAnswer{JobAnswer::Kind::kOtherAccount, {}});
       return;
     }
-    FindInStore(id, deadline, std::move(done));
+    FindInStore(id, caller, deadline, std::move(done));
     return;
   }
   const auto& leader = election_->leader();
   if (!leader || leader->node == options_.node) {
-    FindInStore(id, deadline, std::move(done));
+    FindInStore(id, caller, deadline, std::move(done));
     return;
   }
-  JobStateCall call;
-  call.call = next_call_++;
-  call.address = options_.address;
-  call.job = id;
+  const uint64_t call = next_call_++;
   const TimePoint fallback = context_.clock.Now() + kStateCallTimeout;
-  pending_state_calls_[call.call] = {id, std::min(fallback, deadline), deadline,
-                                     std::move(done)};
-  context_.peers.SendToAddress(leader->address, call);
+  pending_state_calls_[call] = {id, caller, std::min(fallback, deadline),
+                                deadline, std::move(done)};
+  if (caller.account.empty()) {
+    context_.peers.SendToAddress(leader->address,
+                                 JobStateCall{call, options_.address, id});
+  } else {
+    context_.peers.SendToAddress(
+        leader->address, OwnedStateCall{call, options_.address, id,
+                                        caller.account, caller.key_digest});
+  }
 }
 
 void CellNode::OnStateCall(const JobStateCall& call) {
+  AnswerStateCall(call.call, call.address, call.job, {});
+}
+
+void CellNode::OnOwnedStateCall(const OwnedStateCall& call) {
+  AnswerStateCall(call.call, call.address, call.job,
+                  {call.account, {}, call.key_digest});
+}
+
+void CellNode::AnswerStateCall(uint64_t call,
+                               const std::string& address,
+                               const JobId& id,
+                               const Caller& caller) {
   JobStateAnswer answer;
-  answer.call = call.call;
+  answer.call = call;
   if (HasAuthority() && leader_->loaded()) {
     answer.is_leader = true;
-    if (const auto state = leader_->Find(call.job)) {
+    if (const auto state = leader_->Find(id)) {
       answer.found = true;
-      answer.state = std::string(JobStateName(*state));
+      answer.state = MayAccess(caller, *leader_->OwnerOf(id))
+                         ? std::string(JobStateName(*state))
+                         : kOtherAccountState;
     }
   }
-  context_.peers.SendToAddress(call.address, answer);
+  context_.peers.SendToAddress(address, answer);
 }
 
 void CellNode::OnStateAnswer(const JobStateAnswer& answer) {
@@ -159,25 +225,33 @@
   }
   PendingStateCall wait = std::move(found->second);
   pending_state_calls_.erase(found);
+  if (answer.is_leader && answer.found && answer.state == kOtherAccountState) {
+    wait.done({JobAnswer::Kind::kOtherAccount, JobState::kQueued});
+    return;
+  }
   const auto state = ParseJobState(answer.state);
   if (answer.is_leader && answer.found && state) {
     wait.done({JobAnswer::Kind::kFound, *state});
     return;
   }
   // A job accepted just now may not have reached the leader.
-  FindInStore(wait.job, wait.deadline, std::move(wait.done));
+  FindInStore(wait.job, wait.caller, wait.deadline, std::move(wait.done));
 }
 
 // Determines the state of a job from the store: the stored progress if there is
 // any, else the job's keys.
-void CellNode::FindInStore(const JobId& id, TimePoint deadline, OnJob done) {
+void CellNode::FindInStore(const JobId& id,
+                           const Caller& caller,
+                           TimePoint deadline,
+                           OnJob done) {
   const Duration left = deadline - context_.clock.Now();
   const Millis timeout =
       std::min(kStoreTimeout,
                std::max(Millis(1), std::chrono::duration_cast<Millis>(left)));
   store_.List(
       JobKey(id), timeout,
-      Guard([this, id, timeout, done = std::move(done)](const StoreRead& job) {
+      Guard([this, id, caller, timeout,
+             done = std::move(done)](const StoreRead& job) {
         if (job.status != StoreStatus::kOk) {
           done({JobAnswer::Kind::kUnavailable, JobState::kQueued});
           return;
@@ -185,7 +259,13 @@
         bool accepted = false;
         bool cancelled = false;
         for (const StoreItem& item : job.items) {
-          accepted = accepted || item.key == JobKey(id);
+          if (item.key == JobKey(id)) {
+            accepted = true;
+            if (!MayAccess(caller, StoredOwner(item.value))) {
+              done({JobAnswer::Kind::kOtherAccount, JobState::kQueued});
+              return;
+            }
+          }
           cancelled = cancelled || item.key == CancelKey(id);
         }
         if (!accepted) {
@@ -283,7 +363,7 @@
     }
   }
   for (PendingStateCall& wait : late) {
-    FindInStore(wait.job, wait.deadline, std::move(wait.done));
+    FindInStore(wait.job, wait.caller, wait.deadline, std::move(wait.done));
   }
   std::vector<std::function<void(JobStoreResult)>> unstored;
   for (auto it = pending_store_calls_.begin();
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -42,6 +42,11 @@
         << "chivedale_unread_jobs " << leader->unread_jobs() << "\n"
         << "chivedale_steps_not_queued " << waits.not_queued << "\n";
   }
+  const auto& refused = node.refusals().counts();
+  for (size_t i = 0; i < refused.size(); ++i) {
+    out << "chivedale_calls_refused_total{reason=\"" << kRefusalReasonNames[i]
+        << "\"} " << refused[i] << "\n";
+  }
   out << node.metrics().PrometheusText();
   return out.str();
 }
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -512,9 +512,11 @@
              });
 }
 
-void FakeCell::Cancel(const std::string& name, const JobId& id) {
+void FakeCell::Cancel(const std::string& name,
+                      const JobId& id,
+                      const Caller& caller) {
   if (CellNode* at = node(name)) {
-    at->CancelJob(id, loop.clock().Now() + Millis(1'500),
+    at->CancelJob(id, caller, loop.clock().Now() + Millis(1'500),
                   [this, id](CancelResult result) {
                     if (result == CancelResult::kCancelled) {
                       cancelled_.insert(id);
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -86,7 +86,9 @@
               const std::string& queue = "q",
               const Caller& caller = {});
   void SetAccounts(std::vector<Account> accounts);
-  void Cancel(const std::string& name, const JobId& id);
+  void Cancel(const std::string& name,
+              const JobId& id,
+              const Caller& caller = {});
   void Announce(const UpkeepWave& wave);
   void BeginUpkeep(const std::string& vm);
 
--- a/chivedale/messages.h
+++ b/chivedale/messages.h
@@ -413,12 +413,23 @@
   std::string job;
 };
 
+// Like JobStateCall, for a caller with an account. Members of earlier versions
+// ignore it; the sender then reads the store.
+struct OwnedStateCall {
+  uint64_t call = 0;
+  std::string address;  // where to send the reply
+  std::string job;
+  std::string account;
+  std::string key_digest;
+};
+
 struct JobStateAnswer {
   uint64_t call = 0;
   bool is_leader = false;  // false: the receiver cannot tell the state
   bool found = false;
-  std::string state;
+  std::string state;  // kOtherAccountState: the job is of another account
 };
+inline constexpr char kOtherAccountState[] = "other_account";
 
 // From a member that cannot reach the store: store this job, or its cancel.
 struct JobStoreCall {
@@ -429,13 +440,42 @@
   Millis timeout{0};
 };
 
-enum class JobStoreResult { kStored, kNotStored, kUnknown, kNoSuchJob };
+// Like a JobStoreCall without a record, for a caller with an account.
+struct OwnedCancelCall {
+  uint64_t call = 0;
+  std::string address;  // where to send the reply
+  std::string job;
+  Millis timeout{0};
+  std::string account;
+  std::string key_digest;
+};
+
+enum class JobStoreResult {
+  kStored,
+  kNotStored,
+  kUnknown,
+  kNoSuchJob,
+  kOtherAccount,
+};
 
 struct JobStoreAnswer {
   uint64_t call = 0;
   JobStoreResult result = JobStoreResult::kUnknown;
 };
 
+// To the leader: as of when is it known that no newer table exists?
+struct TableCall {
+  uint64_t call = 0;
+  std::string address;  // where to send the reply
+};
+
+// No newer table than `version` existed `age` before this was sent.
+struct TableConfirmation {
+  uint64_t call = 0;
+  int64_t version = 0;  // 0: not known
+  Millis age{0};
+};
+
 // From the leader: query the advice service for a step.
 struct AdviceCall {
   uint64_t call = 0;
@@ -503,7 +543,11 @@
                              LeaderQuery,
                              LeaderHeard,
                              FollowCall,
-                             FollowAnswer>;
+                             FollowAnswer,
+                             OwnedStateCall,
+                             OwnedCancelCall,
+                             TableCall,
+                             TableConfirmation>;
 
 }  // namespace chivedale
 
--- a/chivedale/peer_fields.h
+++ b/chivedale/peer_fields.h
@@ -166,6 +166,21 @@
 CHIVEDALE_FIELDS(FollowCall, m.address, m.term, m.sent);
 CHIVEDALE_FIELDS(FollowAnswer, m.address, m.boot_id, m.term, m.sent, m.uptime);
 CHIVEDALE_FIELDS(JobStateCall, m.call, m.address, m.job);
+CHIVEDALE_FIELDS(OwnedStateCall,
+                 m.call,
+                 m.address,
+                 m.job,
+                 m.account,
+                 m.key_digest);
+CHIVEDALE_FIELDS(OwnedCancelCall,
+                 m.call,
+                 m.address,
+                 m.job,
+                 m.timeout,
+                 m.account,
+                 m.key_digest);
+CHIVEDALE_FIELDS(TableCall, m.call, m.address);
+CHIVEDALE_FIELDS(TableConfirmation, m.call, m.version, m.age);
 CHIVEDALE_FIELDS(JobStateAnswer, m.call, m.is_leader, m.found, m.state);
 CHIVEDALE_FIELDS(AdviceCall, m.call, m.address, m.step, m.executors, m.timeout);
 CHIVEDALE_FIELDS(AdviceTicket, m.executor, m.ticket);
@@ -251,7 +266,7 @@
 
 template <>
 struct LastEnumValue<JobStoreResult> {
-  static constexpr JobStoreResult kValue = JobStoreResult::kNoSuchJob;
+  static constexpr JobStoreResult kValue = JobStoreResult::kOtherAccount;
 };
 
 }  // namespace chivedale
--- a/chivedale/scheduler_parts.cc
+++ b/chivedale/scheduler_parts.cc
@@ -316,6 +316,10 @@
   void operator()(const LeaderHeard&) {}
   void operator()(const FollowCall&) {}
   void operator()(const FollowAnswer&) {}
+  void operator()(const OwnedStateCall&) {}
+  void operator()(const OwnedCancelCall&) {}
+  void operator()(const TableCall&) {}
+  void operator()(const TableConfirmation&) {}
   void operator()(const Handover& m) { parts_.owner.OnHandover(m); }
   void operator()(const JobQuery& m) { parts_.owner.OnJobQuery(m); }
   void operator()(const JobQueryReply& m) {
