Accept API keys only while the table is confirmed to be recent

Cause: a member that is cut off, paused or served by a silent watch went on to accept keys that a newer table had revoked.

Change: TableFreshness holds as of when no newer table existed, measured with the time of suspension.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -49,6 +49,12 @@
               store_,
               context.run_after,
               [this] { return store_.failing_for() > kStoreDown; }),
+      freshness_(context.clock, context.log, options.revocation_bound),
+      confirmer_(context.clock,
+                 context.random,
+                 freshness_,
+                 {context.read_table,
+                  [this](uint64_t call) { return AskLeaderForTable(call); }}),
       table_(std::make_shared<QueueTable>()) {
   LeaderRecord self;
   self.node = options_.node;
@@ -382,6 +388,7 @@
 void CellNode::Tick() {
   election_->Tick();
   KeepAuthority();
+  confirmer_.Tick(leader_ != nullptr);
   const TimePoint now = context_.clock.Now();
   if (now >= next_beat_) {
     SendBeats();
@@ -401,6 +408,7 @@
     return;
   }
   table_ = std::move(table);
+  freshness_.OnApplied(table_->version);
   context_.log.Write(Event::kTableApplied,
                      {{"version", std::to_string(table_->version)},
                       {"queues", std::to_string(table_->queues.size())}});
@@ -419,7 +427,8 @@
 // ---- Calls from clients.
 
 bool CellNode::ready() const {
-  return table_->version > 0 && !stopping_ && cell_listed_ &&
+  return table_->version > 0 && freshness_.IsConfirmed() && !stopping_ &&
+         cell_listed_ &&
          (store_.failing_for() < kNotReadyDelay || HasAuthority() ||
           ShouldStoreAtLeader());
 }
@@ -530,6 +539,8 @@
   std::visit(
       Overloaded{
           [this](const CellBeat& m) { OnBeat(m); },
+          [this](const TableCall& m) { OnTableCall(m); },
+          [this](const TableConfirmation& m) { confirmer_.OnConfirmation(m); },
           [this](const JobStateCall& m) { OnStateCall(m); },
           [this](const OwnedStateCall& m) { OnOwnedStateCall(m); },
           [this](const OwnedCancelCall& m) { OnOwnedCancelCall(m); },
--- a/cell/node.h
+++ b/cell/node.h
@@ -25,6 +25,8 @@
 #include "cell/leader_authority.h"
 #include "cell/ports.h"
 #include "cell/store_monitor.h"
+#include "cell/table_confirmer.h"
+#include "cell/table_freshness.h"
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/messages.h"
@@ -45,6 +47,8 @@
   // Capacity for leading: CPU cores of this process, reduced in proportion if
   // the VM's link is slow. Members with more are preferred as the leader.
   double strength = 1;
+  // See TableFreshness; 0: keys need no confirmation of the table.
+  Millis revocation_bound{0};
   LeaderOptions leader;
   ElectionOptions election;
 };
@@ -62,6 +66,7 @@
   ExecutorLister list_executors;
   WaveStatusWriter write_wave_status;
   RunAfter run_after;
+  TableReader read_table;
 };
 
 // Value of kRosterKey: addresses of the members whose answers a leader needs
@@ -97,6 +102,12 @@
   void Tick();
   // Ignored unless the table is newer than the current one.
   void OnTable(std::shared_ptr<const QueueTable> table);
+  // The newest table of the store cannot be applied.
+  void OnInvalidTable() { freshness_.OnInvalid(); }
+  // A read that was sent at this time, since boot, showed this newest table.
+  void OnTableShown(int64_t version, Duration sent) {
+    freshness_.OnShown(version, sent);
+  }
   void OnWave(const UpkeepWave& wave);
   void OnMessage(const MemberId& from, const Message& message);
   // The connection to a member was lost. `refused`: a new one was refused,
@@ -125,9 +136,13 @@
   // Jobs of the queue without a started task, as last reported by the leader.
   // Returns nullopt if no leader that has read the jobs reported it recently.
   std::optional<int64_t> Pending(const std::string& queue) const;
-  // True if this member has a table, has read the leader key, is not stopping,
+  // True if this member has a table, which is confirmed if callers need keys,
+  // has read the leader key, is not stopping,
   // and leads or can store jobs, directly or through the leader.
   bool ready() const;
+  // Whether the table is recent enough to accept keys.
+  bool table_confirmed() const { return freshness_.IsConfirmed(); }
+  const TableFreshness& freshness() const { return freshness_; }
   bool stopping() const { return stopping_; }
   bool leading() const { return leader_ != nullptr; }
   const CellLeader* leader() const { return leader_.get(); }
@@ -199,6 +214,9 @@
   bool HasAuthority() const;
 
   // node_calls.cc
+  // Returns false if no other member is known to lead.
+  bool AskLeaderForTable(uint64_t call);
+  void OnTableCall(const TableCall& call);
   void OnStateCall(const JobStateCall& call);
   void OnOwnedStateCall(const OwnedStateCall& call);
   void AnswerStateCall(uint64_t call,
@@ -254,6 +272,8 @@
   StoreMonitor store_;
   JobIntake intake_;
   CallRefusals refusals_;
+  TableFreshness freshness_;
+  TableConfirmer confirmer_;
   std::unique_ptr<Election> election_;
   std::unique_ptr<CellLeader> leader_;
   std::shared_ptr<const QueueTable> table_;
--- a/cell/node_calls.cc
+++ b/cell/node_calls.cc
@@ -191,6 +191,20 @@
   }
 }
 
+bool CellNode::AskLeaderForTable(uint64_t call) {
+  const auto& leader = election_->leader();
+  if (!leader || leader->node == options_.node) {
+    return false;
+  }
+  context_.peers.SendToAddress(leader->address,
+                               TableCall{call, options_.address});
+  return true;
+}
+
+void CellNode::OnTableCall(const TableCall& call) {
+  context_.peers.SendToAddress(call.address, confirmer_.Answer(call));
+}
+
 void CellNode::OnStateCall(const JobStateCall& call) {
   AnswerStateCall(call.call, call.address, call.job, {});
 }
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -18,6 +18,12 @@
   out << "chivedale_leading " << (node.leading() ? 1 : 0) << "\n"
       << "chivedale_ready " << (node.ready() ? 1 : 0) << "\n"
       << "chivedale_table_version " << node.table()->version << "\n"
+      << "chivedale_table_confirmed_age_ms "
+      << (node.freshness().Age()
+              ? std::chrono::duration_cast<Millis>(*node.freshness().Age())
+                    .count()
+              : -1)
+      << "\n"
       << "chivedale_store_calls_total " << node.store_calls() << "\n";
   if (const CellLeader* leader = node.leader()) {
     const LeaderCounts& counts = leader->counts();
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -199,6 +199,9 @@
           }
           run();
         });
+      },
+      [this](Millis, const std::function<void(int64_t)>& done) {
+        loop.After(Millis(2), [this, done] { done(table_->version); });
       }};
   NodeOptions options;
   options.node = name;
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -55,6 +55,8 @@
       {Event::kLeaderSuspected, "leader_suspected", L::kWarning},
       {Event::kLeaderAuthority, "leader_authority", L::kWarning},
       {Event::kLeaderLoad, "leader_load", L::kInfo},
+      {Event::kTableUnconfirmed, "table_unconfirmed", L::kWarning},
+      {Event::kTableConfirmed, "table_confirmed", L::kInfo},
       {Event::kJobAccepted, "job_accepted", L::kInfo},
       {Event::kJobNotAccepted, "job_not_accepted", L::kInfo},
       {Event::kJobCancelled, "job_cancelled", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -69,6 +69,8 @@
   kLeaderSuspected = 1006,
   kLeaderAuthority = 1007,
   kLeaderLoad = 1008,
+  kTableUnconfirmed = 1009,
+  kTableConfirmed = 1010,
   kJobAccepted = 1101,
   kJobNotAccepted = 1102,
   kJobCancelled = 1103,
--- a/util/clock.h
+++ b/util/clock.h
@@ -20,6 +20,9 @@
   virtual ~Clock() = default;
   virtual TimePoint Now() const = 0;
   virtual WallTime WallNow() const = 0;
+  // Time since the VM started, including the time for which it was suspended,
+  // which Now() does not count.
+  virtual Duration SinceBoot() const { return Now().time_since_epoch(); }
   // Processor time that this process has used.
   virtual Duration ProcessorTime() const = 0;
 };
@@ -34,6 +37,12 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now());
   }
+  Duration SinceBoot() const override {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::nanoseconds(time.tv_nsec);
+  }
   Duration ProcessorTime() const override {
     timespec used{};
     clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
