Keep the limits and shares of client accounts

Cause: accounts started as much as the pool holds; a busy account crowded out the others.

Change: AccountLedger counts what the runs of each account use, from the order to the listed end. A step at its account's limit is passed over. After a change of leader the tasks that may run on unread executors count as well. Jobs beyond an account's rate go after all others and preempt nothing.

--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cell/account_ledger.h"
+
 namespace chivedale::cell {
 namespace {
 
@@ -41,6 +43,10 @@
   run.step = &step;
   run.size = CommittedResources(*step.spec);
   committed_ += run.size;
+  // An account is charged the declared size, also of a filling task.
+  if (AccountUse* account = step.job->account()) {
+    account->use += step.spec->size;
+  }
   Task& task = step.tasks[static_cast<size_t>(run.name.index)];
   ++task.live;
   task.last_run = std::max(task.last_run, run.number);
@@ -55,6 +61,9 @@
   const Run& run = found->second;
   if (run.step != nullptr) {
     committed_ -= run.size;
+    if (AccountUse* account = run.step->job->account()) {
+      account->use -= run.step->spec->size;
+    }
     --run.step->tasks[static_cast<size_t>(run.name.index)].live;
     const auto live = run.step->live_on.find(entry.id);
     if (--live->second == 0) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -74,6 +74,7 @@
 };
 
 class Job;
+struct AccountUse;
 
 struct Step {
   Job* job = nullptr;
@@ -156,6 +157,8 @@
   // Records that the state has been stored.
   void MarkStored(JobState state) { stored_state_ = state; }
   void set_any_started() { any_started_ = true; }
+  // Entry of the owner in the AccountLedger; null: none.
+  void set_account(AccountUse* account) { account_ = account; }
   // The account has submitted more than its share; see AccountLedger.
   void set_over_share(bool over_share) { over_share_ = over_share; }
   void set_ended(TimePoint now) { ended_ = now; }
@@ -183,6 +186,7 @@
   // Whether a run is known to have begun. A start order alone does not count:
   // the executor may reject it.
   bool any_started() const { return any_started_; }
+  AccountUse* account() const { return account_; }
   bool over_share() const { return over_share_; }
   TimePoint ended() const { return ended_; }
   std::map<int, Occurrence>& open() { return open_; }
@@ -223,6 +227,7 @@
   JobState state_ = JobState::kQueued;
   JobState stored_state_ = JobState::kQueued;
   bool any_started_ = false;
+  AccountUse* account_ = nullptr;
   bool over_share_ = false;
   JobFailures failures_;
   // Those below were opened; they are finished if they are not in open_.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -44,6 +44,7 @@
       leadership_(leadership),
       placer_(options.placer),
       advice_dispatcher_(context.clock),
+      account_ledger_(options.account_overshoot, context.log),
       predecessor_revision_limit_(std::numeric_limits<int64_t>::max()),
       table_(std::make_shared<QueueTable>()),
       load_(context.log),
@@ -64,6 +65,7 @@
 void CellLeader::SetTable(std::shared_ptr<const QueueTable> table) {
   table_ = std::move(table);
   ++table_count_;
+  account_ledger_.SetTable(table_->accounts);
   RequestSchedulingPass();
 }
 
@@ -135,6 +137,7 @@
     RetryRejectedProgress();
     AcknowledgeEnds();
     ReportWaitingSteps();
+    account_ledger_.Report(now);
     RequestSchedulingPass();
   }
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -26,6 +26,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cell/account_ledger.h"
 #include "cell/advice_dispatcher.h"
 #include "cell/executor.h"
 #include "cell/job.h"
@@ -116,6 +117,7 @@
   const Leadership& leadership() const { return leadership_; }
   const LeaderCounts& counts() const { return counts_; }
   const WaitCounts& wait_counts() const { return wait_counts_; }
+  const AccountLedger& account_ledger() const { return account_ledger_; }
   size_t jobs() const { return jobs_.size(); }
   // Jobs of which an executor lists runs or ends and whose record is being
   // read.
@@ -418,12 +420,22 @@
                      std::vector<Executor*> candidates,
                      int most);
   bool IsWorthPreempting(const Run& run) const;
-  void Preempt(Step& step, const std::vector<Executor*>& candidates);
+  // Stops less urgent runs to make room for up to `most` tasks.
+  void Preempt(Step& step, const std::vector<Executor*>& candidates, int most);
   // Reserves executors for the step, which less urgent steps then cannot use.
   void ReserveExecutors(const Step& step,
                         const std::vector<Executor*>& candidates,
                         PoolState& pool);
 
+  // leader_accounts.cc: limits and shares of client accounts.
+  // Classifies the jobs that were read at once, in order of acceptance.
+  void CountLoadedJobs();
+  // Sets what accounts may run on executors that this leader has not read.
+  void MeasurePossibleUse();
+  // Number of tasks of the step that its account may start: all if it has none.
+  // For a gang all or 0.
+  int MaxStartsOfAccount(const Step& step) const;
+
   // leader_runs.cc: starting and stopping of runs.
   void Start(Executor& executor, Step& step, int task, int64_t number);
   void OnStarted(const ExecutorId& id,
@@ -499,6 +511,8 @@
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Placer placer_;
   AdviceDispatcher advice_dispatcher_;
+  AccountLedger account_ledger_;
+  bool possible_use_measured_ = false;  // in an earlier pass
   // Jobs with a higher revision were accepted after the predecessor had lost
   // the ability to start them.
   int64_t predecessor_revision_limit_;
--- a/cell/leader_jobs.cc
+++ b/cell/leader_jobs.cc
@@ -121,6 +121,9 @@
     OpenJob(*job);
   }
   const bool first = !loaded_;
+  if (first) {
+    CountLoadedJobs();
+  }
   loaded_ = true;
   jobs_read_at_ = now;
   jobs_revision_ = std::max(jobs_revision_, jobs.revision);
@@ -258,6 +261,11 @@
     recurring_jobs_.insert(id);
   }
   Job& added = *job;
+  added.set_account(account_ledger_.AccountOf(record.owner));
+  if (loaded_ && added.account() != nullptr) {
+    added.set_over_share(
+        AccountLedger::CountJob(*added.account(), context_.clock.Now()));
+  }
   jobs_.emplace(id, std::move(job));
   if (unmatched_cancels_.erase(id) > 0) {
     CancelJob(added);
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -285,7 +285,8 @@
   const TimePoint now = context_.clock.Now();
   for (const auto& [step, index] : overdue_copies_) {
     const Task& task = step->tasks[static_cast<size_t>(index)];
-    if (task.done || task.live != 1 || step->job->terminal()) {
+    if (task.done || task.live != 1 || step->job->terminal() ||
+        MaxStartsOfAccount(*step) == 0) {
       continue;
     }
     const PoolState& pool = PoolStateOf(PolicyOf(*step->job).pool);
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -21,6 +21,7 @@
 // A step with tasks to start, in the order of a pass.
 struct StepOrder {
   bool no_restart_due;  // see kMaxRestartWait
+  bool over_share;      // of its account
   int priority;
   bool late;  // past its objective
   TimePoint objective;
@@ -116,20 +117,22 @@
     late += step.objective < now ? 1 : 0;
     if (!WaitsForFirstAdvice(step, policy)) {
       orders.push_back({!step.HasWaitedForRestart(kMaxRestartWait, now),
-                        policy.priority, step.objective < now, step.objective,
-                        &step});
+                        step.job->over_share(), policy.priority,
+                        step.objective < now, step.objective, &step});
     }
     ++it;
   }
   std::sort(orders.begin(), orders.end(),
             [](const StepOrder& a, const StepOrder& b) {
-              return std::tie(a.no_restart_due, a.priority, a.late, a.objective,
-                              a.step) < std::tie(b.no_restart_due, b.priority,
-                                                 b.late, b.objective, b.step);
+              return std::tie(a.no_restart_due, a.over_share, a.priority,
+                              a.late, a.objective, a.step) <
+                     std::tie(b.no_restart_due, b.over_share, b.priority,
+                              b.late, b.objective, b.step);
             });
   reserved_.Clear();
   pool_states_.clear();
   MeasureUrgentUse();
+  MeasurePossibleUse();
   Duration starting{0};
   TimePoint step_begin = context_.clock.Now();
   for (const StepOrder& order : orders) {
@@ -252,6 +255,12 @@
         blocked ? WaitReason::kMoreUrgentSteps : WaitReason::kRetryTime, now);
     return;
   }
+  const int account_most = MaxStartsOfAccount(step);
+  if (account_most == 0) {
+    step.job->account()->limited_at = now;
+    step.wait.SetReason(WaitReason::kAccountLimit, now);
+    return;
+  }
   if (MayRunOnUnreadExecutor(step)) {
     step.wait.SetReason(WaitReason::kUnreadExecutors, now);
     ReportUnreadExecutors();
@@ -280,7 +289,7 @@
                  });
     remove_reserved(candidates);
   }
-  const int most = MaxStartsWithinHeadroom(step, pool);
+  const int most = std::min(MaxStartsWithinHeadroom(step, pool), account_most);
   if (most == 0 || (step.spec->gang && most < step.spec->count)) {
     step.wait.SetReason(WaitReason::kHeadroom, now);
     return;
@@ -305,8 +314,12 @@
     return;
   }
   step.wait.SetReason(ReasonOfNoPlace(step, pool, candidates), now);
+  // What is over its account's share takes nothing from others.
+  if (step.job->over_share()) {
+    return;
+  }
   if (!candidates.empty()) {
-    Preempt(step, candidates);
+    Preempt(step, candidates, MaxStartsOfAccount(step));
   }
   // Executors stay reserved while their ticket is being renewed.
   remove_reserved(eligible);
@@ -377,11 +390,13 @@
   return !ends_soon && (task.preemptions == 0 || ran >= kMinRunAfterPreemption);
 }
 
-void CellLeader::Preempt(Step& step, const std::vector<Executor*>& candidates) {
+void CellLeader::Preempt(Step& step,
+                         const std::vector<Executor*>& candidates,
+                         int most) {
   const int priority = PolicyOf(*step.job).priority;
   const Resources size = ResourcesFor(*step.spec);
   const TimePoint now = context_.clock.Now();
-  int wanted = step.Waiting();
+  int wanted = std::min(step.Waiting(), most);
   // Count the resources that stops in progress will free.
   for (Executor* executor : candidates) {
     Resources free_after_stops = executor->Free();
--- a/cell/status_page.cc
+++ b/cell/status_page.cc
@@ -13,6 +13,35 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+void WriteAccounts(const AccountLedger& ledger, std::ostream& out) {
+  struct Column {
+    std::string_view name;
+    int64_t Resources::*amount;
+  };
+  static constexpr Column kColumns[] = {
+      {"cpu_milli", &Resources::cpu_milli},
+      {"memory_mb", &Resources::memory_mb},
+      {"accelerators", &Resources::accelerators}};
+  for (const auto& [name, account] : ledger.accounts()) {
+    // Quoted as a JSON string, whose escapes the text format shares.
+    const std::string label = "account=" + Dump(name);
+    for (const Column& column : kColumns) {
+      const auto write = [&](std::string_view metric, const Resources& value) {
+        out << "chivedale_account_" << metric << "{" << label << ",resource=\""
+            << column.name << "\"} " << value.*column.amount << "\n";
+      };
+      write("use", account->use);
+      write("limit", account->policy.limit);
+    }
+    const auto write_jobs = [&](std::string_view share, int64_t jobs) {
+      out << "chivedale_account_jobs_total{" << label << ",share=\"" << share
+          << "\"} " << jobs << "\n";
+    };
+    write_jobs("within", account->jobs_within_share);
+    write_jobs("over", account->jobs_over_share);
+  }
+}
+
 std::string MetricsText(const CellNode& node) {
   std::ostringstream out;
   out << "chivedale_leading " << (node.leading() ? 1 : 0) << "\n"
@@ -41,6 +70,7 @@
         << "chivedale_steps_waiting_long " << waits.waiting_long << "\n"
         << "chivedale_unread_jobs " << leader->unread_jobs() << "\n"
         << "chivedale_steps_not_queued " << waits.not_queued << "\n";
+    WriteAccounts(leader->account_ledger(), out);
   }
   const auto& refused = node.refusals().counts();
   for (size_t i = 0; i < refused.size(); ++i) {
--- a/cell/step_wait.cc
+++ b/cell/step_wait.cc
@@ -6,7 +6,7 @@
 namespace chivedale::cell {
 namespace {
 
-constexpr std::array<std::string_view, 16> kWaitReasonTexts = {
+constexpr std::array<std::string_view, 17> kWaitReasonTexts = {
     "the next scheduling pass",
     "its retry time",
     "room, behind more urgent steps",
@@ -17,6 +17,7 @@
     "advice, or executors it allows",
     "room",
     "the end of the gang's earlier run",
+    "its account's runs, which use the account's limit",
     "the steps before it",
     "the leader to resume giving orders",
     "jobs and executors to be loaded",
--- a/cell/step_wait.h
+++ b/cell/step_wait.h
@@ -29,6 +29,7 @@
   kAdvice,
   kRoom,
   kEarlierGangRun,
+  kAccountLimit,
   // Found when the step is described.
   kEarlierSteps,
   kSuspended,
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -58,6 +58,8 @@
       {Event::kJobAccepted, "job_accepted", L::kInfo},
       {Event::kJobNotAccepted, "job_not_accepted", L::kInfo},
       {Event::kJobCancelled, "job_cancelled", L::kInfo},
+      {Event::kAccountLimited, "account_limited", L::kInfo},
+      {Event::kAccountUnlimited, "account_unlimited", L::kInfo},
       {Event::kTaskStarted, "task_started", L::kInfo},
       {Event::kTaskEnded, "task_ended", L::kInfo},
       {Event::kTaskStopOrdered, "task_stop_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -72,6 +72,8 @@
   kJobAccepted = 1101,
   kJobNotAccepted = 1102,
   kJobCancelled = 1103,
+  kAccountLimited = 1104,
+  kAccountUnlimited = 1105,
   kTaskStarted = 1201,
   kTaskEnded = 1202,
   kTaskStopOrdered = 1203,
