Order the steps of a pass by what their delay costs callers

Cause: a step counted as late only once its objective had passed, so that work which could not be in time any more went before work which could, and under overload everything was late.

Change: PassOrder decides the order of a pass and which runs may be preempted. With shortage_order "cost" work that can be in time goes first, then late work by its work per value, then what is worth nothing any more; late work preempts only what is late as well. The default order is as before.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "cell/decode.h"
+#include "cell/pass_order.h"
 
 namespace chivedale::cell {
 namespace {
@@ -158,6 +159,20 @@
   return std::min(longest, kMaxDuration);
 }
 
+// By step, the length of the longest path that begins with it.
+std::vector<Millis> PathsFrom(const std::vector<StepSpec>& steps) {
+  std::vector<Millis> after(steps.size(), Millis(0));
+  std::vector<Millis> from(steps.size(), Millis(0));
+  for (size_t i = steps.size(); i-- > 0;) {
+    from[i] = std::min(after[i] + steps[i].estimate, kMaxDuration);
+    for (const int earlier : steps[i].depends_on) {
+      Millis& longest = after[static_cast<size_t>(earlier)];
+      longest = std::max(longest, from[i]);
+    }
+  }
+  return from;
+}
+
 void ValidateSteps(const std::vector<StepSpec>& steps) {
   for (size_t i = 0; i < steps.size(); ++i) {
     for (const int earlier : steps[i].depends_on) {
@@ -269,7 +284,12 @@
     : id_(std::move(id)),
       record_(std::move(record)),
       revision_(revision),
-      chain_estimate_(CriticalPath(record_.spec.steps)) {}
+      chain_estimate_(CriticalPath(record_.spec.steps)),
+      chains_from_(PathsFrom(record_.spec.steps)) {
+  for (const StepSpec& step : record_.spec.steps) {
+    work_ += DeclaredWork(step, step.count);
+  }
+}
 
 Occurrence& Job::Open(int number, TimePoint now) {
   Occurrence& occurrence = open_[number];
--- a/cell/job.h
+++ b/cell/job.h
@@ -204,6 +204,12 @@
   WallTime NextDue() const;
   // Declared run time of the critical path of steps.
   Millis ChainEstimate() const { return chain_estimate_; }
+  // Likewise of the steps from this one on.
+  Millis ChainEstimateFrom(int step) const {
+    return chains_from_[static_cast<size_t>(step)];
+  }
+  // Declared work of an occurrence, see DeclaredWork().
+  double work() const { return work_; }
 
  private:
   enum class ProgressDetail { kAll, kNoCheckpoints, kDoneOnly };
@@ -235,6 +241,8 @@
   std::map<int, Occurrence> open_;  // by occurrence number
   int open_tasks_ = 0;              // tasks in open_ that are not done
   Millis chain_estimate_{0};
+  std::vector<Millis> chains_from_;  // by step
+  double work_ = 0;
   TimePoint ended_{};
 };
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -33,6 +33,7 @@
 #include "cell/leader_authority.h"
 #include "cell/leader_context.h"
 #include "cell/leader_load.h"
+#include "cell/pass_order.h"
 #include "cell/placer.h"
 #include "cell/pool_state.h"
 #include "cell/ports.h"
@@ -164,6 +165,10 @@
   // Time since acceptance, by the VMs' wall clocks.
   Duration AgeOf(const Job& job) const;
   TimePoint ObjectiveOf(const Job& job, int occurrence) const;
+  // Time from acceptance to the objective.
+  static Duration TimeAllowed(const Job& job);
+  JobDeadlines DeadlinesOf(const Step& step) const;
+  WaitingStep DescribeWaiting(Step& step, TimePoint now) const;
   // Null if there is none.
   Step* StepOf(const TaskName& name);
   // Likewise, for a task that a predecessor may have started: opens its
@@ -420,6 +425,7 @@
                      std::vector<Executor*> candidates,
                      int most);
   bool IsWorthPreempting(const Run& run) const;
+  PreemptionLoss LossOf(const Run& run) const;
   // Stops less urgent runs to make room for up to `most` tasks.
   void Preempt(Step& step, const std::vector<Executor*>& candidates, int most);
   // Reserves executors for the step, which less urgent steps then cannot use.
@@ -512,6 +518,8 @@
   Placer placer_;
   AdviceDispatcher advice_dispatcher_;
   AccountLedger account_ledger_;
+  const PassOrder& pass_order_;
+  double mean_waiting_work_ = 0;        // of the jobs in the last pass
   bool possible_use_measured_ = false;  // in an earlier pass
   // Jobs with a higher revision were accepted after the predecessor had lost
   // the ability to start them.
--- a/cell/leader_jobs.cc
+++ b/cell/leader_jobs.cc
@@ -398,10 +398,13 @@
         job.record().spec.first_start + occurrence * job.record().spec.interval;
   }
   const Duration age = context_.clock.WallNow() - from;
-  const auto allowed = std::chrono::duration_cast<Duration>(
-      job.ChainEstimate() * job.queue().objective_factor +
-      job.queue().objective_slack);
-  return context_.clock.Now() - age + allowed;
+  return context_.clock.Now() - age + TimeAllowed(job);
+}
+
+Duration CellLeader::TimeAllowed(const Job& job) {
+  return std::chrono::duration_cast<Duration>(job.ChainEstimate() *
+                                                  job.queue().objective_factor +
+                                              job.queue().objective_slack);
 }
 
 std::optional<JobState> CellLeader::Find(const JobId& id) const {
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -3,6 +3,7 @@
 // and gangs are not starved by smaller, less urgent ones.
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "cell/leader.h"
 
@@ -18,16 +19,6 @@
 // A task that was preempted before runs at least this long before it is
 // preempted again, so that it makes progress.
 constexpr Millis kMinRunAfterPreemption{2'000};
-// A step with tasks to start, in the order of a pass.
-struct StepOrder {
-  bool no_restart_due;  // see kMaxRestartWait
-  bool over_share;      // of its account
-  int priority;
-  bool late;  // past its objective
-  TimePoint objective;
-  Step* step;
-};
-
 // Why tasks of a step still wait after all that could be started were.
 WaitReason ReasonOfRest(const Step& step, TimePoint now) {
   if (step.spec->gang) {
@@ -100,9 +91,10 @@
   ++counts_.passes;
   const TimePoint now = context_.clock.Now();
   ReportUnreadExecutorsEnd();
-  std::vector<StepOrder> orders;
+  std::vector<PassKey> orders;
   orders.reserve(waiting_.size());
   size_t late = 0;
+  double work = 0;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     Step& step = **it;
     if (step.job->terminal() || step.Waiting() == 0) {
@@ -116,26 +108,23 @@
     const QueuePolicy& policy = PolicyOf(*step.job);
     late += step.objective < now ? 1 : 0;
     if (!WaitsForFirstAdvice(step, policy)) {
-      orders.push_back({!step.HasWaitedForRestart(kMaxRestartWait, now),
-                        step.job->over_share(), policy.priority,
-                        step.objective < now, step.objective, &step});
+      const WaitingStep waiting = DescribeWaiting(step, now);
+      work += waiting.job_work;
+      orders.push_back(pass_order_.KeyOf(waiting, mean_waiting_work_, now));
     }
     ++it;
   }
-  std::sort(orders.begin(), orders.end(),
-            [](const StepOrder& a, const StepOrder& b) {
-              return std::tie(a.no_restart_due, a.over_share, a.priority,
-                              a.late, a.objective, a.step) <
-                     std::tie(b.no_restart_due, b.over_share, b.priority,
-                              b.late, b.objective, b.step);
-            });
+  std::sort(orders.begin(), orders.end());
+  // The next pass uses the mean of this one: it changes little between them.
+  mean_waiting_work_ =
+      orders.empty() ? 0 : work / static_cast<double>(orders.size());
   reserved_.Clear();
   pool_states_.clear();
   MeasureUrgentUse();
   MeasurePossibleUse();
   Duration starting{0};
   TimePoint step_begin = context_.clock.Now();
-  for (const StepOrder& order : orders) {
+  for (const PassKey& order : orders) {
     const int64_t starts_before = counts_.starts;
     ScheduleStep(*order.step);
     const TimePoint step_end = context_.clock.Now();
@@ -155,6 +144,28 @@
   load_.OnPass(now, end, {waiting_.size(), late});
 }
 
+JobDeadlines CellLeader::DeadlinesOf(const Step& step) const {
+  const TimePoint objective = step.objective == TimePoint()
+                                  ? ObjectiveOf(*step.job, step.occurrence)
+                                  : step.objective;
+  return JobDeadlines::Of(objective, TimeAllowed(*step.job));
+}
+
+WaitingStep CellLeader::DescribeWaiting(Step& step, TimePoint now) const {
+  const Job& job = *step.job;
+  WaitingStep waiting;
+  waiting.step = &step;
+  waiting.restart_due = step.HasWaitedForRestart(kMaxRestartWait, now);
+  waiting.over_share = job.over_share();
+  waiting.priority = PolicyOf(job).priority;
+  waiting.deadlines = DeadlinesOf(step);
+  waiting.remaining_time = job.ChainEstimateFrom(step.index);
+  waiting.remaining_work =
+      DeclaredWork(*step.spec, step.spec->count - step.done);
+  waiting.job_work = job.work();
+  return waiting;
+}
+
 PoolState& CellLeader::PoolStateOf(const std::string& name) {
   const auto [found, added] = pool_states_.try_emplace(name);
   PoolState& pool = found->second;
@@ -390,12 +401,23 @@
   return !ends_soon && (task.preemptions == 0 || ran >= kMinRunAfterPreemption);
 }
 
+PreemptionLoss CellLeader::LossOf(const Run& run) const {
+  const Step& step = *run.step;
+  const TimePoint now = context_.clock.Now();
+  const Duration ran = now - run.running_since;
+  const Duration remaining = step.job->ChainEstimateFrom(step.index) -
+                             std::min<Duration>(ran, step.spec->estimate);
+  return pass_order_.LossOf(DeadlinesOf(step), remaining,
+                            options_.stop_time + options_.restore_time, now);
+}
+
 void CellLeader::Preempt(Step& step,
                          const std::vector<Executor*>& candidates,
                          int most) {
   const int priority = PolicyOf(*step.job).priority;
   const Resources size = ResourcesFor(*step.spec);
   const TimePoint now = context_.clock.Now();
+  const WaitingStep waiting = DescribeWaiting(step, now);
   int wanted = std::min(step.Waiting(), most);
   // Count the resources that stops in progress will free.
   for (Executor* executor : candidates) {
@@ -418,21 +440,28 @@
     }
     Resources room = executor->Free();
     std::vector<Run*> victims;
-    std::vector<Run*> stoppable;
+    std::vector<std::pair<PreemptionLoss, Run*>> stoppable;
     for (auto& [name, run] : executor->runs()) {
-      if (run.step != nullptr && PolicyOf(*run.step->job).priority > priority &&
-          IsWorthPreempting(run)) {
-        stoppable.push_back(&run);
+      if (run.step == nullptr ||
+          PolicyOf(*run.step->job).priority <= priority ||
+          !IsWorthPreempting(run)) {
+        continue;
+      }
+      const PreemptionLoss loss = LossOf(run);
+      if (pass_order_.MayCause(waiting, loss, now)) {
+        stoppable.emplace_back(loss, &run);
       }
     }
-    // The least urgent first, then the most recently started.
-    std::sort(stoppable.begin(), stoppable.end(), [&](Run* a, Run* b) {
-      return std::make_tuple(-PolicyOf(*a->step->job).priority,
-                             now - a->running_since) <
-             std::make_tuple(-PolicyOf(*b->step->job).priority,
-                             now - b->running_since);
-    });
-    for (Run* run : stoppable) {
+    // Where least is lost first, then the least urgent, then the most recently
+    // started.
+    const auto key = [&](const std::pair<PreemptionLoss, Run*>& entry) {
+      return std::make_tuple(entry.first,
+                             -PolicyOf(*entry.second->step->job).priority,
+                             now - entry.second->running_since);
+    };
+    std::sort(stoppable.begin(), stoppable.end(),
+              [&](const auto& a, const auto& b) { return key(a) < key(b); });
+    for (const auto& [loss, run] : stoppable) {
       if (size.FitsIn(room)) {
         break;
       }
