Refuse submissions at once while the store is down, and spread the returns

Cause: a submission waited 1 s while the store was down and then got 503 with the same time to return for all; many ended at their deadline.

Change: OutagePolicy. With outage_admission "refuse" what no write was sent for is refused at once, and callers return after 1 to 2 s on the most urgent queues, 2 to 3 s on others, at random. The default is as before.

--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -13,10 +13,6 @@
 // A write usually takes 4 ms, and up to about 240 ms when the store is slowest.
 constexpr Millis kWriteTimeout{700};
 constexpr Millis kRetryDelay{60};
-// While the store is down, a job is held back for this time, so that it can be
-// refused definitely and its caller, whose timeout is about 3 s, can retry once
-// more.
-constexpr Millis kUnsentWait{1'000};
 // Each entry uses a condition and a put.
 constexpr size_t kMaxBatch = kMaxWriteEntries / 2;
 
@@ -25,11 +21,13 @@
 JobIntake::JobIntake(const Clock& clock,
                      StorePort& store,
                      RunAfter run_after,
-                     std::function<bool()> store_down)
+                     std::function<bool()> store_down,
+                     Millis unsent_wait)
     : clock_(clock),
       store_(store),
       run_after_(std::move(run_after)),
       store_down_(std::move(store_down)),
+      unsent_wait_(unsent_wait),
       max_batch_(kMaxBatch) {}
 
 JobIntake::~JobIntake() = default;
@@ -89,8 +87,11 @@
 }
 
 void JobIntake::Enqueue(Entry entry) {
-  entry.unsent_until = clock_.Now() + kUnsentWait;
+  entry.unsent_until = clock_.Now() + unsent_wait_;
   queue_.push_back(std::move(entry));
+  if (unsent_wait_ == Millis(0)) {
+    ExpireEntries();
+  }
   WriteNext();
 }
 
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -47,10 +47,12 @@
   using OnCancel = std::function<void(CancelResult)>;
 
   // `store_down`: returns true if the store has not answered for a while.
+  // `unsent_wait`: see OutagePolicy.
   JobIntake(const Clock& clock,
             StorePort& store,
             RunAfter run_after,
-            std::function<bool()> store_down);
+            std::function<bool()> store_down,
+            Millis unsent_wait);
   ~JobIntake();
 
   // Commands.
@@ -106,6 +108,7 @@
   StorePort& store_;
   const RunAfter run_after_;
   const std::function<bool()> store_down_;
+  const Millis unsent_wait_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::deque<Entry> queue_;
   bool write_in_flight_ = false;
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -45,10 +45,12 @@
     : context_(context),
       options_(options),
       store_(context.clock, context.log, context.store),
-      intake_(context.clock,
-              store_,
-              context.run_after,
-              [this] { return store_.failing_for() > kStoreDown; }),
+      intake_(
+          context.clock,
+          store_,
+          context.run_after,
+          [this] { return store_.failing_for() > kStoreDown; },
+          OutagePolicy::Of(options.outage_admission).UnsentWait()),
       freshness_(context.clock, context.log, options.revocation_bound),
       confirmer_(context.clock,
                  context.random,
@@ -433,6 +435,11 @@
           ShouldStoreAtLeader());
 }
 
+std::chrono::seconds CellNode::RetryAfter(int priority) const {
+  return OutagePolicy::Of(options_.outage_admission)
+      .RetryAfter(priority, context_.random);
+}
+
 std::optional<int64_t> CellNode::Pending(const std::string& queue) const {
   if (pending_at_ == TimePoint() ||
       context_.clock.Now() - pending_at_ > kMaxPendingAge) {
--- a/cell/node.h
+++ b/cell/node.h
@@ -23,6 +23,7 @@
 #include "cell/job_intake.h"
 #include "cell/leader.h"
 #include "cell/leader_authority.h"
+#include "cell/outage_admission.h"
 #include "cell/ports.h"
 #include "cell/store_monitor.h"
 #include "cell/table_confirmer.h"
@@ -49,6 +50,7 @@
   double strength = 1;
   // See TableFreshness; 0: keys need no confirmation of the table.
   Millis revocation_bound{0};
+  OutageAdmission outage_admission = OutageAdmission::kHold;
   LeaderOptions leader;
   ElectionOptions election;
 };
@@ -150,6 +152,8 @@
   int64_t store_calls() const { return store_.calls(); }
   const Metrics& metrics() const { return context_.metrics; }
   const CallRefusals& refusals() const { return refusals_; }
+  // Time after which the caller of a refused call should return.
+  std::chrono::seconds RetryAfter(int priority) const;
 
  private:
   struct Member {
