--- /dev/null
+++ b/cell/testing/table_freshness_test.cc
@@ -0,0 +1,223 @@
+// Guards against members that accept a key which a newer table has revoked. The
+// load is one of calls that carry such a key, at any member, for ever.
+#include "cell/table_freshness.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "cell/table_confirmer.h"
+#include "cell/testing/cell_fixture.h"
+#include "cell/testing/fake_loop.h"
+
+namespace chivedale::cell {
+namespace {
+
+constexpr Millis kBound{5'000};
+
+// A clock of a VM that is suspended at times, which the steady clock does not
+// count.
+class SuspendedClock final : public Clock {
+ public:
+  TimePoint Now() const override { return TimePoint(running_); }
+  WallTime WallNow() const override { return WallTime(Millis(0)); }
+  Duration SinceBoot() const override { return running_ + suspended_; }
+  Duration ProcessorTime() const override { return Duration(0); }
+
+  void Run(Duration time) { running_ += time; }
+  void Suspend(Duration time) { suspended_ += time; }
+
+ private:
+  Duration running_{std::chrono::hours(1)};
+  Duration suspended_{0};
+};
+
+struct Freshness {
+  SuspendedClock clock;
+  NullEventLog log;
+  TableFreshness table{clock, log, kBound};
+};
+
+BOOST_AUTO_TEST_SUITE(ATable)
+
+BOOST_FIXTURE_TEST_CASE(IsNotConfirmedBeforeARead, Freshness) {
+  BOOST_TEST(!table.IsConfirmed());
+  table.OnApplied(3);
+  BOOST_TEST(!table.IsConfirmed());
+  table.OnShown(3, clock.SinceBoot());
+  BOOST_TEST(table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsConfirmedForLessThanTheBound, Freshness) {
+  table.OnApplied(3);
+  table.OnShown(3, clock.SinceBoot());
+  clock.Run(kBound * 94 / 100);
+  BOOST_TEST(table.IsConfirmed());
+  clock.Run(kBound * 2 / 100);
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+// Guards against an answer that was on its way while the table changed.
+BOOST_FIXTURE_TEST_CASE(IsConfirmedAsOfWhenTheReadWasSent, Freshness) {
+  table.OnApplied(3);
+  const Duration sent = clock.SinceBoot();
+  clock.Run(kBound);
+  table.OnShown(3, sent);
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(AgesWhileItsVmIsSuspended, Freshness) {
+  table.OnApplied(3);
+  table.OnShown(3, clock.SinceBoot());
+  clock.Suspend(kBound);
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNotConfirmedByAReadOfANewerOne, Freshness) {
+  table.OnApplied(3);
+  table.OnShown(4, clock.SinceBoot());
+  BOOST_TEST(!table.IsConfirmed());
+  BOOST_TEST(table.IsBehind());
+  table.OnApplied(4);
+  BOOST_TEST(!table.IsBehind());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsConfirmedByAnotherMemberWithAnOlderOne, Freshness) {
+  table.OnApplied(4);
+  table.OnShown(3, clock.SinceBoot());
+  BOOST_TEST(table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNotConfirmedOnceANewerOneIsInvalid, Freshness) {
+  table.OnApplied(3);
+  table.OnShown(3, clock.SinceBoot());
+  table.OnInvalid();
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+BOOST_AUTO_TEST_CASE(NeedsNoConfirmationWithoutABound) {
+  SuspendedClock clock;
+  NullEventLog log;
+  const TableFreshness table(clock, log, Millis(0));
+  BOOST_TEST(table.IsConfirmed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// One member that asks another one, which asks the store.
+struct Chain : Freshness {
+  Chain() {
+    table.OnApplied(3);
+    leader_table.OnApplied(3);
+  }
+  TableConfirmer MakeConfirmer(TableFreshness& freshness) {
+    return TableConfirmer(clock, random, freshness,
+                          {[this](Millis, std::function<void(int64_t)> done) {
+                             reads.push_back(std::move(done));
+                           },
+                           [this](uint64_t call) {
+                             asked = call;
+                             return true;
+                           }});
+  }
+
+  util::Random random{1};
+  TableFreshness leader_table{clock, log, kBound};
+  std::vector<std::function<void(int64_t)>> reads;  // in flight
+  uint64_t asked = 0;
+  TableConfirmer member = MakeConfirmer(table);
+  TableConfirmer leader = MakeConfirmer(leader_table);
+};
+
+BOOST_AUTO_TEST_SUITE(AConfirmationThroughTheLeader)
+
+BOOST_FIXTURE_TEST_CASE(IsAsOldAsTheLeadersRead, Chain) {
+  leader.Tick(true);
+  BOOST_REQUIRE(reads.size() == 1u);
+  clock.Run(Millis(400));  // the read takes time
+  reads[0](3);
+  clock.Run(Millis(2'000));
+  member.Tick(false);
+  const TableConfirmation answer = leader.Answer({asked, ""});
+  clock.Run(Millis(1'000));  // so does the answer
+  member.OnConfirmation(answer);
+  BOOST_REQUIRE(table.Age().has_value());
+  BOOST_TEST((*table.Age() >= Millis(3'400)));
+  clock.Run(Millis(1'500));
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+// Guards against a member that takes the time of the answer for the time as of
+// which it is true.
+BOOST_FIXTURE_TEST_CASE(IsWorthNothingAfterALongPause, Chain) {
+  leader.Tick(true);
+  reads[0](3);
+  member.Tick(false);
+  const TableConfirmation answer = leader.Answer({asked, ""});
+  clock.Suspend(kBound);
+  member.OnConfirmation(answer);
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(CountsOnlyForTheLastCall, Chain) {
+  leader.Tick(true);
+  reads[0](3);
+  member.Tick(false);
+  const TableConfirmation late = leader.Answer({asked, ""});
+  clock.Run(kBound);
+  member.Tick(false);
+  member.OnConfirmation(late);
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNoneWhileTheLeaderHasNone, Chain) {
+  member.Tick(false);
+  member.OnConfirmation(leader.Answer({asked, ""}));
+  BOOST_TEST(!table.IsConfirmed());
+}
+
+// Guards against a leader whose table is older than that of the member, and one
+// that has a table which the member lacks.
+BOOST_FIXTURE_TEST_CASE(HasTheMemberReadATableThatItLacks, Chain) {
+  leader_table.OnApplied(4);
+  leader.Tick(true);
+  reads[0](4);
+  reads.clear();
+  table.OnShown(3, clock.SinceBoot());
+  member.Tick(false);
+  BOOST_TEST(reads.empty());
+  member.OnConfirmation(leader.Answer({asked, ""}));
+  BOOST_TEST(table.IsBehind());
+  member.Tick(false);
+  BOOST_TEST(reads.size() == 1u);
+}
+
+// Guards against members that all read the store at the design size.
+BOOST_FIXTURE_TEST_CASE(SparesTheMembersReads, Chain) {
+  for (int i = 0; i < 600; ++i) {
+    const size_t before = reads.size();
+    leader.Tick(true);
+    if (reads.size() > before) {
+      reads.back()(3);
+    }
+    const uint64_t last = asked;
+    member.Tick(false);
+    if (asked != last) {
+      member.OnConfirmation(leader.Answer({asked, ""}));
+    }
+    clock.Run(Millis(100));
+  }
+  // The member's first read, before the leader had confirmed.
+  BOOST_TEST(reads.size() <= 60 * 10 / 9 + 2);
+  BOOST_TEST(table.IsConfirmed());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsReplacedByReadsWhileThereIsNone, Chain) {
+  member.Tick(false);
+  BOOST_REQUIRE(reads.size() == 1u);
+  reads[0](3);
+  BOOST_TEST(table.IsConfirmed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace chivedale::cell
