Let the ownership tests wait until a member knows that its store is down

Cause: the member goes through the leader only after one of its own calls has failed, and the job of the test ended too early.

Change: the tests make such a call first and use a longer job.

--- a/cell/testing/caller_auth_test.cc
+++ b/cell/testing/caller_auth_test.cc
@@ -110,7 +110,8 @@
 // a call to it, or from the store.
 struct OwnedJob : CellFixture {
   OwnedJob() {
-    Submit(NonLeaderName(), kJobId, MakeJobSpec(1, Millis(5'000)), "q0", owner);
+    Submit(NonLeaderName(), kJobId, MakeJobSpec(1, Millis(60'000)), "q0",
+           owner);
     RunFor(Millis(500));
   }
   JobAnswer::Kind Ask(const std::string& member, const Caller& caller) {
@@ -138,6 +139,13 @@
     return result;
   }
 
+  // Has the member find out that the store refuses its calls, so that it goes
+  // through the leader.
+  void RefuseStoreTo(const std::string& member) {
+    store.faults_of[member].refuses = true;
+    TryCancel(member, nobody);
+  }
+
   const Caller owner = CallerOf("one", "k1");
   const Caller other = CallerOf("two", "k2");
   const Caller nobody;
@@ -184,8 +192,7 @@
 // Such a member has the leader cancel the job.
 BOOST_FIXTURE_TEST_CASE(IsCancelledThroughTheLeaderByItsAccountOnly, OwnedJob) {
   const std::string member = NonLeaderName();
-  store.faults_of[member].refuses = true;
-  RunFor(Millis(400));
+  RefuseStoreTo(member);
   BOOST_TEST((TryCancel(member, other) == CancelResult::kOtherAccount));
   BOOST_TEST((TryCancel(member, owner) == CancelResult::kCancelled));
 }
@@ -194,8 +201,7 @@
   BOOST_TEST((SubmitAgain("a", owner) == SubmitResult::kAccepted));
   BOOST_TEST((SubmitAgain("a", other) == SubmitResult::kOtherAccount));
   const std::string member = NonLeaderName();
-  store.faults_of[member].refuses = true;
-  RunFor(Millis(400));
+  RefuseStoreTo(member);
   BOOST_TEST((SubmitAgain(member, other) == SubmitResult::kOtherAccount));
 }
 
