--- a/cell/table_confirmer.cc
+++ b/cell/table_confirmer.cc
@@ -38,8 +38,9 @@
     next_ask_ = now + kAskInterval;
     Ask();
   }
-  if ((leading || late || freshness_.IsBehind()) && !read_in_flight_ &&
-      now >= next_read_) {
+  // A newer table than this member's is on its way by the watch; reading it as
+  // well would only delay it.
+  if ((leading || late) && !read_in_flight_ && now >= next_read_) {
     next_read_ =
         now + (leading
                    ? kLeaderReadInterval
