Take an account's limit from its first row, and bound the time of a job in its share

Cause: a second row of a name replaced the policy of the account that has the keys. The interval of a tiny weight exceeds the range of a duration, after which each job was within the share.

Change: the ledger skips later rows of a name.

--- a/cell/account_ledger.cc
+++ b/cell/account_ledger.cc
@@ -12,6 +12,9 @@
 // An account counts as limited until no step has waited for its limit for this
 // time, so that one which is at its limit at times is not reported each time.
 constexpr Millis kLimitedTime{1'000};
+// Longest time that a job uses up of its account's share, as the interval of a
+// very small weight exceeds the range of a duration.
+constexpr std::chrono::hours kMaxShareInterval{24};
 
 // Number of tasks that fit below a limit of one resource; `wanted` if there is
 // no limit.
@@ -56,6 +59,9 @@
 
 void AccountLedger::SetTable(const AccountTable& table) {
   for (const Account& row : table.accounts()) {
+    if (table.Find(row.name) != &row) {
+      continue;  // a name that occurs twice belongs to the first account
+    }
     std::unique_ptr<AccountUse>& account = accounts_[row.name];
     if (account == nullptr) {
       account = std::make_unique<AccountUse>();
@@ -89,7 +95,9 @@
     return true;
   }
   const auto interval = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(1 / account.policy.weight));
+      std::min<std::chrono::duration<double>>(
+          std::chrono::duration<double>(1 / account.policy.weight),
+          kMaxShareInterval));
   account.share_used_until =
       std::max(account.share_used_until, accepted) + interval;
   ++account.jobs_within_share;
--- a/cell/testing/account_ledger_test.cc
+++ b/cell/testing/account_ledger_test.cc
@@ -89,6 +89,18 @@
   BOOST_TEST(ledger.AccountOf({}) == nullptr);
 }
 
+// Guards against a second row of a name that replaces the limit of the account
+// which has the keys.
+BOOST_FIXTURE_TEST_CASE(HasThatOfItsFirstRow, Ledger) {
+  Account first;
+  first.name = "one";
+  first.policy.limit = {20'000, 0, 0, 0};
+  Account second = first;
+  second.policy.limit = {};
+  ledger.SetTable(AccountTable({first, second}));
+  BOOST_TEST(MaxStarts(*ledger.AccountOf({"one", {}, ""})) == 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WithAShare)
@@ -124,6 +136,15 @@
   BOOST_TEST(!AccountLedger::CountJob(account, now + Millis(2'000)));
 }
 
+// Guards against an interval between jobs that no duration can hold, after
+// which each job would be within the share.
+BOOST_AUTO_TEST_CASE(MayBeVerySmall) {
+  AccountUse account = MakeAccount({}, 1e-300);
+  const TimePoint now{std::chrono::hours(1)};
+  BOOST_TEST(!AccountLedger::CountJob(account, now));
+  BOOST_TEST(AccountLedger::CountJob(account, now + Millis(2'000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
