Test that starts cost the same with 460 accounts

Cause: the cost of a start was measured only without accounts.

Change: the test compares each further start of a job without accounts, with one and with 460. The record of a job costs more with an account, so it is left out.

--- a/cell/testing/leader_cost_test.cc
+++ b/cell/testing/leader_cost_test.cc
@@ -4,6 +4,7 @@
 #include <iomanip>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "cell/testing/allocation_count.h"
 #include "cell/testing/cell_fixture.h"
@@ -38,18 +39,20 @@
     RunFor(Millis(2'000));
   }
 
-  StartCost CostOfUrgentStarts() {
+  // `caller`: who submits the urgent jobs.
+  StartCost CostOfUrgentStarts(const Caller& caller = {}, int tasks = kTasks) {
     const LeaderCounts before = leader()->leader()->counts();
     const int64_t allocations = CountAllocations([&] {
       for (int i = 0; i < kUrgentJobs; ++i) {
-        Submit("b", IdOf('a', i), MakeJobSpec(kTasks, Millis(200)), "q0");
+        Submit("b", IdOf('a', i), MakeJobSpec(tasks, Millis(200)), "q0",
+               caller);
         RunFor(Millis(20));
       }
       RunFor(Millis(500));
     });
     const LeaderCounts& after = leader()->leader()->counts();
     const auto starts = static_cast<double>(after.starts - before.starts);
-    BOOST_REQUIRE(starts == kUrgentJobs * kTasks);
+    BOOST_REQUIRE(starts == kUrgentJobs * tasks);
     const StartCost cost{
         static_cast<double>(after.looks - before.looks) / starts,
         static_cast<double>(allocations) / starts};
@@ -89,6 +92,40 @@
   return cell.CostOfUrgentStarts();
 }
 
+// Urgent starts of one account beside jobs of others, with this number of
+// accounts that have a limit and a share in the table; 0: without accounts.
+StartCost CostWithAccounts(int accounts, int tasks) {
+  CellWithWaitingSteps cell;
+  std::vector<Account> rows;
+  for (int i = 0; i < accounts; ++i) {
+    Account row;
+    row.name = "account-" + std::to_string(i);
+    row.policy = {{2'000'000, 4'000'000, 0, 0}, 1'000};
+    rows.push_back(row);
+  }
+  cell.SetAccounts(rows);
+  cell.RunFor(Millis(2'000));
+  const auto caller_of = [&](int i) {
+    const auto count = rows.size();
+    return count == 0 ? Caller{}
+                      : Caller{rows[static_cast<size_t>(i) % count].name,
+                               rows[0].policy, "digest"};
+  };
+  for (int i = 0; i < 100; ++i) {
+    cell.Submit("a", cell.IdOf('b', i), MakeJobSpec(1, Millis(600'000), 1'000),
+                "q2", caller_of(i + 1));
+  }
+  cell.RunFor(Millis(2'000));
+  return cell.CostOfUrgentStarts(caller_of(0), tasks);
+}
+
+// Cost of each further start of a job, without that of the job's record.
+StartCost CostOfFurtherStartsWithAccounts(int accounts) {
+  const StartCost few = CostWithAccounts(accounts, kTasks);
+  const StartCost more = CostWithAccounts(accounts, 2 * kTasks);
+  return {2 * more.looks - few.looks, 2 * more.allocations - few.allocations};
+}
+
 BOOST_AUTO_TEST_SUITE(TheCostOfAStart)
 
 // Regression (kowa-consult-large, SHORT): each pass looked at all steps that
@@ -110,6 +147,20 @@
   BOOST_TEST(many.allocations <= some.allocations + 1);
 }
 
+// Guards against a start that costs more than an update of the counters of its
+// own account.
+BOOST_AUTO_TEST_CASE(DoesNotGrowWithAccounts) {
+  const StartCost none = CostOfFurtherStartsWithAccounts(0);
+  const StartCost one = CostOfFurtherStartsWithAccounts(1);
+  const StartCost many = CostOfFurtherStartsWithAccounts(460);
+  BOOST_TEST_MESSAGE("a further start: " << none.allocations << ", "
+                                         << one.allocations << ", "
+                                         << many.allocations << " allocations");
+  BOOST_TEST(many.looks <= none.looks);
+  BOOST_TEST(many.allocations <= none.allocations + 1);
+  BOOST_TEST(many.allocations <= one.allocations + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
