Test starts of accounts that a restarted executor executes late

Cause: a start that arrives seconds late is refused by its deadline, so that the test of late starts did not depend on how unanswered starts are counted.

Change: in a new test, two executors restart and execute late starts, as their clocks began again.

--- a/cell/testing/account_ledger_test.cc
+++ b/cell/testing/account_ledger_test.cc
@@ -11,6 +11,7 @@
 
 using testing::CellFixture;
 using testing::kJobId;
+using testing::LinkFaults;
 using testing::MakeJobSpec;
 
 constexpr Resources kTask{4'000, 1'000, 1, 0};
@@ -306,6 +307,35 @@
   BOOST_TEST(UseOf("one").IsZero());
 }
 
+// Load: starts that two executors execute seconds after their calls have timed
+// out, because they have restarted meanwhile and their clocks began again.
+// Guards against tasks that take the room of such starts.
+BOOST_FIXTURE_TEST_CASE(CountsStartsThatARestartedExecutorMayExecute,
+                        LimitedCell) {
+  for (const char* id : {"e1", "e2"}) {
+    LinkFaults& link = executors.links[{LeaderName(), id}];
+    link.late_orders = 1;
+    link.late_holds = 1;
+  }
+  SubmitFor("one", kJobId, MakeJobSpec(24, Millis(20'000)));
+  RunFor(Millis(200));
+  for (const char* id : {"e1", "e2"}) {
+    executors.Crash(id);
+    executors.Restart(id);
+  }
+  int64_t late = 0;
+  for (int i = 0; i < 120; ++i) {
+    RunFor(Millis(100));
+    BOOST_TEST(RunningCpu(kJobId, 24) <= 40'000);
+    for (int task = 0; task < 24; ++task) {
+      for (const char* id : {"e1", "e2"}) {
+        late += executors.RunsOn({kJobId, 0, 0, task}, id) ? 1 : 0;
+      }
+    }
+  }
+  BOOST_TEST(late > 0);
+}
+
 // Guards against a gang of which a part is started below the limit.
 BOOST_FIXTURE_TEST_CASE(StartsAGangOnceItFitsBelowTheLimit, LimitedCell) {
   SubmitFor("one", kJobId, MakeJobSpec(4, Millis(2'000)));
