Count steps that a predecessor may have reached against limits

Cause: the use on unread executors was bounded by ready steps. A predecessor out of reach starts the next step once it has seen the ends of the one before, and a next step of more tasks was not counted.

Change: a step counts too if no task of the steps it depends on is known to run.

--- a/cell/leader_accounts.cc
+++ b/cell/leader_accounts.cc
@@ -3,13 +3,27 @@
 // After a change of leader, tasks of the predecessor may run on executors that
 // this leader has not read. Which tasks these can be is known from the jobs:
 // the tasks of an account that wait and that the predecessor may have started,
-// also of jobs that were cancelled since. Their sizes bound the account's
-// unknown use, however many executors are unread.
+// also of jobs that were cancelled since and of steps that it may have reached.
+// Their sizes bound the account's unknown use, however many executors are
+// unread.
 #include <algorithm>
 
 #include "cell/leader.h"
 
 namespace chivedale::cell {
+namespace {
+
+// Whether the step is ready, or a predecessor may have seen ends that make it
+// ready: no task before it is known to run.
+bool MayBeReadyUnseen(const Step& step, const Occurrence& occurrence) {
+  const std::vector<int>& before = step.spec->depends_on;
+  return step.ready ||
+         std::all_of(before.begin(), before.end(), [&](int index) {
+           return occurrence.steps[static_cast<size_t>(index)].live_on.empty();
+         });
+}
+
+}  // namespace
 
 void CellLeader::CountLoadedJobs() {
   std::vector<Job*> jobs;
@@ -50,7 +64,7 @@
     }
     for (const auto& [number, occurrence] : job->open()) {
       for (const Step& step : occurrence.steps) {
-        if (!step.ready || step.Finished() ||
+        if (step.Finished() || !MayBeReadyUnseen(step, occurrence) ||
             !PredecessorMayHaveStarted(step)) {
           continue;
         }
--- a/cell/testing/account_ledger_test.cc
+++ b/cell/testing/account_ledger_test.cc
@@ -307,6 +307,36 @@
   BOOST_TEST(UseOf("one").IsZero());
 }
 
+// Guards against a predecessor that starts the next step of a job out of the
+// new leader's reach, which sees only the small step before it.
+BOOST_FIXTURE_TEST_CASE(CountsStepsThatThePredecessorMayHaveReached,
+                        LimitedCell) {
+  JobSpec spec = MakeJobSpec(2, Millis(1'000));
+  spec.steps.push_back(MakeJobSpec(8, Millis(30'000)).steps[0]);
+  spec.steps[1].depends_on = {0};
+  SubmitFor("one", kJobId, spec);
+  RunFor(Millis(500));
+  const std::string other = NonLeaderName();
+  CutOff({LeaderName()}, {"e1", "e2", "e3"});
+  const JobId second = "00000000000000bb";
+  int64_t most = 0;
+  for (int i = 0; i < 100; ++i) {
+    RunFor(Millis(100));
+    if (i == 35) {
+      Submit(other, second, MakeJobSpec(8, Millis(30'000)), "q0",
+             CallerOf("one"));
+    }
+    int64_t cpu = RunningCpu(kJobId, 2) + RunningCpu(second, 8);
+    for (int task = 0; task < 8; ++task) {
+      for (const ExecutorEntry& executor : executors.Entries()) {
+        cpu += executors.RunsOn({kJobId, 0, 1, task}, executor.id) ? 4'000 : 0;
+      }
+    }
+    most = std::max(most, cpu);
+  }
+  BOOST_TEST(most <= 44'000 + 4'000);
+}
+
 // Load: starts that two executors execute seconds after their calls have timed
 // out, because they have restarted meanwhile and their clocks began again.
 // Guards against tasks that take the room of such starts.
