Do not match an owner by a missing key digest

A job record that names an account but no key digest could be read and cancelled by a caller without a key on a public route, as both digests were empty. Such a record is not written today; one that is damaged may lack it.

caller_auth_test: IsClosedToCallersWithoutAKeyIfItsDigestIsMissing failed before (2 checks) and passes; 13 of 13 cases pass.

--- a/cell/caller_auth.cc
+++ b/cell/caller_auth.cc
@@ -28,7 +28,7 @@
 
 bool MayAccess(const Caller& caller, const Caller& owner) {
   return owner.account.empty() || owner.account == caller.account ||
-         owner.key_digest == caller.key_digest;
+         (!owner.key_digest.empty() && owner.key_digest == caller.key_digest);
 }
 
 }  // namespace chivedale::cell
--- a/cell/testing/caller_auth_test.cc
+++ b/cell/testing/caller_auth_test.cc
@@ -180,6 +180,15 @@
   BOOST_TEST((TryCancel("a", moved) == CancelResult::kCancelled));
 }
 
+// Guards against a record without a digest, which would equal that of a caller
+// without a key.
+BOOST_AUTO_TEST_CASE(IsClosedToCallersWithoutAKeyIfItsDigestIsMissing) {
+  const Caller stored{"one", {}, ""};
+  BOOST_TEST(!MayAccess(Caller(), stored));
+  BOOST_TEST(!MayAccess({"two", {}, ""}, stored));
+  BOOST_TEST(MayAccess(CallerOf("one", "k1"), stored));
+}
+
 BOOST_FIXTURE_TEST_CASE(IsCancelledByItsAccountOnly, OwnedJob) {
   for (const std::string member : {"a", "b", "c"}) {
     BOOST_TEST((TryCancel(member, other) == CancelResult::kOtherAccount));
