Do not confirm a table by what was true before an invalid one

After a member had read an invalid table, an answer of a leader that had not yet read it confirmed the earlier table again. What was shown as of an earlier time than the invalid table was read no longer counts.

Adds cell-level cases of a member that is cut off from the store (confirmed through the leader), from both (unconfirmed and not ready), and of a leader cut off from the store.

--- a/cell/table_freshness.cc
+++ b/cell/table_freshness.cc
@@ -28,13 +28,16 @@
 // newer than that, or became so later.
 void TableFreshness::OnShown(int64_t version, Duration as_of) {
   newest_shown_ = std::max(newest_shown_, version);
-  if (version <= 0 || version > version_) {
+  if (version <= 0 || version > version_ || as_of < invalid_at_) {
     return;
   }
   confirmed_as_of_ = std::max(confirmed_as_of_.value_or(as_of), as_of);
 }
 
+// Another member may not have read the invalid table yet. Only what is true
+// after now shows that a valid one has replaced it.
 void TableFreshness::OnInvalid() {
+  invalid_at_ = clock_.SinceBoot();
   confirmed_as_of_.reset();
 }
 
--- a/cell/table_freshness.h
+++ b/cell/table_freshness.h
@@ -32,7 +32,7 @@
   // missing in the answer.
   void OnShown(int64_t version, Duration as_of);
   // The store's newest table cannot be applied, so that the one in force is not
-  // the newest.
+  // the newest. What was shown as of an earlier time no longer counts.
   void OnInvalid();
   // Logs the loss and the return of the confirmation.
   void Report();
@@ -56,6 +56,7 @@
   int64_t version_ = 0;
   int64_t newest_shown_ = 0;
   std::optional<Duration> confirmed_as_of_;
+  Duration invalid_at_{0};  // when the last invalid table was read
   bool reported_lost_ = false;
   Duration lost_at_{0};
 };
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -200,7 +200,11 @@
           run();
         });
       },
-      [this](Millis, const std::function<void(int64_t)>& done) {
+      [this, name](Millis timeout, const std::function<void(int64_t)>& done) {
+        if (cut_store_.count(name) > 0) {
+          loop.After(timeout, [done] { done(0); });
+          return;
+        }
         loop.After(Millis(2), [this, done] { done(table_->version); });
       }};
   NodeOptions options;
@@ -208,6 +212,7 @@
   options.boot_id = name + "-" + std::to_string(life);
   options.address = host.address;
   options.strength = host.strength;
+  options.revocation_bound = revocation_bound;
   options.leader = leader_options;
   options.leader.longest_lease = executors.longest_lease;
   host.node = std::make_unique<CellNode>(context, options);
@@ -250,8 +255,6 @@
   Partition(members);
   LinkFaults cut;
   cut.cut = true;
-  StoreFaults silent;
-  silent.unresponsive = true;
   for (const auto& [name, host] : hosts_) {
     const bool inside = members.count(name) > 0;
     for (const ExecutorEntry& entry : executors.Entries()) {
@@ -261,12 +264,16 @@
       }
     }
     if (inside != with_store) {
-      store.faults_of[name] = silent;
-      cut_store_.insert(name);
+      CutStore(name);
     }
   }
 }
 
+void FakeCell::CutStore(const std::string& name) {
+  store.faults_of[name].unresponsive = true;
+  cut_store_.insert(name);
+}
+
 void FakeCell::Reconnect() {
   Partition({});
   for (const auto& link : cut_executor_links_) {
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -69,6 +69,8 @@
   void CutOff(const std::set<std::string>& members,
               const std::set<ExecutorId>& executors,
               bool with_store = false);
+  // Cuts the member off from the store alone. Reconnect() ends it.
+  void CutStore(const std::string& name);
   void Reconnect();
   // Drops the messages that one member sends to another, or no longer.
   void CutLink(const std::string& from, const std::string& to, bool cut);
@@ -116,6 +118,7 @@
   QueuePolicy queue;
   // Of processes that are started later; the executors set the longest lease.
   LeaderOptions leader_options;
+  Millis revocation_bound{0};  // likewise
   // Cuts between members refuse connections in place of the live process.
   bool cuts_refuse = false;
   bool entries_down = false;  // executors' entries cannot be listed
--- a/cell/testing/table_freshness_test.cc
+++ b/cell/testing/table_freshness_test.cc
@@ -93,6 +93,20 @@
   BOOST_TEST(!table.IsConfirmed());
 }
 
+// Guards against another member that has not yet read the invalid table and
+// confirms the earlier one, rightly as of an earlier time.
+BOOST_FIXTURE_TEST_CASE(IsNotConfirmedAsOfBeforeAnInvalidOne, Freshness) {
+  table.OnApplied(3);
+  const Duration before = clock.SinceBoot();
+  clock.Run(Millis(500));
+  table.OnInvalid();
+  table.OnShown(3, before);
+  BOOST_TEST(!table.IsConfirmed());
+  clock.Run(Millis(500));
+  table.OnShown(3, clock.SinceBoot());  // the invalid one was replaced
+  BOOST_TEST(table.IsConfirmed());
+}
+
 BOOST_AUTO_TEST_CASE(NeedsNoConfirmationWithoutABound) {
   SuspendedClock clock;
   NullEventLog log;
@@ -168,6 +182,23 @@
   BOOST_TEST(!table.IsConfirmed());
 }
 
+// Guards against an answer to the member's process before a restart, which
+// would count as of a call that was sent much later.
+BOOST_FIXTURE_TEST_CASE(CountsOnlyForACallOfThisProcess, Chain) {
+  leader.Tick(true);
+  reads[0](3);
+  member.Tick(false);
+  const TableConfirmation late = leader.Answer({asked, ""});
+  clock.Run(kBound);
+  TableConfirmer restarted = MakeConfirmer(table);
+  restarted.Tick(false);
+  restarted.OnConfirmation(late);
+  BOOST_TEST(!table.IsConfirmed());
+  leader_table.OnShown(3, clock.SinceBoot());
+  restarted.OnConfirmation(leader.Answer({asked, ""}));
+  BOOST_TEST(table.IsConfirmed());
+}
+
 BOOST_FIXTURE_TEST_CASE(IsNoneWhileTheLeaderHasNone, Chain) {
   member.Tick(false);
   member.OnConfirmation(leader.Answer({asked, ""}));
@@ -219,5 +250,77 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Three members, whose table has an account.
+struct CellWithKeys : testing::FakeCell {
+  CellWithKeys() : FakeCell(1) {
+    revocation_bound = kBound;
+    for (const char* name : kNames) {
+      AddNode(name);
+    }
+    AddExecutors("pool", 4, {32'000, 64'000, 0, 0});
+    SetQueue(testing::MakeQueue());
+    Account account;
+    account.name = "one";
+    account.keys = {KeyDigest::Of("k1")};
+    SetAccounts({account});
+    RunFor(Millis(3'000));
+  }
+  std::string AFollower() { return node("a") == leader() ? "b" : "a"; }
+  // Share of the time in which the member's table is confirmed.
+  double ConfirmedShare(const std::string& name, Millis time) {
+    const int checks = static_cast<int>(time / kCheckInterval);
+    int confirmed = 0;
+    for (int i = 0; i < checks; ++i) {
+      RunFor(kCheckInterval);
+      confirmed += node(name)->table_confirmed() ? 1 : 0;
+    }
+    return static_cast<double>(confirmed) / checks;
+  }
+
+  static constexpr const char* kNames[] = {"a", "b", "c"};
+  static constexpr Millis kCheckInterval{100};
+};
+
+BOOST_AUTO_TEST_SUITE(AMember)
+
+BOOST_AUTO_TEST_SUITE(CutOffFromTheStore)
+
+// Guards against refusals of all keys by a third of the members while the store
+// is out of reach for them alone.
+BOOST_FIXTURE_TEST_CASE(StaysConfirmedThroughTheLeader, CellWithKeys) {
+  const std::string member = AFollower();
+  CutStore(member);
+  BOOST_TEST(ConfirmedShare(member, 4 * kBound) == 1);
+}
+
+// Guards against a member that accepts revoked keys for ever, as nobody tells
+// it about the table that revokes them.
+BOOST_FIXTURE_TEST_CASE(IsUnconfirmedIfCutOffFromTheLeaderToo, CellWithKeys) {
+  const std::string member = AFollower();
+  CutStore(member);
+  CutPeers(member, true);
+  RunFor(kBound * 95 / 100);
+  BOOST_TEST(ConfirmedShare(member, 2 * kBound) == 0);
+  BOOST_TEST(!node(member)->ready());
+  Reconnect();
+  CutPeers(member, false);
+  RunFor(Millis(3'000));
+  BOOST_TEST(node(member)->table_confirmed());
+}
+
+// The members' own reads then replace the leader's.
+BOOST_FIXTURE_TEST_CASE(LeavesTheOthersConfirmedIfItLeads, CellWithKeys) {
+  const std::string old_leader = node("a") == leader()   ? "a"
+                                 : node("b") == leader() ? "b"
+                                                         : "c";
+  CutStore(old_leader);
+  const std::string other = old_leader == "a" ? "b" : "a";
+  BOOST_TEST(ConfirmedShare(other, 4 * kBound) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace chivedale::cell
