--- a/cell/leader.h
+++ b/cell/leader.h
@@ -524,6 +524,7 @@
   const PassOrder& pass_order_;
   double mean_waiting_work_ = 0;        // of the jobs in the last pass
   bool possible_use_measured_ = false;  // in an earlier pass
+  TimePoint next_possible_use_{};       // earliest next measurement
   TimePoint loaded_at_{};  // when all jobs had been read for the first time
   // Jobs with a higher revision were accepted after the predecessor had lost
   // the ability to start them.
--- a/cell/leader_accounts.cc
+++ b/cell/leader_accounts.cc
@@ -13,6 +13,10 @@
 namespace chivedale::cell {
 namespace {
 
+// A measurement goes over all jobs. Meanwhile a start moves a task from the
+// possible use to the use, which counts it twice and never less than once.
+constexpr Millis kPossibleUseInterval{50};
+
 // Whether the step is ready, or a predecessor may have seen ends that make it
 // ready: no task before it is known to run.
 bool MayBeReadyUnseen(const Step& step, const Occurrence& occurrence) {
@@ -48,6 +52,11 @@
       (!unread && !possible_use_measured_)) {
     return;
   }
+  const TimePoint now = context_.clock.Now();
+  if (unread && possible_use_measured_ && now < next_possible_use_) {
+    return;
+  }
+  next_possible_use_ = now + kPossibleUseInterval;
   possible_use_measured_ = unread;
   account_ledger_.ClearPossibleUse();
   if (!unread) {
--- a/cell/leader_jobs.cc
+++ b/cell/leader_jobs.cc
@@ -263,6 +263,7 @@
   }
   Job& added = *job;
   added.set_account(account_ledger_.AccountOf(record.owner));
+  next_possible_use_ = TimePoint();  // a predecessor may start the job, too
   if (loaded_ && added.account() != nullptr) {
     added.set_over_share(
         AccountLedger::CountJob(*added.account(), context_.clock.Now()));
