Let the fake executors report starts and the use of jobs

Cause: a check of account limits needs the use of an account as the executors hold it at each start. Change: FakeExecutors::on_start is called after each executed start, and UseOf() sums the sizes of the runs of selected jobs.

--- a/cell/testing/fake_executors.cc
+++ b/cell/testing/fake_executors.cc
@@ -392,6 +392,9 @@
   started_.insert(order.task);
   Extend(state, order.start_deadline);
   state.runs[order.task] = run;
+  if (on_start) {
+    on_start(run.name.job, run.size);
+  }
   const StepSpec* spec = SpecOf(run.name);
   if (spec != nullptr && spec->gang) {
     BeginGang(run);
@@ -521,6 +524,19 @@
   }
 }
 
+Resources FakeExecutors::UseOf(
+    const std::function<bool(const JobId&)>& matches) const {
+  Resources use;
+  for (const auto& [id, state] : states_) {
+    for (const auto& [task, run] : state.runs) {
+      if (state.up && matches(run.name.job)) {
+        use += run.size;
+      }
+    }
+  }
+  return use;
+}
+
 OrderReply FakeExecutors::DoStop(State& state,
                                  const std::string& task,
                                  int64_t run,
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -87,6 +87,8 @@
 
   // Executors that are up, with the resources in use there.
   std::vector<std::pair<const ExecutorEntry*, Resources>> Use() const;
+  // Size of the runs of the jobs that `matches`, on executors that are up.
+  Resources UseOf(const std::function<bool(const JobId&)>& matches) const;
   // Ends that executors still list: they were not acknowledged.
   size_t listed_ends() const;
   // Whether a run of the job is on an executor that is up.
@@ -113,6 +115,8 @@
   std::function<void(HoldReply&)> change_hold;
   // Result of each start; a start is not executed unless this is kOk.
   std::function<OrderResult(const StartOrder&)> start_result;
+  // Called after each start that is executed, with the size of the task.
+  std::function<void(const JobId&, const Resources& size)> on_start;
   Duration start_cost{0};  // processor time of the member for each start
   // Clock of an executor that is started again, at its start.
   std::function<Millis()> restart_clock;
