--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -214,6 +214,7 @@
   options.strength = host.strength;
   options.revocation_bound = revocation_bound;
   options.leader = leader_options;
+  options.outage_admission = outage_admission;
   options.leader.longest_lease = executors.longest_lease;
   host.node = std::make_unique<CellNode>(context, options);
   if (table_->version > 0) {
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -118,7 +118,8 @@
   QueuePolicy queue;
   // Of processes that are started later; the executors set the longest lease.
   LeaderOptions leader_options;
-  Millis revocation_bound{0};  // likewise
+  Millis revocation_bound{0};                                 // likewise
+  OutageAdmission outage_admission = OutageAdmission::kHold;  // likewise
   // Cuts between members refuse connections in place of the live process.
   bool cuts_refuse = false;
   bool entries_down = false;  // executors' entries cannot be listed
