--- a/cell/testing/job_test.cc
+++ b/cell/testing/job_test.cc
@@ -75,6 +75,25 @@
   BOOST_TEST(opened.job.ChainEstimate().count() == 1'000);
 }
 
+// Guards against later steps that are taken for late because earlier ones, or
+// shorter branches, count for what they still need.
+BOOST_AUTO_TEST_CASE(KnowsWhatRemainsFromEachStep) {
+  JobRecord record = MakeTwoStepRecord(1, 1);
+  StepSpec longer = record.spec.steps[1];
+  longer.estimate = Millis(700);
+  StepSpec last = longer;
+  last.estimate = Millis(50);
+  last.depends_on = {1, 2};
+  record.spec.steps.push_back(longer);
+  record.spec.steps.push_back(last);
+  const Job job("id", record, 1);
+  BOOST_TEST(job.ChainEstimateFrom(0).count() == 600 + 700 + 50);
+  BOOST_TEST(job.ChainEstimateFrom(1).count() == 400 + 50);
+  BOOST_TEST(job.ChainEstimateFrom(2).count() == 700 + 50);
+  BOOST_TEST(job.ChainEstimateFrom(3).count() == 50);
+  BOOST_TEST(job.ChainEstimate().count() == 600 + 700 + 50);
+}
+
 BOOST_AUTO_TEST_CASE(OpensALaterStepWhenAllTasksBeforeItAreDone) {
   OpenedJob opened(MakeTwoStepRecord(2, 1));
   BOOST_TEST(opened.job.OnDone(opened.step(0), 0));
