Compute what a delay costs only where the order uses it

Cause: each pass described each waiting step in full, and each preemption read the clock for each run, also with the default order, which uses none of it.

Change: PassOrder::UsesCosts. The format of one test.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -428,7 +428,7 @@
                      std::vector<Executor*> candidates,
                      int most);
   bool IsWorthPreempting(const Run& run) const;
-  PreemptionLoss LossOf(const Run& run) const;
+  PreemptionLoss LossOf(const Run& run, TimePoint now) const;
   // Stops less urgent runs to make room for up to `most` tasks.
   void Preempt(Step& step, const std::vector<Executor*>& candidates, int most);
   // Reserves executors for the step, which less urgent steps then cannot use.
--- a/cell/leader_starts.cc
+++ b/cell/leader_starts.cc
@@ -158,6 +158,10 @@
   waiting.restart_due = step.HasWaitedForRestart(kMaxRestartWait, now);
   waiting.over_share = job.over_share();
   waiting.priority = PolicyOf(job).priority;
+  if (!pass_order_.UsesCosts()) {
+    waiting.deadlines.objective = step.objective;
+    return waiting;
+  }
   waiting.deadlines = DeadlinesOf(step);
   waiting.remaining_time = job.ChainEstimateFrom(step.index);
   waiting.remaining_work =
@@ -401,9 +405,8 @@
   return !ends_soon && (task.preemptions == 0 || ran >= kMinRunAfterPreemption);
 }
 
-PreemptionLoss CellLeader::LossOf(const Run& run) const {
+PreemptionLoss CellLeader::LossOf(const Run& run, TimePoint now) const {
   const Step& step = *run.step;
-  const TimePoint now = context_.clock.Now();
   const Duration ran = now - run.running_since;
   const Duration remaining = step.job->ChainEstimateFrom(step.index) -
                              std::min<Duration>(ran, step.spec->estimate);
@@ -447,7 +450,8 @@
           !IsWorthPreempting(run)) {
         continue;
       }
-      const PreemptionLoss loss = LossOf(run);
+      const PreemptionLoss loss =
+          pass_order_.UsesCosts() ? LossOf(run, now) : PreemptionLoss::kNone;
       if (pass_order_.MayCause(waiting, loss, options_.stop_time, now)) {
         stoppable.emplace_back(loss, &run);
       }
--- a/cell/pass_order.cc
+++ b/cell/pass_order.cc
@@ -25,15 +25,14 @@
 // passed.
 class ObjectiveOrder final : public PassOrder {
  public:
+  bool UsesCosts() const override { return false; }
   PassKey KeyOf(const WaitingStep& step, double, TimePoint now) const override {
     PassKey key;
     key.no_restart_due = !step.restart_due;
     key.over_share = step.over_share;
     key.priority = step.priority;
-    key.punctuality = step.deadlines.At(now);
-    if (key.punctuality == Punctuality::kExpired) {
-      key.punctuality = Punctuality::kLate;
-    }
+    key.punctuality = step.deadlines.objective < now ? Punctuality::kLate
+                                                     : Punctuality::kInTime;
     key.time = step.deadlines.objective;
     key.step = step.step;
     return key;
@@ -56,6 +55,7 @@
 // the rest.
 class CostOrder final : public PassOrder {
  public:
+  bool UsesCosts() const override { return true; }
   PassKey KeyOf(const WaitingStep& step,
                 double mean_work,
                 TimePoint now) const override {
--- a/cell/pass_order.h
+++ b/cell/pass_order.h
@@ -67,6 +67,9 @@
   virtual ~PassOrder() = default;
   static const PassOrder& Of(ShortageOrder order);
 
+  // Whether it looks at what remains to be done and at what a preemption costs.
+  // If not, remaining and whole work and the last use may be left out.
+  virtual bool UsesCosts() const = 0;
   // `mean_work`: of the jobs that wait, see WaitingStep::job_work.
   virtual PassKey KeyOf(const WaitingStep& step,
                         double mean_work,
--- a/cell/testing/leader_backlog_test.cc
+++ b/cell/testing/leader_backlog_test.cc
@@ -202,7 +202,8 @@
 }
 
 // Guards against an order by cost in which jobs are started when they can only
-// just be in time, and end late: 27 of 80 in time without the margin for starts.
+// just be in time, and end late: 27 of 80 in time without the margin for
+// starts.
 BOOST_AUTO_TEST_CASE(RunsJobsThatCanBeInTimeFirstByCost) {
   CostCell cell;
   BOOST_REQUIRE(cell.leader() != nullptr);
