Leave a table that a member lacks to its watch

Cause: members that were behind checked the table as well, and the answer to a failed condition is the whole table: each got it twice, and a table that grew reached all of them late.

--- a/cell/table_confirmer.cc
+++ b/cell/table_confirmer.cc
@@ -39,9 +39,10 @@
     next_ask_ = now + kAskInterval;
     Ask();
   }
-  // A newer table than this member's is on its way by the watch; reading it as
-  // well would only delay it.
-  if ((leading || late) && !read_in_flight_ && now >= next_read_) {
+  // A member that is behind leaves the newer table to its watch: another copy
+  // of a large table would delay it at all members.
+  const bool needed = leading || (late && !freshness_.IsBehind());
+  if (needed && !read_in_flight_ && now >= next_read_) {
     next_read_ =
         now + (leading
                    ? kLeaderReadInterval
