--- a/cell/testing/pass_order_test.cc
+++ b/cell/testing/pass_order_test.cc
@@ -11,7 +11,7 @@
 
 using std::chrono::seconds;
 
-const TimePoint kNow{std::chrono::hours(1)};
+constexpr TimePoint kNow{std::chrono::hours(1)};
 
 // Steps that wait in one pool. Times are relative to kNow.
 struct Steps {
@@ -36,6 +36,7 @@
     std::sort(keys.begin(), keys.end(),
               [](const auto& a, const auto& b) { return a.first < b.first; });
     std::vector<size_t> sorted;
+    sorted.reserve(keys.size());
     for (const auto& [key, index] : keys) {
       sorted.push_back(index);
     }
