--- a/cell/testing/account_ledger_test.cc
+++ b/cell/testing/account_ledger_test.cc
@@ -185,7 +185,7 @@
     const auto found = accounts.find(account);
     return found == accounts.end() ? Resources() : found->second->use;
   }
-  // What the executors run, whatever the leader believes.
+  // CPU that the job's tasks use on the executors.
   int64_t RunningCpu(const JobId& id, int tasks) const {
     int64_t cpu = 0;
     for (int i = 0; i < tasks; ++i) {
--- a/cell/testing/pass_order_test.cc
+++ b/cell/testing/pass_order_test.cc
@@ -13,7 +13,7 @@
 
 constexpr TimePoint kNow{std::chrono::hours(1)};
 
-// Steps that wait in one pool. Times are relative to kNow.
+// Steps with tasks to start. Objectives are relative to kNow.
 struct Steps {
   WaitingStep& Add(Millis objective, Millis remaining, double work = 10) {
     Step& step = storage.emplace_back();
--- a/cell/testing/table_freshness_test.cc
+++ b/cell/testing/table_freshness_test.cc
@@ -302,8 +302,8 @@
   BOOST_TEST(ConfirmedShare(member, 4 * kBound) == 1);
 }
 
-// Guards against a member that accepts revoked keys for ever, as nobody tells
-// it about the table that revokes them.
+// Guards against a member that accepts revoked keys without a time limit,
+// because the table that revokes them does not reach it.
 BOOST_FIXTURE_TEST_CASE(IsUnconfirmedIfCutOffFromTheLeaderToo, CellWithKeys) {
   const std::string member = AFollower();
   CutStore(member);
