--- a/review/12/run.sh
+++ b/review/11/run.sh
@@ -4,10 +4,10 @@
 # the deploy file and review/build-3.sh.
 set -u
 cd "$(dirname "$0")/../.."
-record=review/12/record.txt
+record=review/11/record.txt
 directory=$(mktemp -d)
 trap 'rm -rf "$directory"' EXIT
-timeout -k 5 110 target/review-3/cases late-submission "$directory" "$record"
+timeout -k 5 110 target/review-3/cases replaced-cell "$directory" "$record"
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -7,7 +7,7 @@
 record=review/14/record.txt
 directory=$(mktemp -d)
 trap 'rm -rf "$directory"' EXIT
-timeout -k 5 110 target/review-3/cases replaced-cell "$directory" "$record"
+timeout -k 5 110 target/review-3/cases foreign-state "$directory" "$record"
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
--- a/review/lab/case_replaced_cell.cc
+++ b/review/lab/case_replaced_cell.cc
@@ -63,6 +63,18 @@
   return idle;
 }
 
+// Whether under half of the service's capacity is in use.
+bool HasRoom(Lab& lab) {
+  Resources capacity;
+  Resources used;
+  for (const auto& [entry, use] : lab.executors().Use()) {
+    capacity += entry->capacity;
+    used += use;
+  }
+  return 2 * used.cpu_milli < capacity.cpu_milli &&
+         2 * used.memory_mb < capacity.memory_mb;
+}
+
 int CountCompleted(Lab& lab, int daemon, const std::vector<std::string>& jobs) {
   int completed = 0;
   int answers = 0;
@@ -125,6 +137,7 @@
   lab.RunFor(kFinishTime);
   const std::vector<std::string> before = IdleJobs(lab, accepted);
   const int running = lab.executors().running();
+  const bool had_room = HasRoom(lab);
   lab.RunFor(kIdleTime);
   const std::vector<std::string> after = IdleJobs(lab, accepted);
   lab.Record(
@@ -137,7 +150,9 @@
   for (const std::string& job : after) {
     lab.Record("BROKEN: job " + job + " has nothing running");
   }
-  return before.empty() || after.empty() ? kRuleHeld : kRuleBroken;
+  const bool broken =
+      !before.empty() && !after.empty() && had_room && HasRoom(lab);
+  return broken ? kRuleBroken : kRuleHeld;
 }
 
 }  // namespace chivedale::review
