--- a/review/lab/cases.h
+++ b/review/lab/cases.h
@@ -15,6 +15,7 @@
 int RunForeignState(Lab& lab, bool trouble);
 int RunLateSubmission(Lab& lab, bool trouble);
 int RunReplacedCell(Lab& lab, bool trouble);
+int RunUnansweredStart(Lab& lab, bool trouble);
 
 }  // namespace chivedale::review
 
--- a/review/lab/main.cc
+++ b/review/lab/main.cc
@@ -20,6 +20,7 @@
 const std::map<std::string, Case>& Cases() {
   static const auto& cases = *new std::map<std::string, Case>{
       {"foreign-state", {3, chivedale::review::RunForeignState}},
+      {"unanswered-start", {3, chivedale::review::RunUnansweredStart}},
       {"replaced-cell", {6, chivedale::review::RunReplacedCell}},
       {"late-submission", {7, chivedale::review::RunLateSubmission}},
   };
