--- a/review/lab/case_foreign_state.cc
+++ b/review/11/harness/case_foreign_state.cc
@@ -4,7 +4,7 @@
 #include <csignal>
 #include <vector>
 
-#include "review/lab/cases.h"
+#include "review/11/harness/cases.h"
 
 namespace chivedale::review {
 namespace {
@@ -20,7 +20,7 @@
 // Until the clients whose channels broke ask again.
 constexpr Millis kReturnTime{100};
 constexpr Millis kAskedBeforeWake{120};
-constexpr char kQueue[] = "work";
+constexpr char kQueue[] = "tally";
 
 struct Client {
   std::string job;
--- a/review/lab/case_late_submission.cc
+++ b/review/11/harness/case_late_submission.cc
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "review/lab/cases.h"
+#include "review/11/harness/cases.h"
 
 namespace chivedale::review {
 namespace {
@@ -33,7 +33,7 @@
 constexpr int kRounds = 7;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
-constexpr char kQueue[] = "work";
+constexpr char kQueue[] = "tally";
 
 struct Submission {
   bool accepted = false;
--- a/review/lab/case_replaced_cell.cc
+++ b/review/11/harness/case_replaced_cell.cc
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "review/lab/cases.h"
+#include "review/11/harness/cases.h"
 
 namespace chivedale::review {
 namespace {
@@ -27,7 +27,7 @@
 constexpr Millis kFinishTime{14'000};
 constexpr Millis kIdleTime{3'000};
 constexpr int kOk = 200;
-constexpr char kQueue[] = "work";
+constexpr char kQueue[] = "tally";
 
 // Hands in jobs at one daemon after the other.
 std::vector<std::string> SubmitJobs(Lab& lab, int first, int last) {
--- a/review/lab/case_unanswered_start.cc
+++ b/review/11/harness/case_unanswered_start.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "platform/names.h"
-#include "review/lab/cases.h"
+#include "review/11/harness/cases.h"
 
 namespace chivedale::review {
 namespace {
@@ -30,7 +30,7 @@
 constexpr Millis kLookInterval{50};
 constexpr Millis kEstimate{1'000};
 constexpr int kOk = 200;
-constexpr char kQueue[] = "work";
+constexpr char kQueue[] = "tally";
 
 bool IsRunning(Lab& lab, const std::string& job, int task) {
   for (int i = 0; i < kExecutors; ++i) {
--- a/review/lab/cases.h
+++ b/review/11/harness/cases.h
@@ -1,9 +1,9 @@
 // The scripted cases. Each returns what run.sh exits with: 1 if the rule was
 // broken, 0 if it held, 2 if the case could not run.
-#ifndef REVIEW_LAB_CASES_H_
-#define REVIEW_LAB_CASES_H_
+#ifndef REVIEW_11_HARNESS_CASES_H_
+#define REVIEW_11_HARNESS_CASES_H_
 
-#include "review/lab/lab.h"
+#include "review/11/harness/lab.h"
 
 namespace chivedale::review {
 
@@ -19,4 +19,4 @@
 
 }  // namespace chivedale::review
 
-#endif  // REVIEW_LAB_CASES_H_
+#endif  // REVIEW_11_HARNESS_CASES_H_
--- a/review/lab/lab.cc
+++ b/review/11/harness/lab.cc
@@ -1,4 +1,4 @@
-#include "review/lab/lab.h"
+#include "review/11/harness/lab.h"
 
 #include <fcntl.h>
 #include <sys/prctl.h>
--- a/review/lab/lab.h
+++ b/review/11/harness/lab.h
@@ -4,12 +4,12 @@
 //
 //   Lab lab(directory, record, 3);
 //   lab.AddExecutor("e1", "pool", {32'000, 64'000, 0, 0});
-//   lab.WriteTable({"work"});
+//   lab.WriteTable({"tally"});
 //   lab.StartAll();
 //   if (!lab.WaitFor(Millis(8'000), [&] { return lab.IsSettled(); })) ...
-//   lab.Submit(0, "work", "00000000000000a1", spec, [](int status) { ... });
-#ifndef REVIEW_LAB_LAB_H_
-#define REVIEW_LAB_LAB_H_
+//   lab.Submit(0, "tally", "00000000000000a1", spec, [](int status) { ... });
+#ifndef REVIEW_11_HARNESS_LAB_H_
+#define REVIEW_11_HARNESS_LAB_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -160,4 +160,4 @@
 
 }  // namespace chivedale::review
 
-#endif  // REVIEW_LAB_LAB_H_
+#endif  // REVIEW_11_HARNESS_LAB_H_
--- a/review/lab/main.cc
+++ b/review/11/harness/main.cc
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include "review/lab/cases.h"
+#include "review/11/harness/cases.h"
 
 namespace {
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 cmake --build target --target chivedale_cell_testing -j8
 mkdir -p target/review-3
-for source in review/lab/*.cc; do
+for source in review/11/harness/*.cc; do
   g++ -std=c++17 -O2 -Wall -Wextra -DBOOST_ERROR_CODE_HEADER_ONLY -I. \
     -c "$source" -o "target/review-3/$(basename "$source" .cc).o" &
 done
