End a predecessor's authority once all executors have the new fence

Cause: two, each enough to stop a pool. A leader that is on no roster acknowledged no end for 620 s, although no earlier leader could start anything any more. And an executor lists 500 ends at a time; a run whose end is beyond them kept its resources until that end was read, wherever acknowledgements wait, for example in an outage of the store.

Change: the leader keeps the executors of the stored list that have not answered a call with its fence. Only there can an earlier leader start a task again. Acknowledgements and leases wait only for those of the pool concerned; once none is left, and once a restart that an earlier leader has not noticed is ruled out (3.4 s after the election), its authority counts as ended. A run that is missing beside a full list of ends releases its resources; its task waits for the end. Event 1315 reports a list that stays full and what it waits for.

--- a/cell/executor.cc
+++ b/cell/executor.cc
@@ -53,6 +53,15 @@
   ++step.live_on[entry.id];
 }
 
+void Executor::ReleaseResources(Run& run) {
+  committed_ -= run.size;
+  run.size = Resources();
+  if (AccountUse* account = run.step->job->account()) {
+    account->use -= run.step->spec->size;
+  }
+  run.phase = RunPhase::kEndUnread;
+}
+
 void Executor::RemoveRun(const std::string& text) {
   const auto found = runs_.find(text);
   if (found == runs_.end()) {
@@ -61,7 +70,8 @@
   const Run& run = found->second;
   if (run.step != nullptr) {
     committed_ -= run.size;
-    if (AccountUse* account = run.step->job->account()) {
+    AccountUse* account = run.step->job->account();
+    if (account != nullptr && run.phase != RunPhase::kEndUnread) {
       account->use -= run.step->spec->size;
     }
     --run.step->tasks[static_cast<size_t>(run.name.index)].live;
--- a/cell/executor.h
+++ b/cell/executor.h
@@ -6,8 +6,8 @@
 //   if (size.FitsIn(executor.Free())) ...
 //
 // Resources are committed from the start order until the run's end is listed,
-// whether or not the order was answered, so that an executor is never
-// overcommitted.
+// or until it is known to have ended, whether or not the order was answered, so
+// that an executor is never overcommitted.
 #ifndef CELL_EXECUTOR_H_
 #define CELL_EXECUTOR_H_
 
@@ -28,6 +28,9 @@
   kStartUnconfirmed,  // no answer; may begin until start_until
   kRunning,
   kStopping,
+  // Not running any more; the executor has not listed its end yet. Its task
+  // waits for that end, but its resources are free.
+  kEndUnread,
 };
 
 struct Run {
@@ -79,6 +82,9 @@
   Run& AddRun(const TaskName& name, int64_t number, Step* step, TimePoint now);
   // Assigns the step of a run whose job was unknown.
   void SetStep(Run& run, Step& step);
+  // The run has ended, but not been listed. Releases its resources; its task
+  // stays live. Requires a step.
+  void ReleaseResources(Run& run);
   // Releases the run's resources and updates the counts of its step.
   void RemoveRun(const std::string& task);
   // Queries.
--- a/cell/executor_boot.h
+++ b/cell/executor_boot.h
@@ -109,6 +109,9 @@
   int64_t ends_confirmed = 0;
   // Ends that have been processed and whose effect may not be stored, in order.
   std::deque<UnstoredEnd> unstored_ends;
+  // Since when it lists as many ends as one answer holds; zero: it lists fewer.
+  TimePoint ends_full_since{};
+  bool ends_full_reported = false;
   std::string unreadable_row;  // of its last answer, already logged
 
  private:
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -18,6 +18,14 @@
 constexpr Millis kSweepInterval{500};
 // Progress writes in flight at a time.
 constexpr size_t kProgressLanes = 4;
+// Maximum age of the entries, and of an answer, by which a leader without the
+// store takes an executor for the boot that it knows (kMaxEntryAge and
+// kFreshAnswerTime in leader_executors.cc), and 3% more as clocks differ.
+constexpr Millis kMaxKnownBootAge{3'100};
+constexpr Millis kMaxKnownAnswerAge{1'550};
+// A leader that can read entries reads the leader key as well, at least this
+// often.
+constexpr Millis kLeaderKeyInterval{300};
 // Jobs in one progress write, which also contains two conditions and the
 // sequence key.
 constexpr size_t kMaxWrittenJobs = kMaxWriteEntries - 3;
@@ -156,6 +164,56 @@
          context_.clock.Now() < predecessor_authority_end_;
 }
 
+// An earlier leader starts tasks only on executors of the list that this leader
+// has read: it cannot store another one, and starts nothing on a restarted
+// executor before it has got a higher fence from the store. So nothing is left
+// to it once those have answered this leader, and once it can no longer take
+// one that has restarted since for the boot that it knew.
+bool CellLeader::predecessor_fenced() const {
+  return known_executors_loaded_ && !executor_rows_skipped_ &&
+         unfenced_executors_.empty() &&
+         context_.clock.Now() > RestartsNoticedBy();
+}
+
+TimePoint CellLeader::RestartsNoticedBy() const {
+  return std::max(begin_time_ + kLeaderKeyInterval + kMaxKnownBootAge,
+                  last_fenced_ + kMaxKnownAnswerAge);
+}
+
+bool CellLeader::PredecessorMayRestart(const Job* job) const {
+  return PredecessorMayAct() && (context_.clock.Now() <= RestartsNoticedBy() ||
+                                 HasUnfencedExecutorFor(job));
+}
+
+bool CellLeader::PredecessorMayRestartRunsOn(const Executor& executor) const {
+  if (!PredecessorMayAct()) {
+    return false;
+  }
+  // Most runs are of jobs of the executor's own pool.
+  return std::any_of(
+      executor.runs().begin(), executor.runs().end(), [&](const auto& entry) {
+        const Step* step = entry.second.step;
+        return HasUnfencedExecutorFor(step == nullptr ? nullptr : step->job);
+      });
+}
+
+bool CellLeader::HasUnfencedExecutorFor(const Job* job) const {
+  if (!known_executors_loaded_ || executor_rows_skipped_) {
+    return true;
+  }
+  return std::any_of(unfenced_executors_.begin(), unfenced_executors_.end(),
+                     [&](const ExecutorId& id) {
+                       const auto found = by_id_.find(id);
+                       return job == nullptr || found == by_id_.end() ||
+                              MayUsePoolOf(*job, *found->second);
+                     });
+}
+
+bool CellLeader::MayUsePoolOf(const Job& job, const Executor& executor) const {
+  const std::string& pool = PolicyOf(job).pool;
+  return executor.entry.pool == pool || job.queue().pool != pool;
+}
+
 TimePoint CellLeader::GrantTime(TimePoint now) const {
   return std::min(now, context_.authority_end());
 }
@@ -222,14 +280,13 @@
   if (executor_rows_skipped_ && !PredecessorLeasesExpired()) {
     return true;
   }
-  const std::string& pool = PolicyOf(job).pool;
-  return std::any_of(
-      unread_executors_.begin(), unread_executors_.end(),
-      [&](const ExecutorId& id) {
-        const auto found = executors_.find(id);
-        return found != executors_.end() && IsUnread(*found->second) &&
-               (found->second->entry.pool == pool || job.queue().pool != pool);
-      });
+  return std::any_of(unread_executors_.begin(), unread_executors_.end(),
+                     [&](const ExecutorId& id) {
+                       const auto found = executors_.find(id);
+                       return found != executors_.end() &&
+                              IsUnread(*found->second) &&
+                              MayUsePoolOf(job, *found->second);
+                     });
 }
 
 }  // namespace chivedale::cell
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -112,6 +112,9 @@
   std::vector<StepView> DescribeSteps(const JobId& id) const;
   // Number of accepted jobs without a started task, by queue.
   std::map<std::string, int64_t> Pending() const;
+  // Whether every executor that an earlier leader may use rejects its calls,
+  // also if it has restarted since it last answered that leader.
+  bool predecessor_fenced() const;
   // False if jobs that were accepted a while ago may not have been read, so
   // that Pending() may be too low.
   bool pending_known() const;
@@ -213,6 +216,8 @@
               const SentHold& call,
               const HoldReply& reply);
   bool MayHideRun(const Executor& executor, const HoldReply& reply) const;
+  // The executor rejects the calls of earlier leaders from now on, or is gone.
+  void OnFenceSeen(const ExecutorId& id);
   void ApplyEnds(Executor& executor, const std::vector<EndedTask>& ends);
   void ApplyEnd(Executor& executor,
                 const EndedTask& end,
@@ -228,6 +233,8 @@
   void DropMissingRuns(Executor& executor,
                        const HoldReply& reply,
                        TimePoint sent);
+  // Logs an executor whose list of ends stays full.
+  void ReportFullEnds(Executor& executor, const HoldReply& reply);
   void MarkAllRunsLost(Executor& executor, const char* reason);
   void MarkRunLost(Executor& executor,
                    const std::string& task,
@@ -400,6 +407,20 @@
   void ReadPredecessorRevisionLimit();
   // Whether an earlier leader may still have authority.
   bool PredecessorMayAct() const;
+  // Whether an earlier leader may still start tasks of the job again that it
+  // takes as lost. Null: of any job.
+  bool PredecessorMayRestart(const Job* job) const;
+  // Likewise for any run on the executor, apart from restarts that the earlier
+  // leader does not notice.
+  bool PredecessorMayRestartRunsOn(const Executor& executor) const;
+  // Whether an executor that may reject nothing of an earlier leader may run
+  // the job's tasks. Null: any job's.
+  bool HasUnfencedExecutorFor(const Job* job) const;
+  // Whether tasks of the job may be on the executor, by its pool.
+  bool MayUsePoolOf(const Job& job, const Executor& executor) const;
+  // Until then an earlier leader may not have noticed that an executor which
+  // has seen this leader's fence restarted without it.
+  TimePoint RestartsNoticedBy() const;
   // The time from which leases and the validity of starts count: now, or the
   // end of the authority if that has passed, so that a process which was paused
   // after its last check grants nothing.
@@ -495,9 +516,12 @@
                  const StoreWriteReply& reply,
                  const std::map<JobId, JobState>& written);
   void ShowStored(const JobId& id, JobState state);
+  // Why the executor's oldest end is not acknowledged.
+  std::string_view ReasonOfUnstoredEnd(const UnstoredEnd& end) const;
   // Acknowledges the ends, in order, whose effect is stored.
   void AcknowledgeEnds();
   void AcknowledgeEnds(Executor& executor);
+  bool PredecessorMayRestart(const UnstoredEnd& end) const;
   // Whether the end's job has been read and its progress is stored.
   bool IsStored(const UnstoredEnd& end) const;
   // Lets progress be written again that the store has rejected as invalid.
@@ -573,6 +597,10 @@
   // Executors that an earlier leader may have used and that have not listed all
   // runs and ends to this leader.
   std::set<ExecutorId> unread_executors_;
+  // Those that have not answered a call with this leader's fence: they still
+  // execute the calls of an earlier leader.
+  std::set<ExecutorId> unfenced_executors_;
+  TimePoint last_fenced_{};  // when one was last removed from that set
   // Part of the list at kExecutorsKey could not be read, so that there may be
   // more unread executors than unread_executors_.
   bool executor_rows_skipped_ = false;
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -94,6 +94,7 @@
 // list was read.
 void CellLeader::AddKnownExecutor(const ExecutorEntry& row) {
   unread_executors_.insert(row.id);
+  unfenced_executors_.insert(row.id);
   if (executors_.count(row.id) == 0) {
     Executor& executor = AddExecutor(row);
     executor.listed = false;
@@ -233,6 +234,7 @@
                         !executor.hold_in_flight && !IsUnread(executor);
     if (forget) {
       unread_executors_.erase(it->first);
+      OnFenceSeen(it->first);
       by_number_[executor.boot.number] = nullptr;
       by_id_.erase(it->first);
       it = executors_.erase(it);
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -33,6 +33,8 @@
 constexpr Millis kMaxClockAge{60'000};
 // Interval of the checks for stops to retry and unresponsive or slow executors.
 constexpr Millis kCheckInterval{50};
+// Ends that can be acknowledged are within this time.
+constexpr Millis kFullEndsReportDelay{1'000};
 // Maximum number of ends that an executor lists in one answer.
 constexpr size_t kMaxEndsPerReply = 500;
 
@@ -110,8 +112,8 @@
   // A predecessor that need not ask this member may start what runs on an
   // executor out of its reach again, once its own leases there have expired.
   const bool may_be_restarted =
-      PredecessorMayAct() && HasUnreadExecutors() &&
-      predecessor_authority_end_ - begin_time_ > kFencingDelay;
+      predecessor_authority_end_ - begin_time_ > kFencingDelay &&
+      PredecessorMayRestartRunsOn(executor);
   // The clock of an earlier incarnation may be far ahead, and a lease on it
   // long.
   const bool may_grant = executor.boot.adopted && executor.boot.confirmed &&
@@ -171,6 +173,7 @@
     return;
   }
   if (reply.result == OrderResult::kWrongIncarnation) {
+    OnFenceSeen(id);
     MarkAllRunsLost(executor, "another executor answers at its address");
     if (executor.boot.adopted) {
       SetBoot(executor, executor.boot.incarnation);
@@ -180,6 +183,9 @@
     RequestSchedulingPass();
     return;
   }
+  if (reply.result == OrderResult::kOk) {
+    OnFenceSeen(id);
+  }
   if (reply.result == OrderResult::kOk &&
       reply.unreadable_row != executor.boot.unreadable_row) {
     executor.boot.unreadable_row = reply.unreadable_row;
@@ -234,6 +240,7 @@
   }
   ApplyEnds(executor, reply.ended);
   ApplyRunning(executor, reply, call.sent);
+  ReportFullEnds(executor, reply);
   if (executor.boot.ends_read > executor.boot.ends_stored) {
     ScheduleHold(executor, now + kUnstoredEndsHoldDelay);
     Flush();
@@ -248,6 +255,12 @@
   RequestSchedulingPass();
 }
 
+void CellLeader::OnFenceSeen(const ExecutorId& id) {
+  if (unfenced_executors_.erase(id) > 0) {
+    last_fenced_ = context_.clock.Now();
+  }
+}
+
 // Whether the executor may run a task that is neither in the answer nor among
 // the runs that this leader keeps for it. The answer is then treated as
 // missing, so that the leases there are not renewed and expire.
@@ -449,11 +462,12 @@
 void CellLeader::DropMissingRuns(Executor& executor,
                                  const HoldReply& reply,
                                  TimePoint sent) {
-  // The missing runs may be among the ends beyond the first page, or in the
-  // rows that could not be read.
-  if (reply.ended.size() >= kMaxEndsPerReply || !reply.running_complete) {
+  // The missing runs may be in the rows that could not be read.
+  if (!reply.running_complete) {
     return;
   }
+  // Or they have ended and their ends are beyond the first page.
+  const bool end_may_be_unread = reply.ended.size() >= kMaxEndsPerReply;
   std::set<std::string> listed;
   for (const RunningTask& row : reply.running) {
     listed.insert(row.task);
@@ -481,8 +495,46 @@
     }
   }
   for (const std::string& name : missing) {
-    MarkRunLost(executor, name, "not listed by the executor");
+    if (!end_may_be_unread) {
+      MarkRunLost(executor, name, "not listed by the executor");
+      continue;
+    }
+    Run& run = executor.runs().at(name);
+    if (run.step != nullptr && run.phase != RunPhase::kEndUnread) {
+      executor.ReleaseResources(run);
+    }
+  }
+}
+
+// The later ends are read only once the earlier ones are acknowledged, so that
+// no job with such an end can be completed.
+void CellLeader::ReportFullEnds(Executor& executor, const HoldReply& reply) {
+  ExecutorBoot& boot = executor.boot;
+  const TimePoint now = context_.clock.Now();
+  if (reply.ended.size() < kMaxEndsPerReply) {
+    boot.ends_full_since = TimePoint();
+    boot.ends_full_reported = false;
+    return;
+  }
+  if (boot.ends_full_since == TimePoint()) {
+    boot.ends_full_since = now;
+  }
+  if (boot.ends_full_reported || boot.unstored_ends.empty() ||
+      now - boot.ends_full_since < kFullEndsReportDelay) {
+    return;
   }
+  boot.ends_full_reported = true;
+  const auto unread = std::count_if(
+      executor.runs().begin(), executor.runs().end(), [](const auto& entry) {
+        return entry.second.phase == RunPhase::kEndUnread;
+      });
+  const UnstoredEnd& oldest = boot.unstored_ends.front();
+  context_.log.Write(Event::kExecutorEndsFull,
+                     {{"executor", executor.entry.id},
+                      {"ends", std::to_string(reply.ended.size())},
+                      {"unread_runs", std::to_string(unread)},
+                      {"oldest_job", oldest.job},
+                      {"waits_for", std::string(ReasonOfUnstoredEnd(oldest))}});
 }
 
 void CellLeader::MarkAllRunsLost(Executor& executor, const char* reason) {
--- a/cell/leader_progress.cc
+++ b/cell/leader_progress.cc
@@ -37,15 +37,30 @@
          progress_queue_.IsStored(end.job, end.change);
 }
 
-// Until the predecessor's authority ends, it may start a task again that has
-// ended on an executor out of its reach.
-void CellLeader::AcknowledgeEnds(Executor& executor) {
-  if (PredecessorMayAct()) {
-    return;
+// Whether an earlier leader may start the task of this end again, as it ended
+// on an executor out of that leader's reach.
+bool CellLeader::PredecessorMayRestart(const UnstoredEnd& end) const {
+  if (end.job.empty() || !PredecessorMayAct()) {
+    return false;
+  }
+  const auto job = jobs_.find(end.job);
+  return PredecessorMayRestart(job == jobs_.end() ? nullptr
+                                                  : job->second.get());
+}
+
+std::string_view CellLeader::ReasonOfUnstoredEnd(const UnstoredEnd& end) const {
+  if (unread_jobs_.count(end.job) > 0) {
+    return "the record of its job";
   }
+  return IsStored(end) ? "executors without this leader's fence"
+                       : "the store to take the progress of its job";
+}
+
+void CellLeader::AcknowledgeEnds(Executor& executor) {
   const int64_t before = executor.boot.ends_stored;
   std::deque<UnstoredEnd>& ends = executor.boot.unstored_ends;
-  while (!ends.empty() && IsStored(ends.front())) {
+  while (!ends.empty() && IsStored(ends.front()) &&
+         !PredecessorMayRestart(ends.front())) {
     executor.boot.ends_stored =
         std::max(executor.boot.ends_stored, ends.front().number);
     ends.pop_front();
--- a/cell/leader_runs.cc
+++ b/cell/leader_runs.cc
@@ -183,7 +183,7 @@
 }
 
 void CellLeader::StopRun(Executor& executor, Run& run, const char* reason) {
-  if (run.phase == RunPhase::kStopping) {
+  if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEndUnread) {
     return;
   }
   run.phase = RunPhase::kStopping;
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -124,6 +124,9 @@
     AskRoster();
   }
   ApplyAuthority();
+  if (roster_read_ && !may_write_roster_ && leader_->predecessor_fenced()) {
+    EndPredecessorAuthority(now);
+  }
 }
 
 void CellNode::ApplyAuthority() {
--- a/cell/reservations.cc
+++ b/cell/reservations.cc
@@ -40,7 +40,8 @@
 
 TimePoint ExpectedEnd(const Run& run, TimePoint now) {
   const TimePoint soon = now + kSoon;
-  if (run.step == nullptr || run.phase == RunPhase::kStopping) {
+  if (run.step == nullptr || run.phase == RunPhase::kStopping ||
+      run.phase == RunPhase::kEndUnread) {
     return soon;
   }
   if (run.step->spec->long_running) {
--- a/cell/testing/cut_history.cc
+++ b/cell/testing/cut_history.cc
@@ -138,7 +138,7 @@
     }
   };
   wait(SettleTime());
-  if (unlisted_elected_) {
+  if (unlisted_elected_ && executor_lost_) {
     // The status of jobs that have ended is not kept for as long.
     for (Millis passed{0}; passed < kUnlistedFencingDelay;
          passed += Millis(1'000)) {
@@ -220,6 +220,7 @@
       if (OneIn(3)) {
         AddMember();
       } else if (OneIn(2)) {
+        executor_lost_ = true;
         waves_.Announce();
       } else {
         cell_.SetQueue(ChangedQueue(random_));
@@ -323,7 +324,7 @@
 
 void CutHistory::InjectMemberFault() {
   const std::string name = OneIn(2) ? PickLeader() : PickMember();
-  switch (Pick(6)) {
+  switch (Pick(7)) {
     case 0:
       cell_.Freeze(name, PickTime(kShortestFault, kLongestPause));
       return;
@@ -341,6 +342,9 @@
     case 4:
       EndMembers({members_.begin(), members_.end()}, OneIn(2));
       return;
+    case 5:
+      ReplaceMembers();
+      return;
     default:
       cell_.CutPeers(name, true);
       Later(PickTime(kShortestFault, kLongestFault),
@@ -355,14 +359,28 @@
     } else {
       cell_.Kill(name);
     }
-    Later(PickTime(kShortestFault, kLongestPause),
-          [this, name] { cell_.Restart(name); });
+    Later(PickTime(kShortestFault, kLongestPause), [this, name] {
+      if (std::count(members_.begin(), members_.end(), name) > 0) {
+        cell_.Restart(name);
+      }
+    });
+  }
+}
+
+void CutHistory::ReplaceMembers() {
+  ++replacements_;
+  for (std::string& name : members_) {
+    cell_.PowerOff(name);
+    name += std::to_string(replacements_);
+    cell_.AddNode(name);
   }
 }
 
 void CutHistory::AddMember() {
   if (members_.size() < kMaxMembers) {
-    members_.push_back(member_names[members_.size()]);
+    std::string name = member_names[members_.size()];
+    name += replacements_ == 0 ? "" : "-" + std::to_string(replacements_);
+    members_.push_back(std::move(name));
     cell_.AddNode(members_.back());
   }
 }
@@ -403,6 +421,7 @@
                           PickTime(kShortestFault, kLongestFault));
       return;
     default:
+      executor_lost_ = true;
       cell_.ReplaceExecutor(id, Millis(1'500));
   }
 }
--- a/cell/testing/cut_history.h
+++ b/cell/testing/cut_history.h
@@ -27,7 +27,8 @@
 
   // Fails the property if a job waits longer than kMaxIdleWait although it
   // could run, SettleTime() after the last fault. kUnlistedFencingDelay is
-  // added if a member that was not on the roster was elected.
+  // added if a member that was not on the roster was elected and an executor
+  // was lost for good, which then cannot answer that member.
   void Run();
 
   // Fails the property if an executor saw a violation, or accepted jobs have
@@ -55,6 +56,8 @@
   void CutLinks();
   void AddMember();
   void EndMembers(const std::set<std::string>& members, bool power);
+  // All members are lost for good, and others come at new addresses.
+  void ReplaceMembers();
   // Faults of the links between random members and all or some executors.
   void FailLinks(const LinkFaults& faults);
 
@@ -80,6 +83,8 @@
   bool narrow_ = false;
   bool faulty_ = true;  // some runs fail
   bool unlisted_elected_ = false;
+  bool executor_lost_ = false;
+  int replacements_ = 0;  // of all members
   std::map<JobId, SeenJob> seen_;
 };
 
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -91,6 +91,9 @@
   Resources UseOf(const std::function<bool(const JobId&)>& matches) const;
   // Ends that executors still list: they were not acknowledged.
   size_t listed_ends() const;
+  size_t ListedEndsOn(const ExecutorId& id) const {
+    return states_.at(id).ended.size();
+  }
   // Whether a run of the job is on an executor that is up.
   bool RunsAnyOf(const JobId& id) const;
   // Whether the end `done` of the task, or of any member of its gang, was
--- a/cell/testing/history_check.cc
+++ b/cell/testing/history_check.cc
@@ -62,6 +62,8 @@
     }
   }
   RC_ASSERT(cell.executors.running() == 0);
+  // Executors list a limited number of ends until they are acknowledged.
+  RC_ASSERT(cell.executors.listed_ends() == 0u);
 }
 
 void RandomWaves::Announce() {
--- a/cell/testing/successor_test.cc
+++ b/cell/testing/successor_test.cc
@@ -216,6 +216,116 @@
   BOOST_TEST(cell.executors.starts() == kTasks);
 }
 
+// All members are replaced by others at new addresses, none of which is on the
+// roster. The executors go on.
+struct ReplacedMembers : LargeCell {
+  // Keeps this many executors.
+  explicit ReplacedMembers(int executors_left) {
+    for (int i = executors_left + 1; i <= 6; ++i) {
+      executors.Remove("e" + std::to_string(i));
+    }
+    RunFor(Millis(8'000));
+  }
+  void ReplaceMembers() {
+    for (const std::string& name : names) {
+      PowerOff(name);
+    }
+    RunFor(Millis(1'000));
+    for (const char* name : {"h", "i", "j"}) {
+      AddNode(name);
+    }
+    RunFor(Millis(2'500));
+    BOOST_TEST_REQUIRE(leader() != nullptr);
+  }
+  bool IsCompleted(const JobId& id) const {
+    return StateOf(id) == JobState::kCompleted;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(ThatReplacesAllMembers)
+
+// Regression (review/11, LOST): no end was acknowledged for 620 s, and the
+// executors, which list 500 ends, got no further work.
+BOOST_AUTO_TEST_CASE(AcknowledgesEndsOnceAllExecutorsHaveSeenItsFence) {
+  ReplacedMembers cell(2);
+  cell.ReplaceMembers();
+  constexpr int kTasks = 1'600;
+  cell.Submit("h", kJobId, MakeJobSpec(kTasks, Millis(100), 1'000), "q0");
+  cell.RunFor(Millis(20'000));
+  BOOST_TEST(cell.IsCompleted(kJobId));
+  BOOST_TEST(cell.executors.starts() == kTasks);
+  BOOST_TEST(cell.executors.listed_ends() == 0u);
+}
+
+// The same without new addresses: members that were silent for 4 s are off the
+// roster.
+BOOST_AUTO_TEST_CASE(NeedsNoNewAddressForThat) {
+  LargeCell cell;
+  const std::string last = cell.LeaderName();
+  for (const std::string& name : cell.names) {
+    if (name != last) {
+      cell.Kill(name);
+    }
+  }
+  cell.RunFor(Millis(6'000));
+  cell.PowerOff(last);
+  for (const std::string& name : cell.names) {
+    if (name != last) {
+      cell.Restart(name);
+    }
+  }
+  cell.RunFor(Millis(3'000));
+  cell.Submit(last == "a" ? "b" : "a", kJobId, MakeJobSpec(60, Millis(300)),
+              "q0");
+  cell.RunFor(Millis(6'000));
+  BOOST_TEST((cell.StateOf(kJobId) == JobState::kCompleted));
+  BOOST_TEST(cell.executors.listed_ends() == 0u);
+}
+
+// Guards against a pool that waits for an executor of another one.
+BOOST_AUTO_TEST_CASE(LetsAPoolGoOnWhoseExecutorsHaveAllAnswered) {
+  ReplacedMembers cell(6);
+  cell.AddExecutors("other", 1, {32'000, 64'000, 0, 0});
+  cell.RunFor(testing::kSettleTime);
+  cell.SubmitJobs();
+  cell.executors.Remove("e7");
+  cell.ReplaceMembers();
+  cell.RunFor(Millis(8'000));
+  BOOST_TEST(cell.executors.listed_ends() == 0u);
+  BOOST_TEST(cell.executors.running() == 6);
+}
+
+// Guards against a second run of a task whose end was acknowledged while an
+// executor of its pool still takes orders of the last leader.
+BOOST_AUTO_TEST_CASE(AcknowledgesNoEndWhileAnExecutorHasNotAnswered) {
+  UnlistedSuccessor cell;
+  cell.RunFor(Millis(15'000));
+  // Executor e1 does not answer.
+  BOOST_TEST(cell.executors.listed_ends() > cell.executors.ListedEndsOn("e1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against executors that stay full of runs whose ends do not fit in an
+// answer, here while the store takes no progress.
+BOOST_AUTO_TEST_CASE(UsesTheRoomOfRunsWhoseEndsAreNotListed) {
+  constexpr int kTasks = 1'900;
+  ReplacedMembers cell(2);
+  cell.Submit("a", kJobId, MakeJobSpec(kTasks, Millis(100), 1'000), "q0");
+  cell.RunFor(Millis(100));
+  cell.store.faults.unresponsive = true;
+  cell.entries_down = true;
+  // Ends are read at intervals of 0.5 s while they wait to be stored.
+  cell.RunFor(Millis(20'000));
+  BOOST_TEST(cell.executors.starts() == kTasks);
+  BOOST_TEST(cell.log.Lines("executor_ends_full") != "");
+  cell.store.faults = testing::StoreFaults();
+  cell.entries_down = false;
+  cell.RunFor(Millis(10'000));
+  BOOST_TEST(cell.IsCompleted(kJobId));
+  BOOST_TEST(cell.executors.starts() == kTasks);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(ALeaderWhoseSuccessorWaitsForItsLeases)
--- a/chivedale/event_log.cc
+++ b/chivedale/event_log.cc
@@ -87,6 +87,7 @@
       {Event::kExecutorLeasesExpired, "executor_leases_expired", L::kWarning},
       {Event::kExecutorOtherBoot, "executor_other_boot", L::kWarning},
       {Event::kExecutorProbed, "executor_probed", L::kInfo},
+      {Event::kExecutorEndsFull, "executor_ends_full", L::kWarning},
       {Event::kAdviceReceived, "advice_received", L::kInfo},
       {Event::kAdviceFailed, "advice_failed", L::kWarning},
       {Event::kUpkeepOrdered, "upkeep_ordered", L::kInfo},
--- a/chivedale/event_log.h
+++ b/chivedale/event_log.h
@@ -101,6 +101,7 @@
   kExecutorLeasesExpired = 1312,
   kExecutorOtherBoot = 1313,
   kExecutorProbed = 1314,
+  kExecutorEndsFull = 1315,
   kAdviceReceived = 1401,
   kAdviceFailed = 1402,
   kUpkeepOrdered = 1501,
