Number calls between members from a random number

Cause: each process numbered its calls to other members from 1. The answers with states of jobs, stored jobs and advice carry that number alone and are sent to an address, where they wait for up to 2 s for a connection. A later process that has made about as many calls took them for its own.

Change: a process begins at a random number below 2^48. The probability that the numbers of two processes overlap is below 2^-27 even with 2^20 calls under way.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -57,7 +57,8 @@
                  freshness_,
                  {context.read_table,
                   [this](uint64_t call) { return AskLeaderForTable(call); }}),
-      table_(std::make_shared<QueueTable>()) {
+      table_(std::make_shared<QueueTable>()),
+      call_numbers_(context.random) {
   LeaderRecord self;
   self.node = options_.node;
   self.boot_id = options_.boot_id;
--- a/cell/node.h
+++ b/cell/node.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 
+#include "cell/call_numbers.h"
 #include "cell/call_refusals.h"
 #include "cell/election.h"
 #include "cell/job_intake.h"
@@ -329,7 +330,7 @@
   TimePoint next_expiry_{};
 
   std::map<int64_t, UpkeepWave> waves_;  // all announced waves
-  uint64_t next_call_ = 1;
+  CallNumbers call_numbers_;
   struct PendingStateCall {
     JobId job;
     Caller caller;
--- a/cell/node_calls.cc
+++ b/cell/node_calls.cc
@@ -35,7 +35,7 @@
                              TimePoint deadline,
                              std::function<void(JobStoreResult)> done) {
   JobStoreCall call;
-  call.call = next_call_++;
+  call.call = call_numbers_.Next();
   call.address = options_.address;
   call.job = id;
   call.record = std::move(record);
@@ -55,7 +55,7 @@
     return;
   }
   OwnedCancelCall call;
-  call.call = next_call_++;
+  call.call = call_numbers_.Next();
   call.address = options_.address;
   call.job = id;
   call.timeout =
@@ -179,7 +179,7 @@
     FindInStore(id, caller, deadline, std::move(done));
     return;
   }
-  const uint64_t call = next_call_++;
+  const uint64_t call = call_numbers_.Next();
   const TimePoint fallback = context_.clock.Now() + kStateCallTimeout;
   pending_state_calls_[call] = {id, caller, std::min(fallback, deadline),
                                 deadline, std::move(done)};
@@ -323,7 +323,7 @@
     return;
   }
   AdviceCall call;
-  call.call = next_call_++;
+  call.call = call_numbers_.Next();
   call.address = options_.address;
   call.step = request.step;
   call.executors = request.executors;
--- a/cell/table_confirmer.cc
+++ b/cell/table_confirmer.cc
@@ -14,7 +14,6 @@
 // same time while no leader confirms.
 constexpr Millis kMemberReadInterval{600};
 constexpr Millis kReadTimeout{1'500};
-constexpr uint64_t kMaxFirstCall = uint64_t{1} << 48;
 
 }  // namespace
 
@@ -24,6 +23,7 @@
                                Callbacks callbacks)
     : clock_(clock),
       random_(random),
+      call_numbers_(random),
       freshness_(freshness),
       callbacks_(std::move(callbacks)) {}
 
@@ -68,14 +68,10 @@
 }
 
 void TableConfirmer::Ask() {
-  // A late answer to an earlier process at this address must not be taken for
-  // one to this process.
-  if (last_call_ == 0) {
-    last_call_ = 1 + random_.UniformInt(kMaxFirstCall);
-  }
   const Duration now = clock_.SinceBoot();
-  if (callbacks_.ask_leader(last_call_ + 1)) {
-    ++last_call_;
+  const uint64_t call = call_numbers_.Next();
+  if (callbacks_.ask_leader(call)) {
+    last_call_ = call;
     asked_at_ = now;
   }
 }
--- a/cell/table_confirmer.h
+++ b/cell/table_confirmer.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 
+#include "cell/call_numbers.h"
 #include "cell/table_freshness.h"
 #include "cell/types.h"
 #include "chivedale/messages.h"
@@ -52,6 +53,7 @@
 
   const Clock& clock_;
   util::Random& random_;
+  CallNumbers call_numbers_;
   TableFreshness& freshness_;
   const Callbacks callbacks_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -291,7 +291,14 @@
                        const std::string& address,
                        const Message& message) {
   Host& sender = *hosts_.at(from);
-  loop.After(kPeerLatency, [this, &sender, address, message] {
+  Duration latency = kPeerLatency;
+  for (const auto& [name, host] : hosts_) {
+    const auto delay = peer_delays.find({from, name});
+    if (host->address == address && delay != peer_delays.end()) {
+      latency += delay->second;
+    }
+  }
+  loop.After(latency, [this, &sender, address, message] {
     for (auto& [name, host] : hosts_) {
       if (host->address != address) {
         continue;
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -122,6 +122,9 @@
   OutageAdmission outage_admission = OutageAdmission::kHold;  // likewise
   // Cuts between members refuse connections in place of the live process.
   bool cuts_refuse = false;
+  // Added to the time of messages, by sender and receiver. A message is for
+  // whichever process has the address when it arrives.
+  std::map<std::pair<std::string, std::string>, Duration> peer_delays;
   bool entries_down = false;  // executors' entries cannot be listed
   // Duration of a list of the executors' entries as they are when it begins.
   Duration entries_time = std::chrono::milliseconds(2);
