Derive the time of unnoticed restarts from the constants it rests on

Cause: the bound of 3.4 s after which a predecessor's authority ends repeated two constants of leader_executors.cc and one of node_authority.cc by value, so that a change of these would have made it too short without a notice.

Change: the three constants are in headers, and the bound is computed from them with 3% for the clocks. Three comments say what the predicates mean. No change of behaviour beyond some milliseconds.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -18,14 +18,11 @@
 constexpr Millis kSweepInterval{500};
 // Progress writes in flight at a time.
 constexpr size_t kProgressLanes = 4;
-// Maximum age of the entries, and of an answer, by which a leader without the
-// store takes an executor for the boot that it knows (kMaxEntryAge and
-// kFreshAnswerTime in leader_executors.cc), and 3% more as clocks differ.
-constexpr Millis kMaxKnownBootAge{3'100};
-constexpr Millis kMaxKnownAnswerAge{1'550};
-// A leader that can read entries reads the leader key as well, at least this
-// often.
-constexpr Millis kLeaderKeyInterval{300};
+// Upper bound of such a time on another member's clock.
+constexpr Millis OnAnyClock(Millis time) {
+  return time * 103 / 100;
+}
+
 // Jobs in one progress write, which also contains two conditions and the
 // sequence key.
 constexpr size_t kMaxWrittenJobs = kMaxWriteEntries - 3;
@@ -175,9 +172,11 @@
          context_.clock.Now() > RestartsNoticedBy();
 }
 
+// An earlier leader that reads entries reads the leader key as often, so that
+// its last entries are at most one such read younger than the election.
 TimePoint CellLeader::RestartsNoticedBy() const {
-  return std::max(begin_time_ + kLeaderKeyInterval + kMaxKnownBootAge,
-                  last_fenced_ + kMaxKnownAnswerAge);
+  return std::max(begin_time_ + OnAnyClock(kConfirmInterval + kMaxEntryAge),
+                  last_fenced_ + OnAnyClock(kFreshAnswerTime));
 }
 
 bool CellLeader::PredecessorMayRestart(const Job* job) const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -407,19 +407,19 @@
   void ReadPredecessorRevisionLimit();
   // Whether an earlier leader may still have authority.
   bool PredecessorMayAct() const;
-  // Whether an earlier leader may still start tasks of the job again that it
+  // Whether an earlier leader may still start a task of the job again that it
   // takes as lost. Null: of any job.
   bool PredecessorMayRestart(const Job* job) const;
-  // Likewise for any run on the executor, apart from restarts that the earlier
-  // leader does not notice.
+  // Likewise for any run on the executor. Restarts of executors that the
+  // earlier leader does not notice are not counted: leases would expire first.
   bool PredecessorMayRestartRunsOn(const Executor& executor) const;
-  // Whether an executor that may reject nothing of an earlier leader may run
+  // Whether an executor that still takes orders of an earlier leader may run
   // the job's tasks. Null: any job's.
   bool HasUnfencedExecutorFor(const Job* job) const;
   // Whether tasks of the job may be on the executor, by its pool.
   bool MayUsePoolOf(const Job& job, const Executor& executor) const;
-  // Until then an earlier leader may not have noticed that an executor which
-  // has seen this leader's fence restarted without it.
+  // Until then an earlier leader may start a task on an executor that has seen
+  // this leader's fence, but lost it in a restart unnoticed by that leader.
   TimePoint RestartsNoticedBy() const;
   // The time from which leases and the validity of starts count: now, or the
   // end of the authority if that has passed, so that a process which was paused
--- a/cell/leader_authority.h
+++ b/cell/leader_authority.h
@@ -26,6 +26,8 @@
 
 namespace chivedale::cell {
 
+// Interval between a leader's reads of the leader key.
+inline constexpr Millis kConfirmInterval{300};
 // Time for which evidence counts.
 inline constexpr Millis kAuthorityTime{1'400};
 // Time after its election at which a new leader takes its predecessor's
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -65,6 +65,13 @@
 std::string ProgressKey(const JobId& id);
 std::string ProgressSequenceKey(size_t lane);
 
+// Restarts within this time after an answer are rare. Calls that reach a new
+// boot before it is known are counted, see ExecutorBoot.
+inline constexpr Millis kFreshAnswerTime{1'500};
+// Without a call, the entries show a restart if they are not older than this,
+// a few polls.
+inline constexpr Millis kMaxEntryAge{3'000};
+
 // Runs a function after a delay on the control thread.
 using RunAfter = std::function<void(Millis, std::function<void()>)>;
 // Has a member call the advice service.
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -22,12 +22,6 @@
 constexpr Millis kUnstoredEndsHoldDelay{500};
 constexpr Millis kMissedHoldRetry{150};
 constexpr Millis kMaxMissedHoldRetry{1'000};
-// Restarts within this time after an answer are rare. Calls that reach a new
-// boot before it is known are counted, see ExecutorBoot.
-constexpr Millis kFreshAnswerTime{1'500};
-// Without a call, the entries show a restart if they are not older than this,
-// a few polls.
-constexpr Millis kMaxEntryAge{3'000};
 // An idle executor is called after this time, as the estimate of its clock gets
 // ahead of a slow one; a start would then be valid for too long.
 constexpr Millis kMaxClockAge{60'000};
--- a/cell/node_authority.cc
+++ b/cell/node_authority.cc
@@ -15,7 +15,6 @@
 using nlohmann::json;
 
 constexpr Millis kConfirmTimeout{1'000};
-constexpr Millis kConfirmInterval{300};
 // Members are asked once the last answer of the store is older than this, in
 // time for their answers to arrive before the authority ends.
 constexpr Millis kAskMembersAfter{500};
