Store a tombstone for a job that is cancelled before it is stored

Cause: a cancellation that found no job wrote nothing. The write of the submission, carried out late by the store or repeated by another member, was conditional on the job's key alone, which was still absent.

Change: such a cancellation stores a record at the job's own key, on condition that the key is as it was read, and is answered 410 only then. It names its callers, so that it covers no job of another account, whose submission replaces it. It expires with the status retention; the number is limited for each account and member. A cancellation is answered by its deadline, and is conditional on the job that was read.

A record at a key of its own was tried first: a second condition leaves room for 10 submissions in a write in place of 16, and progress_backlog_test failed.

Evidence: on the code before, four of the tests of late_submission_test fail.

--- a/cell/job_intake.cc
+++ b/cell/job_intake.cc
@@ -19,6 +19,11 @@
 
 }  // namespace
 
+const JobIntake::EntryKind JobIntake::submission_kind = {
+    true, &JobIntake::ResolveSubmission};
+const JobIntake::EntryKind JobIntake::cancellation_kind = {
+    false, &JobIntake::ResolveCancellation};
+
 JobIntake::JobIntake(const Clock& clock,
                      StorePort& store,
                      RunAfter run_after,
@@ -29,6 +34,7 @@
       run_after_(std::move(run_after)),
       store_down_(std::move(store_down)),
       unsent_wait_(unsent_wait),
+      tombstone_limit_(clock),
       max_batch_(kMaxBatch) {}
 
 JobIntake::~JobIntake() = default;
@@ -38,56 +44,114 @@
                        TimePoint deadline,
                        OnSubmit done) {
   Entry entry;
+  entry.kind = &submission_kind;
   entry.key = JobKey(id);
   entry.value = record;
+  entry.conditions = {{JobKey(id), 0}};
   entry.deadline = deadline;
   entry.done = std::move(done);
   Enqueue(std::move(entry));
 }
 
+// Answers by the deadline, also while calls to the store are under way.
 void JobIntake::Cancel(const JobId& id,
                        const Caller& caller,
                        TimePoint deadline,
                        OnCancel done) {
+  const auto unanswered = std::make_shared<OnCancel>(std::move(done));
+  const OnCancel answer = [unanswered](CancelResult result) {
+    if (const OnCancel waiting = std::exchange(*unanswered, nullptr)) {
+      waiting(result);
+    }
+  };
+  const auto left = std::chrono::duration_cast<Millis>(deadline - clock_.Now());
+  run_after_(std::max(Millis(0), left),
+             Guard([answer] { answer(CancelResult::kUnknown); }));
+  TryCancel(id, caller, deadline, answer);
+}
+
+void JobIntake::TryCancel(const JobId& id,
+                          const Caller& caller,
+                          TimePoint deadline,
+                          const OnCancel& done) {
+  if (clock_.Now() >= deadline) {
+    return;  // answered by Cancel()
+  }
   store_.Read(
       JobKey(id), kWriteTimeout,
-      Guard([this, id, caller, deadline,
-             done = std::move(done)](const StoreRead& read) {
-        if (read.status == StoreStatus::kNotFound) {
-          last_answer_ = clock_.Now();
-          done(CancelResult::kNoSuchJob);
-          return;
-        }
-        if (read.status != StoreStatus::kOk) {
+      Guard([this, id, caller, deadline, done](const StoreRead& read) {
+        if (read.status != StoreStatus::kOk &&
+            read.status != StoreStatus::kNotFound) {
           if (clock_.Now() + kRetryDelay >= deadline) {
             done(CancelResult::kUnavailable);
             return;
           }
           run_after_(kRetryDelay, Guard([this, id, caller, deadline, done] {
-                       Cancel(id, caller, deadline, done);
+                       TryCancel(id, caller, deadline, done);
                      }));
           return;
         }
         last_answer_ = clock_.Now();
-        if (!read.items.empty() &&
-            !MayAccess(caller, StoredOwner(read.items[0].value))) {
+        const StoreItem* job = read.items.empty() ? nullptr : &read.items[0];
+        if (job == nullptr || IsTombstone(job->value)) {
+          WriteTombstone(id, caller, job, deadline, done);
+          return;
+        }
+        if (!MayAccess(caller, StoredOwner(job->value))) {
           done(CancelResult::kOtherAccount);
           return;
         }
         Entry entry;
         entry.key = CancelKey(id);
         entry.value = "1";
-        entry.conditional = false;
+        entry.conditions = {{JobKey(id), job->revision}};
         entry.deadline = deadline;
-        entry.done = [done](SubmitResult result, int64_t) {
-          done(result == SubmitResult::kAccepted  ? CancelResult::kCancelled
-               : result == SubmitResult::kUnknown ? CancelResult::kUnknown
-                                                  : CancelResult::kUnavailable);
-        };
-        Enqueue(std::move(entry));
+        WriteCancellation(std::move(entry), id, caller, done,
+                          CancelResult::kCancelled);
       }));
 }
 
+void JobIntake::WriteTombstone(const JobId& id,
+                               const Caller& caller,
+                               const StoreItem* record,
+                               TimePoint deadline,
+                               const OnCancel& done) {
+  Tombstone tombstone;
+  if (record != nullptr) {
+    tombstone = DecodeTombstone(record->value).value_or(Tombstone());
+  }
+  tombstone.written = clock_.WallNow();
+  if (!tombstone.AddCaller(caller) || !tombstone_limit_.Admit(caller.account)) {
+    done(CancelResult::kUnavailable);
+    return;
+  }
+  Entry entry;
+  entry.key = JobKey(id);
+  entry.value = EncodeTombstone(tombstone);
+  // If the job is stored meanwhile, it is cancelled instead.
+  entry.conditions = {{JobKey(id), record == nullptr ? 0 : record->revision}};
+  entry.deadline = deadline;
+  WriteCancellation(std::move(entry), id, caller, done,
+                    CancelResult::kNoSuchJob);
+}
+
+void JobIntake::WriteCancellation(Entry entry,
+                                  const JobId& id,
+                                  const Caller& caller,
+                                  const OnCancel& done,
+                                  CancelResult if_stored) {
+  entry.kind = &cancellation_kind;
+  entry.done = [done, if_stored](SubmitResult result, int64_t) {
+    done(result == SubmitResult::kAccepted  ? if_stored
+         : result == SubmitResult::kUnknown ? CancelResult::kUnknown
+                                            : CancelResult::kUnavailable);
+  };
+  entry.start_over = [this, id, caller, deadline = entry.deadline, done] {
+    TryCancel(id, caller, deadline, done);
+  };
+  Enqueue(std::move(entry));
+}
+
 void JobIntake::Enqueue(Entry entry) {
   entry.unsent_until = clock_.Now() + unsent_wait_;
   queue_.push_back(std::move(entry));
@@ -99,7 +163,7 @@
 }
 
 bool JobIntake::CanRefuse(const Entry& entry) const {
-  return entry.conditional && !entry.uncertain && !MayBeStored(entry.key);
+  return entry.kind->refusable && !entry.uncertain && !MayBeStored(entry.key);
 }
 
 bool JobIntake::MayBeStored(const std::string& key) const {
@@ -147,11 +211,22 @@
     }
   }
   for (const Entry& entry : expired) {
-    entry.done(entry.uncertain || (entry.conditional && MayBeStored(entry.key))
-                   ? SubmitResult::kUnknown
-                   : SubmitResult::kNotStored,
-               0);
+    entry.done(
+        entry.uncertain || (entry.kind->refusable && MayBeStored(entry.key))
+            ? SubmitResult::kUnknown
+            : SubmitResult::kNotStored,
+        0);
+  }
+}
+
+std::vector<std::string> JobIntake::KeysOf(const Entry& entry) {
+  std::vector<std::string> keys = {entry.key};
+  for (const auto& [key, revision] : entry.conditions) {
+    if (key != entry.key) {
+      keys.push_back(key);
+    }
   }
+  return keys;
 }
 
 void JobIntake::WriteNext() {
@@ -164,15 +239,19 @@
   std::set<std::string> keys;
   for (size_t i = 0; i < queue_.size() && batch.size() < max_batch_;) {
     // A key may occur only once in a write.
-    if ((down && CanRefuse(queue_[i])) || !keys.insert(queue_[i].key).second) {
+    const std::vector<std::string> names = KeysOf(queue_[i]);
+    const bool taken = std::any_of(
+        names.begin(), names.end(),
+        [&](const std::string& name) { return keys.count(name) > 0; });
+    if ((down && CanRefuse(queue_[i])) || taken) {
       ++i;
       continue;
     }
+    keys.insert(names.begin(), names.end());
     Entry entry = std::move(queue_[i]);
     queue_.erase(queue_.begin() + static_cast<long>(i));
-    if (entry.conditional) {
-      write.conditions.emplace_back(entry.key, 0);
-    }
+    write.conditions.insert(write.conditions.end(), entry.conditions.begin(),
+                            entry.conditions.end());
     write.puts.emplace_back(entry.key, entry.value);
     batch.push_back(std::move(entry));
   }
@@ -182,7 +261,9 @@
   }
   write_in_flight_ = true;
   if (unsent_wait_ == Millis(0)) {
-    keys_in_flight_ = std::move(keys);
+    for (const Entry& entry : batch) {
+      keys_in_flight_.insert(entry.key);
+    }
   }
   auto shared = std::make_shared<std::vector<Entry>>(std::move(batch));
   store_.Write(write, kWriteTimeout,
@@ -208,22 +289,15 @@
       // Existing keys were stored by an earlier submission, or by an earlier
       // write of this one whose answer was lost.
       last_answer_ = clock_.Now();
-      std::map<std::string, const std::string*> present;  // values by key
+      PresentItems present;
       for (const StoreItem& item : reply.items) {
         if (item.revision > 0 && !item.deleted) {
-          present.emplace(item.key, &item.value);
+          present.emplace(item.key, &item);
         }
       }
       std::vector<Entry> rest;
       for (Entry& entry : batch) {
-        const auto found = present.find(entry.key);
-        if (entry.conditional && found != present.end()) {
-          const bool own =
-              *found->second == entry.value ||
-              MayAccess(StoredOwner(entry.value), StoredOwner(*found->second));
-          entry.done(
-              own ? SubmitResult::kAccepted : SubmitResult::kOtherAccount, 0);
-        } else {
+        if (!(this->*entry.kind->resolve)(entry, present)) {
           rest.push_back(std::move(entry));
         }
       }
@@ -248,6 +322,48 @@
   }
 }
 
+bool JobIntake::ResolveSubmission(Entry& entry, const PresentItems& present) {
+  auto& [job_key, revision] = entry.conditions[0];
+  const auto found = present.find(job_key);
+  if (found == present.end()) {
+    revision = 0;
+    return false;
+  }
+  const std::string& value = found->second->value;
+  if (value == entry.value) {
+    entry.done(SubmitResult::kAccepted, 0);
+    return true;
+  }
+  const Caller owner = StoredOwner(entry.value);
+  if (!IsTombstone(value)) {
+    const bool own = MayAccess(owner, StoredOwner(value));
+    entry.done(own ? SubmitResult::kAccepted : SubmitResult::kOtherAccount, 0);
+    return true;
+  }
+  const auto tombstone = DecodeTombstone(value);
+  if (tombstone && tombstone->Covers(owner)) {
+    entry.done(SubmitResult::kCancelled, 0);
+    return true;
+  }
+  // Replaces the tombstone of another account.
+  revision = found->second->revision;
+  return false;
+}
+
+bool JobIntake::ResolveCancellation(Entry& entry, const PresentItems& present) {
+  const bool changed = std::any_of(
+      entry.conditions.begin(), entry.conditions.end(),
+      [&](const auto& condition) {
+        const auto item = present.find(condition.first);
+        return (item == present.end() ? 0 : item->second->revision) !=
+               condition.second;
+      });
+  if (changed) {
+    entry.start_over();
+  }
+  return changed;
+}
+
 void JobIntake::ReturnToQueue(std::vector<Entry> entries) {
   for (auto it = entries.rbegin(); it != entries.rend(); ++it) {
     queue_.push_front(std::move(*it));
--- a/cell/job_intake.h
+++ b/cell/job_intake.h
@@ -8,7 +8,8 @@
 //
 // A job is refused only if it is known not to be stored by this submission. An
 // unanswered write is retried until its outcome is known or the caller's
-// deadline has passed.
+// deadline has passed. A cancellation of a job that is not stored leaves a
+// Tombstone, so that no write of its submission can take effect later.
 #ifndef CELL_JOB_INTAKE_H_
 #define CELL_JOB_INTAKE_H_
 
@@ -19,11 +20,13 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cell/job.h"
 #include "cell/leader.h"
 #include "cell/ports.h"
+#include "cell/tombstone.h"
 #include "cell/types.h"
 
 namespace chivedale::cell {
@@ -34,10 +37,11 @@
   kUnknown,
   kInvalid,       // definite, and so would be any other submission of the job
   kOtherAccount,  // definite: a job of another account has the ID
+  kCancelled,     // definite: the job was cancelled before it was stored
 };
 enum class CancelResult {
   kCancelled,
-  kNoSuchJob,
+  kNoSuchJob,  // and no submission sent before will store it
   kUnavailable,
   kUnknown,       // a write of the cancellation may have taken effect
   kOtherAccount,  // not cancelled: the job is of another account
@@ -75,10 +79,25 @@
   size_t waiting() const { return queue_.size(); }
 
  private:
+  struct Entry;
+  using PresentItems = std::map<std::string, const StoreItem*>;  // by key
+  // What is written, and what follows if a condition does not hold.
+  struct EntryKind {
+    // While the store is down, an entry that was not sent may be refused.
+    bool refusable = false;
+    // Answers an entry whose conditions do not hold. Returns false if it is to
+    // be written again.
+    bool (JobIntake::*resolve)(Entry& entry, const PresentItems& present);
+  };
+  static const EntryKind submission_kind;
+  static const EntryKind cancellation_kind;
+
   struct Entry {
+    const EntryKind* kind = nullptr;
     std::string key;
     std::string value;
-    bool conditional = true;  // written only if the key is absent
+    // Keys and their expected revisions; 0: absent.
+    std::vector<std::pair<std::string, int64_t>> conditions;
     // An earlier write of the entry was not answered and may still take effect.
     bool uncertain = false;
     TimePoint deadline{};
@@ -86,8 +105,28 @@
     // then refused.
     TimePoint unsent_until{};
     OnSubmit done;
+    std::function<void()> start_over;  // of a cancellation
   };
 
+  bool ResolveSubmission(Entry& entry, const PresentItems& present);
+  bool ResolveCancellation(Entry& entry, const PresentItems& present);
+  // Reads the job and writes the cancellation or tombstone.
+  void TryCancel(const JobId& id,
+                 const Caller& caller,
+                 TimePoint deadline,
+                 const OnCancel& done);
+  void WriteCancellation(Entry entry,
+                         const JobId& id,
+                         const Caller& caller,
+                         const OnCancel& done,
+                         CancelResult if_stored);
+  // Adds the caller to the record that was read, if any, and writes it.
+  void WriteTombstone(const JobId& id,
+                      const Caller& caller,
+                      const StoreItem* record,
+                      TimePoint deadline,
+                      const OnCancel& done);
+
   // No write of the entry can have taken effect, so it may be refused.
   bool CanRefuse(const Entry& entry) const;
   // Whether an earlier submission with the key is being written, or was written
@@ -98,6 +137,8 @@
   // Refuses what waits behind a write that is not answered.
   void CheckLater();
 
+  // Keys of its conditions and the key it writes.
+  static std::vector<std::string> KeysOf(const Entry& entry);
   void Enqueue(Entry entry);
   void WriteNext();
   void OnWritten(std::vector<Entry> batch, const StoreWriteReply& reply);
@@ -127,6 +168,7 @@
   bool retry_pending_ = false;
   bool check_pending_ = false;
   std::set<std::string> keys_in_flight_;
+  TombstoneLimit tombstone_limit_;
   // Until when an unanswered write of the key may take effect.
   std::map<std::string, TimePoint> unanswered_until_;
   // Entries of the next write; fewer after a write was rejected as invalid, so
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -54,6 +54,7 @@
       predecessor_revision_limit_(std::numeric_limits<int64_t>::max()),
       table_(std::make_shared<QueueTable>()),
       load_(context.log),
+      tombstones_(options.status_retention),
       progress_queue_(kProgressLanes, kMaxWrittenJobs),
       lanes_(kProgressLanes),
       latest_fence_(leadership.fence) {}
@@ -140,6 +141,7 @@
     next_sweep_ = now + kSweepInterval;
     RemoveFinishedOccurrences();
     RemoveExpiredJobs();
+    RemoveExpiredTombstones();
     RetryRejectedProgress();
     AcknowledgeEnds();
     ReportWaitingSteps();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -39,6 +39,7 @@
 #include "cell/ports.h"
 #include "cell/progress_queue.h"
 #include "cell/reservations.h"
+#include "cell/tombstone.h"
 #include "cell/types.h"
 #include "chivedale/event_log.h"
 #include "chivedale/metrics.h"
@@ -162,6 +163,7 @@
   void OpenDueRecurringJobs();
   void RemoveFinishedOccurrences();
   void RemoveExpiredJobs();
+  void RemoveExpiredTombstones();
   // Forgets the removed jobs that no later read of the watch can show.
   void ForgetRemovedJobs();
   const QueuePolicy& PolicyOf(const Job& job) const;
@@ -577,6 +579,8 @@
   std::unordered_map<JobId, int64_t> removed_jobs_;
   // Cancellations whose job has not been read yet.
   std::set<JobId> unmatched_cancels_;
+  TombstoneSet tombstones_;
+  bool tombstone_removal_in_flight_ = false;
   std::set<JobId> recurring_jobs_;
   std::unordered_map<JobId, UnreadJob> unread_jobs_;
   std::deque<JobId> unread_queue_;  // whose records are to be read
--- a/cell/leader_context.h
+++ b/cell/leader_context.h
@@ -45,7 +45,8 @@
 };
 
 // Keys in the store.
-inline constexpr char kJobPrefix[] = "j/";  // j/ID, and j/ID/x: cancelled
+// j/ID: the job, or a Tombstone in its place; j/ID/x: cancelled.
+inline constexpr char kJobPrefix[] = "j/";
 inline constexpr char kCancelSuffix[] = "/x";
 inline constexpr char kProgressPrefix[] = "p/";      // p/ID
 inline constexpr char kWaveProgressPrefix[] = "w/";  // w/NUMBER
--- a/cell/leader_jobs.cc
+++ b/cell/leader_jobs.cc
@@ -19,6 +19,8 @@
 constexpr Millis kMaxJobsAge{2'000};
 // Jobs removed in one write; each job has 3 keys.
 constexpr size_t kMaxRemovedJobs = 10;
+// Likewise of tombstones; each has a condition and a removal.
+constexpr size_t kMaxRemovedTombstones = (kMaxWriteEntries - 1) / 2;
 
 }  // namespace
 
@@ -223,7 +225,14 @@
   if (suffix != std::string::npos) {
     id.resize(suffix);
     ApplyCancel(id);
-  } else if (jobs_.count(id) == 0) {
+    return;
+  }
+  if (IsTombstone(item.value)) {
+    tombstones_.Add(id, item.value, item.revision, context_.clock.Now());
+    return;
+  }
+  tombstones_.Remove(id, item.revision);
+  if (jobs_.count(id) == 0) {
     const auto removed = removed_jobs_.find(id);
     if (removed == removed_jobs_.end() || removed->second < item.revision) {
       ApplyRecord(id, item.value, item.revision);
@@ -375,6 +384,52 @@
                        }));
 }
 
+// Conditional on the revisions, so that a removal that takes effect late does
+// not remove a later tombstone, or the job of another account.
+void CellLeader::RemoveExpiredTombstones() {
+  if (tombstone_removal_in_flight_ || tombstones_.size() == 0) {
+    return;
+  }
+  const std::vector<TombstoneSet::Removal> removals = tombstones_.Expired(
+      context_.clock.Now(), context_.clock.WallNow(), kMaxRemovedTombstones);
+  if (removals.empty()) {
+    return;
+  }
+  StoreWrite write;
+  write.conditions.emplace_back(kLeaderKey, leadership_.fence);
+  for (const TombstoneSet::Removal& removal : removals) {
+    write.conditions.emplace_back(JobKey(removal.id), removal.revision);
+    write.removals.push_back(JobKey(removal.id));
+  }
+  tombstone_removal_in_flight_ = true;
+  context_.store.Write(
+      write, kReadTimeout,
+      Guard([this, removals](const StoreWriteReply& reply) {
+        tombstone_removal_in_flight_ = false;
+        if (reply.status == StoreStatus::kOk) {
+          for (const TombstoneSet::Removal& removal : removals) {
+            tombstones_.Remove(removal.id, removal.revision);
+          }
+          return;
+        }
+        if (reply.status != StoreStatus::kConflict) {
+          return;  // retried by the next sweep
+        }
+        // An earlier removal without an answer may have taken effect.
+        std::set<std::string> present;
+        for (const StoreItem& item : reply.items) {
+          if (item.revision > 0 && !item.deleted) {
+            present.insert(item.key);
+          }
+        }
+        for (const TombstoneSet::Removal& removal : removals) {
+          if (present.count(JobKey(removal.id)) == 0) {
+            tombstones_.Remove(removal.id, removal.revision);
+          }
+        }
+      }));
+}
+
 const QueuePolicy& CellLeader::PolicyOf(const Job& job) const {
   const QueuePolicy* known = job.policy(table_count_);
   if (known == nullptr) {
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -473,6 +473,7 @@
            {"result", result == SubmitResult::kUnknown        ? "unknown"
                       : result == SubmitResult::kInvalid      ? "too large"
                       : result == SubmitResult::kOtherAccount ? "other account"
+                      : result == SubmitResult::kCancelled    ? "cancelled"
                                                               : "not_stored"}});
     }
     done(result, revision);
--- a/cell/node_calls.cc
+++ b/cell/node_calls.cc
@@ -275,7 +275,7 @@
         bool accepted = false;
         bool cancelled = false;
         for (const StoreItem& item : job.items) {
-          if (item.key == JobKey(id)) {
+          if (item.key == JobKey(id) && !IsTombstone(item.value)) {
             accepted = true;
             if (!MayAccess(caller, StoredOwner(item.value))) {
               done({JobAnswer::Kind::kOtherAccount, JobState::kQueued});
--- a/cell/testing/cut_history.cc
+++ b/cell/testing/cut_history.cc
@@ -98,6 +98,9 @@
     cell_.Cancel(
         PickMember(),
         JobIdOf(1 + static_cast<int>(Pick(static_cast<size_t>(jobs_)))));
+  } else if (OneIn(12)) {
+    // The caller gives up before the submission is answered.
+    cell_.Cancel(PickMember(), id);
   }
 }
 
--- a/cell/testing/fake_cell.cc
+++ b/cell/testing/fake_cell.cc
@@ -539,6 +539,8 @@
                     if (result == CancelResult::kCancelled) {
                       cancelled_.insert(id);
                       executors.Cancelled(id);
+                    } else if (result == CancelResult::kNoSuchJob) {
+                      gone_.insert(id);
                     }
                   });
   }
--- a/cell/testing/fake_cell.h
+++ b/cell/testing/fake_cell.h
@@ -104,6 +104,8 @@
   // Jobs whose first submission was refused as not stored.
   const std::set<JobId>& refused() const { return refused_; }
   const std::set<JobId>& cancelled() const { return cancelled_; }
+  // Jobs whose cancellation was answered with kNoSuchJob.
+  const std::set<JobId>& gone() const { return gone_; }
 
   FakeLoop loop;
   util::Random random;
@@ -170,6 +172,7 @@
   std::set<JobId> refused_;
   std::set<JobId> submitted_;
   std::set<JobId> cancelled_;
+  std::set<JobId> gone_;
   int next_executor_ = 1;
 };
 
--- a/cell/testing/history_check.cc
+++ b/cell/testing/history_check.cc
@@ -61,6 +61,15 @@
       RC_FAIL("refused job was started: " + id);
     }
   }
+  for (const JobId& id : cell.gone()) {
+    const StoreItem* item = cell.store.Find(JobKey(id));
+    if (cell.accepted().count(id) > 0 ||
+        (item != nullptr && !IsTombstone(item->value)) ||
+        cell.executors.EverStarted(id + ".0.0.0")) {
+      RC_FAIL("a job was stored although its cancellation found none: " + id +
+              "\n" + cell.log.Lines(id));
+    }
+  }
   RC_ASSERT(cell.executors.running() == 0);
   // Executors list a limited number of ends until they are acknowledged.
   RC_ASSERT(cell.executors.listed_ends() == 0u);
--- a/cell/testing/random_history.cc
+++ b/cell/testing/random_history.cc
@@ -186,6 +186,9 @@
       cell_.Cancel(Name(random_),
                    JobIdOf(1 + static_cast<int>(random_.UniformInt(
                                    static_cast<uint64_t>(job)))));
+    } else if (random_.UniformInt(12) == 0) {
+      // The caller gives up before the submission is answered.
+      cell_.Cancel(Name(random_), id);
     }
     if (static_cast<int>(random_.UniformInt(rounds)) < faults) {
       InjectFault(cell_, random_);
