--- a/cell/testing/late_submission_test.cc
+++ b/cell/testing/late_submission_test.cc
@@ -74,7 +74,7 @@
 BOOST_AUTO_TEST_SUITE(ACancellationOfAJobThatIsNotStored)
 
 // Regression (review/13, UNASKED): the store carried the submission out after
-// its caller was told that there is no such job.
+// its cancellation had been answered with 410.
 BOOST_FIXTURE_TEST_CASE(KeepsALateWriteFromStoringIt, LateSubmission) {
   DelayWritesOfA();
   SubmitAt("a", one);
--- a/cell/testing/restarted_member_test.cc
+++ b/cell/testing/restarted_member_test.cc
@@ -31,7 +31,7 @@
   LateAnswers() : leader_name(LeaderName()), member(NonLeaderName()) {
     peer_delays[{leader_name, member}] = Millis(250);
   }
-  // Replaces the member's process, which knows the leader soon after.
+  // Replaces the member's process and waits until it has read the leader key.
   void ReplaceProcess() {
     Kill(member);
     Restart(member);
--- a/cell/tombstone.h
+++ b/cell/tombstone.h
@@ -1,6 +1,6 @@
 // Record that a job was cancelled before it was stored, at the job's key in the
-// store. A submission that takes effect later would start the job after its
-// caller was told that there is none, and is conditional on the key's absence.
+// store. A submission is conditional on the key's absence, so that one that
+// takes effect after the cancellation was answered does not start the job.
 //
 //   Tombstone tombstone;
 //   tombstone.written = clock.WallNow();
@@ -42,7 +42,7 @@
 // nullopt if the bytes are not a tombstone.
 std::optional<Tombstone> DecodeTombstone(const std::string& bytes);
 
-// The tombstones in the store, as a leader knows them.
+// The tombstones that a leader has read from the store.
 class TombstoneSet {
  public:
   struct Removal {
