Take the later value of a tombstone from a refused removal

Cause: a leader whose watch had not shown that a tombstone was written again repeated its removal, conditional on the earlier revision, every 0.5 s without an end. Found by reading the change.

Change: the answer to the refused write shows the later value, which replaces the known one and expires in its turn.

Result: IsForgottenIfTheWatchMissesAChange of late_submission_test fails without the change and passes with it; cell_test and cell_history_test pass.

--- a/cell/leader_jobs.cc
+++ b/cell/leader_jobs.cc
@@ -415,11 +415,17 @@
         if (reply.status != StoreStatus::kConflict) {
           return;  // retried by the next sweep
         }
-        // An earlier removal without an answer may have taken effect.
+        // An earlier removal without an answer may have taken effect, or the
+        // watch has not shown a later value.
         std::set<std::string> present;
         for (const StoreItem& item : reply.items) {
-          if (item.revision > 0 && !item.deleted) {
-            present.insert(item.key);
+          if (item.revision == 0 || item.deleted) {
+            continue;
+          }
+          present.insert(item.key);
+          if (IsTombstone(item.value)) {
+            tombstones_.Add(item.key.substr(sizeof kJobPrefix - 1), item.value,
+                            item.revision, context_.clock.Now());
           }
         }
         for (const TombstoneSet::Removal& removal : removals) {
--- a/cell/testing/late_submission_test.cc
+++ b/cell/testing/late_submission_test.cc
@@ -146,6 +146,19 @@
   BOOST_TEST((SubmitAt(member, {}) == SubmitResult::kAccepted));
 }
 
+// Guards against a removal that is repeated without an end, as the watch has
+// not shown that the record was written again.
+BOOST_FIXTURE_TEST_CASE(IsForgottenIfTheWatchMissesAChange, LateSubmission) {
+  BOOST_TEST(IsGone(CancelAt("b", one)));
+  RunFor(Millis(2'000));
+  store.faults_of[LeaderName()].watches_hang = true;
+  RunFor(Millis(2'000));
+  const std::string record = store.Find(JobKey(kJobId))->value;
+  store.Put(JobKey(kJobId), record);
+  RunFor(2 * LeaderOptions().status_retention + kLateWrites);
+  BOOST_TEST((store.Find(JobKey(kJobId)) == nullptr));
+}
+
 // Guards against a caller that fills the store with records.
 BOOST_FIXTURE_TEST_CASE(IsRefusedIfAnAccountHasTooMany, LateSubmission) {
   int gone = 0;
