Bound a successor's wait by what may be left on each executor

What callers saw: executors were lost for good at a change of leader, soon after they or others had joined or started again.

Cause: a leader counted the longest lease that an executor grants for every boot that it confirmed, also where nobody had called the executor before, and named the boot to its successor only after that. For each boot that was not named, a successor also counted 12 s for calls that an unknown boot may execute, although the predecessor had confirmed the boot and the entries showed no other one.

Change: the list of executors names the confirmed boot and for how long leases longer than a leader's own may last there; it is written as soon as a boot is confirmed, and an executor gets tasks once the list names its boot. A successor waits for that time while the entries show no other boot. Unknown leases are bounded by the latest deadline in any call sent before: none for an executor that nobody has called. Retired executors stay in the list until calls to them are over, so that an executor off the list is known as one that was not called; successors do not wait for them. Event 1308 says how many boots are unknown and when the wait is expected to end.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -107,13 +107,22 @@
   int64_t fence = 0;
   // Only answers to calls with a higher fence than this confirm a boot.
   int64_t superseded_fence = 0;
-  // The boot on which no unknown leases are left, as this leader has seen or a
-  // predecessor has stored; 0: none.
-  int64_t settled_incarnation = 0;
+  // The boot that rejects all calls to earlier boots, as this leader has seen
+  // or a predecessor has stored; 0: none.
+  int64_t confirmed_incarnation = 0;
+  // Until then leases may be left on that boot that are longer than those of a
+  // leader's own calls. Grows only with another boot.
+  TimePoint long_leases_end{};
+  // Latest deadline, on the clock of any boot, of calls that an earlier leader
+  // sent or that were sent to an earlier boot. Zero: there are no such calls.
+  Millis earlier_deadline = Millis::max();
   bool listed = true;  // has an entry in the store
   TimePoint unlisted_since{};
   bool stored = false;  // is listed at kExecutorsKey, which a new leader reads
-  int64_t stored_incarnation = 0;  // as settled_incarnation, in that list
+  bool stored_as_retired = false;
+  // As in that list; see CellLeader::ExecutorRow.
+  int64_t stored_incarnation = 0;
+  Millis stored_long_leases{0};
   // Consecutive unanswered holds. Also set to at least 1 where the executor
   // must answer a hold before it gets another start.
   int missed_holds = 0;
--- a/cell/executor_boot.cc
+++ b/cell/executor_boot.cc
@@ -36,12 +36,15 @@
   sent_deadline_ = std::max(sent_deadline_, until);
 }
 
-void ExecutorBoot::CountUnknownLeases(Millis longest) {
-  unknown_deadline_ = clock_ + longest;
+// An executor compares a deadline with its own clock, also one that was meant
+// for the clock of an earlier boot, so that no lease outlasts the latest one.
+void ExecutorBoot::CountUnknownLeases(Millis longest, Millis latest_deadline) {
+  unknown_deadline_ = std::min(clock_ + longest, latest_deadline);
 }
 
-void ExecutorBoot::CountLateLeases(Millis longest) {
-  unknown_deadline_ = clock_ + kMaxCallDelay + longest;
+void ExecutorBoot::CountLateLeases(Millis longest, Millis latest_deadline) {
+  unknown_deadline_ =
+      std::min(clock_ + kMaxCallDelay + longest, latest_deadline);
 }
 
 Millis ExecutorBoot::ClockAt(TimePoint now) const {
@@ -68,10 +71,18 @@
 }
 
 TimePoint ExecutorBoot::LeasesExpiredBy() const {
+  return ExpiredBy(max_deadline());
+}
+
+TimePoint ExecutorBoot::UnknownLeasesExpiredBy() const {
+  return unknown_deadline_ <= clock_ ? clock_at_ : ExpiredBy(unknown_deadline_);
+}
+
+TimePoint ExecutorBoot::ExpiredBy(Millis deadline) const {
   if (!clock_known_) {
     return clock_at_;
   }
-  const Millis left = std::max(Millis(0), max_deadline() - clock_);
+  const Millis left = std::max(Millis(0), deadline - clock_);
   return clock_at_ + MaxTimeOf(left) + kExpiryMargin;
 }
 
--- a/cell/executor_boot.h
+++ b/cell/executor_boot.h
@@ -5,7 +5,7 @@
 //
 //   executor.boot = ExecutorBoot(number, reply.incarnation);
 //   executor.boot.OnClock(reply.executor_clock, sent, now);
-//   executor.boot.CountUnknownLeases(longest_lease);
+//   executor.boot.CountUnknownLeases(longest_lease, latest_deadline);
 //   if (now >= executor.boot.LeasesExpiredBy()) ...
 //
 // A call that was meant for an earlier boot may be executed by this one. Its
@@ -60,9 +60,11 @@
   void OnDeadlineSent(Millis until);
   // Records that calls of earlier leaders, or to earlier boots, may have
   // granted leases of up to `longest` until the clock was last read.
-  void CountUnknownLeases(Millis longest);
+  // `latest_deadline`: of these calls; zero if there were none.
+  void CountUnknownLeases(Millis longest,
+                          Millis latest_deadline = Millis::max());
   // Likewise, and that such calls may still be executed.
-  void CountLateLeases(Millis longest);
+  void CountLateLeases(Millis longest, Millis latest_deadline = Millis::max());
   // A list of the executors' entries that began then has shown this boot or
   // none, or else another one. `gap`: entries may have come and gone unlisted
   // since the list before.
@@ -83,6 +85,8 @@
   TimePoint clock_read_at() const { return clock_at_; }
   // Latest deadline on this clock that any call may have granted.
   Millis max_deadline() const;
+  // Time by which all unknown leases have expired, as LeasesExpiredBy().
+  TimePoint UnknownLeasesExpiredBy() const;
   // Time by which every lease and start order has expired, even on the slowest
   // permitted clock.
   TimePoint LeasesExpiredBy() const;
@@ -115,6 +119,10 @@
   std::string unreadable_row;  // of its last answer, already logged
 
  private:
+  // Time by which a lease until `deadline` has expired, even on the slowest
+  // permitted clock.
+  TimePoint ExpiredBy(Millis deadline) const;
+
   bool clock_known_ = false;
   Millis clock_{0};
   TimePoint clock_sent_{};  // when the call was sent that showed the clock
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -124,6 +124,10 @@
   }
   RaiseFences();
   SendDueHolds();
+  if (now >= next_executors_write_) {
+    next_executors_write_ = TimePoint::max();
+    StoreExecutorsIfChanged();
+  }
   OpenDueRecurringJobs();
   // Until then a predecessor may order upkeeps of other VMs.
   if (!PredecessorMayAct()) {
@@ -226,14 +230,22 @@
 
 // A call of the predecessor may be executed late by a boot unknown to it, which
 // then grants the longest lease. A boot registers as it starts: unless an entry
-// shows another one than the predecessor has stored as settled, there is none.
+// shows another one than the predecessor has confirmed, there is none.
 TimePoint CellLeader::PredecessorLeasesEnd(const Executor& executor) const {
-  const bool same_boot =
-      executor.settled_incarnation != 0 &&
-      executor.settled_incarnation == executor.boot.incarnation &&
-      entries_begin_ > predecessor_authority_end_;
-  return same_boot ? predecessor_authority_end_ + MaxTimeOf(options_.lease)
-                   : PredecessorLeasesEnd();
+  return IsOnConfirmedBoot(executor) &&
+                 entries_begin_ > predecessor_authority_end_
+             ? ConfirmedBootLeasesEnd(executor)
+             : PredecessorLeasesEnd();
+}
+
+bool CellLeader::IsOnConfirmedBoot(const Executor& executor) {
+  return executor.confirmed_incarnation != 0 &&
+         executor.confirmed_incarnation == executor.boot.incarnation;
+}
+
+TimePoint CellLeader::ConfirmedBootLeasesEnd(const Executor& executor) const {
+  return std::max(predecessor_authority_end_ + MaxTimeOf(options_.lease),
+                  executor.long_leases_end);
 }
 
 bool CellLeader::PredecessorLeasesExpired() const {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -182,9 +182,21 @@
   Executor* FindExecutor(const ExecutorId& id);
 
   // leader_entries.cc: discovery of executors.
+  // What the list at kExecutorsKey says of an executor.
+  struct ExecutorRow {
+    ExecutorId id;
+    std::string address;
+    std::string pool;
+    // See Executor::confirmed_incarnation.
+    int64_t incarnation = 0;
+    // Upper bound of the time until Executor::long_leases_end, as of the write.
+    Millis long_leases{0};
+    // A successor need not wait for it, but calls to it may be under way.
+    bool retired = false;
+  };
   Executor& AddExecutor(const ExecutorEntry& entry);
-  // `row`: of the predecessor's list. Its incarnation is the settled one.
-  void AddKnownExecutor(const ExecutorEntry& row);
+  // `row`: of the predecessor's list.
+  void AddKnownExecutor(const ExecutorRow& row);
   // Updates by_pool_ after a change of the executors or of their pools.
   void IndexExecutors();
   void PollExecutors();
@@ -192,16 +204,20 @@
   void OnEntries(TimePoint begin,
                  StoreStatus status,
                  std::vector<ExecutorEntry> entries);
+  // Has the list at kExecutorsKey written soon if it has changed.
+  void RequestExecutorsWrite();
+  void StoreExecutorsIfChanged();
   void StoreExecutors();
-  // An executor and its settled incarnation, as stored.
-  using StoredRow = std::pair<ExecutorId, int64_t>;
   void OnExecutorsStored(const StoreWriteReply& reply,
-                         const std::vector<StoredRow>& rows);
+                         const std::vector<ExecutorRow>& rows);
   void LoadKnownExecutors(const std::function<void()>& done);
   // Rows that cannot be read are logged and skipped, see
   // executor_rows_skipped_.
-  std::vector<ExecutorEntry> DecodeKnownExecutors(const std::string& bytes);
+  std::vector<ExecutorRow> DecodeKnownExecutors(const std::string& bytes);
   bool IsRetired(const Executor& executor) const;
+  // Whether the list must name the executor.
+  bool BelongsInList(const Executor& executor) const;
+  ExecutorRow RowOf(const Executor& executor, TimePoint now) const;
 
   // leader_executors.cc: hold calls and the runs and ends they list.
   void SendDueHolds();
@@ -261,6 +277,12 @@
   // Counts the leases that calls of earlier leaders, or to earlier boots, may
   // have granted before the answer to this call.
   void ConfirmBoot(Executor& executor, const SentHold& call);
+  // Whether calls of earlier leaders with deadlines may be under way to
+  // executors that are not in the list that this leader has read.
+  bool MayMeetEarlierCalls() const;
+  // Whether calls with deadlines, of this or an earlier leader, may be under
+  // way to the executor.
+  bool MayGetLateCalls(const Executor& executor) const;
   // Gets fences from the store for executors whose boot cannot be confirmed
   // with the present one.
   void RaiseFences();
@@ -431,6 +453,11 @@
   // any executor or on this one.
   TimePoint PredecessorLeasesEnd() const;
   TimePoint PredecessorLeasesEnd(const Executor& executor) const;
+  // Whether no boot is known to have followed the one that the predecessor has
+  // stored or this leader has confirmed.
+  static bool IsOnConfirmedBoot(const Executor& executor);
+  // Likewise as PredecessorLeasesEnd(), for an executor on that boot.
+  TimePoint ConfirmedBootLeasesEnd(const Executor& executor) const;
   bool PredecessorLeasesExpired() const;
   bool PredecessorLeasesExpired(const Executor& executor) const;
   // Whether the runs and ends of an executor that the predecessor may have used
@@ -611,6 +638,9 @@
   bool unread_executors_reported_ = false;
   bool unread_executors_end_reported_ = false;
   bool known_executors_loaded_ = false;
+  bool executors_list_found_ = false;  // at kExecutorsKey
+  // It names all executors to which calls with deadlines may be under way.
+  bool executors_list_complete_ = false;
   bool executor_entries_read_ = false;
   TimePoint entries_begin_{};  // when the last successful list of them began
   TimePoint store_recovered_at_{};
@@ -618,6 +648,9 @@
   bool poll_in_flight_ = false;
   bool store_failing_ = false;
   bool executors_write_in_flight_ = false;
+  bool executors_forgotten_ = false;  // since the list was last written
+  // When a requested write is due.
+  TimePoint next_executors_write_ = TimePoint::max();
 
   std::map<int64_t, WaveState> waves_;
   std::map<std::string, VmInfo> vms_;  // as last listed
--- a/cell/leader_boots.cc
+++ b/cell/leader_boots.cc
@@ -50,12 +50,15 @@
 void CellLeader::SetBoot(Executor& executor, int64_t incarnation) {
   by_number_[executor.boot.number] = nullptr;
   executors_with_unstored_ends_.erase(executor.boot.number);
+  executor.earlier_deadline =
+      std::max(executor.earlier_deadline, executor.boot.max_deadline());
   executor.boot = ExecutorBoot(by_number_.size(), incarnation);
   by_number_.push_back(&executor);
   executor.missed_holds = 0;
   executor.superseded_fence = executor.fence;
-  executor.settled_incarnation = 0;
+  executor.confirmed_incarnation = 0;
   fence_needed_ = true;
+  RequestExecutorsWrite();
   ScheduleHold(executor, context_.clock.Now());
   RaiseFences();
 }
@@ -70,14 +73,44 @@
   ExecutorBoot& boot = executor.boot;
   boot.confirmed = call.fence > executor.superseded_fence;
   if (!boot.confirmed) {
-    boot.CountLateLeases(options_.longest_lease);
-  } else if (boot.incarnation != 0 &&
-             boot.incarnation == executor.settled_incarnation) {
-    // A predecessor may have granted a full lease just now.
-    boot.CountUnknownLeases(options_.lease);
-  } else {
-    boot.CountUnknownLeases(options_.longest_lease);
+    boot.CountLateLeases(options_.longest_lease, executor.earlier_deadline);
+    return;
+  }
+  RequestExecutorsWrite();
+  if (IsOnConfirmedBoot(executor)) {
+    // A predecessor has confirmed it, and may have granted a full lease just
+    // now.
+    const auto left = std::chrono::ceil<Millis>(executor.long_leases_end -
+                                                context_.clock.Now());
+    boot.CountUnknownLeases(std::max(options_.lease, left));
+    return;
   }
+  boot.CountUnknownLeases(options_.longest_lease, executor.earlier_deadline);
+  executor.confirmed_incarnation = boot.incarnation;
+  executor.long_leases_end = boot.UnknownLeasesExpiredBy();
+}
+
+// An earlier leader sends calls with deadlines only to executors of its list,
+// where a retired one stays until they are over. A list of an earlier version
+// is not complete. One that was found shows that there was a leader before,
+// even if the leader key does not.
+bool CellLeader::MayMeetEarlierCalls() const {
+  if (!known_executors_loaded_) {
+    return true;
+  }
+  const bool is_first = leadership_.term <= 1 && !executors_list_found_;
+  const bool list_complete =
+      executors_list_complete_ && !executor_rows_skipped_;
+  return !is_first && !list_complete &&
+         context_.clock.Now() <= predecessor_authority_end_ + kMaxCallDelay;
+}
+
+bool CellLeader::MayGetLateCalls(const Executor& executor) const {
+  const TimePoint now = context_.clock.Now();
+  const bool from_earlier_leaders =
+      executor.earlier_deadline == Millis::max() &&
+      now <= predecessor_authority_end_ + kMaxCallDelay;
+  return from_earlier_leaders || now <= executor.deadline_sent + kMaxCallDelay;
 }
 
 // A conditional write shows that this leader was not replaced before it, so
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -26,18 +26,25 @@
 constexpr Millis kExecutorsRetry{200};
 // An executor without an entry and without runs is forgotten after this time.
 constexpr Millis kForgetDelay{5'000};
+// Executors that join together are written together.
+constexpr Millis kExecutorsWriteDelay{20};
+// Unit in which the time until long leases expire is stored, so that the list
+// is not written for each millisecond that passes.
+constexpr Millis kLongLeasesStep{2'500};
 
 }  // namespace
 
-std::vector<ExecutorEntry> CellLeader::DecodeKnownExecutors(
+std::vector<CellLeader::ExecutorRow> CellLeader::DecodeKnownExecutors(
     const std::string& bytes) {
-  std::vector<ExecutorEntry> entries;
+  std::vector<ExecutorRow> rows;
   const json list = ParseMsgpack(bytes);
+  // An empty list does not show which version wrote it.
+  executors_list_complete_ = list.is_array() && !list.empty();
   if (!list.is_array()) {
     executor_rows_skipped_ = true;
     context_.log.Write(Event::kCellBadRecord,
                        {{"key", kExecutorsKey}, {"reason", "not a list"}});
-    return entries;
+    return rows;
   }
   for (size_t i = 0; i < list.size(); ++i) {
     const json& row = list[i];
@@ -53,16 +60,30 @@
            {"reason", "row " + std::to_string(i) + " is not an executor"}});
       continue;
     }
-    ExecutorEntry& entry = entries.emplace_back();
-    entry.id = *id;
-    entry.address = *address;
-    entry.pool = *pool;
-    // Lists of earlier versions have no fourth element.
-    const auto settled = row.size() > 3 ? IntegerIn(row[3], 0, kMaxNumber)
-                                        : std::optional<int64_t>();
-    entry.incarnation = settled.value_or(0);
+    ExecutorRow& known = rows.emplace_back();
+    known.id = *id;
+    known.address = *address;
+    known.pool = *pool;
+    // Rows of earlier versions have three or four elements.
+    const auto integer = [&row](size_t column) {
+      return row.size() > column ? IntegerIn(row[column], 0, kMaxNumber)
+                                 : std::optional<int64_t>();
+    };
+    const auto settled = integer(3);
+    const auto incarnation = integer(4);
+    const auto long_leases = integer(5);
+    const auto retired = integer(6);
+    known.retired = retired.value_or(0) != 0;
+    executors_list_complete_ = executors_list_complete_ && retired.has_value();
+    if (incarnation && long_leases) {
+      known.incarnation = *incarnation;
+      known.long_leases =
+          std::min(Millis(*long_leases), options_.longest_lease);
+    } else {
+      known.incarnation = settled.value_or(0);
+    }
   }
-  return entries;
+  return rows;
 }
 
 void CellLeader::LoadKnownExecutors(const std::function<void()>& done) {
@@ -77,14 +98,21 @@
           return;
         }
         if (!read.items.empty()) {
+          executors_list_found_ = true;
           executors_revision_ = read.items[0].revision;
-          for (const ExecutorEntry& entry :
+          for (const ExecutorRow& row :
                DecodeKnownExecutors(read.items[0].value)) {
-            AddKnownExecutor(entry);
+            AddKnownExecutor(row);
           }
           IndexExecutors();
         }
         known_executors_loaded_ = true;
+        if (!MayMeetEarlierCalls()) {
+          for (const auto& [id, executor] : executors_) {
+            const bool listed = executor->stored || executor->stored_as_retired;
+            executor->earlier_deadline = listed ? Millis::max() : Millis(0);
+          }
+        }
         done();
       }));
 }
@@ -92,22 +120,33 @@
 // The predecessor's calls have a lower fence than those of this leader, which
 // has granted nothing to any boot of the executor unless it did so before this
 // list was read.
-void CellLeader::AddKnownExecutor(const ExecutorEntry& row) {
-  unread_executors_.insert(row.id);
-  unfenced_executors_.insert(row.id);
+void CellLeader::AddKnownExecutor(const ExecutorRow& row) {
+  if (!row.retired) {
+    unread_executors_.insert(row.id);
+    unfenced_executors_.insert(row.id);
+  }
   if (executors_.count(row.id) == 0) {
-    Executor& executor = AddExecutor(row);
+    ExecutorEntry entry;
+    entry.id = row.id;
+    entry.address = row.address;
+    entry.pool = row.pool;
+    entry.incarnation = row.incarnation;
+    Executor& executor = AddExecutor(entry);
     executor.listed = false;
     executor.unlisted_since = context_.clock.Now();
   }
   Executor& executor = *executors_.at(row.id);
-  executor.stored = true;
+  executor.earlier_deadline = Millis::max();
+  executor.stored = !row.retired;
+  executor.stored_as_retired = row.retired;
   executor.stored_incarnation = row.incarnation;
+  executor.stored_long_leases = row.long_leases;
   if (executor.deadline_sent == TimePoint()) {
     executor.superseded_fence = 0;
   }
   if (executor.boot.incarnation == row.incarnation) {
-    executor.settled_incarnation = row.incarnation;
+    executor.confirmed_incarnation = row.incarnation;
+    executor.long_leases_end = begin_time_ + MaxTimeOf(row.long_leases);
   }
 }
 
@@ -115,6 +154,8 @@
   auto executor = std::make_unique<Executor>(entry, by_number_.size());
   executor->fence = latest_fence_;
   executor->superseded_fence = latest_fence_;
+  executor->earlier_deadline =
+      MayMeetEarlierCalls() ? Millis::max() : Millis(0);
   by_number_.push_back(executor.get());
   by_id_.emplace(entry.id, executor.get());
   return *executors_.emplace(entry.id, std::move(executor)).first->second;
@@ -162,7 +203,6 @@
     context_.log.Write(Event::kStoreUp, {{"read", "executors"}});
   }
   std::set<ExecutorId> seen;
-  bool changed = false;
   for (ExecutorEntry& entry : entries) {
     seen.insert(entry.id);
     Executor* executor = FindExecutor(entry.id);
@@ -175,8 +215,12 @@
     }
     const bool draining = entry.draining && !executor->entry.draining;
     const bool address_changed = entry.address != executor->entry.address;
-    if (entry.incarnation != executor->settled_incarnation) {
-      executor->settled_incarnation = 0;
+    if (entry.incarnation != executor->confirmed_incarnation) {
+      executor->confirmed_incarnation = 0;
+    }
+    if (executor->boot.confirmed &&
+        entry.incarnation == executor->boot.incarnation) {
+      executor->confirmed_incarnation = entry.incarnation;
     }
     // An executor known only from a predecessor's list may have an unknown
     // incarnation.
@@ -231,6 +275,7 @@
     const bool forget = !executor.listed && executor.runs().empty() &&
                         executor.boot.unstored_ends.empty() &&
                         now - executor.unlisted_since > kForgetDelay &&
+                        !MayGetLateCalls(executor) &&
                         !executor.hold_in_flight && !IsUnread(executor);
     if (forget) {
       unread_executors_.erase(it->first);
@@ -238,24 +283,37 @@
       by_number_[executor.boot.number] = nullptr;
       by_id_.erase(it->first);
       it = executors_.erase(it);
-      changed = true;
+      executors_forgotten_ = true;
     } else {
       ++it;
     }
   }
   IndexExecutors();
-  for (const auto& [id, executor] : executors_) {
-    if (executor->boot.IsSettled(now)) {
-      executor->settled_incarnation = executor->boot.incarnation;
+  StoreExecutorsIfChanged();
+  RequestSchedulingPass();
+}
+
+void CellLeader::RequestExecutorsWrite() {
+  next_executors_write_ = std::min(next_executors_write_,
+                                   context_.clock.Now() + kExecutorsWriteDelay);
+}
+
+void CellLeader::StoreExecutorsIfChanged() {
+  const TimePoint now = context_.clock.Now();
+  const auto has_changed = [&](const Executor& executor) {
+    if (!executor.stored || !BelongsInList(executor)) {
+      return executor.stored != BelongsInList(executor);
     }
-    changed = changed || executor->stored == IsRetired(*executor) ||
-              (executor->stored &&
-               executor->stored_incarnation != executor->settled_incarnation);
-  }
-  if (changed) {
+    const ExecutorRow row = RowOf(executor, now);
+    return executor.stored_incarnation != row.incarnation ||
+           executor.stored_long_leases != row.long_leases;
+  };
+  if (executors_forgotten_ ||
+      std::any_of(executors_.begin(), executors_.end(), [&](const auto& entry) {
+        return has_changed(*entry.second);
+      })) {
     StoreExecutors();
   }
-  RequestSchedulingPass();
 }
 
 void CellLeader::StoreExecutors() {
@@ -267,19 +325,30 @@
     return;  // retried by the next poll
   }
   json list = json::array();
-  std::vector<StoredRow> rows;
+  std::vector<ExecutorRow> rows;
+  const TimePoint now = context_.clock.Now();
+  const bool complete = !MayMeetEarlierCalls();
   for (const auto& [id, executor] : executors_) {
-    if (IsRetired(*executor)) {
+    if (!BelongsInList(*executor)) {
       // Cleared now rather than on the answer, because the write may take
       // effect late.
       executor->stored = false;
-      continue;
+      if (!complete || !MayGetLateCalls(*executor)) {
+        continue;
+      }
+    }
+    const ExecutorRow& row = rows.emplace_back(RowOf(*executor, now));
+    // Earlier versions read the fourth element alone: the boot if only usual
+    // leases are left on it.
+    list.push_back(json::array(
+        {row.id, row.address, row.pool,
+         row.long_leases == Millis(0) ? row.incarnation : int64_t{0},
+         row.incarnation, row.long_leases.count()}));
+    if (complete) {
+      list.back().push_back(row.retired ? 1 : 0);
     }
-    list.push_back(
-        json::array({id, executor->entry.address, executor->entry.pool,
-                     executor->settled_incarnation}));
-    rows.emplace_back(id, executor->settled_incarnation);
   }
+  executors_forgotten_ = false;
   StoreWrite write;
   write.conditions.emplace_back(kLeaderKey, leadership_.fence);
   write.conditions.emplace_back(kExecutorsKey, executors_revision_);
@@ -294,7 +363,7 @@
 }
 
 void CellLeader::OnExecutorsStored(const StoreWriteReply& reply,
-                                   const std::vector<StoredRow>& rows) {
+                                   const std::vector<ExecutorRow>& rows) {
   executors_write_in_flight_ = false;
   if (reply.status == StoreStatus::kConflict) {
     bool leading = false;
@@ -308,7 +377,8 @@
     if (!leading) {
       OnFenced("another member holds the leader key");
     }
-    return;  // retried by the next poll
+    RequestExecutorsWrite();
+    return;
   }
   if (reply.status == StoreStatus::kInvalid) {
     context_.log.Write(
@@ -319,23 +389,56 @@
     return;
   }
   executors_revision_ = reply.revision;
-  for (const auto& [id, settled_incarnation] : rows) {
-    const auto found = executors_.find(id);
+  for (const ExecutorRow& row : rows) {
+    const auto found = executors_.find(row.id);
     if (found != executors_.end()) {
-      found->second->stored = true;
-      found->second->stored_incarnation = settled_incarnation;
+      found->second->stored = !row.retired;
+      found->second->stored_as_retired = row.retired;
+      found->second->stored_incarnation = row.incarnation;
+      found->second->stored_long_leases = row.long_leases;
     }
   }
+  RequestExecutorsWrite();  // for changes since it was sent
   RequestSchedulingPass();
 }
 
 // A successor need not wait for an executor that is draining or gone, has no
-// runs and whose ends are all stored.
+// runs and whose ends are all stored, nor for one that is gone and on which no
+// lease of an earlier leader can be left.
 bool CellLeader::IsRetired(const Executor& executor) const {
+  const bool read = unread_executors_.count(executor.entry.id) == 0 ||
+                    (!executor.listed && !IsUnread(executor));
   return (executor.entry.draining || !executor.listed) &&
-         executor.runs().empty() &&
-         unread_executors_.count(executor.entry.id) == 0 &&
+         executor.runs().empty() && read &&
          executor.boot.ends_read <= executor.boot.ends_stored;
 }
 
+// An executor that is not in the list yet gets no call with a deadline, and is
+// added together with its boot.
+bool CellLeader::BelongsInList(const Executor& executor) const {
+  return !IsRetired(executor) && (executor.stored || executor.boot.confirmed ||
+                                  !executor.runs().empty());
+}
+
+CellLeader::ExecutorRow CellLeader::RowOf(const Executor& executor,
+                                          TimePoint now) const {
+  ExecutorRow row;
+  row.id = executor.entry.id;
+  row.address = executor.entry.address;
+  row.pool = executor.entry.pool;
+  row.retired = !BelongsInList(executor);
+  row.incarnation = executor.confirmed_incarnation;
+  const bool long_leases_left = row.incarnation != 0 &&
+                                executor.long_leases_end > now &&
+                                !executor.boot.IsSettled(now);
+  if (long_leases_left) {
+    const auto steps =
+        (std::chrono::ceil<Millis>(executor.long_leases_end - now) +
+         kLongLeasesStep - Millis(1)) /
+        kLongLeasesStep;
+    row.long_leases = steps * kLongLeasesStep;
+  }
+  return row;
+}
+
 }  // namespace chivedale::cell
--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -78,6 +78,9 @@
 }
 
 void CellLeader::HoldIfDue(Executor& executor, TimePoint now) {
+  if (!executor.listed && IsRetired(executor)) {
+    return;  // Is only kept as calls to it may be under way.
+  }
   // An executor that missed a call is called until it answers; it gets no
   // starts before that.
   const bool needed = !executor.boot.adopted || MayConfirm(executor) ||
@@ -109,9 +112,9 @@
       predecessor_authority_end_ - begin_time_ > kFencingDelay &&
       PredecessorMayRestartRunsOn(executor);
   // The clock of an earlier incarnation may be far ahead, and a lease on it
-  // long.
+  // long. A successor takes executors that are not stored as not called.
   const bool may_grant = executor.boot.adopted && executor.boot.confirmed &&
-                         executor.boot.clock_known() &&
+                         executor.boot.clock_known() && executor.stored &&
                          executor.missed_holds == 0 &&
                          IsSameIncarnation(executor, now) && !may_be_restarted;
   if (may_grant) {
@@ -586,8 +589,12 @@
   // The kind of a new boot is known once its own entry has been read.
   const bool kind_known = boot.incarnation == executor.entry.incarnation ||
                           executor.entry.incarnation == 0;
+  // A successor knows this boot; otherwise it would wait for any that may have
+  // executed a late call.
+  const bool stored =
+      executor.stored && executor.stored_incarnation == boot.incarnation;
   return boot.adopted && boot.confirmed && kind_known && executor.listed &&
-         executor.stored && !executor.entry.draining && !executor.cordoned &&
+         stored && !executor.entry.draining && !executor.cordoned &&
          executor.missed_holds == 0 && boot.clock_known();
 }
 
--- a/cell/leader_waits.cc
+++ b/cell/leader_waits.cc
@@ -220,12 +220,21 @@
   std::map<std::string, int> by_pool;
   std::string listed;
   size_t count = 0;
+  size_t unknown_boots = 0;
+  TimePoint expected_end = executor_rows_skipped_ ? PredecessorLeasesEnd()
+                                                  : predecessor_authority_end_;
   for (const ExecutorId& id : unread_executors_) {
     const auto found = executors_.find(id);
     if (found == executors_.end()) {
       continue;
     }
-    ++by_pool[found->second->entry.pool];
+    const Executor& executor = *found->second;
+    ++by_pool[executor.entry.pool];
+    const bool known = IsOnConfirmedBoot(executor);
+    unknown_boots += known ? 0 : 1;
+    expected_end =
+        std::max(expected_end, known ? ConfirmedBootLeasesEnd(executor)
+                                     : PredecessorLeasesEnd());
     if (++count <= kMaxListedExecutors) {
       listed += listed.empty() ? id : "," + id;
     }
@@ -235,12 +244,15 @@
     pools += pools.empty() ? "" : ",";
     pools += pool + ":" + std::to_string(unread);
   }
-  context_.log.Write(Event::kExecutorsUnread,
-                     {{"unread", std::to_string(count)},
-                      {"pools", pools},
-                      {"executors", listed},
-                      {"at_most_ms", ToMillisText(PredecessorLeasesEnd() -
-                                                  context_.clock.Now())}});
+  context_.log.Write(
+      Event::kExecutorsUnread,
+      {{"unread", std::to_string(count)},
+       {"pools", pools},
+       {"executors", listed},
+       {"unknown_boots", std::to_string(unknown_boots)},
+       {"expected_ms", ToMillisText(expected_end - context_.clock.Now())},
+       {"at_most_ms",
+        ToMillisText(PredecessorLeasesEnd() - context_.clock.Now())}});
 }
 
 void CellLeader::ReportUnreadExecutorsEnd() {
--- a/cell/testing/executor_boot_test.cc
+++ b/cell/testing/executor_boot_test.cc
@@ -51,6 +51,32 @@
   BOOST_TEST((boot.LeasesExpiredBy() < begin + kMaxCallDelay));
 }
 
+// Guards against a wait for leases that nobody has granted (review/12).
+BOOST_AUTO_TEST_CASE(AsSettledAtOnceIfThereWereNoUnknownCalls) {
+  ExecutorBoot boot = MakeBoot();
+  boot.confirmed = true;
+  boot.CountUnknownLeases(kLongestLease, Millis(0));
+  BOOST_TEST(boot.IsSettled(begin));
+  BOOST_TEST((boot.UnknownLeasesExpiredBy() <= begin));
+}
+
+// An earlier boot's clock may have been ahead of this one or behind it.
+BOOST_AUTO_TEST_CASE(UntilTheLatestDeadlineOfUnknownCalls) {
+  ExecutorBoot boot = MakeBoot();
+  boot.confirmed = true;
+  boot.CountUnknownLeases(kLongestLease, Millis(53'000));
+  BOOST_TEST(!boot.IsSettled(begin + Millis(3'000)));
+  BOOST_TEST(boot.IsSettled(begin + MaxTimeOf(Millis(3'000))));
+  BOOST_TEST((boot.UnknownLeasesExpiredBy() >= begin + Millis(3'060)));
+  BOOST_TEST((boot.UnknownLeasesExpiredBy() < begin + Millis(3'300)));
+  boot.CountUnknownLeases(kLongestLease, Millis(900'000));
+  BOOST_TEST((boot.UnknownLeasesExpiredBy() >= begin + kLongestLease));
+  boot.CountUnknownLeases(kLongestLease, Millis(49'000));
+  BOOST_TEST(boot.IsSettled(begin));
+  boot.CountLateLeases(kLongestLease, Millis(53'000));
+  BOOST_TEST((boot.LeasesExpiredBy() < begin + Millis(3'300)));
+}
+
 BOOST_AUTO_TEST_CASE(AsSettledOnceTheUnknownOnesHaveEnded) {
   ExecutorBoot boot = MakeBoot();
   boot.confirmed = true;
