Count an unread executor for the pool of its predecessor's list too

What callers could see: a task that ran on two executors. The last leader's start of it was under way when its executor came back under its ID in another pool; the new boot executed the start after a change of leader, and the new leader had started the task elsewhere at once.

Cause: the new leader took the pool of an executor that has not answered from its entry alone, and wrote that pool to the list for the next leader.

Change: such an executor counts for both pools; the list keeps the earlier one until the boot rejects the calls to earlier ones. The fixture of joining_executors_test is a header of its own.

--- a/cell/executor.h
+++ b/cell/executor.h
@@ -121,6 +121,7 @@
   bool stored = false;  // is listed at kExecutorsKey, which a new leader reads
   bool stored_as_retired = false;
   // As in that list; see CellLeader::ExecutorRow.
+  std::string stored_pool;
   int64_t stored_incarnation = 0;
   Millis stored_long_leases{0};
   // Consecutive unanswered holds. Also set to at least 1 where the executor
@@ -131,7 +132,8 @@
   bool hold_in_flight = false;
   TimePoint hold_sent{};
   TimePoint next_hold{};
-  int64_t usable_in_pass = 0;  // latest scheduling pass that could use it
+  std::string predecessor_pool;  // in the predecessor's list
+  int64_t usable_in_pass = 0;    // latest scheduling pass that could use it
   bool cordoned = false;  // gets no new task because its VM is due for upkeep
 
  private:
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -214,9 +214,12 @@
                      });
 }
 
+// An executor that starts again in another pool may still execute a call for
+// the pool it was in.
 bool CellLeader::MayUsePoolOf(const Job& job, const Executor& executor) const {
   const std::string& pool = PolicyOf(job).pool;
-  return executor.entry.pool == pool || job.queue().pool != pool;
+  return executor.entry.pool == pool || executor.predecessor_pool == pool ||
+         job.queue().pool != pool;
 }
 
 TimePoint CellLeader::GrantTime(TimePoint now) const {
--- a/cell/leader_entries.cc
+++ b/cell/leader_entries.cc
@@ -139,6 +139,8 @@
   executor.earlier_deadline = Millis::max();
   executor.stored = !row.retired;
   executor.stored_as_retired = row.retired;
+  executor.stored_pool = row.pool;
+  executor.predecessor_pool = row.pool;
   executor.stored_incarnation = row.incarnation;
   executor.stored_long_leases = row.long_leases;
   if (executor.deadline_sent == TimePoint()) {
@@ -394,6 +396,7 @@
     if (found != executors_.end()) {
       found->second->stored = !row.retired;
       found->second->stored_as_retired = row.retired;
+      found->second->stored_pool = row.pool;
       found->second->stored_incarnation = row.incarnation;
       found->second->stored_long_leases = row.long_leases;
     }
@@ -425,7 +428,12 @@
   ExecutorRow row;
   row.id = executor.entry.id;
   row.address = executor.entry.address;
-  row.pool = executor.entry.pool;
+  // Until a boot rejects the calls to earlier ones, it may execute those for
+  // the pool they were in.
+  row.pool =
+      executor.confirmed_incarnation == 0 && !executor.stored_pool.empty()
+          ? executor.stored_pool
+          : executor.entry.pool;
   row.retired = !BelongsInList(executor);
   row.incarnation = executor.confirmed_incarnation;
   const bool long_leases_left = row.incarnation != 0 &&
--- a/cell/testing/fake_executors.h
+++ b/cell/testing/fake_executors.h
@@ -51,6 +51,10 @@
   // those that were sent before the crash. No effect if the executor was
   // removed.
   void Restart(const ExecutorId& id);
+  // Its entry names this pool from now on.
+  void SetPool(const ExecutorId& id, const std::string& pool) {
+    states_.at(id).entry.pool = pool;
+  }
   // Ends the executor like Crash(), but for good.
   void Remove(const ExecutorId& id);
   void Drain(const ExecutorId& id);
--- a/cell/testing/joining_executors_test.cc
+++ b/cell/testing/joining_executors_test.cc
@@ -3,121 +3,22 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <vector>
 
-#include "cell/testing/cell_fixture.h"
+#include "cell/testing/joining_cell.h"
 
 namespace chivedale::cell {
 namespace {
 
-using testing::FakeCell;
+using nlohmann::json;
+using testing::EndLeader;
+using testing::JoiningCell;
+using testing::kAllExpired;
+using testing::kCallsOver;
 using testing::kJobId;
-using testing::LinkFaults;
+using testing::kQuarterExecutor;
+using testing::kTasks;
+using testing::kWaysToEnd;
 using testing::MakeJobSpec;
-using testing::MakeQueue;
-
-constexpr Millis kLongestLease{10'000};
-// The users' bound for a task that lasts: after 6 s without a run it may not
-// stay without one for 3 s.
-constexpr Millis kMostWithoutARun{9'000};
-// Until the first leader has found and stored the executors.
-constexpr Millis kFirstSeconds{2'000};
-// Longer than any lease and any late call last.
-constexpr Millis kAllExpired{25'000};
-// Calls may be executed for this long, see kMaxCallDelay.
-constexpr Millis kCallsOver{13'000};
-constexpr int kTasks = 12;
-constexpr int64_t kQuarterExecutor = 8'000;
-
-using Ids = std::vector<ExecutorId>;
-using nlohmann::json;
-
-// Five members, six executors and a job whose tasks last. The executors left
-// after a loss have room for all of its tasks.
-struct JoiningCell : FakeCell {
-  explicit JoiningCell(uint64_t seed = 1, double clock_speed = 1.0)
-      : FakeCell(seed) {
-    executors.clock_speed = clock_speed;
-    executors.longest_lease = kLongestLease;
-    for (const std::string& name : names) {
-      AddNode(name);
-    }
-    AddExecutors("pool", 6, {32'000, 64'000, 0, 0});
-    SetQueue(MakeQueue(0));
-    RunFor(kFirstSeconds);
-  }
-  ~JoiningCell() {
-    for (const std::string& what : executors.violations()) {
-      BOOST_ERROR(what);
-    }
-  }
-  std::string LeaderName() {
-    for (const std::string& name : names) {
-      if (node(name) != nullptr && node(name)->leading()) {
-        return name;
-      }
-    }
-    return "";
-  }
-  void SubmitLastingTasks() {
-    JobSpec spec = MakeJobSpec(kTasks, Millis(0), kQuarterExecutor);
-    spec.steps[0].long_running = true;
-    Submit(names[0], kJobId, spec, "q0");
-    RunFor(Millis(1'000));
-    BOOST_TEST_REQUIRE(executors.running() == kTasks);
-  }
-  void Lose(const Ids& ids) {
-    for (const ExecutorId& id : ids) {
-      executors.Remove(id);
-    }
-  }
-  // The executors go on and stay registered.
-  void Cut(const Ids& ids, bool cut = true) {
-    for (const std::string& name : names) {
-      for (const ExecutorId& id : ids) {
-        executors.links[{name, id}].cut = cut;
-      }
-    }
-  }
-  void KillLeader() { Kill(LeaderName()); }
-  void StopLeader() {
-    const std::string name = LeaderName();
-    node(name)->StartShutdown();
-    RunFor(Millis(100));
-    Kill(name);
-  }
-  // Of the list that a successor reads; null if there is none.
-  json RowOf(const ExecutorId& id) const {
-    for (json& row : json::from_msgpack(store.Find(kExecutorsKey)->value)) {
-      if (row[0] == id) {
-        return row;
-      }
-    }
-    return nullptr;
-  }
-  // Of executors that were not settled.
-  void StoreListOfAnEarlierVersion() {
-    json list = json::array();
-    for (const char* id : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
-      const json row = RowOf(id);
-      list.push_back(json::array({row[0], row[1], row[2], 0}));
-    }
-    std::string bytes;
-    json::to_msgpack(list, bytes);
-    store.Put(kExecutorsKey, bytes);
-  }
-  void ExpectAllTasksToRunInTime() {
-    RunFor(kMostWithoutARun);
-    BOOST_TEST(executors.running() == kTasks,
-               log.Lines("executors_unread") + log.Lines("executor_new"));
-  }
-
-  const std::vector<std::string> names = {"a", "b", "c", "d", "e"};
-};
-
-using EndLeader = void (JoiningCell::*)();
-constexpr EndLeader kWaysToEnd[] = {&JoiningCell::KillLeader,
-                                    &JoiningCell::StopLeader};
 
 BOOST_AUTO_TEST_SUITE(ANewLeader)
 
@@ -285,11 +186,7 @@
   for (uint64_t seed = 1; seed <= 6; ++seed) {
     JoiningCell cell(seed);
     cell.RunFor(Millis(60'000));
-    LinkFaults late;
-    late.late_orders = 1;
-    for (const std::string& name : cell.names) {
-      cell.executors.links[{name, "e1"}] = late;
-    }
+    cell.MakeOrdersLate("e1");
     cell.Submit("a", kJobId, MakeJobSpec(1, Millis(40'000), 32'000), "q0");
     cell.RunFor(Millis(200));
     BOOST_TEST_REQUIRE(cell.log.Lines("executor=e1 queue=q0") != "");
@@ -307,6 +204,31 @@
   BOOST_TEST(started_late > 0);
 }
 
+// Guards against an executor that is taken for one of its new pool alone: it
+// may still execute a start of the last leader for the pool it was in.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceThatABootInAnotherPoolRuns) {
+  int started_late = 0;
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    JoiningCell cell(seed);
+    cell.RunFor(Millis(60'000));
+    cell.MakeOrdersLate("e1");
+    cell.Submit("a", kJobId, MakeJobSpec(1, Millis(40'000), 32'000), "q0");
+    cell.RunFor(Millis(200));
+    BOOST_TEST_REQUIRE(cell.log.Lines("executor=e1 queue=q0") != "");
+    cell.executors.Crash("e1");
+    cell.KillLeader();
+    cell.executors.SetPool("e1", "other");
+    cell.executors.Restart("e1");
+    cell.Cut({"e1"});
+    cell.RunFor(Millis(13'000));
+    started_late += cell.executors.RunsOn({kJobId, 0, 0, 0}, "e1") ? 1 : 0;
+    // For the next leader.
+    BOOST_TEST(cell.RowOf("e1")[2] == "pool");
+    cell.RunFor(kAllExpired);
+  }
+  BOOST_TEST(started_late > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhosePredecessorsListIsOfAnEarlierVersion)
