--- a/cell/testing/cut_history.cc
+++ b/cell/testing/cut_history.cc
@@ -197,6 +197,10 @@
 // ---- Faults.
 
 void CutHistory::InjectFault() {
+  if (options_.joins_executors && OneIn(3)) {
+    JoinExecutors();
+    return;
+  }
   switch (Pick(11)) {
     case 0:
     case 1:
@@ -230,6 +234,80 @@
   }
 }
 
+void CutHistory::JoinExecutors() {
+  std::vector<ExecutorId> ids;
+  if (OneIn(2)) {
+    std::set<ExecutorId> before;
+    for (const ExecutorEntry& entry : cell_.executors.Entries()) {
+      before.insert(entry.id);
+    }
+    cell_.AddExecutors(kRandomPool, 1 + static_cast<int>(Pick(3)),
+                       {32'000, 64'000, 0, 0});
+    for (const ExecutorEntry& entry : cell_.executors.Entries()) {
+      if (before.count(entry.id) == 0) {
+        ids.push_back(entry.id);
+      }
+    }
+  } else {
+    // Calls to the earlier boots may be executed by the new ones.
+    LinkFaults late;
+    late.late_orders = 0.5;
+    late.late_holds = 0.5;
+    for (int i = 0; i < 3; ++i) {
+      const ExecutorId id = PickExecutor();
+      for (const std::string& name : members_) {
+        cell_.executors.links[{name, id}] = late;
+      }
+      Later(PickTime(Millis(50), Millis(500)), [this, id] {
+        cell_.executors.Crash(id);
+        for (const std::string& name : members_) {
+          cell_.executors.links.erase({name, id});
+        }
+      });
+      Later(PickTime(Millis(600), Millis(2'000)), [this, id] {
+        if (!cell_.executors.IsUp(id)) {
+          cell_.executors.Restart(id);
+        }
+      });
+      ids.push_back(id);
+    }
+  }
+  Later(PickTime(Millis(0), Millis(10'000)),
+        [this, ids] { FailWithLeader(ids); });
+}
+
+void CutHistory::FailWithLeader(const std::vector<ExecutorId>& ids) {
+  LinkFaults cut;
+  cut.cut = true;
+  const Millis time = PickTime(kShortestFault, 2 * kLongestFault);
+  for (const ExecutorId& id : ids) {
+    if (!cell_.executors.IsUp(id)) {
+      continue;
+    }
+    if (OneIn(3)) {
+      // Another one of its kind comes, so that all jobs can end.
+      executor_lost_ = true;
+      cell_.ReplaceExecutor(id, time);
+      continue;
+    }
+    for (const std::string& name : members_) {
+      cell_.executors.links[{name, id}] = cut;
+      Later(time, [this, name, id] {
+        cell_.executors.links.erase({name, id});
+      });
+    }
+  }
+  const std::string leader = PickLeader();
+  Later(PickTime(Millis(0), Millis(300)), [this, leader] {
+    if (OneIn(2)) {
+      EndMembers({leader}, OneIn(2));
+    } else if (cell_.node(leader) != nullptr) {
+      cell_.node(leader)->StartShutdown();
+      Later(Millis(500), [this, leader] { EndMembers({leader}, false); });
+    }
+  });
+}
+
 // A later cut replaces the sides of an earlier one, whose executors and members
 // stay cut off as they were until the later one ends.
 void CutHistory::CutDataCentres() {
--- a/cell/testing/cut_history.h
+++ b/cell/testing/cut_history.h
@@ -26,6 +26,9 @@
     int rounds = 200;  // each with a job and, one in five, a fault
     // Whether all members may be lost for good at once.
     bool replaces_members = false;
+    // Whether executors join, and are lost or cut off within 10 s as the leader
+    // ends.
+    bool joins_executors = false;
   };
 
   CutHistory(uint64_t seed, const Options& options)
@@ -58,6 +61,11 @@
   void InjectMemberFault();
   void InjectStoreFault();
   void InjectExecutorFault();
+  // Adds executors, or starts some again, and has them and others fail soon.
+  void JoinExecutors();
+  // Some of these are lost for good, or cut off from all members for a while;
+  // the leader ends at about the same time.
+  void FailWithLeader(const std::vector<ExecutorId>& ids);
   void CutDataCentres();
   void CutLinks();
   void AddMember();
