--- a/cell/leader_executors.cc
+++ b/cell/leader_executors.cc
@@ -589,8 +589,8 @@
   // The kind of a new boot is known once its own entry has been read.
   const bool kind_known = boot.incarnation == executor.entry.incarnation ||
                           executor.entry.incarnation == 0;
-  // A successor knows this boot; otherwise it would wait for any that may have
-  // executed a late call.
+  // The stored list names this boot, so that a successor need not allow for
+  // late calls to another one.
   const bool stored =
       executor.stored && executor.stored_incarnation == boot.incarnation;
   return boot.adopted && boot.confirmed && kind_known && executor.listed &&
--- a/cell/testing/joining_executors_test.cc
+++ b/cell/testing/joining_executors_test.cc
@@ -274,7 +274,7 @@
 
 BOOST_AUTO_TEST_SUITE(StoresForItsSuccessor)
 
-// Guards against a successor that cannot tell which boot it need not wait for.
+// Guards against a task on a boot that the stored list does not name.
 BOOST_AUTO_TEST_CASE(EachBootBeforeItGetsATask) {
   JoiningCell cell;
   // As many as there is room for.
